--- /dev/null
+++ b/Makefile
@@ -0,0 +1,94 @@
+# Build: make; tests: make check; measures: make bench; see README.md.
+
+BUILD ?= build
+CC ?= cc
+SANITIZE ?=
+OPT ?= -O2
+PACKAGES = talloc tevent msgpack liburcu jansson yaml-0.1 libsodium libxxhash \
+	   libnghttp2 glib-2.0
+LIB_DIRS = common config authenticate admit route confirm control membership \
+	   wire io daemon tool
+LIB_SRCS = $(wildcard $(LIB_DIRS:%=lib/%/*.c))
+LIB_OBJS = $(LIB_SRCS:%.c=$(BUILD)/%.o)
+
+CFLAGS = -std=gnu11 -D_GNU_SOURCE -g $(OPT) -Wall -Wextra -Werror \
+	 -Wstrict-prototypes -Wmissing-prototypes -Wno-format-truncation \
+	 $(SANITIZE)
+CPPFLAGS = $(LIB_DIRS:%=-Ilib/%) -Iprograms/standin -Itests -Ibench \
+	   $(shell pkg-config --cflags $(PACKAGES)) -MMD -MP
+LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lurcu-memb -lpthread
+LDFLAGS = $(SANITIZE)
+
+PROGRAMS = $(BUILD)/lacewingspand $(BUILD)/lacewingspan $(BUILD)/standin
+TEST_SUPPORT = $(wildcard tests/support_*.c)
+TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
+BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
+BENCH_SUPPORT = $(wildcard bench/support_*.c)
+FORMATTED = $(wildcard lib/*/*.[ch] programs/*/*.[ch] tests/*.[ch] \
+	    bench/*.[ch])
+
+.PHONY: all check bench bench-slopes demo format format-check lint clean tests
+
+all: $(PROGRAMS)
+
+tests: $(TESTS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	@echo CC $<
+	@$(CC) $(CFLAGS) $(CPPFLAGS) -c $< -o $@
+
+$(BUILD)/liblacewingspan.a: $(LIB_OBJS)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/lacewingspand: $(BUILD)/programs/lacewingspand/main.o
+$(BUILD)/lacewingspan: $(BUILD)/programs/lacewingspan/main.o
+$(BUILD)/standin: $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/standin/*.c))
+$(PROGRAMS): $(BUILD)/liblacewingspan.a
+	@echo LD $@
+	@$(CC) $(LDFLAGS) $(filter %.o,$^) $(BUILD)/liblacewingspan.a $(LDLIBS) \
+		-o $@
+
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(TEST_SUPPORT:%.c=$(BUILD)/%.o) \
+		$(BUILD)/liblacewingspan.a
+	@echo LD $@
+	@$(CC) $(LDFLAGS) $(filter %.o,$^) $(BUILD)/liblacewingspan.a $(LDLIBS) \
+		-o $@
+
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BENCH_SUPPORT:%.c=$(BUILD)/%.o) \
+		$(TEST_SUPPORT:%.c=$(BUILD)/%.o) $(BUILD)/liblacewingspan.a
+	@echo LD $@
+	@$(CC) $(LDFLAGS) $(filter %.o,$^) $(BUILD)/liblacewingspan.a $(LDLIBS) \
+		-o $@
+
+check: all tests
+	tests/run.sh $(BUILD)
+
+bench: all $(BENCHES)
+	bench/run.sh $(BUILD)
+
+bench-slopes: all $(BENCHES)
+	bench/slopes.sh $(BUILD)
+
+demo:
+	./demo.sh
+
+format:
+	clang-format -i $(FORMATTED)
+
+format-check:
+	clang-format --dry-run --Werror $(FORMATTED)
+
+lint:
+	clang-tidy --quiet $(filter %.c,$(FORMATTED)) -- -std=gnu11 \
+		-D_GNU_SOURCE $(filter-out -MMD -MP,$(CPPFLAGS))
+	cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr \
+		--enable=warning,performance,portability \
+		--suppress=missingIncludeSystem $(LIB_DIRS:%=-Ilib/%) lib \
+		programs
+
+clean:
+	rm -rf $(BUILD) build-*
+
+-include $(LIB_OBJS:.o=.d)
--- /dev/null
+++ b/lib/admit/fair_queue.c
@@ -0,0 +1,221 @@
+#include "fair_queue.h"
+
+#include <talloc.h>
+
+#include "lws_error.h"
+
+/* Virtual time of one request of worth 1. */
+#define VIRTUAL_UNIT 1000000ULL
+
+struct fair_queue_flow {
+	struct fair_queue_flow *prev;
+	struct fair_queue_flow *next;
+	uint64_t customer;
+	uint32_t worth;
+	uint32_t count;
+	uint64_t start_tag;
+	struct fair_queue_item *head;
+	struct fair_queue_item *tail;
+};
+
+struct fair_queue {
+	struct fair_queue_flow *flows;
+	uint64_t virtual_time;
+	uint32_t count;
+	uint32_t worth_sum;
+};
+
+struct fair_queue *fair_queue_create(void *mem_ctx)
+{
+	return talloc_zero(mem_ctx, struct fair_queue);
+}
+
+/* Flows; one exists only while it has requests */
+
+static struct fair_queue_flow *find_flow(const struct fair_queue *q,
+					 uint64_t customer)
+{
+	struct fair_queue_flow *flow = q->flows;
+
+	while (flow && flow->customer != customer)
+		flow = flow->next;
+	return flow;
+}
+
+static struct fair_queue_flow *make_flow(struct fair_queue *q,
+					 uint64_t customer, uint32_t worth)
+{
+	struct fair_queue_flow *flow = find_flow(q, customer);
+
+	if (flow)
+		return flow;
+	flow = talloc_zero(q, struct fair_queue_flow);
+	if (!flow)
+		return NULL;
+	flow->customer = customer;
+	flow->worth = worth;
+	flow->start_tag = q->virtual_time;
+	flow->next = q->flows;
+	if (q->flows)
+		q->flows->prev = flow;
+	q->flows = flow;
+	q->worth_sum += worth;
+	return flow;
+}
+
+static void drop_flow(struct fair_queue *q, struct fair_queue_flow *flow)
+{
+	if (flow->prev)
+		flow->prev->next = flow->next;
+	else
+		q->flows = flow->next;
+	if (flow->next)
+		flow->next->prev = flow->prev;
+	q->worth_sum -= flow->worth;
+	talloc_free(flow);
+}
+
+static struct fair_queue_flow *next_flow(const struct fair_queue *q)
+{
+	struct fair_queue_flow *best = q->flows;
+
+	for (struct fair_queue_flow *flow = best; flow; flow = flow->next) {
+		if (flow->start_tag < best->start_tag ||
+		    (flow->start_tag == best->start_tag &&
+		     flow->head->deadline_us < best->head->deadline_us))
+			best = flow;
+	}
+	return best;
+}
+
+/* Items of a flow, ordered by deadline */
+
+static void link_item(struct fair_queue_flow *flow,
+		      struct fair_queue_item *item)
+{
+	struct fair_queue_item *after = flow->tail;
+
+	while (after && after->deadline_us > item->deadline_us)
+		after = after->prev;
+	item->prev = after;
+	item->next = after ? after->next : flow->head;
+	if (item->next)
+		item->next->prev = item;
+	else
+		flow->tail = item;
+	if (after)
+		after->next = item;
+	else
+		flow->head = item;
+	item->flow = flow;
+	flow->count++;
+}
+
+static void unlink_item(struct fair_queue_flow *flow,
+			struct fair_queue_item *item)
+{
+	if (item->prev)
+		item->prev->next = item->next;
+	else
+		flow->head = item->next;
+	if (item->next)
+		item->next->prev = item->prev;
+	else
+		flow->tail = item->prev;
+	item->prev = NULL;
+	item->next = NULL;
+	item->flow = NULL;
+	flow->count--;
+}
+
+int fair_queue_push(struct fair_queue *q, uint64_t customer, uint32_t worth,
+		    struct fair_queue_item *item)
+{
+	struct fair_queue_flow *flow = make_flow(q, customer, worth);
+
+	if (!flow)
+		return LWS_E_NOMEM;
+	link_item(flow, item);
+	q->count++;
+	return 0;
+}
+
+struct fair_queue_item *fair_queue_peek(const struct fair_queue *q)
+{
+	const struct fair_queue_flow *flow = next_flow(q);
+
+	return flow ? flow->head : NULL;
+}
+
+struct fair_queue_item *fair_queue_pop(struct fair_queue *q)
+{
+	struct fair_queue_flow *flow = next_flow(q);
+	struct fair_queue_item *item;
+
+	if (!flow)
+		return NULL;
+	item = flow->head;
+	q->virtual_time = flow->start_tag;
+	flow->start_tag += VIRTUAL_UNIT / flow->worth;
+	unlink_item(flow, item);
+	q->count--;
+	if (!flow->head)
+		drop_flow(q, flow);
+	return item;
+}
+
+void fair_queue_remove(struct fair_queue *q, struct fair_queue_item *item)
+{
+	struct fair_queue_flow *flow = item->flow;
+
+	unlink_item(flow, item);
+	q->count--;
+	if (!flow->head)
+		drop_flow(q, flow);
+}
+
+struct fair_queue_item *fair_queue_expired(struct fair_queue *q,
+					   uint64_t now_us)
+{
+	for (struct fair_queue_flow *f = q->flows; f; f = f->next) {
+		struct fair_queue_item *item = f->head;
+
+		if (item->deadline_us > now_us)
+			continue;
+		fair_queue_remove(q, item);
+		return item;
+	}
+	return NULL;
+}
+
+uint64_t fair_queue_next_deadline(const struct fair_queue *q)
+{
+	uint64_t earliest = UINT64_MAX;
+
+	for (const struct fair_queue_flow *f = q->flows; f; f = f->next) {
+		if (f->head->deadline_us < earliest)
+			earliest = f->head->deadline_us;
+	}
+	return earliest;
+}
+
+uint32_t fair_queue_count(const struct fair_queue *q)
+{
+	return q->count;
+}
+
+uint32_t fair_queue_ahead(const struct fair_queue *q, uint64_t customer,
+			  uint32_t worth)
+{
+	const struct fair_queue_flow *own = find_flow(q, customer);
+	uint64_t turns = (own ? own->count : 0) + 1;
+	uint64_t ahead = turns - 1;
+
+	for (const struct fair_queue_flow *f = q->flows; f; f = f->next) {
+		uint64_t theirs = turns * f->worth / worth;
+
+		if (f != own)
+			ahead += theirs < f->count ? theirs : f->count;
+	}
+	return (uint32_t)ahead;
+}
--- /dev/null
+++ b/lib/admit/rate_holder.c
@@ -0,0 +1,79 @@
+#include "rate_holder.h"
+
+#include "lws_time.h"
+
+/* Tokens to hold for this many ticks of the demand seen. */
+#define DEMAND_TICKS 2
+/* An account without arrivals for this long asks no more. */
+#define IDLE_US (2 * LWS_US_PER_S)
+
+/* Take back all tokens above @keep; returns how many. */
+static uint32_t drain(struct rate_account *account, int64_t keep)
+{
+	int64_t have = atomic_load(&account->tokens);
+
+	while (have > keep) {
+		if (atomic_compare_exchange_weak(&account->tokens, &have, keep))
+			return (uint32_t)(have - keep);
+	}
+	return 0;
+}
+
+static void learn_demand(struct rate_account *account, uint64_t now_us)
+{
+	uint32_t arrivals = atomic_exchange(&account->arrivals, 0);
+
+	if (arrivals || atomic_load(&account->waiting))
+		account->idle_since_us = now_us;
+	/* Rises at once, falls by an eighth a tick. */
+	if (arrivals >= account->demand_per_tick)
+		account->demand_per_tick = arrivals;
+	else
+		account->demand_per_tick -=
+			(account->demand_per_tick - arrivals + 7) / 8;
+}
+
+bool rate_account_tick(struct rate_account *account, uint64_t now_us,
+		       struct rate_ask *ask)
+{
+	uint32_t waiting;
+	int64_t target;
+	int64_t held;
+
+	learn_demand(account, now_us);
+	if (now_us >= account->expires_us) {
+		/* The owner has stopped counting them. */
+		drain(account, 0);
+		account->returned = 0;
+	}
+	waiting = atomic_load(&account->waiting);
+	target = (int64_t)account->demand_per_tick * DEMAND_TICKS + waiting;
+	account->returned += drain(account, target * 2);
+	held = atomic_load(&account->tokens);
+	if (now_us - account->idle_since_us > IDLE_US && !held &&
+	    !account->returned)
+		return false;
+	if (!target && !held && !account->returned)
+		return false;
+	*ask = (struct rate_ask){
+		.customer = account->customer,
+		.want = target > held ? (uint32_t)(target - held) : 0,
+		.held = (uint32_t)held,
+		.returned = account->returned,
+	};
+	account->returned = 0;
+	account->asked_us = now_us;
+	return true;
+}
+
+void rate_account_grant(struct rate_account *account, uint64_t now_us,
+			uint64_t sent_us, uint64_t ttl_us, uint32_t granted)
+{
+	uint64_t expires_us = sent_us + ttl_us;
+
+	if (now_us >= expires_us)
+		return;
+	if (expires_us > account->expires_us)
+		account->expires_us = expires_us;
+	atomic_fetch_add(&account->tokens, granted);
+}
--- /dev/null
+++ b/lib/admit/rate_owner.c
@@ -0,0 +1,235 @@
+#include "rate_owner.h"
+
+#include <stdbool.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "lws_error.h"
+#include "lws_time.h"
+
+/* What one instance may still hold of one customer's tokens. */
+struct holding {
+	uint64_t instance;
+	uint64_t incarnation;
+	uint64_t seq;
+	uint64_t expires_us;
+	uint32_t outstanding;
+	uint32_t want;
+};
+
+/* Levels count millionths of a token, so that slow rates lose nothing. */
+struct bucket {
+	uint64_t customer;
+	uint32_t rate_per_s;
+	uint32_t burst;
+	uint64_t level_millionths;
+	uint64_t filled_us;
+	uint64_t unknown_until_us;
+	uint32_t holdings_count;
+	struct holding *holdings;
+};
+
+struct rate_owner {
+	struct rate_owner_params params;
+	uint64_t created_us;
+	uint32_t buckets_count;
+	struct bucket *buckets;
+};
+
+#define MILLIONTHS 1000000ULL
+
+static uint64_t padded_ttl_us(const struct rate_owner *owner)
+{
+	return owner->params.ttl_us * (100 + owner->params.drift_percent) / 100;
+}
+
+struct rate_owner *rate_owner_create(void *mem_ctx,
+				     const struct rate_owner_params *params,
+				     uint64_t now_us)
+{
+	struct rate_owner *owner = talloc_zero(mem_ctx, struct rate_owner);
+
+	if (!owner)
+		return NULL;
+	owner->params = *params;
+	owner->created_us = now_us;
+	return owner;
+}
+
+static struct bucket *find_bucket(struct rate_owner *owner, uint64_t customer)
+{
+	for (uint32_t i = 0; i < owner->buckets_count; i++) {
+		if (owner->buckets[i].customer == customer)
+			return &owner->buckets[i];
+	}
+	return NULL;
+}
+
+static uint64_t outstanding(const struct bucket *b, uint64_t now_us)
+{
+	uint64_t sum = 0;
+
+	for (uint32_t i = 0; i < b->holdings_count; i++) {
+		if (b->holdings[i].expires_us > now_us)
+			sum += b->holdings[i].outstanding;
+	}
+	return sum;
+}
+
+static void cap_level(struct bucket *b, uint64_t now_us)
+{
+	uint64_t out = outstanding(b, now_us);
+	uint64_t room = b->burst > out ? b->burst - out : 0;
+
+	if (b->level_millionths > room * MILLIONTHS)
+		b->level_millionths = room * MILLIONTHS;
+}
+
+static void fill(struct bucket *b, uint64_t now_us)
+{
+	uint64_t dt = now_us > b->filled_us ? now_us - b->filled_us : 0;
+
+	/* An hour of refill is more than any burst that is allowed. */
+	if (dt > 3600 * LWS_US_PER_S)
+		dt = 3600 * LWS_US_PER_S;
+	b->filled_us = now_us;
+	if (now_us < b->unknown_until_us)
+		return;
+	b->level_millionths += dt * b->rate_per_s;
+	cap_level(b, now_us);
+}
+
+int rate_owner_set(struct rate_owner *owner, uint64_t now_us, uint64_t customer,
+		   uint32_t rate_per_s, uint32_t burst)
+{
+	struct bucket *b = find_bucket(owner, customer);
+
+	if (!b) {
+		struct bucket *grown =
+			talloc_realloc(owner, owner->buckets, struct bucket,
+				       owner->buckets_count + 1);
+
+		if (!grown)
+			return LWS_E_NOMEM;
+		owner->buckets = grown;
+		b = &grown[owner->buckets_count++];
+		memset(b, 0, sizeof(*b));
+		b->customer = customer;
+		b->filled_us = now_us;
+		b->unknown_until_us = owner->created_us + padded_ttl_us(owner);
+	}
+	fill(b, now_us);
+	b->rate_per_s = rate_per_s;
+	b->burst = burst;
+	cap_level(b, now_us);
+	return 0;
+}
+
+static struct holding *find_holding(struct rate_owner *owner, struct bucket *b,
+				    uint64_t now_us, uint64_t instance)
+{
+	struct holding *expired = NULL;
+	struct holding *grown;
+
+	for (uint32_t i = 0; i < b->holdings_count; i++) {
+		if (b->holdings[i].instance == instance)
+			return &b->holdings[i];
+		if (b->holdings[i].expires_us <= now_us)
+			expired = &b->holdings[i];
+	}
+	if (!expired) {
+		if (b->holdings_count == RATE_INSTANCES_MAX)
+			return NULL;
+		grown = talloc_realloc(owner, b->holdings, struct holding,
+				       b->holdings_count + 1);
+		if (!grown)
+			return NULL;
+		b->holdings = grown;
+		expired = &grown[b->holdings_count++];
+	}
+	*expired = (struct holding){ .instance = instance };
+	return expired;
+}
+
+static uint64_t sum_wants(const struct bucket *b, uint64_t now_us)
+{
+	uint64_t sum = 0;
+
+	for (uint32_t i = 0; i < b->holdings_count; i++) {
+		if (b->holdings[i].expires_us > now_us)
+			sum += b->holdings[i].want;
+	}
+	return sum;
+}
+
+/* When tokens are scarce, each instance gets its part by what all want. */
+static uint32_t share_of(const struct bucket *b, const struct holding *h,
+			 uint64_t now_us)
+{
+	uint64_t level = b->level_millionths / MILLIONTHS;
+	uint64_t wants = sum_wants(b, now_us);
+	uint64_t part;
+
+	if (wants <= level || h->want >= wants)
+		return (uint32_t)(h->want < level ? h->want : level);
+	part = (level * h->want + wants - 1) / wants;
+	return (uint32_t)(part < h->want ? part : h->want);
+}
+
+static void restart_holding(struct holding *h, uint64_t incarnation)
+{
+	/* The earlier process is gone, and its tokens with it. */
+	h->incarnation = incarnation;
+	h->seq = 0;
+	h->outstanding = 0;
+}
+
+uint32_t rate_owner_ask(struct rate_owner *owner, uint64_t now_us,
+			uint64_t instance, uint64_t incarnation, uint64_t seq,
+			const struct rate_ask *ask)
+{
+	struct bucket *b = find_bucket(owner, ask->customer);
+	struct holding *h;
+	uint64_t returned;
+	uint32_t granted;
+
+	if (!b)
+		return 0;
+	h = find_holding(owner, b, now_us, instance);
+	if (!h)
+		return 0;
+	if (h->incarnation != incarnation)
+		restart_holding(h, incarnation);
+	if (seq <= h->seq)
+		return 0;
+	/* Nobody returns more than it could hold. */
+	returned =
+		ask->returned < h->outstanding ? ask->returned : h->outstanding;
+	h->seq = seq;
+	h->want = ask->want;
+	h->outstanding = ask->held;
+	h->expires_us = now_us + padded_ttl_us(owner);
+	fill(b, now_us);
+	if (now_us >= b->unknown_until_us)
+		b->level_millionths += returned * MILLIONTHS;
+	cap_level(b, now_us);
+	granted = share_of(b, h, now_us);
+	b->level_millionths -= granted * MILLIONTHS;
+	h->outstanding += granted;
+	return granted;
+}
+
+uint64_t rate_owner_wait_us(struct rate_owner *owner, uint64_t now_us,
+			    uint64_t customer)
+{
+	struct bucket *b = find_bucket(owner, customer);
+
+	if (!b || !b->rate_per_s)
+		return LWS_US_PER_S;
+	fill(b, now_us);
+	if (now_us < b->unknown_until_us)
+		return b->unknown_until_us - now_us;
+	if (b->level_millionths >= MILLIONTHS)
+		return 0;
+	return (MILLIONTHS - b->level_millionths) / b->rate_per_s + 1;
+}
--- /dev/null
+++ b/lib/common/lws_rcu.h
@@ -0,0 +1,66 @@
+#ifndef LWS_RCU_H
+#define LWS_RCU_H
+
+#include <stdatomic.h>
+#include <urcu/urcu-memb.h>
+
+/**
+ * DOC: Read-copy-update for the path of a request.
+ *
+ * A thin wrapper over liburcu: readers see one published snapshot between
+ * lws_rcu_read_lock() and lws_rcu_read_unlock(); a writer publishes a new one
+ * with release order and frees the old one after lws_rcu_synchronize().
+ * Under the thread sanitizer the grace period is announced to it, because it
+ * cannot see the barriers of the library.
+ */
+
+#if defined(__SANITIZE_THREAD__)
+#define LWS_TSAN 1
+#elif defined(__has_feature)
+#if __has_feature(thread_sanitizer)
+#define LWS_TSAN 1
+#endif
+#endif
+
+#ifdef LWS_TSAN
+void __tsan_acquire(void *addr);
+void __tsan_release(void *addr);
+extern char lws_rcu_grace;
+#endif
+
+static inline void lws_rcu_register(void)
+{
+	urcu_memb_register_thread();
+}
+
+static inline void lws_rcu_unregister(void)
+{
+	urcu_memb_unregister_thread();
+}
+
+static inline void lws_rcu_read_lock(void)
+{
+	urcu_memb_read_lock();
+}
+
+static inline void lws_rcu_read_unlock(void)
+{
+#ifdef LWS_TSAN
+	__tsan_release(&lws_rcu_grace);
+#endif
+	urcu_memb_read_unlock();
+}
+
+static inline void lws_rcu_synchronize(void)
+{
+	urcu_memb_synchronize_rcu();
+#ifdef LWS_TSAN
+	__tsan_acquire(&lws_rcu_grace);
+#endif
+}
+
+#define lws_rcu_publish(ptr, value) \
+	atomic_store_explicit(ptr, value, memory_order_release)
+#define lws_rcu_dereference(ptr) atomic_load_explicit(ptr, memory_order_acquire)
+
+#endif
--- /dev/null
+++ b/lib/common/pack.c
@@ -0,0 +1,193 @@
+#include "pack.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "lws_error.h"
+
+void pack_writer_init(struct pack_writer *w)
+{
+	msgpack_sbuffer_init(&w->buf);
+	msgpack_packer_init(&w->packer, &w->buf, msgpack_sbuffer_write);
+}
+
+void pack_writer_clear(struct pack_writer *w)
+{
+	msgpack_sbuffer_destroy(&w->buf);
+}
+
+void pack_array(struct pack_writer *w, uint32_t count)
+{
+	msgpack_pack_array(&w->packer, count);
+}
+
+void pack_u64(struct pack_writer *w, uint64_t value)
+{
+	msgpack_pack_uint64(&w->packer, value);
+}
+
+void pack_i64(struct pack_writer *w, int64_t value)
+{
+	msgpack_pack_int64(&w->packer, value);
+}
+
+void pack_bool(struct pack_writer *w, bool value)
+{
+	if (value)
+		msgpack_pack_true(&w->packer);
+	else
+		msgpack_pack_false(&w->packer);
+}
+
+void pack_str(struct pack_writer *w, const char *text)
+{
+	size_t len = text ? strlen(text) : 0;
+
+	msgpack_pack_str(&w->packer, len);
+	msgpack_pack_str_body(&w->packer, text ? text : "", len);
+}
+
+void pack_bin(struct pack_writer *w, const void *data, uint32_t len)
+{
+	msgpack_pack_bin(&w->packer, len);
+	msgpack_pack_bin_body(&w->packer, data, len);
+}
+
+static void read_array(struct pack_reader *r, const msgpack_object *object)
+{
+	if (object->type != MSGPACK_OBJECT_ARRAY) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	r->items = object->via.array.ptr;
+	r->count = object->via.array.size;
+}
+
+int pack_reader_init(struct pack_reader *r, const void *data, size_t len)
+{
+	size_t off = 0;
+	msgpack_unpack_return got;
+
+	*r = (struct pack_reader){ 0 };
+	msgpack_unpacked_init(&r->unpacked);
+	got = msgpack_unpack_next(&r->unpacked, data, len, &off);
+	if (got != MSGPACK_UNPACK_SUCCESS || off != len)
+		r->rc = LWS_E_WIRE_FORMAT;
+	else
+		read_array(r, &r->unpacked.data);
+	return r->rc;
+}
+
+void pack_reader_clear(struct pack_reader *r)
+{
+	msgpack_unpacked_destroy(&r->unpacked);
+}
+
+static const msgpack_object *next(struct pack_reader *r,
+				  msgpack_object_type type)
+{
+	const msgpack_object *object;
+
+	if (r->rc)
+		return NULL;
+	if (r->next >= r->count || r->items[r->next].type != type) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return NULL;
+	}
+	object = &r->items[r->next];
+	r->next++;
+	return object;
+}
+
+int pack_reader_enter(struct pack_reader *r, struct pack_reader *inner)
+{
+	const msgpack_object *object = next(r, MSGPACK_OBJECT_ARRAY);
+
+	*inner = (struct pack_reader){ 0 };
+	if (object)
+		read_array(inner, object);
+	else
+		inner->rc = LWS_E_WIRE_FORMAT;
+	return inner->rc;
+}
+
+uint64_t pack_read_u64(struct pack_reader *r)
+{
+	const msgpack_object *o = next(r, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+	return o ? o->via.u64 : 0;
+}
+
+int64_t pack_read_i64(struct pack_reader *r)
+{
+	const msgpack_object *o;
+
+	if (!r->rc && r->next < r->count &&
+	    r->items[r->next].type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+		return r->items[r->next++].via.i64;
+	o = next(r, MSGPACK_OBJECT_POSITIVE_INTEGER);
+	if (o && o->via.u64 > INT64_MAX)
+		r->rc = LWS_E_WIRE_FORMAT;
+	return o ? (int64_t)o->via.u64 : 0;
+}
+
+bool pack_read_bool(struct pack_reader *r)
+{
+	const msgpack_object *o = next(r, MSGPACK_OBJECT_BOOLEAN);
+
+	return o && o->via.boolean;
+}
+
+void pack_read_str(struct pack_reader *r, char *out, size_t room)
+{
+	const msgpack_object *o = next(r, MSGPACK_OBJECT_STR);
+
+	out[0] = '\0';
+	if (!o)
+		return;
+	if (o->via.str.size >= room ||
+	    memchr(o->via.str.ptr, 0, o->via.str.size)) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	memcpy(out, o->via.str.ptr, o->via.str.size);
+	out[o->via.str.size] = '\0';
+}
+
+char *pack_read_text(struct pack_reader *r, void *mem_ctx)
+{
+	const msgpack_object *o = next(r, MSGPACK_OBJECT_STR);
+
+	if (!o)
+		return NULL;
+	return talloc_strndup(mem_ctx, o->via.str.ptr, o->via.str.size);
+}
+
+const uint8_t *pack_read_bin(struct pack_reader *r, uint32_t *len)
+{
+	const msgpack_object *o = next(r, MSGPACK_OBJECT_BIN);
+
+	*len = o ? o->via.bin.size : 0;
+	return o ? (const uint8_t *)o->via.bin.ptr : NULL;
+}
+
+void pack_read_bin_exact(struct pack_reader *r, void *out, uint32_t len)
+{
+	uint32_t got;
+	const uint8_t *data = pack_read_bin(r, &got);
+
+	memset(out, 0, len);
+	if (got != len) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	if (data)
+		memcpy(out, data, len);
+}
+
+int pack_reader_end(const struct pack_reader *r)
+{
+	if (r->rc)
+		return r->rc;
+	return r->next == r->count ? 0 : LWS_E_WIRE_FORMAT;
+}
--- /dev/null
+++ b/lib/daemon/control.c
@@ -0,0 +1,187 @@
+#include "control.h"
+
+#include <string.h>
+#include <talloc.h>
+#include <time.h>
+
+#include "lws_error.h"
+#include "lws_time.h"
+
+#define SYNC_POLL_US (500 * LWS_US_PER_MS)
+#define SYNC_TIMEOUT_US (400 * LWS_US_PER_MS)
+
+uint64_t control_wall_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+bool control_leads(const struct control *c, uint64_t now_us)
+{
+	return c->raft && raft_quorum_stamp_us(c->raft, now_us) != 0;
+}
+
+/* The agreed state */
+
+void control_replace_fleet(struct control *c, struct fleet *fleet)
+{
+	talloc_free(c->fleet);
+	c->fleet = fleet;
+	c->fleet_changed = true;
+	sync_log_clear(c->sync_log);
+}
+
+static void log_command(struct control *c, uint64_t index,
+			const struct fleet_command *command,
+			struct fleet_result result)
+{
+	const struct fleet_audit *audit = fleet_audit_at(c->fleet, 0);
+
+	(void)command;
+	if (!audit || audit->index != index)
+		return;
+	lws_log_info(c->daemon->log, "change", "{s:I,s:s,s:s,s:s,s:I}", "index",
+		     (json_int_t)index, "who", audit->who, "what", audit->what,
+		     "result", lws_error_name(result.rc), "version",
+		     (json_int_t)result.version);
+}
+
+void control_apply(struct control *c, uint64_t index, const uint8_t *data,
+		   uint32_t len)
+{
+	struct fleet_result result = { .version = c->fleet->config_version };
+	struct fleet_command command;
+	void *scratch;
+
+	/* The log and a parent may both bring it. */
+	if (index <= c->fleet->applied_index)
+		return;
+	scratch = talloc_new(NULL);
+	if (len && !fleet_command_unpack(scratch, data, len, &command)) {
+		result = fleet_apply(c->fleet, index, &command);
+		c->fleet_changed = true;
+		log_command(c, index, &command, result);
+	}
+	c->fleet->applied_index = index;
+	sync_log_push(c->sync_log, index, data, len);
+	talloc_free(scratch);
+	control_proposals_applied(c, index, result);
+}
+
+void control_publish(struct control *c)
+{
+	uint32_t instances = c->instances_known ? c->instances_known : 1;
+	struct view *view;
+
+	control_push_children(c);
+	if (!c->fleet_changed && instances == c->instances_in_view)
+		return;
+	view = view_create(NULL, c->fleet, instances, control_account_of, c);
+	if (!view)
+		return;
+	c->fleet_changed = false;
+	c->instances_in_view = instances;
+	daemon_publish(c->daemon, view);
+	if (c->leader)
+		control_leader_fleet_changed(c, lws_time_now_us());
+}
+
+/* Planned stop */
+
+void control_begin_drain(struct control *c)
+{
+	struct daemon *d = c->daemon;
+
+	if (c->draining)
+		return;
+	c->draining = true;
+	c->drain_started_us = lws_time_now_us();
+	atomic_store(&d->draining, true);
+	lws_log_info(d->log, "drain", NULL);
+	for (uint32_t i = 0; i < d->settings.workers; i++)
+		worker_drain(d->workers[i]);
+}
+
+static void drain_tick(struct control *c, uint64_t now_us)
+{
+	struct daemon *d = c->daemon;
+	uint64_t waited = now_us - c->drain_started_us;
+	bool idle = atomic_load(&d->workers_idle) == d->settings.workers;
+
+	if (!idle && waited < d->settings.drain_ms * LWS_US_PER_MS)
+		return;
+	control_rates_give_back(c);
+	/* Hand over, then stay for the successor's election. */
+	if (c->raft && raft_role(c->raft) == RAFT_LEADER &&
+	    waited < d->settings.drain_ms * LWS_US_PER_MS) {
+		raft_hand_over(c->raft, now_us);
+		control_log_pump(c);
+		if (raft_voters(c->raft)->count > 1)
+			return;
+	}
+	c->stopped = true;
+}
+
+/* The tick */
+
+static void on_tick(struct tevent_context *ev, struct tevent_timer *te,
+		    struct timeval now, void *private_data)
+{
+	struct control *c = private_data;
+	uint64_t now_us = lws_time_now_us();
+
+	(void)te;
+	(void)now;
+	if (c->raft) {
+		raft_tick(c->raft, now_us);
+		control_log_pump(c);
+	}
+	control_leader_check(c, now_us);
+	if (c->leader)
+		control_leader_tick(c, now_us);
+	control_sync_tick(c, now_us);
+	control_rates_tick(c, now_us);
+	control_report_tick(c, now_us);
+	control_proposals_expire(c, now_us);
+	control_publish(c);
+	if (c->draining)
+		drain_tick(c, now_us);
+	tevent_add_timer(ev, c,
+			 tevent_timeval_current_ofs(0, CONTROL_TICK_MS * 1000),
+			 on_tick, c);
+}
+
+struct control *control_create(struct daemon *d, struct tevent_context *ev)
+{
+	struct control *c = talloc_zero(ev, struct control);
+	int rc = 0;
+
+	if (!c)
+		return NULL;
+	c->daemon = d;
+	c->ev = ev;
+	c->fleet = fleet_create(c);
+	c->sync_log = sync_log_create(c);
+	c->sync.poll_us = SYNC_POLL_US;
+	c->sync.timeout_us = SYNC_TIMEOUT_US;
+	d->control_box = mailbox_create(c, ev, c);
+	if (!c->fleet || !c->sync_log || !d->control_box)
+		rc = LWS_E_NOMEM;
+	if (!rc && d->settings.data)
+		rc = control_log_open(c);
+	if (!rc)
+		rc = control_peers_start(c);
+	if (!rc)
+		rc = control_admin_start(c);
+	if (rc) {
+		lws_log_error(d->log, "start_failed", "{s:s,s:s}", "error",
+			      lws_error_name(rc), "message",
+			      lws_error_answer(rc)->text);
+		talloc_free(c);
+		return NULL;
+	}
+	tevent_add_timer(ev, c, tevent_timeval_current(), on_tick, c);
+	return c;
+}
--- /dev/null
+++ b/lib/daemon/control.h
@@ -0,0 +1,208 @@
+#ifndef CONTROL_H
+#define CONTROL_H
+
+#include <jansson.h>
+#include <tevent.h>
+
+#include "daemon.h"
+#include "disk.h"
+#include "failover.h"
+#include "h2.h"
+#include "instances.h"
+#include "lease.h"
+#include "peer.h"
+#include "raft.h"
+#include "sync.h"
+
+/**
+ * DOC: The control thread: the shell around agreement, membership, failover
+ * and rates, and the operators' interface.
+ */
+
+#define CONTROL_TICK_MS 10
+#define CONTROL_CHILDREN_MAX 2048
+#define CONTROL_ACCOUNTS_MAX 65536
+#define CONTROL_ACCOUNT_BUCKETS 4096
+#define CONTROL_PROPOSE_TIMEOUT_US 5000000ULL
+#define CONTROL_SNAPSHOT_ENTRIES 256
+
+struct control;
+
+typedef void (*proposal_fn)(void *private_data, int rc, uint64_t version,
+			    uint64_t index);
+
+/**
+ * struct proposal - a command that waits to be committed
+ * @id: identity between this instance and the leader
+ * @index: where it stands in the log, 0 while the leader is elsewhere
+ * @term: term in which it was appended
+ * @peer: leader it was sent to, or instance that sent it; NULL for none
+ * @remote_id: the sender's identity of it
+ * @due_us: when its outcome counts as unknown
+ * @done: called once; NULL when nobody asks
+ */
+struct proposal {
+	struct proposal *prev;
+	struct proposal *next;
+	struct control *control;
+	uint64_t id;
+	uint64_t index;
+	uint64_t term;
+	struct peer *peer;
+	bool sent_away;
+	uint64_t remote_id;
+	uint64_t due_us;
+	void *private_data;
+	proposal_fn done;
+};
+
+/** struct child - an instance that asks this one for changes */
+struct child {
+	struct peer *peer;
+	uint64_t have_index;
+};
+
+/** struct group_failover - a group at the leader */
+struct group_failover {
+	char name[FLEET_NAME_MAX];
+	struct failover *failover;
+	bool logged_active;
+};
+
+/** struct account_node - tokens of a customer, kept for the process's life */
+struct account_node {
+	struct account_node *next;
+	struct rate_account account;
+};
+
+/** struct seen_primary - the newest report of this instance on one group */
+struct seen_primary {
+	char group[FLEET_NAME_MAX];
+	char endpoint[FLEET_NAME_MAX];
+	uint64_t term;
+	bool suspect;
+};
+
+/** struct leader - what only the leader of the control group has */
+struct leader {
+	struct instances *instances;
+	struct lease_table *leases;
+	struct rate_owner *owner;
+	uint32_t failovers_count;
+	struct group_failover *failovers;
+	uint64_t voters_changed_us;
+};
+
+struct control {
+	struct daemon *daemon;
+	struct tevent_context *ev;
+	struct peer_hub *hub;
+	struct h2_server *admin;
+	char admin_addr[64];
+	char peer_addr[64];
+
+	struct store_identity identity;
+	struct raft *raft;
+	struct disk *disk;
+	uint64_t durable_seq;
+	struct held_message *held_head;
+	struct held_message *held_tail;
+	uint64_t log_writes;
+
+	struct fleet *fleet;
+	bool fleet_changed;
+	struct sync_client sync;
+	struct sync_log *sync_log;
+	struct sync_questions questions;
+	uint32_t children_count;
+	struct child children[CONTROL_CHILDREN_MAX];
+	struct peer *parent;
+	uint32_t parent_at;
+	char leader_name[FLEET_NAME_MAX];
+	uint32_t instances_known;
+	uint32_t instances_in_view;
+
+	struct leader *leader;
+	struct proposal *proposals;
+	uint64_t next_proposal;
+
+	struct account_node *accounts[CONTROL_ACCOUNT_BUCKETS];
+	uint32_t accounts_count;
+	uint64_t rate_seq;
+	uint64_t rate_sent_us;
+	bool rate_waiting;
+	bool rate_wanted;
+	uint64_t rate_tick_us;
+
+	struct seen_primary *seen;
+	uint32_t seen_count;
+	uint64_t report_us;
+
+	bool draining;
+	uint64_t drain_started_us;
+	bool stopped;
+};
+
+/* control.c */
+struct control *control_create(struct daemon *d, struct tevent_context *ev);
+bool control_leads(const struct control *c, uint64_t now_us);
+void control_replace_fleet(struct control *c, struct fleet *fleet);
+void control_apply(struct control *c, uint64_t index, const uint8_t *data,
+		   uint32_t len);
+void control_publish(struct control *c);
+void control_begin_drain(struct control *c);
+uint64_t control_wall_ms(void);
+
+/* control_log.c: agreement and its disk */
+int control_log_open(struct control *c);
+void control_log_pump(struct control *c);
+void control_adopt_cluster(struct control *c, uint64_t cluster);
+int control_bootstrap(struct control *c, uint64_t cluster,
+		      const uint8_t *secret, const struct raft_voters *voters);
+void control_propose(struct control *c, const struct fleet_command *command,
+		     void *private_data, proposal_fn done);
+void control_propose_remote(struct control *c, struct peer *peer,
+			    const struct wire_propose *propose);
+void control_propose_reply(struct control *c, struct peer *peer,
+			   const struct wire_propose_reply *reply);
+void control_proposals_expire(struct control *c, uint64_t now_us);
+void control_proposals_lost(struct control *c, const struct peer *peer);
+void control_proposals_applied(struct control *c, uint64_t index,
+			       struct fleet_result result);
+void control_proposals_fail_local(struct control *c);
+
+/* control_peers.c: messages between instances */
+int control_peers_start(struct control *c);
+void control_sync_tick(struct control *c, uint64_t now_us);
+void control_push_children(struct control *c);
+struct peer *control_peer_of_member(struct control *c, uint64_t member);
+struct peer *control_leader_peer(struct control *c);
+void control_report_tick(struct control *c, uint64_t now_us);
+
+/* control_leader.c: what the leader decides */
+void control_leader_check(struct control *c, uint64_t now_us);
+void control_leader_tick(struct control *c, uint64_t now_us);
+void control_leader_fleet_changed(struct control *c, uint64_t now_us);
+void control_leader_announce(struct control *c,
+			     const struct wire_announce_item *item);
+void control_leader_report(struct control *c, const char *instance,
+			   const char *failure_domain,
+			   const struct wire_report *report);
+
+/* control_rates.c: tokens of customers */
+struct rate_account *control_account_of(void *private_data, uint64_t customer);
+void control_rates_tick(struct control *c, uint64_t now_us);
+void control_rates_request(struct control *c, struct peer *peer,
+			   const struct wire_rate *rate);
+void control_rates_reply(struct control *c, const struct wire_rate *rate);
+void control_rates_set(struct control *c, uint64_t now_us);
+void control_rates_give_back(struct control *c);
+
+/* control_endpoint.c: orders to endpoints */
+void control_endpoint_order(struct control *c, const char *group,
+			    const struct failover_action *action);
+
+/* control_admin.c: operators and announcements */
+int control_admin_start(struct control *c);
+
+#endif
--- /dev/null
+++ b/lib/daemon/control_leader.c
@@ -0,0 +1,330 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "control.h"
+#include "lws_error.h"
+#include "lws_time.h"
+
+#define DRIFT_PERCENT 10
+#define VOTERS_PAUSE_US (200 * LWS_US_PER_MS)
+
+/* Taking and losing the lead */
+
+static struct leader *take_lead(struct control *c, uint64_t now_us)
+{
+	struct rate_owner_params rates = {
+		.ttl_us = c->daemon->settings.rate_ttl_ms * LWS_US_PER_MS,
+		.drift_percent = DRIFT_PERCENT,
+	};
+	struct leader *leader = talloc_zero(c, struct leader);
+
+	if (!leader)
+		return NULL;
+	leader->instances = instances_create(leader);
+	leader->leases = lease_create(leader, c->fleet, now_us);
+	leader->owner = rate_owner_create(leader, &rates, now_us);
+	if (!leader->instances || !leader->leases || !leader->owner) {
+		talloc_free(leader);
+		return NULL;
+	}
+	return leader;
+}
+
+void control_leader_check(struct control *c, uint64_t now_us)
+{
+	bool leads = control_leads(c, now_us);
+
+	if (leads == (c->leader != NULL))
+		return;
+	if (!leads) {
+		TALLOC_FREE(c->leader);
+		lws_log_info(c->daemon->log, "lead_lost", NULL);
+		return;
+	}
+	c->leader = take_lead(c, now_us);
+	if (!c->leader)
+		return;
+	lws_log_info(c->daemon->log, "lead_taken", "{s:I}", "term",
+		     (json_int_t)raft_term(c->raft));
+	control_leader_fleet_changed(c, now_us);
+}
+
+/* Failover of groups */
+
+static struct group_failover *failover_of(struct control *c, const char *group,
+					  uint64_t now_us)
+{
+	struct leader *l = c->leader;
+	struct failover_params params = failover_params_default();
+	struct group_failover *grown;
+
+	for (uint32_t i = 0; i < l->failovers_count; i++) {
+		if (strcmp(l->failovers[i].name, group) == 0)
+			return &l->failovers[i];
+	}
+	grown = talloc_realloc(l, l->failovers, struct group_failover,
+			       l->failovers_count + 1);
+	if (!grown)
+		return NULL;
+	l->failovers = grown;
+	grown += l->failovers_count++;
+	*grown = (struct group_failover){ 0 };
+	strcpy(grown->name, group);
+	grown->failover = failover_create(l, &params, now_us);
+	return grown;
+}
+
+static void propose_term(struct control *c, const char *group,
+			 const struct failover_action *action)
+{
+	struct fleet_command command = { .type = FLEET_GROUP_TERM,
+					 .time_ms = control_wall_ms() };
+
+	strcpy(command.who, c->daemon->settings.name);
+	strcpy(command.group.group, group);
+	command.group.term = action->term;
+	control_propose(c, &command, NULL, NULL);
+}
+
+static void propose_primary(struct control *c, const char *group,
+			    const struct failover_action *action)
+{
+	struct fleet_command command = { .type = FLEET_GROUP_PRIMARY,
+					 .time_ms = control_wall_ms() };
+
+	strcpy(command.who, c->daemon->settings.name);
+	strcpy(command.group.group, group);
+	strcpy(command.group.primary, action->endpoint);
+	command.group.term = action->term;
+	command.group.members_count = action->members_count;
+	memcpy(command.group.members, action->members,
+	       sizeof(command.group.members));
+	control_propose(c, &command, NULL, NULL);
+}
+
+static uint32_t ms_between(uint64_t from_us, uint64_t to_us)
+{
+	return from_us && to_us > from_us
+		       ? (uint32_t)((to_us - from_us) / LWS_US_PER_MS)
+		       : 0;
+}
+
+static void log_promotion(struct control *c, struct group_failover *gf)
+{
+	const struct failover_times *t = failover_times(gf->failover);
+	bool active = failover_active(gf->failover);
+
+	if (gf->logged_active && !active && t->promoted_us) {
+		lws_counter_add(&c->daemon->counters, LWS_COUNTER_PROMOTIONS,
+				1);
+		lws_log_info(
+			c->daemon->log, "promotion", "{s:s,s:I,s:I,s:I,s:I}",
+			"group", gf->name, "decide_ms",
+			(json_int_t)ms_between(t->suspected_us, t->decided_us),
+			"fence_ms",
+			(json_int_t)ms_between(t->decided_us, t->fenced_us),
+			"commit_ms",
+			(json_int_t)ms_between(t->fenced_us, t->committed_us),
+			"promote_ms",
+			(json_int_t)ms_between(t->committed_us,
+					       t->promoted_us));
+	}
+	gf->logged_active = active;
+}
+
+static void pump_failover(struct control *c, struct group_failover *gf)
+{
+	struct failover_action action;
+
+	while (failover_next_action(gf->failover, &action)) {
+		switch (action.type) {
+		case FAILOVER_COMMIT_TERM:
+			propose_term(c, gf->name, &action);
+			break;
+		case FAILOVER_COMMIT_PRIMARY:
+			propose_primary(c, gf->name, &action);
+			break;
+		case FAILOVER_FENCE:
+		case FAILOVER_PROMOTE:
+		case FAILOVER_FOLLOW:
+			control_endpoint_order(c, gf->name, &action);
+			break;
+		}
+	}
+	log_promotion(c, gf);
+	control_log_pump(c);
+}
+
+static uint32_t endpoints_wanted(const struct control *c, const char *group)
+{
+	int32_t index =
+		c->fleet->cfg ? cfg_find_group(c->fleet->cfg, group) : -1;
+
+	return index < 0 ? 0 : c->fleet->cfg->groups[index].endpoints;
+}
+
+void control_leader_fleet_changed(struct control *c, uint64_t now_us)
+{
+	control_rates_set(c, now_us);
+	for (uint32_t i = 0; c->leader && i < c->fleet->groups_count; i++) {
+		/* Copied: a step of one group may change the state. */
+		struct fleet_group group = c->fleet->groups[i];
+		struct group_failover *gf = failover_of(c, group.name, now_us);
+
+		if (!gf)
+			continue;
+		failover_set_group(gf->failover, now_us, &group,
+				   endpoints_wanted(c, group.name));
+		pump_failover(c, gf);
+	}
+}
+
+/* What instances and endpoints say */
+
+void control_leader_report(struct control *c, const char *instance,
+			   const char *failure_domain,
+			   const struct wire_report *report)
+{
+	uint64_t now_us = lws_time_now_us();
+
+	instances_seen(c->leader->instances, now_us, instance, failure_domain,
+		       report->index, report->version);
+	for (uint32_t i = 0; i < report->count; i++) {
+		const struct wire_report_item *item = &report->items[i];
+		struct group_failover *gf = failover_of(c, item->group, now_us);
+
+		if (!gf)
+			continue;
+		failover_report(gf->failover, now_us, instance, failure_domain,
+				item->endpoint, item->term, item->suspect);
+		pump_failover(c, gf);
+	}
+}
+
+static void propose_endpoint(struct control *c, struct fleet_command *command)
+{
+	strcpy(command->who, c->daemon->settings.name);
+	command->time_ms = control_wall_ms();
+	control_propose(c, command, NULL, NULL);
+}
+
+void control_leader_announce(struct control *c,
+			     const struct wire_announce_item *item)
+{
+	uint64_t now_us = lws_time_now_us();
+	struct fleet_command command;
+	struct group_failover *gf;
+	int rc = lease_announce(c->leader->leases, now_us, c->fleet,
+				item->group, &item->endpoint, item->leaving,
+				item->lease_ms, &command);
+
+	if (rc < 0)
+		return;
+	if (rc > 0)
+		propose_endpoint(c, &command);
+	gf = failover_of(c, item->group, now_us);
+	if (gf) {
+		failover_announced(gf->failover, now_us, item->endpoint.id,
+				   item->log_term, item->position);
+		pump_failover(c, gf);
+	}
+}
+
+/* Voters: a control instance that lost its disk comes back as a new one */
+
+static int32_t voter_named(const struct raft_voters *voters, const char *name,
+			   uint64_t not_id)
+{
+	for (uint32_t i = 0; i < voters->count; i++) {
+		if (strcmp(voters->member[i].name, name) == 0 &&
+		    voters->member[i].id != not_id)
+			return (int32_t)i;
+	}
+	return -1;
+}
+
+static bool is_voter_id(const struct raft_voters *voters, uint64_t id)
+{
+	for (uint32_t i = 0; i < voters->count; i++) {
+		if (voters->member[i].id == id)
+			return true;
+	}
+	return false;
+}
+
+static void remove_voter(struct control *c, uint32_t at, uint64_t now_us)
+{
+	struct raft_voters next = *raft_voters(c->raft);
+
+	lws_log_info(c->daemon->log, "voter_removed", "{s:s}", "name",
+		     next.member[at].name);
+	next.member[at] = next.member[next.count - 1];
+	next.member[--next.count] = (struct raft_member){ 0 };
+	(void)raft_propose_voters(c->raft, now_us, &next);
+}
+
+static void add_voter(struct control *c, const struct wire_hello *hello,
+		      uint64_t now_us)
+{
+	struct raft_voters next = *raft_voters(c->raft);
+	struct raft_member *member = &next.member[next.count++];
+
+	member->id = hello->member;
+	strcpy(member->name, hello->name);
+	if (!raft_propose_voters(c->raft, now_us, &next))
+		lws_log_info(c->daemon->log, "voter_added", "{s:s}", "name",
+			     hello->name);
+}
+
+/*
+ * The new identity first becomes a learner, then a voter once it has caught
+ * up and synced; only then the old identity of that name is put out.
+ */
+static void repair_voters(struct control *c, uint64_t now_us)
+{
+	const struct raft_voters *voters = raft_voters(c->raft);
+
+	if (now_us - c->leader->voters_changed_us < VOTERS_PAUSE_US)
+		return;
+	c->leader->voters_changed_us = now_us;
+	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p)) {
+		const struct wire_hello *hello = peer_hello(p);
+		int32_t old;
+
+		if (!hello->member)
+			continue;
+		old = voter_named(voters, hello->name, hello->member);
+		if (old < 0)
+			continue;
+		if (is_voter_id(voters, hello->member)) {
+			remove_voter(c, (uint32_t)old, now_us);
+		} else if (voters->count < RAFT_VOTERS_MAX) {
+			raft_set_learner(c->raft, hello->member);
+			if (raft_learner_ready(c->raft))
+				add_voter(c, hello, now_us);
+		}
+		control_log_pump(c);
+		return;
+	}
+}
+
+/* The tick */
+
+void control_leader_tick(struct control *c, uint64_t now_us)
+{
+	struct leader *l = c->leader;
+	struct fleet_command command;
+
+	instances_expire(l->instances, now_us);
+	c->instances_known = l->instances->count;
+	while (lease_expired(l->leases, now_us, c->fleet, &command))
+		propose_endpoint(c, &command);
+	repair_voters(c, now_us);
+	for (uint32_t i = 0; c->leader && i < l->failovers_count; i++) {
+		failover_set_domains(l->failovers[i].failover,
+				     instances_domains(l->instances));
+		failover_tick(l->failovers[i].failover, now_us);
+		pump_failover(c, &l->failovers[i]);
+	}
+	control_log_pump(c);
+}
--- /dev/null
+++ b/lib/daemon/control_peers.c
@@ -0,0 +1,443 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "control.h"
+#include "lws_error.h"
+#include "lws_time.h"
+#include "session_token.h"
+#include "sock.h"
+
+#define REPORT_INTERVAL_US LWS_US_PER_S
+
+/* Finding peers */
+
+struct peer *control_peer_of_member(struct control *c, uint64_t member)
+{
+	struct peer *found = NULL;
+
+	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p)) {
+		if (peer_hello(p)->member != member)
+			continue;
+		if (!found || peer_dialled(p))
+			found = p;
+	}
+	return found;
+}
+
+struct peer *control_leader_peer(struct control *c)
+{
+	struct peer *found = NULL;
+
+	if (c->raft && raft_leader(c->raft))
+		return control_peer_of_member(c, raft_leader(c->raft));
+	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p)) {
+		if (strcmp(peer_hello(p)->name, c->leader_name) != 0)
+			continue;
+		if (!found || peer_dialled(p))
+			found = p;
+	}
+	return found;
+}
+
+static const char *leader_name(const struct control *c)
+{
+	const struct raft_voters *voters;
+
+	if (!c->raft || !raft_leader(c->raft))
+		return c->raft ? "" : c->leader_name;
+	voters = raft_voters(c->raft);
+	for (uint32_t i = 0; i < voters->count; i++) {
+		if (voters->member[i].id == raft_leader(c->raft))
+			return voters->member[i].name;
+	}
+	return "";
+}
+
+/* Asking a parent */
+
+static bool same_domain(const struct control *c, const struct peer *peer)
+{
+	return strcmp(peer_hello(peer)->failure_domain,
+		      c->daemon->settings.failure_domain) == 0;
+}
+
+/* Control instances that were dialled; the own failure domain comes first. */
+static struct peer *nth_parent(struct control *c, uint32_t nth)
+{
+	struct peer *list[64];
+	uint32_t n = 0;
+
+	for (int near = 1; near >= 0; near--) {
+		for (struct peer *p = peer_hub_first(c->hub); p;
+		     p = peer_hub_next(p)) {
+			if (peer_dialled(p) && same_domain(c, p) == near &&
+			    n < 64)
+				list[n++] = p;
+		}
+	}
+	return n ? list[nth % n] : NULL;
+}
+
+static struct peer *choose_parent(struct control *c)
+{
+	if (c->raft && raft_voters(c->raft)->count)
+		return control_leader_peer(c);
+	return nth_parent(c, c->parent_at);
+}
+
+static void ask_parent(struct control *c, uint64_t now_us)
+{
+	struct wire_msg msg = { .type = WIRE_SYNC_REQUEST,
+				.sync_request = {
+					.have_index = c->fleet->applied_index,
+					.stamp_us = now_us,
+					.version = c->fleet->config_version } };
+
+	c->parent = choose_parent(c);
+	if (!c->parent)
+		return;
+	sync_client_asked(&c->sync, now_us);
+	peer_send(c->parent, &msg);
+}
+
+static uint64_t own_confirmed_us(const struct control *c, uint64_t now_us)
+{
+	if (c->raft && raft_role(c->raft) == RAFT_LEADER)
+		return raft_quorum_stamp_us(c->raft, now_us);
+	return c->sync.confirmed_us;
+}
+
+/* Answering children */
+
+static struct child *find_child(struct control *c, const struct peer *peer)
+{
+	for (uint32_t i = 0; i < c->children_count; i++) {
+		if (c->children[i].peer == peer)
+			return &c->children[i];
+	}
+	return NULL;
+}
+
+static void send_changes(struct control *c, struct child *child,
+			 uint64_t stamp_us)
+{
+	struct wire_msg msg = { .type = WIRE_SYNC_REPLY,
+				.sync_reply = { .stamp_us = stamp_us,
+						.confirmed = stamp_us != 0,
+						.cluster = c->identity.cluster,
+						.instances =
+							c->instances_known } };
+	void *scratch = talloc_new(c);
+
+	strcpy(msg.sync_reply.leader, leader_name(c));
+	sync_log_fill(c->sync_log, c->fleet, child->have_index, scratch,
+		      &msg.sync_reply);
+	child->have_index = c->fleet->applied_index;
+	peer_send(child->peer, &msg);
+	talloc_free(scratch);
+}
+
+void control_push_children(struct control *c)
+{
+	for (uint32_t i = 0; i < c->children_count; i++) {
+		struct child *child = &c->children[i];
+
+		if (child->have_index < c->fleet->applied_index)
+			send_changes(c, child, 0);
+	}
+}
+
+static void on_sync_request(struct control *c, struct peer *peer,
+			    const struct wire_sync_request *request)
+{
+	struct child *child = find_child(c, peer);
+	struct sync_question question = { .child = peer,
+					  .have_index = request->have_index,
+					  .stamp_us = request->stamp_us,
+					  .arrived_us = lws_time_now_us() };
+
+	if (!child && c->children_count < CONTROL_CHILDREN_MAX) {
+		child = &c->children[c->children_count++];
+		child->peer = peer;
+	}
+	if (!child)
+		return;
+	child->have_index = request->have_index;
+	(void)sync_questions_add(&c->questions, &question);
+}
+
+static void answer_children(struct control *c, uint64_t now_us)
+{
+	uint64_t confirmed_us = own_confirmed_us(c, now_us);
+	struct sync_question question;
+
+	while (sync_questions_take(&c->questions, confirmed_us, &question)) {
+		struct child *child = find_child(c, question.child);
+
+		if (child)
+			send_changes(c, child, question.stamp_us);
+	}
+}
+
+/* Taking changes */
+
+static void take_changes(struct control *c, const struct wire_sync_reply *reply)
+{
+	struct fleet *fleet;
+
+	if (reply->snapshot_len &&
+	    !fleet_snapshot_unpack(c, reply->snapshot, reply->snapshot_len,
+				   &fleet)) {
+		if (fleet->applied_index > c->fleet->applied_index)
+			control_replace_fleet(c, fleet);
+		else
+			talloc_free(fleet);
+	}
+	for (uint32_t i = 0; i < reply->count; i++)
+		control_apply(c, reply->entries[i].index,
+			      reply->entries[i].data, reply->entries[i].len);
+}
+
+static void on_sync_reply(struct control *c, const struct peer *peer,
+			  const struct wire_sync_reply *reply)
+{
+	uint64_t now_us = lws_time_now_us();
+
+	if (c->identity.cluster && reply->cluster &&
+	    reply->cluster != c->identity.cluster)
+		return;
+	if (!c->identity.cluster && reply->cluster)
+		control_adopt_cluster(c, reply->cluster);
+	if (c->raft && raft_role(c->raft) == RAFT_LEADER)
+		return;
+	take_changes(c, reply);
+	if (reply->instances)
+		c->instances_known = reply->instances;
+	if (peer == c->parent && *reply->leader)
+		strcpy(c->leader_name, reply->leader);
+	sync_client_reply(&c->sync, now_us, reply->stamp_us, reply->confirmed);
+	control_publish(c);
+}
+
+void control_sync_tick(struct control *c, uint64_t now_us)
+{
+	bool leads = c->raft && raft_role(c->raft) == RAFT_LEADER;
+
+	if (!leads) {
+		switch (sync_client_step(&c->sync, now_us)) {
+		case SYNC_WAIT:
+			break;
+		case SYNC_NEXT_PARENT:
+			c->parent_at++;
+			ask_parent(c, now_us);
+			break;
+		case SYNC_ASK:
+			ask_parent(c, now_us);
+			break;
+		}
+	}
+	if (own_confirmed_us(c, now_us))
+		atomic_store(&c->daemon->confirmed_us,
+			     own_confirmed_us(c, now_us));
+	answer_children(c, now_us);
+}
+
+/* Reports */
+
+static void send_report(struct control *c, const struct seen_primary *seen,
+			uint32_t count)
+{
+	struct peer *peer = control_leader_peer(c);
+	struct wire_report_item *items =
+		talloc_zero_array(c, struct wire_report_item, count + 1);
+	struct wire_msg msg = { .type = WIRE_REPORT,
+				.report = { .index = c->fleet->applied_index,
+					    .version = c->fleet->config_version,
+					    .count = count,
+					    .items = items } };
+
+	for (uint32_t i = 0; i < count; i++) {
+		strcpy(items[i].group, seen[i].group);
+		strcpy(items[i].endpoint, seen[i].endpoint);
+		items[i].term = seen[i].term;
+		items[i].suspect = seen[i].suspect;
+	}
+	if (c->leader)
+		control_leader_report(c, c->daemon->settings.name,
+				      c->daemon->settings.failure_domain,
+				      &msg.report);
+	else if (peer)
+		peer_send(peer, &msg);
+	talloc_free(items);
+}
+
+void control_report_tick(struct control *c, uint64_t now_us)
+{
+	if (now_us - c->report_us < REPORT_INTERVAL_US)
+		return;
+	c->report_us = now_us;
+	send_report(c, NULL, 0);
+}
+
+struct report_mail {
+	struct mail mail;
+	struct seen_primary seen;
+};
+
+static void on_report_mail(void *private_data, struct mail *mail)
+{
+	struct report_mail *report = (struct report_mail *)mail;
+
+	send_report(private_data, &report->seen, 1);
+	talloc_free(report);
+}
+
+void control_report(struct daemon *d, const char *group, const char *endpoint,
+		    uint64_t term, bool suspect)
+{
+	struct report_mail *report = talloc_zero(NULL, struct report_mail);
+
+	if (!report)
+		return;
+	report->mail.fn = on_report_mail;
+	strcpy(report->seen.group, group);
+	strcpy(report->seen.endpoint, endpoint);
+	report->seen.term = term;
+	report->seen.suspect = suspect;
+	mailbox_post(d->control_box, &report->mail);
+}
+
+/* The hub */
+
+static bool on_up(void *private_data, struct peer *peer)
+{
+	struct control *c = private_data;
+	const struct wire_hello *hello = peer_hello(peer);
+	struct peer *next;
+
+	if (c->identity.cluster && hello->cluster &&
+	    c->identity.cluster != hello->cluster) {
+		lws_log_warn(c->daemon->log, "peer_of_another_fleet", "{s:s}",
+			     "peer", hello->name);
+		return false;
+	}
+	/* An earlier process of that name is gone. */
+	for (struct peer *p = peer_hub_first(c->hub); p; p = next) {
+		next = peer_hub_next(p);
+		if (p != peer &&
+		    strcmp(peer_hello(p)->name, hello->name) == 0 &&
+		    peer_hello(p)->incarnation != hello->incarnation)
+			peer_close(p);
+	}
+	return true;
+}
+
+static void on_down(void *private_data, struct peer *peer)
+{
+	struct control *c = private_data;
+	struct child *child = find_child(c, peer);
+
+	if (child)
+		*child = c->children[--c->children_count];
+	sync_questions_drop(&c->questions, peer);
+	control_proposals_lost(c, peer);
+	if (c->parent == peer) {
+		c->parent = NULL;
+		sync_client_lost(&c->sync, lws_time_now_us());
+	}
+}
+
+static void on_message(void *private_data, struct peer *peer,
+		       const struct wire_msg *msg)
+{
+	struct control *c = private_data;
+	const struct wire_hello *hello = peer_hello(peer);
+
+	switch (msg->type) {
+	case WIRE_RAFT:
+		if (!c->identity.cluster && hello->cluster)
+			control_adopt_cluster(c, hello->cluster);
+		if (c->raft) {
+			raft_receive(c->raft, lws_time_now_us(), &msg->raft);
+			control_log_pump(c);
+		}
+		break;
+	case WIRE_SYNC_REQUEST:
+		on_sync_request(c, peer, &msg->sync_request);
+		break;
+	case WIRE_SYNC_REPLY:
+		on_sync_reply(c, peer, &msg->sync_reply);
+		break;
+	case WIRE_PROPOSE:
+		control_propose_remote(c, peer, &msg->propose);
+		control_log_pump(c);
+		break;
+	case WIRE_PROPOSE_REPLY:
+		control_propose_reply(c, peer, &msg->propose_reply);
+		break;
+	case WIRE_RATE_REQUEST:
+		control_rates_request(c, peer, &msg->rate);
+		break;
+	case WIRE_RATE_REPLY:
+		control_rates_reply(c, &msg->rate);
+		break;
+	case WIRE_REPORT:
+		if (c->leader)
+			control_leader_report(c, hello->name,
+					      hello->failure_domain,
+					      &msg->report);
+		break;
+	case WIRE_ANNOUNCE:
+		for (uint32_t i = 0; c->leader && i < msg->announce.count; i++)
+			control_leader_announce(c, &msg->announce.items[i]);
+		break;
+	case WIRE_HELLO:
+	case WIRE_TYPE_COUNT:
+		break;
+	}
+	control_publish(c);
+}
+
+static int dial_all(struct control *c)
+{
+	char *list = talloc_strdup(c, c->daemon->settings.control);
+	char *save;
+	char *addr;
+
+	for (addr = strtok_r(list, ",", &save); addr;
+	     addr = strtok_r(NULL, ",", &save)) {
+		if (strcmp(addr, c->peer_addr) == 0)
+			continue;
+		if (peer_hub_dial(c->hub, addr))
+			return LWS_E_ARGUMENT;
+	}
+	return 0;
+}
+
+int control_peers_start(struct control *c)
+{
+	const struct settings *s = &c->daemon->settings;
+	struct peer_hub_params params = {
+		.listen_fd = -1,
+		.hello = { .protocol = WIRE_PROTOCOL_VERSION,
+			   .member = c->identity.member,
+			   .cluster = c->identity.cluster,
+			   .incarnation = c->daemon->incarnation },
+		.counters = &c->daemon->counters,
+		.private_data = c,
+		.on_up = on_up,
+		.on_down = on_down,
+		.on_message = on_message,
+	};
+	int rc;
+
+	strcpy(params.hello.name, s->name);
+	strcpy(params.hello.failure_domain, s->failure_domain);
+	if (s->peer_listen) {
+		params.listen_fd = sock_listen(s->peer_listen, c->peer_addr);
+		if (params.listen_fd < 0)
+			return params.listen_fd;
+	}
+	rc = peer_hub_create(c, c->ev, &params, &c->hub);
+	return rc ? rc : dial_all(c);
+}
--- /dev/null
+++ b/lib/daemon/settings.c
@@ -0,0 +1,258 @@
+#include "settings.h"
+
+#include <argp.h>
+#include <ctype.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cfg.h"
+#include "lws_error.h"
+#include "lws_version.h"
+#include "sock.h"
+
+enum setting_kind {
+	SETTING_NAME,
+	SETTING_ADDRESS,
+	SETTING_TEXT,
+	SETTING_NUMBER,
+	SETTING_LEVEL,
+};
+
+/* One flag; its variable is LACEWINGSPAN_ and the name in capitals. */
+struct setting {
+	const char *flag;
+	const char *arg;
+	const char *doc;
+	enum setting_kind kind;
+	size_t offset;
+	uint32_t min;
+	uint32_t max;
+};
+
+#define AT(member) offsetof(struct settings, member)
+
+static const struct setting table[] = {
+	{ "name", "NAME", "Instance name (required)", SETTING_NAME, AT(name), 0,
+	  0 },
+	{ "failure-domain", "NAME", "Failure domain (required)", SETTING_NAME,
+	  AT(failure_domain), 0, 0 },
+	{ "listen", "IP:PORT", "Address for callers (127.0.0.1:0)",
+	  SETTING_ADDRESS, AT(listen), 0, 0 },
+	{ "admin-listen", "IP:PORT",
+	  "Address for operators and endpoints (127.0.0.1:0)", SETTING_ADDRESS,
+	  AT(admin_listen), 0, 0 },
+	{ "peer-listen", "IP:PORT", "Address for other instances",
+	  SETTING_ADDRESS, AT(peer_listen), 0, 0 },
+	{ "control", "LIST",
+	  "Peer addresses of the control instances, separated by commas",
+	  SETTING_TEXT, AT(control), 0, 0 },
+	{ "data", "FOLDER", "Data folder: take the control role", SETTING_TEXT,
+	  AT(data), 0, 0 },
+	{ "operator-key-file", "FILE", "Key that operators must show",
+	  SETTING_TEXT, AT(operator_key_file), 0, 0 },
+	{ "endpoint-key-file", "FILE", "Key that endpoints must show",
+	  SETTING_TEXT, AT(endpoint_key_file), 0, 0 },
+	{ "workers", "N", "Threads that serve callers (2)", SETTING_NUMBER,
+	  AT(workers), 1, 64 },
+	{ "callers-max", "N", "Connections of callers (10000)", SETTING_NUMBER,
+	  AT(callers_max), 1, 1000000 },
+	{ "key-fresh-ms", "N",
+	  "Keys count this long after a confirmation (3000)", SETTING_NUMBER,
+	  AT(key_fresh_ms), 500, 4500 },
+	{ "rate-ttl-ms", "N", "Granted tokens count this long (600)",
+	  SETTING_NUMBER, AT(rate_ttl_ms), 200, 10000 },
+	{ "election-ms", "N", "Shortest silence before an election (300)",
+	  SETTING_NUMBER, AT(election_ms), 50, 30000 },
+	{ "probe-ms", "N", "How often silent primaries are asked (100)",
+	  SETTING_NUMBER, AT(probe_ms), 10, 10000 },
+	{ "suspect-ms", "N", "Silence that makes an endpoint suspect (300)",
+	  SETTING_NUMBER, AT(suspect_ms), 20, 60000 },
+	{ "drain-ms", "N", "Longest graceful stop (10000)", SETTING_NUMBER,
+	  AT(drain_ms), 100, 600000 },
+	{ "log-level", "LEVEL", "error, warn, info or debug (info)",
+	  SETTING_LEVEL, AT(log_level), 0, 0 },
+};
+
+#define SETTINGS_COUNT (sizeof(table) / sizeof(table[0]))
+#define FIRST_KEY 1000
+
+const char *argp_program_version = "lacewingspand " LWS_VERSION;
+
+static const char **text_of(struct settings *s, const struct setting *setting)
+{
+	return (const char **)((char *)s + setting->offset);
+}
+
+static int set_number(struct settings *s, const struct setting *setting,
+		      const char *value)
+{
+	char *end;
+	unsigned long number = strtoul(value, &end, 10);
+
+	if (!*value || *end || !isdigit((unsigned char)*value) ||
+	    number < setting->min || number > setting->max)
+		return LWS_E_ARGUMENT;
+	*(uint32_t *)((char *)s + setting->offset) = (uint32_t)number;
+	return 0;
+}
+
+static int set_one(struct settings *s, const struct setting *setting,
+		   const char *value)
+{
+	switch (setting->kind) {
+	case SETTING_NAME:
+		if (!cfg_name_valid(value))
+			return LWS_E_ARGUMENT;
+		break;
+	case SETTING_ADDRESS:
+		if (!sock_addr_valid(value))
+			return LWS_E_ARGUMENT;
+		break;
+	case SETTING_TEXT:
+		if (!*value)
+			return LWS_E_ARGUMENT;
+		break;
+	case SETTING_NUMBER:
+		return set_number(s, setting, value);
+	case SETTING_LEVEL:
+		return lws_log_parse_level(value, &s->log_level);
+	}
+	*text_of(s, setting) = value;
+	return 0;
+}
+
+static void explain(const struct setting *setting, const char *where,
+		    const char *value)
+{
+	static const char *const wanted[] = {
+		[SETTING_NAME] = "a name of letters, digits, - and _",
+		[SETTING_ADDRESS] = "an IP number and a port, IP:PORT",
+		[SETTING_TEXT] = "a text that is not empty",
+		[SETTING_LEVEL] = "error, warn, info or debug",
+	};
+
+	if (setting->kind == SETTING_NUMBER)
+		fprintf(stderr,
+			"lacewingspand: %s: \"%s\" is not a whole number from "
+			"%u to %u\n",
+			where, value, setting->min, setting->max);
+	else
+		fprintf(stderr, "lacewingspand: %s: \"%s\" is not %s\n", where,
+			value, wanted[setting->kind]);
+	exit(2);
+}
+
+static void variable_name(const struct setting *setting, char *out, size_t room)
+{
+	snprintf(out, room, "LACEWINGSPAN_%s", setting->flag);
+	for (char *at = out; *at; at++)
+		*at = *at == '-' ? '_' : (char)toupper((unsigned char)*at);
+}
+
+static void read_environment(struct settings *s)
+{
+	for (size_t i = 0; i < SETTINGS_COUNT; i++) {
+		char variable[64];
+		const char *value;
+
+		variable_name(&table[i], variable, sizeof(variable));
+		value = getenv(variable);
+		if (value && set_one(s, &table[i], value))
+			explain(&table[i], variable, value);
+	}
+}
+
+static error_t parse_flag(int key, char *arg, struct argp_state *state)
+{
+	struct settings *s = state->input;
+	const struct setting *setting;
+	char where[64];
+
+	if (key < FIRST_KEY || key >= FIRST_KEY + (int)SETTINGS_COUNT)
+		return ARGP_ERR_UNKNOWN;
+	setting = &table[key - FIRST_KEY];
+	if (set_one(s, setting, arg)) {
+		snprintf(where, sizeof(where), "--%s", setting->flag);
+		explain(setting, where, arg);
+	}
+	return 0;
+}
+
+static void read_key(const char *file, char *key)
+{
+	FILE *f;
+
+	if (!file)
+		return;
+	f = fopen(file, "re");
+	if (!f || !fgets(key, SETTINGS_KEY_MAX, f)) {
+		fprintf(stderr, "lacewingspand: cannot read a key from %s\n",
+			file);
+		exit(2);
+	}
+	fclose(f);
+	key[strcspn(key, "\r\n")] = '\0';
+}
+
+static void fail(const char *text)
+{
+	fprintf(stderr, "lacewingspand: %s\n", text);
+	exit(2);
+}
+
+static void check_whole(const struct settings *s)
+{
+	if (!s->name)
+		fail("--name is required");
+	if (!s->failure_domain)
+		fail("--failure-domain is required");
+	if (!s->control)
+		fail("--control is required: the peer addresses of the "
+		     "control instances");
+	if (s->data && !s->peer_listen)
+		fail("--data needs --peer-listen: other instances must reach "
+		     "a control instance");
+	if (s->suspect_ms < 2 * s->probe_ms)
+		fail("--suspect-ms must be at least twice --probe-ms");
+	if (!*s->operator_key && strncmp(s->admin_listen, "127.", 4) != 0)
+		fail("--admin-listen outside 127.0.0.0/8 needs "
+		     "--operator-key-file");
+}
+
+void settings_parse(struct settings *s, int argc, char **argv)
+{
+	struct argp_option options[SETTINGS_COUNT + 1] = { 0 };
+	struct argp argp = {
+		.options = options,
+		.parser = parse_flag,
+		.doc = "Database proxy with session consistency.\v"
+		       "Each flag can also be given as an environment "
+		       "variable: LACEWINGSPAN_ and its name in capitals with "
+		       "_ for -. A flag wins.",
+	};
+
+	*s = (struct settings){ .listen = "127.0.0.1:0",
+				.admin_listen = "127.0.0.1:0",
+				.workers = 2,
+				.callers_max = 10000,
+				.key_fresh_ms = 3000,
+				.rate_ttl_ms = 600,
+				.election_ms = 300,
+				.probe_ms = 100,
+				.suspect_ms = 300,
+				.drain_ms = 10000,
+				.log_level = LWS_LOG_INFO };
+	for (size_t i = 0; i < SETTINGS_COUNT; i++)
+		options[i] = (struct argp_option){ .name = table[i].flag,
+						   .key = FIRST_KEY + (int)i,
+						   .arg = table[i].arg,
+						   .doc = table[i].doc };
+	read_environment(s);
+	argp_parse(&argp, argc, argv, 0, NULL, s);
+	read_key(s->operator_key_file, s->operator_key);
+	read_key(s->endpoint_key_file, s->endpoint_key);
+	check_whole(s);
+}
--- /dev/null
+++ b/lib/daemon/settings.h
@@ -0,0 +1,65 @@
+#ifndef SETTINGS_H
+#define SETTINGS_H
+
+#include <stdint.h>
+
+#include "lws_log.h"
+
+/**
+ * DOC: Settings of the daemon: flags, each with an environment variable. A
+ * flag wins over its variable.
+ */
+
+#define SETTINGS_KEY_MAX 128
+
+/**
+ * struct settings - checked settings
+ * @name: instance name
+ * @failure_domain: where it runs
+ * @listen: address for callers
+ * @admin_listen: address for operators and announcements of endpoints
+ * @peer_listen: address for other instances; NULL without
+ * @control: peer addresses of the control instances, separated by commas
+ * @data: data folder; NULL without a disk
+ * @operator_key: operators must show it; "" for none
+ * @endpoint_key: endpoints must show it; "" for none
+ * @workers: threads that serve callers
+ * @callers_max: connections of callers
+ * @key_fresh_ms: keys count for this long after their last confirmation
+ * @rate_ttl_ms: how long granted tokens may be used
+ * @election_ms: shortest silence before an election
+ * @probe_ms: how often silent primaries are asked
+ * @suspect_ms: silence that makes an endpoint suspect
+ * @drain_ms: longest graceful stop
+ * @log_level: most detailed level that is logged
+ */
+struct settings {
+	const char *name;
+	const char *failure_domain;
+	const char *listen;
+	const char *admin_listen;
+	const char *peer_listen;
+	const char *control;
+	const char *data;
+	char operator_key[SETTINGS_KEY_MAX];
+	char endpoint_key[SETTINGS_KEY_MAX];
+	const char *operator_key_file;
+	const char *endpoint_key_file;
+	uint32_t workers;
+	uint32_t callers_max;
+	uint32_t key_fresh_ms;
+	uint32_t rate_ttl_ms;
+	uint32_t election_ms;
+	uint32_t probe_ms;
+	uint32_t suspect_ms;
+	uint32_t drain_ms;
+	enum lws_log_level log_level;
+};
+
+/**
+ * settings_parse() - read environment and flags; ends the process with a
+ * message on standard error when one of them is wrong
+ */
+void settings_parse(struct settings *s, int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/lib/daemon/view.c
@@ -0,0 +1,88 @@
+#include "view.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "lws_time.h"
+#include "session_token.h"
+
+static uint64_t aged_max_us(const struct cfg *cfg, uint32_t group)
+{
+	uint64_t max_ms = 0;
+
+	for (uint32_t i = 0; i < cfg->routes_count; i++) {
+		const struct cfg_route *route = &cfg->routes[i];
+
+		if (route->group == group && route->max_age_ms > max_ms)
+			max_ms = route->max_age_ms;
+	}
+	return max_ms * LWS_US_PER_MS;
+}
+
+static void fill_groups(struct view *view, uint32_t instances)
+{
+	const struct cfg *cfg = view->cfg;
+
+	view->groups = talloc_zero_array(view, struct view_group,
+					 cfg->groups_count + 1);
+	for (uint32_t i = 0; i < cfg->groups_count; i++) {
+		const struct cfg_group *from = &cfg->groups[i];
+		struct view_group *group = &view->groups[i];
+
+		strcpy(group->name, from->name);
+		group->hash = session_name_hash(from->name);
+		group->state = fleet_find_group(view->fleet, from->name);
+		group->limits = (struct gate_limits){
+			.slots = from->slots,
+			.connections = from->connections,
+			.instances = instances,
+			.aged_max_us = aged_max_us(cfg, i),
+		};
+	}
+}
+
+static struct fleet *copy_fleet(void *mem_ctx, const struct fleet *fleet)
+{
+	struct fleet *copy = NULL;
+	struct pack_writer w;
+
+	pack_writer_init(&w);
+	fleet_snapshot_pack(&w, fleet);
+	(void)fleet_snapshot_unpack(mem_ctx, (const uint8_t *)w.buf.data,
+				    w.buf.size, &copy);
+	pack_writer_clear(&w);
+	return copy;
+}
+
+struct view *view_create(void *mem_ctx, const struct fleet *fleet,
+			 uint32_t instances,
+			 struct rate_account *(*account_of)(void *private_data,
+							    uint64_t customer),
+			 void *private_data)
+{
+	struct view *view = talloc_zero(mem_ctx, struct view);
+
+	if (!view)
+		return NULL;
+	view->fleet = copy_fleet(view, fleet);
+	if (!view->fleet) {
+		talloc_free(view);
+		return NULL;
+	}
+	view->cfg = view->fleet->cfg;
+	if (!view->cfg)
+		return view;
+	view->keys = key_table_create(view, view->fleet);
+	fill_groups(view, instances);
+	view->accounts = talloc_zero_array(view, struct rate_account *,
+					   view->cfg->customers_count + 1);
+	view->customer_hashes = talloc_zero_array(
+		view, uint64_t, view->cfg->customers_count + 1);
+	for (uint32_t i = 0; i < view->cfg->customers_count; i++) {
+		view->customer_hashes[i] =
+			session_name_hash(view->cfg->customers[i].name);
+		view->accounts[i] =
+			account_of(private_data, view->customer_hashes[i]);
+	}
+	return view;
+}
--- /dev/null
+++ b/lib/daemon/view.h
@@ -0,0 +1,64 @@
+#ifndef VIEW_H
+#define VIEW_H
+
+#include <stdint.h>
+
+#include "fleet.h"
+#include "gate.h"
+#include "key_table.h"
+#include "rate_holder.h"
+
+/**
+ * DOC: What worker threads see: one immutable snapshot of everything that the
+ * path of a request needs, published by the control thread with RCU.
+ */
+
+/**
+ * struct view_group - one group of the configuration
+ * @name: name
+ * @hash: session_name_hash() of it
+ * @state: agreed state, NULL until an endpoint announced itself
+ * @limits: limits for a gate
+ */
+struct view_group {
+	char name[FLEET_NAME_MAX];
+	uint64_t hash;
+	const struct fleet_group *state;
+	struct gate_limits limits;
+};
+
+/**
+ * struct view - the snapshot
+ * @fleet: own copy of the agreed state
+ * @cfg: configuration inside @fleet, NULL before the first
+ * @keys: keys in force
+ * @groups: one for each group of @cfg
+ * @accounts: tokens of each customer of @cfg; not owned
+ * @customer_hashes: session_name_hash() of each customer's name
+ */
+struct view {
+	struct fleet *fleet;
+	const struct cfg *cfg;
+	struct key_table *keys;
+	struct view_group *groups;
+	struct rate_account **accounts;
+	uint64_t *customer_hashes;
+};
+
+/**
+ * view_create() - copy the agreed state into a snapshot
+ * @mem_ctx: talloc parent
+ * @fleet: state
+ * @instances: instances alive, at least 1
+ * @account_of: finds or makes the account of a customer
+ * @private_data: passed to @account_of
+ *
+ * Return: snapshot, NULL without memory.
+ */
+struct view *view_create(void *mem_ctx, const struct fleet *fleet,
+			 uint32_t instances,
+			 struct rate_account *(*account_of)(void *private_data,
+							    uint64_t customer),
+			 void *private_data);
+
+#endif
--- /dev/null
+++ b/lib/daemon/worker.c
@@ -0,0 +1,222 @@
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "lws_error.h"
+#include "lws_rcu.h"
+#include "lws_time.h"
+#include "worker_internal.h"
+
+#define HANDSHAKE_MS 10000
+#define DRAIN_CHECK_MS 20
+
+uint32_t worker_owner_of(const struct daemon *d, const char *group)
+{
+	return (uint32_t)(session_name_hash(group) % d->settings.workers);
+}
+
+struct group_shell *worker_group(struct worker *w, const char *name)
+{
+	for (uint32_t i = 0; i < w->groups_count; i++) {
+		if (strcmp(group_shell_name(w->groups[i]), name) == 0)
+			return w->groups[i];
+	}
+	return NULL;
+}
+
+/* The view */
+
+static void adopt_group(struct worker *w, const struct view_group *group)
+{
+	struct group_shell *gs = worker_group(w, group->name);
+
+	if (worker_owner_of(w->daemon, group->name) != w->index)
+		return;
+	if (!gs) {
+		if (w->groups_count == GROUPS_PER_WORKER_MAX)
+			return;
+		gs = group_shell_create(w, group->name);
+		if (!gs)
+			return;
+		w->groups[w->groups_count++] = gs;
+	}
+	group_shell_update(gs, group);
+}
+
+static void adopt_view(struct worker *w)
+{
+	const struct view *view;
+
+	lws_rcu_read_lock();
+	view = lws_rcu_dereference(&w->daemon->view);
+	for (uint32_t i = 0; view && view->cfg && i < view->cfg->groups_count;
+	     i++)
+		adopt_group(w, &view->groups[i]);
+	lws_rcu_read_unlock();
+}
+
+/* Planned stop */
+
+static bool is_idle(const struct worker *w)
+{
+	for (uint32_t i = 0; i < w->groups_count; i++) {
+		if (!group_shell_idle(w->groups[i]))
+			return false;
+	}
+	return !w->fronts && h2_server_idle(w->server);
+}
+
+static void check_drained(struct worker *w);
+
+static void on_drain_timer(struct tevent_context *ev, struct tevent_timer *te,
+			   struct timeval now, void *private_data)
+{
+	struct worker *w = private_data;
+
+	(void)ev;
+	(void)te;
+	(void)now;
+	w->drain_timer = NULL;
+	check_drained(w);
+}
+
+static void check_drained(struct worker *w)
+{
+	bool idle = is_idle(w);
+
+	if (idle && !w->told_idle)
+		atomic_fetch_add(&w->daemon->workers_idle, 1);
+	if (!idle && w->told_idle)
+		atomic_fetch_sub(&w->daemon->workers_idle, 1);
+	w->told_idle = idle;
+	w->drain_timer = tevent_add_timer(
+		w->ev, w, tevent_timeval_current_ofs(0, DRAIN_CHECK_MS * 1000),
+		on_drain_timer, w);
+}
+
+static void begin_drain(struct worker *w)
+{
+	if (w->draining)
+		return;
+	w->draining = true;
+	h2_server_drain(w->server);
+	front_refuse_waiting(w, LWS_E_DRAINING);
+	for (uint32_t i = 0; i < w->groups_count; i++)
+		group_shell_drain(w->groups[i]);
+	check_drained(w);
+}
+
+/* Mails */
+
+static void on_view_mail(void *private_data, struct mail *mail)
+{
+	adopt_view(private_data);
+	talloc_free(mail);
+}
+
+static void on_granted_mail(void *private_data, struct mail *mail)
+{
+	front_retry_waiting(private_data);
+	talloc_free(mail);
+}
+
+static void on_drain_mail(void *private_data, struct mail *mail)
+{
+	begin_drain(private_data);
+	talloc_free(mail);
+}
+
+static void on_stop_mail(void *private_data, struct mail *mail)
+{
+	struct worker *w = private_data;
+
+	w->stopping = true;
+	talloc_free(mail);
+}
+
+static void post(struct worker *w, mail_fn fn)
+{
+	struct mail *mail = talloc_zero(NULL, struct mail);
+
+	if (!mail)
+		return;
+	mail->fn = fn;
+	mailbox_post(w->box, mail);
+}
+
+void worker_view_changed(struct worker *w)
+{
+	post(w, on_view_mail);
+}
+
+void worker_granted(struct worker *w)
+{
+	post(w, on_granted_mail);
+}
+
+void worker_drain(struct worker *w)
+{
+	post(w, on_drain_mail);
+}
+
+/* The thread */
+
+static int start_server(struct worker *w)
+{
+	const struct settings *s = &w->daemon->settings;
+	struct h2_server_params params = {
+		.listen_fd = w->listen_fd,
+		.connections_max =
+			(s->callers_max + s->workers - 1) / s->workers,
+		.handshake_ms = HANDSHAKE_MS,
+		.body_max = H2_BODY_MAX,
+		.private_data = w,
+		.on_request = front_on_request,
+		.on_close = front_on_close,
+		.on_refused = front_on_refused,
+	};
+
+	return h2_server_create(w, w->ev, &params, &w->server);
+}
+
+static void *run(void *arg)
+{
+	struct worker *w = arg;
+
+	lws_rcu_register();
+	while (!w->stopping) {
+		if (tevent_loop_once(w->ev))
+			break;
+	}
+	lws_rcu_unregister();
+	return NULL;
+}
+
+struct worker *worker_start(struct daemon *d, uint32_t index, int listen_fd)
+{
+	/* No talloc parent: the whole tree belongs to the thread. */
+	struct worker *w = talloc_zero(NULL, struct worker);
+
+	if (!w)
+		return NULL;
+	w->daemon = d;
+	w->index = index;
+	w->listen_fd = listen_fd;
+	w->ev = tevent_context_init(w);
+	w->groups = talloc_zero_array(w, struct group_shell *,
+				      GROUPS_PER_WORKER_MAX);
+	w->box = w->ev ? mailbox_create(w, w->ev, w) : NULL;
+	if (!w->box || !w->groups || start_server(w) ||
+	    pthread_create(&w->thread, NULL, run, w)) {
+		talloc_free(w);
+		return NULL;
+	}
+	return w;
+}
+
+void worker_stop(struct worker *w)
+{
+	post(w, on_stop_mail);
+	pthread_join(w->thread, NULL);
+	talloc_free(w);
+}
--- /dev/null
+++ b/lib/io/peer.c
@@ -0,0 +1,440 @@
+#include "peer.h"
+
+#include <errno.h>
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "lws_error.h"
+#include "sock.h"
+
+#define READ_BYTES (64U * 1024U)
+#define OUT_MAX (2 * (size_t)WIRE_FRAME_MAX)
+#define REDIAL_MS 200
+#define HELLO_TIMEOUT_MS 3000
+
+/* An address that is kept connected. */
+struct dial {
+	struct peer_hub *hub;
+	char addr[SOCK_ADDR_MAX];
+	struct peer *peer;
+	struct tevent_timer *again;
+};
+
+struct peer {
+	struct peer_hub *hub;
+	struct peer *prev;
+	struct peer *next;
+	struct dial *dial;
+	int fd;
+	struct tevent_fd *fde;
+	struct tevent_timer *hello_timeout;
+	struct tevent_immediate *reap;
+	bool connecting;
+	bool up;
+	bool closed;
+	struct wire_hello hello;
+	uint8_t *in;
+	size_t in_len;
+	uint8_t *out;
+	size_t out_len;
+	size_t out_room;
+};
+
+struct peer_hub {
+	struct tevent_context *ev;
+	struct peer_hub_params params;
+	struct tevent_fd *listen_fde;
+	struct peer *peers;
+	uint32_t count;
+};
+
+static void start_dial(struct dial *dial);
+
+static void on_dial_again(struct tevent_context *ev, struct tevent_timer *te,
+			  struct timeval now, void *private_data)
+{
+	struct dial *dial = private_data;
+
+	(void)ev;
+	(void)te;
+	(void)now;
+	dial->again = NULL;
+	start_dial(dial);
+}
+
+static void dial_later(struct dial *dial)
+{
+	dial->again = tevent_add_timer(
+		dial->hub->ev, dial,
+		tevent_timeval_current_ofs(0, REDIAL_MS * 1000), on_dial_again,
+		dial);
+}
+
+static void reap(struct tevent_context *ev, struct tevent_immediate *im,
+		 void *private_data)
+{
+	(void)ev;
+	(void)im;
+	talloc_free(private_data);
+}
+
+void peer_close(struct peer *peer)
+{
+	struct peer_hub *hub = peer->hub;
+
+	if (peer->closed)
+		return;
+	peer->closed = true;
+	TALLOC_FREE(peer->fde);
+	TALLOC_FREE(peer->hello_timeout);
+	close(peer->fd);
+	peer->fd = -1;
+	if (peer->prev)
+		peer->prev->next = peer->next;
+	else
+		hub->peers = peer->next;
+	if (peer->next)
+		peer->next->prev = peer->prev;
+	hub->count--;
+	if (peer->up) {
+		peer->up = false;
+		hub->params.on_down(hub->params.private_data, peer);
+	}
+	if (peer->dial) {
+		peer->dial->peer = NULL;
+		dial_later(peer->dial);
+	}
+	/* Its frames may be on the stack. */
+	tevent_schedule_immediate(peer->reap, hub->ev, reap, peer);
+}
+
+/* Sending */
+
+static void write_out(struct peer *peer)
+{
+	ssize_t done;
+
+	if (peer->closed || peer->connecting || !peer->out_len)
+		return;
+	done = write(peer->fd, peer->out, peer->out_len);
+	if (done < 0 && errno != EAGAIN && errno != EINTR) {
+		peer_close(peer);
+		return;
+	}
+	if (done > 0) {
+		lws_counter_add(peer->hub->params.counters,
+				LWS_COUNTER_PEER_BYTES_SENT, (uint64_t)done);
+		peer->out_len -= (size_t)done;
+		memmove(peer->out, peer->out + done, peer->out_len);
+	}
+	if (peer->out_len) {
+		TEVENT_FD_WRITEABLE(peer->fde);
+		return;
+	}
+	TEVENT_FD_NOT_WRITEABLE(peer->fde);
+	TALLOC_FREE(peer->out);
+	peer->out_room = 0;
+}
+
+static int append_out(struct peer *peer, const uint8_t *data, size_t len)
+{
+	uint8_t *grown;
+
+	if (peer->out_len + len > OUT_MAX)
+		return LWS_E_QUEUE_FULL;
+	if (peer->out_len + len > peer->out_room) {
+		peer->out_room = (peer->out_len + len) * 2;
+		grown = talloc_realloc(peer, peer->out, uint8_t,
+				       peer->out_room);
+		if (!grown)
+			return LWS_E_NOMEM;
+		peer->out = grown;
+	}
+	memcpy(peer->out + peer->out_len, data, len);
+	peer->out_len += len;
+	return 0;
+}
+
+void peer_send(struct peer *peer, const struct wire_msg *msg)
+{
+	uint8_t *frame;
+	size_t len;
+
+	if (peer->closed || wire_encode(peer, msg, &frame, &len))
+		return;
+	if (append_out(peer, frame, len)) {
+		talloc_free(frame);
+		peer_close(peer);
+		return;
+	}
+	talloc_free(frame);
+	write_out(peer);
+}
+
+static void send_hello(struct peer *peer)
+{
+	struct wire_msg msg = { .type = WIRE_HELLO,
+				.hello = peer->hub->params.hello };
+
+	peer_send(peer, &msg);
+}
+
+/* Receiving */
+
+static int on_hello(struct peer *peer, const struct wire_msg *msg)
+{
+	struct peer_hub *hub = peer->hub;
+
+	if (msg->type != WIRE_HELLO ||
+	    msg->hello.protocol != WIRE_PROTOCOL_VERSION ||
+	    !cfg_name_valid(msg->hello.name) ||
+	    !cfg_name_valid(msg->hello.failure_domain))
+		return LWS_E_WIRE_FORMAT;
+	/* A dialled address may be this instance itself. */
+	if (msg->hello.incarnation == hub->params.hello.incarnation)
+		return LWS_E_EXISTS;
+	peer->hello = msg->hello;
+	if (!hub->params.on_up(hub->params.private_data, peer))
+		return LWS_E_ARGUMENT;
+	TALLOC_FREE(peer->hello_timeout);
+	peer->up = true;
+	return 0;
+}
+
+static int on_payload(struct peer *peer, const uint8_t *data, size_t len)
+{
+	struct peer_hub *hub = peer->hub;
+	struct wire_msg *msg;
+	int rc = wire_decode(peer, data, len, &msg);
+
+	if (rc)
+		return rc;
+	if (!peer->up)
+		rc = on_hello(peer, msg);
+	else
+		hub->params.on_message(hub->params.private_data, peer, msg);
+	talloc_free(msg);
+	return rc;
+}
+
+static int take_frames(struct peer *peer)
+{
+	size_t at = 0;
+
+	for (;;) {
+		size_t frame;
+		int rc = wire_frame_length(peer->in + at, peer->in_len - at,
+					   &frame);
+
+		if (rc)
+			return rc;
+		if (!frame || frame > peer->in_len - at)
+			break;
+		rc = on_payload(peer, peer->in + at + WIRE_HEADER_BYTES,
+				frame - WIRE_HEADER_BYTES);
+		if (rc || peer->closed)
+			return rc;
+		at += frame;
+	}
+	peer->in_len -= at;
+	memmove(peer->in, peer->in + at, peer->in_len);
+	if (!peer->in_len)
+		TALLOC_FREE(peer->in);
+	return 0;
+}
+
+static void on_readable(struct peer *peer)
+{
+	uint8_t buf[READ_BYTES];
+	ssize_t got = read(peer->fd, buf, sizeof(buf));
+	uint8_t *grown;
+	int rc;
+
+	if (got < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (got <= 0) {
+		peer_close(peer);
+		return;
+	}
+	lws_counter_add(peer->hub->params.counters,
+			LWS_COUNTER_PEER_BYTES_RECEIVED, (uint64_t)got);
+	grown = talloc_realloc(peer, peer->in, uint8_t,
+			       peer->in_len + (size_t)got);
+	if (!grown) {
+		peer_close(peer);
+		return;
+	}
+	peer->in = grown;
+	memcpy(peer->in + peer->in_len, buf, (size_t)got);
+	peer->in_len += (size_t)got;
+	rc = take_frames(peer);
+	if (!rc)
+		return;
+	if (rc == LWS_E_WIRE_FORMAT || rc == LWS_E_WIRE_TOO_BIG) {
+		lws_counter_add(peer->hub->params.counters,
+				LWS_COUNTER_PEER_FRAMES_REFUSED, 1);
+		lws_counter_refuse(peer->hub->params.counters, rc);
+	}
+	peer_close(peer);
+}
+
+static void on_event(struct tevent_context *ev, struct tevent_fd *fde,
+		     uint16_t flags, void *private_data)
+{
+	struct peer *peer = private_data;
+
+	(void)ev;
+	(void)fde;
+	if (peer->connecting && (flags & TEVENT_FD_WRITE)) {
+		peer->connecting = false;
+		if (sock_error(peer->fd)) {
+			peer_close(peer);
+			return;
+		}
+		TEVENT_FD_READABLE(peer->fde);
+	}
+	if (flags & TEVENT_FD_READ)
+		on_readable(peer);
+	if (!peer->closed && (flags & TEVENT_FD_WRITE))
+		write_out(peer);
+}
+
+static void on_hello_timeout(struct tevent_context *ev, struct tevent_timer *te,
+			     struct timeval now, void *private_data)
+{
+	struct peer *peer = private_data;
+
+	(void)ev;
+	(void)te;
+	(void)now;
+	peer->hello_timeout = NULL;
+	peer_close(peer);
+}
+
+static int destroy_peer(struct peer *peer)
+{
+	if (peer->fd >= 0)
+		close(peer->fd);
+	return 0;
+}
+
+static struct peer *peer_create(struct peer_hub *hub, int fd, bool connecting)
+{
+	struct peer *peer = talloc_zero(hub, struct peer);
+
+	if (!peer)
+		return NULL;
+	peer->hub = hub;
+	peer->fd = fd;
+	peer->connecting = connecting;
+	talloc_set_destructor(peer, destroy_peer);
+	peer->reap = tevent_create_immediate(peer);
+	peer->fde = tevent_add_fd(hub->ev, peer, fd,
+				  connecting ? TEVENT_FD_WRITE : TEVENT_FD_READ,
+				  on_event, peer);
+	peer->hello_timeout = tevent_add_timer(
+		hub->ev, peer,
+		tevent_timeval_current_ofs(HELLO_TIMEOUT_MS / 1000, 0),
+		on_hello_timeout, peer);
+	peer->next = hub->peers;
+	if (hub->peers)
+		hub->peers->prev = peer;
+	hub->peers = peer;
+	hub->count++;
+	send_hello(peer);
+	return peer;
+}
+
+/* The hub */
+
+static void on_acceptable(struct tevent_context *ev, struct tevent_fd *fde,
+			  uint16_t flags, void *private_data)
+{
+	struct peer_hub *hub = private_data;
+	int fd = sock_accept(hub->params.listen_fd);
+
+	(void)ev;
+	(void)fde;
+	(void)flags;
+	if (fd < 0)
+		return;
+	if (hub->count >= PEER_CONNECTIONS_MAX || !peer_create(hub, fd, false))
+		close(fd);
+}
+
+static void start_dial(struct dial *dial)
+{
+	int fd = sock_connect(dial->addr);
+
+	if (fd >= 0)
+		dial->peer = peer_create(dial->hub, fd, true);
+	if (dial->peer)
+		dial->peer->dial = dial;
+	else
+		dial_later(dial);
+}
+
+int peer_hub_dial(struct peer_hub *hub, const char *addr)
+{
+	struct dial *dial;
+
+	if (!sock_addr_valid(addr) || strlen(addr) >= SOCK_ADDR_MAX)
+		return LWS_E_ARGUMENT;
+	dial = talloc_zero(hub, struct dial);
+	if (!dial)
+		return LWS_E_NOMEM;
+	dial->hub = hub;
+	strcpy(dial->addr, addr);
+	start_dial(dial);
+	return 0;
+}
+
+int peer_hub_create(void *mem_ctx, struct tevent_context *ev,
+		    const struct peer_hub_params *params, struct peer_hub **out)
+{
+	struct peer_hub *hub = talloc_zero(mem_ctx, struct peer_hub);
+
+	if (!hub)
+		return LWS_E_NOMEM;
+	hub->ev = ev;
+	hub->params = *params;
+	if (params->listen_fd >= 0)
+		hub->listen_fde =
+			tevent_add_fd(ev, hub, params->listen_fd,
+				      TEVENT_FD_READ, on_acceptable, hub);
+	*out = hub;
+	return 0;
+}
+
+void peer_hub_set_cluster(struct peer_hub *hub, uint64_t cluster)
+{
+	hub->params.hello.cluster = cluster;
+}
+
+static struct peer *skip_to_up(struct peer *peer)
+{
+	while (peer && !peer->up)
+		peer = peer->next;
+	return peer;
+}
+
+struct peer *peer_hub_first(struct peer_hub *hub)
+{
+	return skip_to_up(hub->peers);
+}
+
+struct peer *peer_hub_next(struct peer *peer)
+{
+	return skip_to_up(peer->next);
+}
+
+const struct wire_hello *peer_hello(const struct peer *peer)
+{
+	return &peer->hello;
+}
+
+bool peer_dialled(const struct peer *peer)
+{
+	return peer->dial != NULL;
+}
--- /dev/null
+++ b/lib/wire/wire.c
@@ -0,0 +1,499 @@
+#include "wire.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "lws_error.h"
+#include "pack.h"
+#include "store.h"
+
+/* Small helpers */
+
+static void *copy_bytes(void *mem_ctx, const uint8_t *data, uint32_t len)
+{
+	return len ? talloc_memdup(mem_ctx, data, len) : NULL;
+}
+
+/* Enter a list of @per values an item; returns the number of items. */
+static uint32_t enter_list(struct pack_reader *r, struct pack_reader *in,
+			   uint32_t per)
+{
+	if (pack_reader_enter(r, in) || in->count % per ||
+	    in->count / per > WIRE_ITEMS_MAX) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		in->rc = LWS_E_WIRE_FORMAT;
+		return 0;
+	}
+	return in->count / per;
+}
+
+static void leave_list(struct pack_reader *r, const struct pack_reader *in)
+{
+	if (pack_reader_end(in))
+		r->rc = LWS_E_WIRE_FORMAT;
+}
+
+/* hello */
+
+static void hello_pack(struct pack_writer *w, const struct wire_hello *hello)
+{
+	pack_u64(w, hello->protocol);
+	pack_str(w, hello->name);
+	pack_str(w, hello->failure_domain);
+	pack_u64(w, hello->member);
+	pack_u64(w, hello->cluster);
+	pack_u64(w, hello->incarnation);
+}
+
+static void hello_unpack(struct pack_reader *r, struct wire_hello *hello)
+{
+	hello->protocol = (uint32_t)pack_read_u64(r);
+	pack_read_str(r, hello->name, FLEET_NAME_MAX);
+	pack_read_str(r, hello->failure_domain, FLEET_NAME_MAX);
+	hello->member = pack_read_u64(r);
+	hello->cluster = pack_read_u64(r);
+	hello->incarnation = pack_read_u64(r);
+}
+
+/* raft */
+
+static void raft_append_pack(struct pack_writer *w, const struct raft_msg *msg)
+{
+	pack_u64(w, msg->append_request.prev_index);
+	pack_u64(w, msg->append_request.prev_term);
+	pack_u64(w, msg->append_request.commit);
+	pack_u64(w, msg->append_request.stamp_us);
+	pack_array(w, msg->append_request.count);
+	for (uint32_t i = 0; i < msg->append_request.count; i++)
+		raft_entry_pack(w, &msg->append_request.entries[i]);
+}
+
+static void raft_append_unpack(struct pack_reader *r, void *mem_ctx,
+			       struct raft_msg *msg)
+{
+	struct pack_reader in;
+
+	msg->append_request.prev_index = pack_read_u64(r);
+	msg->append_request.prev_term = pack_read_u64(r);
+	msg->append_request.commit = pack_read_u64(r);
+	msg->append_request.stamp_us = pack_read_u64(r);
+	msg->append_request.count = enter_list(r, &in, 1);
+	msg->append_request.entries = talloc_zero_array(
+		mem_ctx, struct raft_entry, msg->append_request.count + 1);
+	for (uint32_t i = 0; i < msg->append_request.count; i++)
+		raft_entry_unpack(&in, mem_ctx,
+				  &msg->append_request.entries[i]);
+	leave_list(r, &in);
+}
+
+static void raft_pack(struct pack_writer *w, const struct raft_msg *msg)
+{
+	pack_u64(w, msg->type);
+	pack_u64(w, msg->from);
+	pack_u64(w, msg->to);
+	pack_u64(w, msg->term);
+	switch (msg->type) {
+	case RAFT_MSG_PREVOTE_REQUEST:
+	case RAFT_MSG_VOTE_REQUEST:
+		pack_u64(w, msg->vote_request.last_index);
+		pack_u64(w, msg->vote_request.last_term);
+		pack_bool(w, msg->vote_request.handover);
+		return;
+	case RAFT_MSG_PREVOTE_REPLY:
+	case RAFT_MSG_VOTE_REPLY:
+		pack_bool(w, msg->vote_reply.granted);
+		return;
+	case RAFT_MSG_APPEND_REQUEST:
+		raft_append_pack(w, msg);
+		return;
+	case RAFT_MSG_APPEND_REPLY:
+		pack_bool(w, msg->append_reply.success);
+		pack_u64(w, msg->append_reply.match_index);
+		pack_u64(w, msg->append_reply.stamp_us);
+		return;
+	case RAFT_MSG_SNAPSHOT:
+		pack_u64(w, msg->snapshot.stamp_us);
+		raft_snapshot_pack(w, &msg->snapshot.snap);
+		return;
+	case RAFT_MSG_TIMEOUT_NOW:
+	case RAFT_MSG_TYPE_COUNT:
+		return;
+	}
+}
+
+static void raft_unpack(struct pack_reader *r, void *mem_ctx,
+			struct raft_msg *msg)
+{
+	uint64_t type = pack_read_u64(r);
+
+	if (type >= RAFT_MSG_TYPE_COUNT) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	msg->type = (enum raft_msg_type)type;
+	msg->from = pack_read_u64(r);
+	msg->to = pack_read_u64(r);
+	msg->term = pack_read_u64(r);
+	switch (msg->type) {
+	case RAFT_MSG_PREVOTE_REQUEST:
+	case RAFT_MSG_VOTE_REQUEST:
+		msg->vote_request.last_index = pack_read_u64(r);
+		msg->vote_request.last_term = pack_read_u64(r);
+		msg->vote_request.handover = pack_read_bool(r);
+		return;
+	case RAFT_MSG_PREVOTE_REPLY:
+	case RAFT_MSG_VOTE_REPLY:
+		msg->vote_reply.granted = pack_read_bool(r);
+		return;
+	case RAFT_MSG_APPEND_REQUEST:
+		raft_append_unpack(r, mem_ctx, msg);
+		return;
+	case RAFT_MSG_APPEND_REPLY:
+		msg->append_reply.success = pack_read_bool(r);
+		msg->append_reply.match_index = pack_read_u64(r);
+		msg->append_reply.stamp_us = pack_read_u64(r);
+		return;
+	case RAFT_MSG_SNAPSHOT:
+		msg->snapshot.stamp_us = pack_read_u64(r);
+		raft_snapshot_unpack(r, mem_ctx, &msg->snapshot.snap);
+		return;
+	case RAFT_MSG_TIMEOUT_NOW:
+	case RAFT_MSG_TYPE_COUNT:
+		return;
+	}
+}
+
+/* synchronisation */
+
+static void sync_reply_pack(struct pack_writer *w,
+			    const struct wire_sync_reply *reply)
+{
+	pack_u64(w, reply->stamp_us);
+	pack_bool(w, reply->confirmed);
+	pack_u64(w, reply->cluster);
+	pack_str(w, reply->leader);
+	pack_u64(w, reply->instances);
+	pack_bin(w, reply->snapshot, reply->snapshot_len);
+	pack_array(w, reply->count * 2);
+	for (uint32_t i = 0; i < reply->count; i++) {
+		pack_u64(w, reply->entries[i].index);
+		pack_bin(w, reply->entries[i].data, reply->entries[i].len);
+	}
+}
+
+static void sync_reply_unpack(struct pack_reader *r, void *mem_ctx,
+			      struct wire_sync_reply *reply)
+{
+	struct pack_reader in;
+	const uint8_t *data;
+
+	reply->stamp_us = pack_read_u64(r);
+	reply->confirmed = pack_read_bool(r);
+	reply->cluster = pack_read_u64(r);
+	pack_read_str(r, reply->leader, FLEET_NAME_MAX);
+	reply->instances = (uint32_t)pack_read_u64(r);
+	data = pack_read_bin(r, &reply->snapshot_len);
+	reply->snapshot = copy_bytes(mem_ctx, data, reply->snapshot_len);
+	reply->count = enter_list(r, &in, 2);
+	reply->entries = talloc_zero_array(mem_ctx, struct wire_sync_entry,
+					   reply->count + 1);
+	for (uint32_t i = 0; i < reply->count; i++) {
+		struct wire_sync_entry *entry = &reply->entries[i];
+
+		entry->index = pack_read_u64(&in);
+		data = pack_read_bin(&in, &entry->len);
+		entry->data = copy_bytes(mem_ctx, data, entry->len);
+	}
+	leave_list(r, &in);
+}
+
+/* rates */
+
+static void rate_pack(struct pack_writer *w, const struct wire_rate *rate)
+{
+	pack_u64(w, rate->seq);
+	pack_u64(w, rate->ttl_us);
+	pack_array(w, rate->count * 4);
+	for (uint32_t i = 0; i < rate->count; i++) {
+		pack_u64(w, rate->items[i].customer);
+		pack_u64(w, rate->items[i].amount);
+		pack_u64(w, rate->items[i].held);
+		pack_u64(w, rate->items[i].returned);
+	}
+}
+
+static void rate_unpack(struct pack_reader *r, void *mem_ctx,
+			struct wire_rate *rate)
+{
+	struct pack_reader in;
+
+	rate->seq = pack_read_u64(r);
+	rate->ttl_us = pack_read_u64(r);
+	rate->count = enter_list(r, &in, 4);
+	rate->items = talloc_zero_array(mem_ctx, struct wire_rate_item,
+					rate->count + 1);
+	for (uint32_t i = 0; i < rate->count; i++) {
+		rate->items[i].customer = pack_read_u64(&in);
+		rate->items[i].amount = (uint32_t)pack_read_u64(&in);
+		rate->items[i].held = (uint32_t)pack_read_u64(&in);
+		rate->items[i].returned = (uint32_t)pack_read_u64(&in);
+	}
+	leave_list(r, &in);
+}
+
+/* reports and announcements */
+
+static void report_pack(struct pack_writer *w, const struct wire_report *report)
+{
+	pack_u64(w, report->index);
+	pack_u64(w, report->version);
+	pack_array(w, report->count * 4);
+	for (uint32_t i = 0; i < report->count; i++) {
+		pack_str(w, report->items[i].group);
+		pack_str(w, report->items[i].endpoint);
+		pack_u64(w, report->items[i].term);
+		pack_bool(w, report->items[i].suspect);
+	}
+}
+
+static void report_unpack(struct pack_reader *r, void *mem_ctx,
+			  struct wire_report *report)
+{
+	struct pack_reader in;
+
+	report->index = pack_read_u64(r);
+	report->version = pack_read_u64(r);
+	report->count = enter_list(r, &in, 4);
+	report->items = talloc_zero_array(mem_ctx, struct wire_report_item,
+					  report->count + 1);
+	for (uint32_t i = 0; i < report->count; i++) {
+		struct wire_report_item *item = &report->items[i];
+
+		pack_read_str(&in, item->group, FLEET_NAME_MAX);
+		pack_read_str(&in, item->endpoint, FLEET_NAME_MAX);
+		item->term = pack_read_u64(&in);
+		item->suspect = pack_read_bool(&in);
+	}
+	leave_list(r, &in);
+}
+
+static void announce_pack(struct pack_writer *w,
+			  const struct wire_announce *announce)
+{
+	pack_array(w, announce->count * 8);
+	for (uint32_t i = 0; i < announce->count; i++) {
+		const struct wire_announce_item *item = &announce->items[i];
+
+		pack_str(w, item->group);
+		pack_str(w, item->endpoint.id);
+		pack_str(w, item->endpoint.addr);
+		pack_str(w, item->endpoint.failure_domain);
+		pack_bool(w, item->leaving);
+		pack_u64(w, item->lease_ms);
+		pack_u64(w, item->log_term);
+		pack_u64(w, item->position);
+	}
+}
+
+static void announce_unpack(struct pack_reader *r, void *mem_ctx,
+			    struct wire_announce *announce)
+{
+	struct pack_reader in;
+
+	announce->count = enter_list(r, &in, 8);
+	announce->items = talloc_zero_array(mem_ctx, struct wire_announce_item,
+					    announce->count + 1);
+	for (uint32_t i = 0; i < announce->count; i++) {
+		struct wire_announce_item *item = &announce->items[i];
+
+		pack_read_str(&in, item->group, FLEET_NAME_MAX);
+		pack_read_str(&in, item->endpoint.id, FLEET_NAME_MAX);
+		pack_read_str(&in, item->endpoint.addr, FLEET_ADDR_MAX);
+		pack_read_str(&in, item->endpoint.failure_domain,
+			      FLEET_NAME_MAX);
+		item->leaving = pack_read_bool(&in);
+		item->lease_ms = (uint32_t)pack_read_u64(&in);
+		item->log_term = pack_read_u64(&in);
+		item->position = pack_read_u64(&in);
+	}
+	leave_list(r, &in);
+}
+
+/* Whole messages */
+
+static const uint32_t field_count[WIRE_TYPE_COUNT] = {
+	[WIRE_HELLO] = 6,	  [WIRE_SYNC_REQUEST] = 3,
+	[WIRE_SYNC_REPLY] = 7,	  [WIRE_PROPOSE] = 2,
+	[WIRE_PROPOSE_REPLY] = 4, [WIRE_RATE_REQUEST] = 3,
+	[WIRE_RATE_REPLY] = 3,	  [WIRE_REPORT] = 3,
+	[WIRE_ANNOUNCE] = 1,
+};
+
+static const uint32_t raft_field_count[RAFT_MSG_TYPE_COUNT] = {
+	[RAFT_MSG_PREVOTE_REQUEST] = 7, [RAFT_MSG_PREVOTE_REPLY] = 5,
+	[RAFT_MSG_VOTE_REQUEST] = 7,	[RAFT_MSG_VOTE_REPLY] = 5,
+	[RAFT_MSG_APPEND_REQUEST] = 9,	[RAFT_MSG_APPEND_REPLY] = 7,
+	[RAFT_MSG_SNAPSHOT] = 6,	[RAFT_MSG_TIMEOUT_NOW] = 4,
+};
+
+static void body_pack(struct pack_writer *w, const struct wire_msg *msg)
+{
+	switch (msg->type) {
+	case WIRE_HELLO:
+		hello_pack(w, &msg->hello);
+		return;
+	case WIRE_RAFT:
+		raft_pack(w, &msg->raft);
+		return;
+	case WIRE_SYNC_REQUEST:
+		pack_u64(w, msg->sync_request.have_index);
+		pack_u64(w, msg->sync_request.stamp_us);
+		pack_u64(w, msg->sync_request.version);
+		return;
+	case WIRE_SYNC_REPLY:
+		sync_reply_pack(w, &msg->sync_reply);
+		return;
+	case WIRE_PROPOSE:
+		pack_u64(w, msg->propose.id);
+		pack_bin(w, msg->propose.data, msg->propose.len);
+		return;
+	case WIRE_PROPOSE_REPLY:
+		pack_u64(w, msg->propose_reply.id);
+		pack_i64(w, msg->propose_reply.rc);
+		pack_u64(w, msg->propose_reply.version);
+		pack_u64(w, msg->propose_reply.index);
+		return;
+	case WIRE_RATE_REQUEST:
+	case WIRE_RATE_REPLY:
+		rate_pack(w, &msg->rate);
+		return;
+	case WIRE_REPORT:
+		report_pack(w, &msg->report);
+		return;
+	case WIRE_ANNOUNCE:
+		announce_pack(w, &msg->announce);
+		return;
+	case WIRE_TYPE_COUNT:
+		return;
+	}
+}
+
+static void body_unpack(struct pack_reader *r, struct wire_msg *msg)
+{
+	const uint8_t *data;
+
+	switch (msg->type) {
+	case WIRE_HELLO:
+		hello_unpack(r, &msg->hello);
+		return;
+	case WIRE_RAFT:
+		raft_unpack(r, msg, &msg->raft);
+		return;
+	case WIRE_SYNC_REQUEST:
+		msg->sync_request.have_index = pack_read_u64(r);
+		msg->sync_request.stamp_us = pack_read_u64(r);
+		msg->sync_request.version = pack_read_u64(r);
+		return;
+	case WIRE_SYNC_REPLY:
+		sync_reply_unpack(r, msg, &msg->sync_reply);
+		return;
+	case WIRE_PROPOSE:
+		msg->propose.id = pack_read_u64(r);
+		data = pack_read_bin(r, &msg->propose.len);
+		msg->propose.data = copy_bytes(msg, data, msg->propose.len);
+		return;
+	case WIRE_PROPOSE_REPLY:
+		msg->propose_reply.id = pack_read_u64(r);
+		msg->propose_reply.rc = (int)pack_read_i64(r);
+		msg->propose_reply.version = pack_read_u64(r);
+		msg->propose_reply.index = pack_read_u64(r);
+		return;
+	case WIRE_RATE_REQUEST:
+	case WIRE_RATE_REPLY:
+		rate_unpack(r, msg, &msg->rate);
+		return;
+	case WIRE_REPORT:
+		report_unpack(r, msg, &msg->report);
+		return;
+	case WIRE_ANNOUNCE:
+		announce_unpack(r, msg, &msg->announce);
+		return;
+	case WIRE_TYPE_COUNT:
+		return;
+	}
+}
+
+int wire_encode(void *mem_ctx, const struct wire_msg *msg, uint8_t **out,
+		size_t *len)
+{
+	struct pack_writer w;
+	uint32_t fields = msg->type == WIRE_RAFT
+				  ? raft_field_count[msg->raft.type]
+				  : field_count[msg->type];
+	uint8_t *frame;
+
+	pack_writer_init(&w);
+	pack_array(&w, 1 + fields);
+	pack_u64(&w, msg->type);
+	body_pack(&w, msg);
+	if (w.buf.size > WIRE_FRAME_MAX) {
+		pack_writer_clear(&w);
+		return LWS_E_WIRE_TOO_BIG;
+	}
+	frame = talloc_size(mem_ctx, WIRE_HEADER_BYTES + w.buf.size);
+	if (!frame) {
+		pack_writer_clear(&w);
+		return LWS_E_NOMEM;
+	}
+	for (int i = 0; i < WIRE_HEADER_BYTES; i++)
+		frame[i] = (uint8_t)(w.buf.size >> (8 * (3 - i)));
+	memcpy(frame + WIRE_HEADER_BYTES, w.buf.data, w.buf.size);
+	*len = WIRE_HEADER_BYTES + w.buf.size;
+	*out = frame;
+	pack_writer_clear(&w);
+	return 0;
+}
+
+int wire_frame_length(const uint8_t *data, size_t len, size_t *frame_len)
+{
+	uint32_t size = 0;
+
+	*frame_len = 0;
+	if (len < WIRE_HEADER_BYTES)
+		return 0;
+	for (int i = 0; i < WIRE_HEADER_BYTES; i++)
+		size = size << 8 | data[i];
+	if (size > WIRE_FRAME_MAX)
+		return LWS_E_WIRE_TOO_BIG;
+	if (!size)
+		return LWS_E_WIRE_FORMAT;
+	*frame_len = WIRE_HEADER_BYTES + size;
+	return 0;
+}
+
+int wire_decode(void *mem_ctx, const uint8_t *data, size_t len,
+		struct wire_msg **out)
+{
+	struct wire_msg *msg = talloc_zero(mem_ctx, struct wire_msg);
+	struct pack_reader r;
+	uint64_t type;
+	int rc;
+
+	if (!msg)
+		return LWS_E_NOMEM;
+	pack_reader_init(&r, data, len);
+	type = pack_read_u64(&r);
+	if (type >= WIRE_TYPE_COUNT)
+		r.rc = LWS_E_WIRE_FORMAT;
+	msg->type = (enum wire_type)type;
+	if (!r.rc)
+		body_unpack(&r, msg);
+	rc = pack_reader_end(&r);
+	pack_reader_clear(&r);
+	if (rc) {
+		talloc_free(msg);
+		return rc;
+	}
+	*out = msg;
+	return 0;
+}
