Move the wait for tokens and the asking for them into the core

Cause: the decision who waits, who is refused and when the owner is asked stood inside socket code, so no test could drive it without sockets. It is now in lib/admit (admission, rate_keeper), without I/O; behaviour is unchanged but for one point: a newcomer no longer overtakes requests that wait for a token.

--- a/Makefile
+++ b/Makefile
@@ -81,10 +81,13 @@
 	clang-format --dry-run --Werror $(FORMATTED)
 
 lint:
-	clang-tidy --quiet $(filter %.c,$(FORMATTED)) -- -std=gnu11 \
-		-D_GNU_SOURCE $(filter-out -MMD -MP,$(CPPFLAGS))
+	@echo $(filter %.c,$(FORMATTED)) | xargs -n 2 -P $$(nproc) sh -c \
+		'clang-tidy --quiet "$$@" -- -std=gnu11 -D_GNU_SOURCE \
+		$(filter-out -MMD -MP,$(CPPFLAGS)) 2>/dev/null' clang-tidy
 	cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr \
 		--enable=warning,performance,portability \
+		'-Djson_object_foreach(o,k,v)=for(;;)' \
+		'-Djson_array_foreach(a,i,v)=for(;;)' \
 		--suppress=missingIncludeSystem $(LIB_DIRS:%=-Ilib/%) lib \
 		programs
 
--- a/contrib/fleet.sh
+++ b/contrib/fleet.sh
@@ -18,10 +18,11 @@
 	local pid
 	for pid in "${FLEET_PID[@]}" "${FLEET_ENDPOINT_PID[@]}"; do
 		kill -9 "$pid" 2>/dev/null
+		wait "$pid" 2>/dev/null
 	done
 	rm -rf "$FLEET_DIR"
 }
-[ -n "${KEEP:-}" ] || trap fleet_cleanup EXIT
+trap fleet_cleanup EXIT
 
 # fleet_instance NUMBER: start or restart one entry instance with a disk
 fleet_instance() {
--- /dev/null
+++ b/lib/admit/admission.c
@@ -0,0 +1,116 @@
+#include "admission.h"
+
+#include <talloc.h>
+
+#include "lws_time.h"
+
+/* Some may wait even at the slowest rate. */
+#define QUEUE_MIN 2
+
+struct admission {
+	struct admission_item *head;
+	struct admission_item *tail;
+};
+
+struct admission *admission_create(void *mem_ctx)
+{
+	return talloc_zero(mem_ctx, struct admission);
+}
+
+static void link_last(struct admission *a, struct admission_item *item)
+{
+	item->prev = a->tail;
+	item->next = NULL;
+	if (a->tail)
+		a->tail->next = item;
+	else
+		a->head = item;
+	a->tail = item;
+	atomic_fetch_add(&item->account->waiting, 1);
+}
+
+static void unlink_item(struct admission *a, struct admission_item *item)
+{
+	if (item->prev)
+		item->prev->next = item->next;
+	else
+		a->head = item->next;
+	if (item->next)
+		item->next->prev = item->prev;
+	else
+		a->tail = item->prev;
+	atomic_fetch_sub(&item->account->waiting, 1);
+}
+
+/* More would not get a token in time. */
+static bool queue_full(const struct admission_item *item)
+{
+	uint64_t most = item->rate_per_s * ADMISSION_QUEUE_US / LWS_US_PER_S +
+			QUEUE_MIN;
+
+	return atomic_load(&item->account->waiting) >= most;
+}
+
+enum admission_verdict admission_enter(struct admission *a, uint64_t now_us,
+				       struct admission_item *item)
+{
+	uint64_t half = item->deadline_us > now_us
+				? (item->deadline_us - now_us) / 2
+				: 0;
+
+	atomic_fetch_add(&item->account->arrivals, 1);
+	/* Those who wait came first. */
+	if (!atomic_load(&item->account->waiting) &&
+	    rate_account_take(item->account, now_us))
+		return ADMISSION_PASS;
+	if (queue_full(item))
+		return ADMISSION_REFUSE;
+	item->wait_until_us =
+		now_us + (half < ADMISSION_WAIT_US ? half : ADMISSION_WAIT_US);
+	link_last(a, item);
+	return ADMISSION_WAIT;
+}
+
+struct admission_item *admission_next(struct admission *a, uint64_t now_us,
+				      enum admission_verdict *verdict)
+{
+	for (struct admission_item *item = a->head; item; item = item->next) {
+		if (rate_account_take(item->account, now_us))
+			*verdict = ADMISSION_PASS;
+		else if (now_us >= item->wait_until_us)
+			*verdict = ADMISSION_REFUSE;
+		else
+			continue;
+		unlink_item(a, item);
+		return item;
+	}
+	return NULL;
+}
+
+struct admission_item *admission_take_any(struct admission *a)
+{
+	struct admission_item *item = a->head;
+
+	if (item)
+		unlink_item(a, item);
+	return item;
+}
+
+uint64_t admission_next_due_us(const struct admission *a)
+{
+	uint64_t due = UINT64_MAX;
+
+	for (const struct admission_item *i = a->head; i; i = i->next)
+		due = i->wait_until_us < due ? i->wait_until_us : due;
+	return due;
+}
+
+uint32_t admission_retry_ms(const struct admission_item *item)
+{
+	uint64_t ahead = atomic_load(&item->account->waiting) + 1;
+	uint64_t rate = item->rate_per_s ? item->rate_per_s : 1;
+	uint64_t ms = ahead * 1000 / rate;
+
+	return ms > ADMISSION_RETRY_MIN_MS ? (uint32_t)ms
+					   : ADMISSION_RETRY_MIN_MS;
+}
--- a/lib/config/cfg.c
+++ b/lib/config/cfg.c
@@ -7,6 +7,7 @@
 #include <talloc.h>
 
 #include "lws_error.h"
+#include "lws_str.h"
 
 #define PATH_MAX_BYTES 256
 
@@ -264,7 +265,7 @@
 		if (!check_name(name, path, errors) ||
 		    !check_object(group_fields, value, path, errors))
 			continue;
-		strcpy(group->name, name);
+		LWS_STR_COPY(group->name, name);
 		group->endpoints = get_u32(value, "endpoints", 0);
 		group->slots = get_u32(value, "slots", 0);
 		group->connections = get_u32(value, "connections", 0);
@@ -315,7 +316,7 @@
 		.max_age_ms = get_u32(value, "max_age_ms", 0),
 		.timeout_ms = get_u32(value, "timeout_ms", 0),
 	};
-	strcpy(route->name, name);
+	LWS_STR_COPY(route->name, name);
 	check_route_rules(route, path, errors);
 	cfg->routes_count++;
 }
@@ -342,7 +343,7 @@
 		return;
 	}
 	routes = json_object_get(value, "routes");
-	strcpy(service->name, name);
+	LWS_STR_COPY(service->name, name);
 	service->group = (uint32_t)group;
 	service->routes_from = cfg->routes_count;
 	cfg->routes = talloc_realloc(cfg, cfg->routes, struct cfg_route,
@@ -467,7 +468,7 @@
 		if (!check_name(name, path, errors) ||
 		    !check_object(customer_fields, value, path, errors))
 			continue;
-		strcpy(c->name, name);
+		LWS_STR_COPY(c->name, name);
 		c->rate_per_s = get_u32(value, "rate_per_s", 0);
 		c->burst = get_u32(value, "burst", 0);
 		c->worth = get_u32(value, "worth", 1);
--- a/lib/confirm/positions.c
+++ b/lib/confirm/positions.c
@@ -106,7 +106,7 @@
 /* Until when a majority knew of no newer term than this primary's. */
 static uint64_t vouched_us(const struct positions *p)
 {
-	uint64_t sorted[POSITIONS_MEMBERS_MAX];
+	uint64_t sorted[POSITIONS_MEMBERS_MAX] = { 0 };
 	uint32_t n = 0;
 
 	for (uint32_t i = 0; i < p->count; i++) {
@@ -121,7 +121,7 @@
 			sorted[at] = sorted[at - 1];
 		sorted[at] = value;
 	}
-	return n >= p->majority ? sorted[p->majority - 1] : 0;
+	return p->majority && n >= p->majority ? sorted[p->majority - 1] : 0;
 }
 
 uint64_t positions_age_us(const struct positions *p, uint64_t now_us,
--- a/lib/control/failover.c
+++ b/lib/control/failover.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "lws_str.h"
 #include "lws_time.h"
 
 #define REPORTS_MAX 64
@@ -114,8 +115,8 @@
 {
 	struct failover_action *action = push(f, type);
 
-	strcpy(action->endpoint, e->id);
-	strcpy(action->addr, e->addr);
+	LWS_STR_COPY(action->endpoint, e->id);
+	LWS_STR_COPY(action->addr, e->addr);
 }
 
 /* Members */
@@ -223,6 +224,21 @@
 	return n >= majority(f);
 }
 
+/* Whether endpoint @i goes before the best one so far. */
+static bool preferred(const struct failover *f, uint32_t i, int32_t best)
+{
+	const struct positions_report *report = &f->answers[i].report;
+	const struct positions_report *top;
+
+	if (best < 0)
+		return true;
+	top = &f->answers[best].report;
+	if (better(report, top))
+		return true;
+	return !better(top, report) &&
+	       strcmp(f->group.endpoint[i].id, f->group.primary) == 0;
+}
+
 /* The highest (log term, position); the present primary among equals. */
 static int32_t choose(const struct failover *f)
 {
@@ -230,16 +246,7 @@
 	int32_t best = -1;
 
 	for (uint32_t i = 0; i < f->group.count; i++) {
-		const struct fence_answer *answer = &f->answers[i];
-		const struct fence_answer *top =
-			best < 0 ? NULL : &f->answers[best];
-
-		if (!eligible(f, i, present_only))
-			continue;
-		if (!top || better(&answer->report, &top->report))
-			best = (int32_t)i;
-		else if (!better(&top->report, &answer->report) &&
-			 strcmp(f->group.endpoint[i].id, f->group.primary) == 0)
+		if (eligible(f, i, present_only) && preferred(f, i, best))
 			best = (int32_t)i;
 	}
 	return best;
@@ -261,7 +268,8 @@
 		if (*f->replace_in && strcmp(e->id, f->replace_in) == 0)
 			in = true;
 		if (in)
-			strcpy(action->members[action->members_count++], e->id);
+			LWS_STR_COPY(action->members[action->members_count++],
+				     e->id);
 	}
 }
 
@@ -273,8 +281,8 @@
 	f->times.fenced_us = now_us;
 	enter(f, STEP_PRIMARY, now_us);
 	action = push(f, FAILOVER_COMMIT_PRIMARY);
-	strcpy(action->endpoint, f->group.endpoint[best].id);
-	strcpy(action->addr, f->group.endpoint[best].addr);
+	LWS_STR_COPY(action->endpoint, f->group.endpoint[best].id);
+	LWS_STR_COPY(action->addr, f->group.endpoint[best].addr);
 	list_members(f, action);
 }
 
@@ -310,9 +318,9 @@
 		return;
 	action = push(f, FAILOVER_FOLLOW);
 	action->term = f->group.primary_term;
-	strcpy(action->endpoint, e->id);
-	strcpy(action->addr, e->addr);
-	strcpy(action->primary_addr, primary->addr);
+	LWS_STR_COPY(action->endpoint, e->id);
+	LWS_STR_COPY(action->addr, e->addr);
+	LWS_STR_COPY(action->primary_addr, primary->addr);
 }
 
 static void send_follows(struct failover *f, uint64_t now_us)
@@ -441,11 +449,11 @@
 			spare = (int32_t)i;
 	}
 	if (gone >= 0 && count_members(f) > f->wanted) {
-		strcpy(f->replace_out, f->group.endpoint[gone].id);
+		LWS_STR_COPY(f->replace_out, f->group.endpoint[gone].id);
 		return true;
 	}
 	if (spare >= 0 && (gone >= 0 || count_members(f) < f->wanted)) {
-		strcpy(f->replace_in, f->group.endpoint[spare].id);
+		LWS_STR_COPY(f->replace_in, f->group.endpoint[spare].id);
 		return true;
 	}
 	return false;
@@ -486,7 +494,8 @@
 	uint64_t old_primary_term = f->group.primary_term;
 
 	for (uint32_t i = 0; i < FLEET_ENDPOINTS_MAX; i++) {
-		if (strcmp(f->group.endpoint[i].id, group->endpoint[i].id)) {
+		if (strcmp(f->group.endpoint[i].id, group->endpoint[i].id) !=
+		    0) {
 			f->announced_position[i] = 0;
 			f->absent_since_us[i] = 0;
 		}
@@ -532,8 +541,8 @@
 		r = &f->reports[f->reports_count++];
 	if (!r)
 		return;
-	strcpy(r->instance, instance);
-	strcpy(r->failure_domain, failure_domain);
+	LWS_STR_COPY(r->instance, instance);
+	LWS_STR_COPY(r->failure_domain, failure_domain);
 	r->at_us = now_us;
 	r->suspect = suspect;
 	if (suspect && !f->suspected_us)
--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -7,6 +7,7 @@
 #include <talloc.h>
 
 #include "lws_error.h"
+#include "lws_str.h"
 
 struct fleet *fleet_create(void *mem_ctx)
 {
@@ -35,6 +36,27 @@
 	return NULL;
 }
 
+static bool endpoint_same(const struct fleet_endpoint *a,
+			  const struct fleet_endpoint *b)
+{
+	return strcmp(a->id, b->id) == 0 && strcmp(a->addr, b->addr) == 0 &&
+	       strcmp(a->failure_domain, b->failure_domain) == 0 &&
+	       a->present == b->present && a->member == b->member;
+}
+
+bool fleet_group_same(const struct fleet_group *a, const struct fleet_group *b)
+{
+	if (strcmp(a->name, b->name) != 0 || a->term != b->term ||
+	    a->primary_term != b->primary_term ||
+	    strcmp(a->primary, b->primary) != 0 || a->count != b->count)
+		return false;
+	for (uint32_t i = 0; i < a->count; i++) {
+		if (!endpoint_same(&a->endpoint[i], &b->endpoint[i]))
+			return false;
+	}
+	return true;
+}
+
 bool fleet_key_withdrawn(const struct fleet *fleet, const uint8_t *hash)
 {
 	for (uint32_t i = 0; i < fleet->withdrawn_count; i++) {
@@ -243,7 +265,7 @@
 				       fleet->groups_count + 1);
 	group = &fleet->groups[fleet->groups_count++];
 	memset(group, 0, sizeof(*group));
-	strcpy(group->name, name);
+	LWS_STR_COPY(group->name, name);
 	return group;
 }
 
@@ -277,8 +299,8 @@
 		*endpoint = *from;
 		endpoint->member = false;
 	}
-	strcpy(endpoint->addr, from->addr);
-	strcpy(endpoint->failure_domain, from->failure_domain);
+	LWS_STR_COPY(endpoint->addr, from->addr);
+	LWS_STR_COPY(endpoint->failure_domain, from->failure_domain);
 	endpoint->present = true;
 	return 0;
 }
@@ -328,7 +350,7 @@
 			return LWS_E_NOT_FOUND;
 	}
 	group->primary_term = group->term;
-	strcpy(group->primary, command->group.primary);
+	LWS_STR_COPY(group->primary, command->group.primary);
 	for (uint32_t i = 0; i < group->count; i++)
 		group->endpoint[i].member = false;
 	for (uint32_t m = 0; m < command->group.members_count; m++)
@@ -350,7 +372,7 @@
 	fleet->requests_next = (fleet->requests_next + 1) % FLEET_REQUESTS_MAX;
 	if (fleet->requests_count < FLEET_REQUESTS_MAX)
 		fleet->requests_count++;
-	strcpy(request->id, id);
+	LWS_STR_COPY(request->id, id);
 	request->rc = rc;
 	request->version = fleet->config_version;
 }
@@ -413,7 +435,7 @@
 				     .rc = rc,
 				     .version = fleet->config_version };
 
-	strcpy(entry.who, command->who);
+	LWS_STR_COPY(entry.who, command->who);
 	describe(command, entry.what, sizeof(entry.what));
 	push_audit(fleet, &entry);
 }
--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -221,6 +221,9 @@
 struct fleet_group *fleet_find_group(const struct fleet *fleet,
 				     const char *name);
 
+/** fleet_group_same() - both hold the same agreed state */
+bool fleet_group_same(const struct fleet_group *a, const struct fleet_group *b);
+
 /** fleet_find_endpoint() - an endpoint by id, NULL when there is none */
 struct fleet_endpoint *fleet_find_endpoint(const struct fleet_group *group,
 					   const char *id);
--- a/lib/control/raft.c
+++ b/lib/control/raft.c
@@ -366,7 +366,7 @@
 static uint64_t majority_value(const struct raft *r, uint64_t own,
 			       uint64_t (*get)(const struct progress *))
 {
-	uint64_t sorted[RAFT_VOTERS_MAX];
+	uint64_t sorted[RAFT_VOTERS_MAX] = { 0 };
 	uint32_t n = 0;
 
 	for (int i = 0; i < RAFT_VOTERS_MAX + 1; i++) {
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -164,10 +164,11 @@
 	c->ev = ev;
 	c->fleet = fleet_create(c);
 	c->sync_log = sync_log_create(c);
+	c->keeper = rate_keeper_create(c);
 	c->sync.poll_us = SYNC_POLL_US;
 	c->sync.timeout_us = SYNC_TIMEOUT_US;
 	d->control_box = mailbox_create(c, ev, c);
-	if (!c->fleet || !c->sync_log || !d->control_box)
+	if (!c->fleet || !c->sync_log || !c->keeper || !d->control_box)
 		rc = LWS_E_NOMEM;
 	if (!rc && d->settings.data)
 		rc = control_log_open(c);
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -12,6 +12,7 @@
 #include "lease.h"
 #include "peer.h"
 #include "raft.h"
+#include "rate_keeper.h"
 #include "sync.h"
 
 /**
@@ -21,8 +22,6 @@
 
 #define CONTROL_TICK_MS 10
 #define CONTROL_CHILDREN_MAX 2048
-#define CONTROL_ACCOUNTS_MAX 65536
-#define CONTROL_ACCOUNT_BUCKETS 4096
 #define CONTROL_PROPOSE_TIMEOUT_US 5000000ULL
 #define CONTROL_SNAPSHOT_ENTRIES 256
 
@@ -69,20 +68,6 @@
 	bool logged_active;
 };
 
-/** struct account_node - tokens of a customer, kept for the process's life */
-struct account_node {
-	struct account_node *next;
-	struct rate_account account;
-};
-
-/** struct seen_primary - the newest report of this instance on one group */
-struct seen_primary {
-	char group[FLEET_NAME_MAX];
-	char endpoint[FLEET_NAME_MAX];
-	uint64_t term;
-	bool suspect;
-};
-
 /** struct leader - what only the leader of the control group has */
 struct leader {
 	struct instances *instances;
@@ -126,16 +111,8 @@
 	struct proposal *proposals;
 	uint64_t next_proposal;
 
-	struct account_node *accounts[CONTROL_ACCOUNT_BUCKETS];
-	uint32_t accounts_count;
-	uint64_t rate_seq;
-	uint64_t rate_sent_us;
-	bool rate_waiting;
-	bool rate_wanted;
-	uint64_t rate_tick_us;
+	struct rate_keeper *keeper;
 
-	struct seen_primary *seen;
-	uint32_t seen_count;
 	uint64_t report_us;
 
 	bool draining;
--- a/lib/daemon/control_admin.c
+++ b/lib/daemon/control_admin.c
@@ -6,6 +6,7 @@
 
 #include "control.h"
 #include "lws_error.h"
+#include "lws_str.h"
 #include "lws_time.h"
 #include "lws_version.h"
 #include "sock.h"
@@ -242,7 +243,7 @@
 
 	if (strlen(text) >= room)
 		return false;
-	strcpy(out, text);
+	lws_str_copy(out, room, text);
 	return true;
 }
 
--- a/lib/daemon/control_endpoint.c
+++ b/lib/daemon/control_endpoint.c
@@ -5,6 +5,7 @@
 
 #include "control.h"
 #include "lws_error.h"
+#include "lws_str.h"
 #include "lws_time.h"
 
 #define CONNECT_TIMEOUT_MS 300
@@ -119,8 +120,8 @@
 	o->control = c;
 	o->type = action->type;
 	o->term = action->term;
-	strcpy(o->group, group);
-	strcpy(o->endpoint, action->endpoint);
+	LWS_STR_COPY(o->group, group);
+	LWS_STR_COPY(o->endpoint, action->endpoint);
 	order_body(action, body, sizeof(body));
 	call.body_len = strlen(body);
 	if (h2_client_create(c, c->ev, &params, &o->client)) {
--- a/lib/daemon/control_leader.c
+++ b/lib/daemon/control_leader.c
@@ -3,6 +3,7 @@
 
 #include "control.h"
 #include "lws_error.h"
+#include "lws_str.h"
 #include "lws_time.h"
 
 #define DRIFT_PERCENT 10
@@ -69,7 +70,7 @@
 	l->failovers = grown;
 	grown += l->failovers_count++;
 	*grown = (struct group_failover){ 0 };
-	strcpy(grown->name, group);
+	LWS_STR_COPY(grown->name, group);
 	grown->failover = failover_create(l, &params, now_us);
 	return grown;
 }
@@ -80,8 +81,8 @@
 	struct fleet_command command = { .type = FLEET_GROUP_TERM,
 					 .time_ms = control_wall_ms() };
 
-	strcpy(command.who, c->daemon->settings.name);
-	strcpy(command.group.group, group);
+	LWS_STR_COPY(command.who, c->daemon->settings.name);
+	LWS_STR_COPY(command.group.group, group);
 	command.group.term = action->term;
 	control_propose(c, &command, NULL, NULL);
 }
@@ -92,9 +93,9 @@
 	struct fleet_command command = { .type = FLEET_GROUP_PRIMARY,
 					 .time_ms = control_wall_ms() };
 
-	strcpy(command.who, c->daemon->settings.name);
-	strcpy(command.group.group, group);
-	strcpy(command.group.primary, action->endpoint);
+	LWS_STR_COPY(command.who, c->daemon->settings.name);
+	LWS_STR_COPY(command.group.group, group);
+	LWS_STR_COPY(command.group.primary, action->endpoint);
 	command.group.term = action->term;
 	command.group.members_count = action->members_count;
 	memcpy(command.group.members, action->members,
@@ -203,7 +204,7 @@
 
 static void propose_endpoint(struct control *c, struct fleet_command *command)
 {
-	strcpy(command->who, c->daemon->settings.name);
+	LWS_STR_COPY(command->who, c->daemon->settings.name);
 	command->time_ms = control_wall_ms();
 	control_propose(c, command, NULL, NULL);
 }
@@ -270,7 +271,7 @@
 	struct raft_member *member = &next.member[next.count++];
 
 	member->id = hello->member;
-	strcpy(member->name, hello->name);
+	LWS_STR_COPY(member->name, hello->name);
 	if (!raft_propose_voters(c->raft, now_us, &next))
 		lws_log_info(c->daemon->log, "voter_added", "{s:s}", "name",
 			     hello->name);
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -3,10 +3,12 @@
 
 #include "control.h"
 #include "lws_error.h"
+#include "lws_str.h"
 #include "lws_time.h"
 #include "session_token.h"
 #include "sock.h"
 
+#define PARENTS_MAX 64
 #define REPORT_INTERVAL_US LWS_US_PER_S
 
 /* Finding peers */
@@ -64,14 +66,14 @@
 /* Control instances that were dialled; the own failure domain comes first. */
 static struct peer *nth_parent(struct control *c, uint32_t nth)
 {
-	struct peer *list[64];
+	struct peer *list[PARENTS_MAX] = { NULL };
 	uint32_t n = 0;
 
 	for (int near = 1; near >= 0; near--) {
 		for (struct peer *p = peer_hub_first(c->hub); p;
 		     p = peer_hub_next(p)) {
 			if (peer_dialled(p) && same_domain(c, p) == near &&
-			    n < 64)
+			    n < PARENTS_MAX)
 				list[n++] = p;
 		}
 	}
@@ -129,7 +131,7 @@
 							c->instances_known } };
 	void *scratch = talloc_new(c);
 
-	strcpy(msg.sync_reply.leader, leader_name(c));
+	LWS_STR_COPY(msg.sync_reply.leader, leader_name(c));
 	sync_log_fill(c->sync_log, c->fleet, child->have_index, scratch,
 		      &msg.sync_reply);
 	child->have_index = c->fleet->applied_index;
@@ -214,7 +216,7 @@
 	if (reply->instances)
 		c->instances_known = reply->instances;
 	if (peer == c->parent && *reply->leader)
-		strcpy(c->leader_name, reply->leader);
+		LWS_STR_COPY(c->leader_name, reply->leader);
 	sync_client_reply(&c->sync, now_us, reply->stamp_us, reply->confirmed);
 	control_publish(c);
 }
@@ -244,31 +246,22 @@
 
 /* Reports */
 
-static void send_report(struct control *c, const struct seen_primary *seen,
+static void send_report(struct control *c, struct wire_report_item *items,
 			uint32_t count)
 {
 	struct peer *peer = control_leader_peer(c);
-	struct wire_report_item *items =
-		talloc_zero_array(c, struct wire_report_item, count + 1);
 	struct wire_msg msg = { .type = WIRE_REPORT,
 				.report = { .index = c->fleet->applied_index,
 					    .version = c->fleet->config_version,
 					    .count = count,
 					    .items = items } };
 
-	for (uint32_t i = 0; i < count; i++) {
-		strcpy(items[i].group, seen[i].group);
-		strcpy(items[i].endpoint, seen[i].endpoint);
-		items[i].term = seen[i].term;
-		items[i].suspect = seen[i].suspect;
-	}
 	if (c->leader)
 		control_leader_report(c, c->daemon->settings.name,
 				      c->daemon->settings.failure_domain,
 				      &msg.report);
 	else if (peer)
 		peer_send(peer, &msg);
-	talloc_free(items);
 }
 
 void control_report_tick(struct control *c, uint64_t now_us)
@@ -281,7 +274,7 @@
 
 struct report_mail {
 	struct mail mail;
-	struct seen_primary seen;
+	struct wire_report_item seen;
 };
 
 static void on_report_mail(void *private_data, struct mail *mail)
@@ -300,8 +293,8 @@
 	if (!report)
 		return;
 	report->mail.fn = on_report_mail;
-	strcpy(report->seen.group, group);
-	strcpy(report->seen.endpoint, endpoint);
+	LWS_STR_COPY(report->seen.group, group);
+	LWS_STR_COPY(report->seen.endpoint, endpoint);
 	report->seen.term = term;
 	report->seen.suspect = suspect;
 	mailbox_post(d->control_box, &report->mail);
@@ -431,8 +424,8 @@
 	};
 	int rc;
 
-	strcpy(params.hello.name, s->name);
-	strcpy(params.hello.failure_domain, s->failure_domain);
+	LWS_STR_COPY(params.hello.name, s->name);
+	LWS_STR_COPY(params.hello.failure_domain, s->failure_domain);
 	if (s->peer_listen) {
 		params.listen_fd = sock_listen(s->peer_listen, c->peer_addr);
 		if (params.listen_fd < 0)
--- a/lib/daemon/front.c
+++ b/lib/daemon/front.c
@@ -7,15 +7,10 @@
 
 #include "lws_error.h"
 #include "lws_rcu.h"
+#include "lws_str.h"
 #include "lws_time.h"
 #include "worker_internal.h"
 
-/* A request waits for a token at most this long, and half its time. */
-#define TOKEN_WAIT_US LWS_US_PER_S
-/* As many may wait as the customer's rate serves in this time. */
-#define TOKEN_QUEUE_US (200 * LWS_US_PER_MS)
-#define RETRY_MIN_MS 20U
-
 struct work_mail {
 	struct mail mail;
 	char group[FLEET_NAME_MAX];
@@ -108,7 +103,7 @@
 
 	if (mail) {
 		mail->mail.fn = on_abandon_mail;
-		strcpy(mail->group, tx->group);
+		LWS_STR_COPY(mail->group, tx->group);
 		mail->transaction = tx->id;
 		mailbox_post(w->daemon->workers[tx->owner]->box, &mail->mail);
 	}
@@ -169,46 +164,12 @@
 
 /* Waiting for a token */
 
-static void link_waiting(struct front *front)
-{
-	struct worker *w = front->worker;
-	struct front *after = w->waiting;
-
-	/* First come, first served: append. */
-	while (after && after->next)
-		after = after->next;
-	front->prev = after;
-	front->next = NULL;
-	if (after)
-		after->next = front;
-	else
-		w->waiting = front;
-	atomic_fetch_add(&front->account->waiting, 1);
-}
-
-static void unlink_waiting(struct front *front)
+static struct front *front_of(struct admission_item *item)
 {
-	if (front->prev)
-		front->prev->next = front->next;
-	else
-		front->worker->waiting = front->next;
-	if (front->next)
-		front->next->prev = front->prev;
-	atomic_fetch_sub(&front->account->waiting, 1);
-}
-
-/* By when the customer's rate will have room for one more. */
-static uint32_t rate_retry_ms(const struct front *front)
-{
-	uint64_t ahead = atomic_load(&front->account->waiting) + 1;
-	uint64_t ms =
-		ahead * 1000 / (front->rate_per_s ? front->rate_per_s : 1);
-
-	return ms > RETRY_MIN_MS ? (uint32_t)ms : RETRY_MIN_MS;
+	return (struct front *)((char *)item -
+				offsetof(struct front, admission));
 }
 
-static void arm_wait_timer(struct worker *w);
-
 static void on_wait_timer(struct tevent_context *ev, struct tevent_timer *te,
 			  struct timeval now, void *private_data)
 {
@@ -224,12 +185,10 @@
 static void arm_wait_timer(struct worker *w)
 {
 	uint64_t now_us = lws_time_now_us();
-	uint64_t due_us = UINT64_MAX;
+	uint64_t due_us = admission_next_due_us(w->admission);
 	uint64_t in_us;
 
 	TALLOC_FREE(w->wait_timer);
-	for (struct front *f = w->waiting; f; f = f->next)
-		due_us = f->wait_until_us < due_us ? f->wait_until_us : due_us;
 	if (due_us == UINT64_MAX)
 		return;
 	in_us = due_us > now_us ? due_us - now_us : 0;
@@ -240,65 +199,58 @@
 		on_wait_timer, w);
 }
 
-void front_retry_waiting(struct worker *w)
+static void refuse_by_rate(struct front *front)
 {
-	uint64_t now_us = lws_time_now_us();
-	struct front *next;
-
-	for (struct front *f = w->waiting; f; f = next) {
-		next = f->next;
-		if (rate_account_take(f->account, now_us)) {
-			unlink_waiting(f);
-			dispatch(f);
-		} else if (now_us >= f->wait_until_us) {
-			unlink_waiting(f);
-			refuse_front(f, LWS_E_RATE_EXCEEDED, rate_retry_ms(f));
-		}
-	}
-	arm_wait_timer(w);
+	refuse_front(front, LWS_E_RATE_EXCEEDED,
+		     admission_retry_ms(&front->admission));
 }
 
-void front_refuse_waiting(struct worker *w, int rc)
+void front_retry_waiting(struct worker *w)
 {
-	while (w->waiting) {
-		struct front *f = w->waiting;
+	enum admission_verdict verdict;
+	struct admission_item *item;
 
-		unlink_waiting(f);
-		refuse_front(f, rc, 0);
+	while ((item = admission_next(w->admission, lws_time_now_us(),
+				      &verdict))) {
+		if (verdict == ADMISSION_PASS)
+			dispatch(front_of(item));
+		else
+			refuse_by_rate(front_of(item));
 	}
+	arm_wait_timer(w);
 }
 
-/* More would not get a token within the time they may wait. */
-static bool too_many_waiting(const struct front *front)
+void front_refuse_waiting(struct worker *w, int rc)
 {
-	uint64_t most = front->rate_per_s * TOKEN_QUEUE_US / LWS_US_PER_S + 2;
+	struct admission_item *item;
 
-	return atomic_load(&front->account->waiting) >= most;
+	while ((item = admission_take_any(w->admission)))
+		refuse_front(front_of(item), rc, 0);
 }
 
 static void admit(struct front *front)
 {
-	uint64_t now_us = lws_time_now_us();
-	uint64_t half = (front->work->want.deadline_us - now_us) / 2;
+	struct worker *w = front->worker;
 
-	if (!front->account) {
+	/* Routes open to all have no customer. */
+	if (!front->keyed) {
 		dispatch(front);
 		return;
 	}
-	atomic_fetch_add(&front->account->arrivals, 1);
-	if (rate_account_take(front->account, now_us)) {
+	front->admission.deadline_us = front->work->want.deadline_us;
+	switch (admission_enter(w->admission, lws_time_now_us(),
+				&front->admission)) {
+	case ADMISSION_PASS:
 		dispatch(front);
 		return;
-	}
-	if (too_many_waiting(front)) {
-		refuse_front(front, LWS_E_RATE_EXCEEDED, rate_retry_ms(front));
+	case ADMISSION_WAIT:
+		arm_wait_timer(w);
+		control_rate_wanted(w->daemon);
+		return;
+	case ADMISSION_REFUSE:
+		refuse_by_rate(front);
 		return;
 	}
-	front->wait_until_us =
-		now_us + (half < TOKEN_WAIT_US ? half : TOKEN_WAIT_US);
-	link_waiting(front);
-	arm_wait_timer(front->worker);
-	control_rate_wanted(front->worker->daemon);
 }
 
 /* Reading a request */
@@ -329,7 +281,7 @@
 		return LWS_E_ROUTE_UNKNOWN;
 	memcpy(out->service, path + 1, len);
 	out->service[len] = '\0';
-	strcpy(out->route, route);
+	LWS_STR_COPY(out->route, route);
 	return 0;
 }
 
@@ -418,7 +370,7 @@
 				    .conn_id = front->request->conn_id,
 				    .customer = customer,
 				    .owner = front->owner };
-	strcpy(tx->group, front->work->group);
+	LWS_STR_COPY(tx->group, front->work->group);
 	front->work->want.transaction = front->transaction;
 	return 0;
 }
@@ -428,7 +380,7 @@
 {
 	const struct view_group *g = &view->groups[group];
 
-	strcpy(front->work->group, g->name);
+	LWS_STR_COPY(front->work->group, g->name);
 	front->group_hash = g->hash;
 	front->owner = worker_owner_of(front->worker->daemon, g->name);
 }
@@ -439,8 +391,8 @@
 	const struct cfg_customer *c = &view->cfg->customers[customer];
 
 	front->keyed = true;
-	front->account = view->accounts[customer];
-	front->rate_per_s = c->rate_per_s;
+	front->admission.account = view->accounts[customer];
+	front->admission.rate_per_s = c->rate_per_s;
 	front->work->want.customer = view->customer_hashes[customer];
 	front->work->want.worth = c->worth;
 }
@@ -542,8 +494,8 @@
 	service = cfg_find_service(view->cfg, path.service);
 	if (service < 0)
 		return LWS_E_ROUTE_UNKNOWN;
-	strcpy(front->work->service, path.service);
-	strcpy(front->work->route, path.route);
+	LWS_STR_COPY(front->work->service, path.service);
+	LWS_STR_COPY(front->work->route, path.route);
 	if (path.transaction)
 		return parse_transaction(front, view, &path, (uint32_t)service);
 	route = cfg_find_route(view->cfg, (uint32_t)service, path.route);
--- a/lib/daemon/group_shell.c
+++ b/lib/daemon/group_shell.c
@@ -4,6 +4,7 @@
 #include <talloc.h>
 
 #include "lws_error.h"
+#include "lws_str.h"
 #include "lws_time.h"
 #include "worker_internal.h"
 
@@ -287,7 +288,7 @@
 	call->call = action->call;
 	call->work = work;
 	if (work)
-		strcpy(call->id, work->id);
+		LWS_STR_COPY(call->id, work->id);
 	else
 		snprintf(call->id, sizeof(call->id), "rollback-%016llx",
 			 (unsigned long long)action->transaction);
@@ -460,8 +461,8 @@
 	if (!gs)
 		return NULL;
 	gs->worker = w;
-	strcpy(gs->name, name);
-	strcpy(params.failure_domain, s->failure_domain);
+	LWS_STR_COPY(gs->name, name);
+	LWS_STR_COPY(params.failure_domain, s->failure_domain);
 	params.probe_us = s->probe_ms * LWS_US_PER_MS;
 	params.suspect_us = s->suspect_ms * LWS_US_PER_MS;
 	params.seed = w->daemon->incarnation + session_name_hash(name);
@@ -483,8 +484,7 @@
 	uint64_t now_us = lws_time_now_us();
 
 	gate_set_limits(gs->gate, now_us, &group->limits);
-	if (group->state &&
-	    memcmp(&gs->state, group->state, sizeof(gs->state)) != 0) {
+	if (group->state && !fleet_group_same(&gs->state, group->state)) {
 		gs->state = *group->state;
 		gate_set_group(gs->gate, now_us, group->state);
 	}
--- a/lib/daemon/view.c
+++ b/lib/daemon/view.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "lws_str.h"
 #include "lws_time.h"
 #include "session_token.h"
 
@@ -29,7 +30,7 @@
 		const struct cfg_group *from = &cfg->groups[i];
 		struct view_group *group = &view->groups[i];
 
-		strcpy(group->name, from->name);
+		LWS_STR_COPY(group->name, from->name);
 		group->hash = session_name_hash(from->name);
 		group->state = fleet_find_group(view->fleet, from->name);
 		group->limits = (struct gate_limits){
--- a/lib/daemon/worker.c
+++ b/lib/daemon/worker.c
@@ -205,8 +205,9 @@
 	w->ev = tevent_context_init(w);
 	w->groups = talloc_zero_array(w, struct group_shell *,
 				      GROUPS_PER_WORKER_MAX);
+	w->admission = admission_create(w);
 	w->box = w->ev ? mailbox_create(w, w->ev, w) : NULL;
-	if (!w->box || !w->groups || start_server(w) ||
+	if (!w->box || !w->groups || !w->admission || start_server(w) ||
 	    pthread_create(&w->thread, NULL, run, w)) {
 		talloc_free(w);
 		return NULL;
--- a/lib/daemon/worker_internal.h
+++ b/lib/daemon/worker_internal.h
@@ -4,6 +4,7 @@
 #include <pthread.h>
 #include <tevent.h>
 
+#include "admission.h"
 #include "daemon.h"
 #include "gate.h"
 #include "h2.h"
@@ -18,25 +19,22 @@
 /**
  * struct front - a caller's request at the worker that has its connection
  * @request: the HTTP/2 request
- * @customer: index in the view at arrival; UINT32_MAX on an open route
- * @account: tokens of the customer, NULL on an open route
+ * @admission: its place while it waits for a token
+ * @keyed: it came with a key; false on a route open to all
  * @token: session of the caller, advanced by an acknowledged write
  * @group_hash: group of the route
- * @wait_until_us: when waiting for a token is given up
+ * @transaction: identity of its transaction, 0 for none
+ * @owner: worker that has the group
  * @work: what is sent to the group's worker once it is admitted
  */
 struct front {
 	struct worker *worker;
-	struct front *prev;
-	struct front *next;
 	struct h2_request *request;
-	struct rate_account *account;
-	uint32_t rate_per_s;
+	struct admission_item admission;
 	bool keyed;
 	struct session_token token;
 	uint8_t secret[FLEET_SECRET_BYTES];
 	uint64_t group_hash;
-	uint64_t wait_until_us;
 	uint64_t transaction;
 	uint32_t owner;
 	struct work *work;
@@ -103,7 +101,7 @@
 	struct h2_server *server;
 	int listen_fd;
 	uint64_t next_exec;
-	struct front *waiting;
+	struct admission *admission;
 	struct tevent_timer *wait_timer;
 	struct tevent_timer *drain_timer;
 	struct transaction transactions[TRANSACTIONS_MAX];
--- a/lib/io/peer.c
+++ b/lib/io/peer.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "lws_error.h"
+#include "lws_str.h"
 #include "sock.h"
 
 #define READ_BYTES (64U * 1024U)
@@ -385,7 +386,7 @@
 	if (!dial)
 		return LWS_E_NOMEM;
 	dial->hub = hub;
-	strcpy(dial->addr, addr);
+	LWS_STR_COPY(dial->addr, addr);
 	start_dial(dial);
 	return 0;
 }
--- a/lib/membership/instances.c
+++ b/lib/membership/instances.c
@@ -1,4 +1,5 @@
 #include "instances.h"
+#include "lws_str.h"
 
 #include <string.h>
 #include <talloc.h>
@@ -31,9 +32,9 @@
 			return;
 		t->entries = grown;
 		e = &grown[t->count++];
-		strcpy(e->name, name);
+		LWS_STR_COPY(e->name, name);
 	}
-	strcpy(e->failure_domain, failure_domain);
+	LWS_STR_COPY(e->failure_domain, failure_domain);
 	e->seen_us = now_us;
 	e->index = index;
 	e->version = version;
--- a/lib/membership/lease.c
+++ b/lib/membership/lease.c
@@ -4,6 +4,7 @@
 #include <talloc.h>
 
 #include "lws_error.h"
+#include "lws_str.h"
 #include "lws_time.h"
 
 /* A command that was proposed is not proposed again for this long. */
@@ -42,8 +43,8 @@
 		return NULL;
 	t->leases = grown;
 	grown[t->count] = (struct lease){ 0 };
-	strcpy(grown[t->count].group, group);
-	strcpy(grown[t->count].id, id);
+	LWS_STR_COPY(grown[t->count].group, group);
+	LWS_STR_COPY(grown[t->count].id, id);
 	return &grown[t->count++];
 }
 
@@ -78,7 +79,7 @@
 {
 	memset(command, 0, sizeof(*command));
 	command->type = type;
-	strcpy(command->endpoint.group, group);
+	LWS_STR_COPY(command->endpoint.group, group);
 	command->endpoint.endpoint = *endpoint;
 }
 
--- a/lib/route/gate_confirm.c
+++ b/lib/route/gate_confirm.c
@@ -1,3 +1,5 @@
+#include <assert.h>
+
 #include "gate_internal.h"
 #include "lws_error.h"
 #include "lws_time.h"
@@ -225,6 +227,8 @@
 {
 	switch (outcome) {
 	case GATE_DONE:
+		/* The caller of gate_exec_done() owes a report with it. */
+		assert(report);
 		request_done(g, now_us, r, c, report);
 		return;
 	case GATE_NOT_RUN:
--- a/lib/tool/tool.c
+++ b/lib/tool/tool.c
@@ -11,6 +11,7 @@
 #include "cfg_folder.h"
 #include "key_table.h"
 #include "lws_error.h"
+#include "lws_str.h"
 
 #define KEY_BYTES 24
 #define REQUEST_ID_BYTES 16
@@ -327,7 +328,7 @@
 	json_t *answer;
 
 	randombytes_buf(raw, sizeof(raw));
-	strcpy(key, "lwk_");
+	LWS_STR_COPY(key, "lwk_");
 	sodium_bin2base64(key + 4, sizeof(key) - 4, raw, sizeof(raw),
 			  sodium_base64_VARIANT_URLSAFE_NO_PADDING);
 	hash_text(key, hash, sizeof(hash));
--- a/programs/standin/exec.c
+++ b/programs/standin/exec.c
@@ -171,6 +171,22 @@
 				s->params.id);
 }
 
+static void run_at_primary(struct standin *s, struct job *job, const char *op,
+			   const char *id)
+{
+	if (strcmp(op, "write") == 0)
+		run_write(s, job, id);
+	else if (strcmp(op, "begin") == 0)
+		begin(s, job,
+		      json_string_value(json_object_get(job->body, "tx")));
+	else if (strcmp(op, "commit") == 0)
+		run_end(s, job, true);
+	else if (strcmp(op, "rollback") == 0)
+		run_end(s, job, false);
+	else
+		not_run(job, "malformed");
+}
+
 static void run(struct standin *s, struct job *job)
 {
 	const char *op = json_string_value(json_object_get(job->body, "op"));
@@ -182,23 +198,18 @@
 	job->status = 200;
 	if (!op || !id) {
 		not_run(job, "malformed");
-	} else if (strcmp(op, "read") == 0) {
+		return;
+	}
+	if (strcmp(op, "read") == 0) {
 		run_read(s, job);
-	} else if (!s->primary || term != s->primary_term ||
-		   db_promised(s->db) != term) {
+		return;
+	}
+	if (!s->primary || term != s->primary_term ||
+	    db_promised(s->db) != term) {
 		not_run(job, "term");
-	} else if (strcmp(op, "write") == 0) {
-		run_write(s, job, id);
-	} else if (strcmp(op, "begin") == 0) {
-		begin(s, job,
-		      json_string_value(json_object_get(job->body, "tx")));
-	} else if (strcmp(op, "commit") == 0) {
-		run_end(s, job, true);
-	} else if (strcmp(op, "rollback") == 0) {
-		run_end(s, job, false);
-	} else {
-		not_run(job, "malformed");
+		return;
 	}
+	run_at_primary(s, job, op, id);
 }
 
 /* Answers */
