--- /dev/null
+++ b/bench/bench_policy.c
@@ -0,0 +1,315 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "lws_time.h"
+#include "support_world.h"
+
+/**
+ * DOC: Measures of the decisions, under virtual time and seeds, at the sizes
+ * of the two deployments. One JSON object a line; exit status 1 when a bound
+ * is broken. The bounds are the stated targets.
+ */
+
+#define SEEDS 30
+#define SECOND LWS_US_PER_S
+
+static int broken;
+
+typedef struct world_params (*deployment_fn)(uint64_t seed);
+
+struct deployment {
+	const char *name;
+	deployment_fn params;
+};
+
+static const struct deployment deployments[] = {
+	{ "abay", world_abay },
+	{ "refugio", world_refugio },
+};
+
+/* Printing */
+
+static int compare(gconstpointer a, gconstpointer b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static void line_value(const char *measure, const char *workload,
+		       const char *unit, double value, double bound, bool most)
+{
+	bool ok = most ? value <= bound : value >= bound;
+
+	printf("{\"measure\":\"%s\",\"workload\":\"%s\",\"unit\":\"%s\","
+	       "\"value\":%.4f,\"bound\":%.4f,\"seeds\":%d,\"ok\":%s}\n",
+	       measure, workload, unit, value, bound, SEEDS,
+	       ok ? "true" : "false");
+	broken |= !ok;
+}
+
+static void line_spread(const char *measure, const char *workload, GArray *ms,
+			double bound)
+{
+	double p99;
+	bool ok;
+
+	g_array_sort(ms, compare);
+	p99 = g_array_index(ms, double, (ms->len * 99 + 99) / 100 - 1);
+	ok = bound <= 0 || p99 <= bound;
+	printf("{\"measure\":\"%s\",\"workload\":\"%s\",\"unit\":\"ms\","
+	       "\"p50\":%.1f,\"p99\":%.1f,\"max\":%.1f,",
+	       measure, workload, g_array_index(ms, double, ms->len / 2), p99,
+	       g_array_index(ms, double, ms->len - 1));
+	if (bound > 0)
+		printf("\"bound\":%.1f,", bound);
+	printf("\"seeds\":%u,\"ok\":%s}\n", ms->len, ok ? "true" : "false");
+	broken |= !ok;
+}
+
+/* The gap in writes */
+
+enum primary_fault {
+	PRIMARY_KILLED,
+	PRIMARY_FROZEN,
+	PRIMARY_CUT,
+	PRIMARY_CUT_DOMAIN,
+	PRIMARY_FAULTS,
+};
+
+static const char *const fault_names[] = { "killed", "frozen", "cut-alone",
+					   "cut-with-domain" };
+
+static void break_primary(struct world *w, enum primary_fault fault)
+{
+	int32_t primary = world_primary(w, 0);
+
+	switch (fault) {
+	case PRIMARY_KILLED:
+		world_kill(w, primary);
+		return;
+	case PRIMARY_FROZEN:
+		world_freeze(w, primary, 20 * SECOND);
+		return;
+	case PRIMARY_CUT:
+		world_cut_node(w, primary, true);
+		return;
+	case PRIMARY_CUT_DOMAIN:
+		world_cut_domain(w, world_domain_of(w, primary), true);
+		return;
+	case PRIMARY_FAULTS:
+		return;
+	}
+}
+
+struct gap {
+	GArray *total;
+	GArray *detect;
+	GArray *decide;
+	GArray *promote;
+	GArray *first_ack;
+};
+
+static void add_ms(GArray *list, uint64_t from_us, uint64_t to_us)
+{
+	double ms = to_us > from_us ? (double)(to_us - from_us) / 1000.0 : 0;
+
+	g_array_append_val(list, ms);
+}
+
+static void measure_gap(deployment_fn params, enum primary_fault fault,
+			uint64_t seed, struct gap *gap)
+{
+	struct world_params p = params(seed);
+	struct world *w;
+	const struct failover_times *t;
+	uint64_t broke_us;
+	uint64_t ack_us;
+
+	p.write_percent = 60;
+	w = world_create(NULL, &p);
+	world_load(w, true);
+	world_run(w, 2 * SECOND +
+			     lws_rng_below(world_rng(w), 200 * LWS_US_PER_MS));
+	broke_us = world_now_us(w);
+	break_primary(w, fault);
+	world_run(w, 6 * SECOND);
+	ack_us = world_first_ack_after(w, 0, broke_us);
+	if (ack_us == UINT64_MAX)
+		ack_us = broke_us + 6 * SECOND;
+	add_ms(gap->total, broke_us, ack_us);
+	t = world_failover_times(w, 0);
+	if (t && t->promoted_us > broke_us) {
+		add_ms(gap->detect, broke_us, t->suspected_us);
+		add_ms(gap->decide, t->suspected_us, t->decided_us);
+		add_ms(gap->promote, t->decided_us, t->promoted_us);
+		add_ms(gap->first_ack, t->promoted_us, ack_us);
+	}
+	talloc_free(w);
+}
+
+static GArray *doubles(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(double));
+}
+
+static void bench_gap(const struct deployment *d, enum primary_fault fault)
+{
+	struct gap gap = { doubles(), doubles(), doubles(), doubles(),
+			   doubles() };
+	char name[64];
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++)
+		measure_gap(d->params, fault, seed, &gap);
+	snprintf(name, sizeof(name), "%s/%s", d->name, fault_names[fault]);
+	line_spread("write_gap", name, gap.total, 1000);
+	if (gap.detect->len) {
+		line_spread("write_gap_detection", name, gap.detect, 0);
+		line_spread("write_gap_decision", name, gap.decide, 0);
+		line_spread("write_gap_promotion", name, gap.promote, 0);
+		line_spread("write_gap_first_ack", name, gap.first_ack, 0);
+	}
+}
+
+/* Reads served by replicas */
+
+static void bench_reads(const struct deployment *d, const char *what)
+{
+	uint64_t replica = 0;
+	uint64_t all = 0;
+	char name[64];
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct world_params p = d->params(seed);
+		struct world *w = world_create(NULL, &p);
+
+		if (strcmp(what, "one-lagging") == 0) {
+			for (uint32_t g = 0; g < p.groups; g++) {
+				uint32_t n = 0;
+
+				if (world_endpoint(w, g, n) ==
+				    world_primary(w, g))
+					n = 1;
+				world_set_lag(w, world_endpoint(w, g, n),
+					      500 * LWS_US_PER_MS);
+			}
+		}
+		world_load(w, true);
+		world_run(w, SECOND);
+		if (strcmp(what, "one-leaving") == 0)
+			world_leave(w, world_endpoint(w, 0, 1));
+		world_run(w, 4 * SECOND);
+		replica += world_reads_replica(w);
+		all += world_reads_replica(w) + world_reads_primary(w);
+		talloc_free(w);
+	}
+	snprintf(name, sizeof(name), "%s/%s", d->name, what);
+	line_value("reads_by_replicas", name, "share",
+		   all ? (double)replica / (double)all : 0, 0.95, false);
+}
+
+/* Fair share */
+
+struct share_case {
+	const char *name;
+	uint32_t heavy;
+	bool lose_instance;
+	bool cut_domain;
+	double worst_bound;
+	double refused_bound;
+};
+
+static const struct share_case share_cases[] = {
+	{ "steady", 0, false, false, 0.99, 0 },
+	{ "one-at-10x", 1, false, false, 0.99, 0.001 },
+	{ "two-at-10x", 2, false, false, 0.99, 0.001 },
+	{ "instance-lost", 0, true, false, 0.99, 0.001 },
+	{ "domain-cut", 0, false, true, 0, 1 },
+};
+
+static void start_case(struct world *w, const struct world_params *p,
+		       const struct share_case *c)
+{
+	for (uint32_t k = 0; k < c->heavy; k++)
+		world_set_load(w, k, p->customers[k].rate_per_s * 10);
+	if (c->lose_instance)
+		world_kill(w, (int32_t)p->instances - 1);
+	if (c->cut_domain)
+		world_cut_domain(w, 3, true);
+}
+
+static void bench_share(const struct deployment *d, const struct share_case *c)
+{
+	double sums[WORLD_CUSTOMERS_MAX][2] = { 0 };
+	uint64_t in_rate = 0;
+	uint64_t refused = 0;
+	uint64_t broken_promises = 0;
+	double worst = 1;
+	char name[64];
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct world_params p = d->params(seed);
+		struct world *w = world_create(NULL, &p);
+		const struct world_findings *f;
+
+		world_load(w, true);
+		world_run(w, 2 * SECOND);
+		world_reset_scores(w);
+		start_case(w, &p, c);
+		world_run(w, 5 * SECOND);
+		world_load(w, false);
+		world_run(w, 4 * SECOND);
+		for (uint32_t k = 0; k < p.customers_count; k++) {
+			const struct world_score *s = world_score(w, k);
+
+			sums[k][0] += (double)s->in_rate_answered;
+			sums[k][1] += (double)s->in_rate;
+			if (k >= c->heavy) {
+				in_rate += s->in_rate;
+				refused += s->in_rate_refused;
+			}
+		}
+		f = world_finish(w);
+		broken_promises += f->lost_writes + f->stale_own_reads +
+				   f->doubled_runs + f->false_not_run +
+				   f->too_old_reads + f->hidden_barriers +
+				   f->over_rate;
+		talloc_free(w);
+	}
+	for (uint32_t k = 0; k < WORLD_CUSTOMERS_MAX; k++) {
+		if (k >= c->heavy && sums[k][1] > 0 &&
+		    sums[k][0] / sums[k][1] < worst)
+			worst = sums[k][0] / sums[k][1];
+	}
+	snprintf(name, sizeof(name), "%s/%s", d->name, c->name);
+	line_value("worst_served_customer", name, "share", worst,
+		   c->worst_bound, false);
+	line_value("refused_inside_rate", name, "share",
+		   in_rate ? (double)refused / (double)in_rate : 0,
+		   c->refused_bound, true);
+	line_value("broken_promises", name, "count", (double)broken_promises,
+		   0, true);
+}
+
+int main(int argc, char **argv)
+{
+	const char *only = argc > 1 ? argv[1] : "";
+
+	for (size_t i = 0; i < G_N_ELEMENTS(deployments); i++) {
+		const struct deployment *d = &deployments[i];
+
+		if (*only && strcmp(only, d->name) != 0)
+			continue;
+		for (int f = 0; f < PRIMARY_FAULTS; f++)
+			bench_gap(d, (enum primary_fault)f);
+		bench_reads(d, "steady");
+		bench_reads(d, "one-lagging");
+		bench_reads(d, "one-leaving");
+		for (size_t k = 0; k < G_N_ELEMENTS(share_cases); k++)
+			bench_share(d, &share_cases[k]);
+	}
+	return broken;
+}
--- a/lib/control/failover.c
+++ b/lib/control/failover.c
@@ -37,6 +37,8 @@
 	struct fleet_group group;
 	uint32_t wanted;
 	uint32_t domains;
+	/* The agreed state was told once before. */
+	bool informed;
 	enum step step;
 	uint64_t term;
 	uint64_t step_us;
@@ -513,7 +515,12 @@
 	if (group->primary_term > old_primary_term) {
 		f->reports_count = 0;
 		f->suspected_us = 0;
-		f->last_promotion_us = now_us;
+		/*
+		 * A leader that takes over repeats the last step of its
+		 * predecessor, but that is no fresh promotion to wait after.
+		 */
+		if (f->informed)
+			f->last_promotion_us = now_us;
 		f->term = group->primary_term;
 		f->times.committed_us = now_us;
 		enter(f, STEP_PROMOTE, now_us);
@@ -521,6 +528,7 @@
 		/* They can follow before it has answered. */
 		send_follows(f, now_us);
 	}
+	f->informed = true;
 	failover_tick(f, now_us);
 }
 
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -114,6 +114,7 @@
 	struct rate_keeper *keeper;
 
 	uint64_t report_us;
+	char reported_to[FLEET_NAME_MAX];
 
 	bool draining;
 	uint64_t drain_started_us;
--- a/lib/daemon/control_leader.c
+++ b/lib/daemon/control_leader.c
@@ -315,15 +315,16 @@
 {
 	struct leader *l = c->leader;
 	struct fleet_command command;
+	uint32_t domains;
 
 	instances_expire(l->instances, now_us);
 	c->instances_known = l->instances->count;
 	while (lease_expired(l->leases, now_us, c->fleet, &command))
 		propose_endpoint(c, &command);
 	repair_voters(c, now_us);
+	domains = instances_domains(l->instances, c->fleet);
 	for (uint32_t i = 0; c->leader && i < l->failovers_count; i++) {
-		failover_set_domains(l->failovers[i].failover,
-				     instances_domains(l->instances));
+		failover_set_domains(l->failovers[i].failover, domains);
 		failover_tick(l->failovers[i].failover, now_us);
 		pump_failover(c, &l->failovers[i]);
 	}
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -264,8 +264,23 @@
 		peer_send(peer, &msg);
 }
 
+/* A new leader knows nothing of what was reported before. */
+static void check_leader_change(struct control *c)
+{
+	const char *name = c->leader ? c->daemon->settings.name
+				     : leader_name(c);
+
+	if (!*name || strcmp(name, c->reported_to) == 0)
+		return;
+	LWS_STR_COPY(c->reported_to, name);
+	c->report_us = 0;
+	for (uint32_t i = 0; i < c->daemon->settings.workers; i++)
+		worker_report_again(c->daemon->workers[i]);
+}
+
 void control_report_tick(struct control *c, uint64_t now_us)
 {
+	check_leader_change(c);
 	if (now_us - c->report_us < REPORT_INTERVAL_US)
 		return;
 	c->report_us = now_us;
--- a/lib/daemon/daemon.h
+++ b/lib/daemon/daemon.h
@@ -73,6 +73,9 @@
 /** worker_granted() - any thread: there may be tokens for those that wait */
 void worker_granted(struct worker *w);
 
+/** worker_report_again() - any thread: there is a new leader */
+void worker_report_again(struct worker *w);
+
 /** worker_drain() - any thread: begin a planned stop */
 void worker_drain(struct worker *w);
 
--- a/lib/daemon/group_shell.c
+++ b/lib/daemon/group_shell.c
@@ -504,6 +504,12 @@
 	pump(gs);
 }
 
+void group_shell_report_again(struct group_shell *gs)
+{
+	gate_report_again(gs->gate, lws_time_now_us());
+	pump(gs);
+}
+
 void group_shell_drain(struct group_shell *gs)
 {
 	gate_drain(gs->gate, lws_time_now_us());
--- a/lib/daemon/worker.c
+++ b/lib/daemon/worker.c
@@ -114,6 +114,15 @@
 	talloc_free(mail);
 }
 
+static void on_report_mail(void *private_data, struct mail *mail)
+{
+	struct worker *w = private_data;
+
+	for (uint32_t i = 0; i < w->groups_count; i++)
+		group_shell_report_again(w->groups[i]);
+	talloc_free(mail);
+}
+
 static void on_granted_mail(void *private_data, struct mail *mail)
 {
 	front_retry_waiting(private_data);
@@ -149,6 +158,11 @@
 	post(w, on_view_mail);
 }
 
+void worker_report_again(struct worker *w)
+{
+	post(w, on_report_mail);
+}
+
 void worker_granted(struct worker *w)
 {
 	post(w, on_granted_mail);
--- a/lib/daemon/worker_internal.h
+++ b/lib/daemon/worker_internal.h
@@ -127,6 +127,7 @@
 void group_shell_update(struct group_shell *gs, const struct view_group *group);
 void group_shell_submit(struct group_shell *gs, struct work *work);
 void group_shell_abandon(struct group_shell *gs, uint64_t transaction);
+void group_shell_report_again(struct group_shell *gs);
 void group_shell_drain(struct group_shell *gs);
 bool group_shell_idle(const struct group_shell *gs);
 
--- a/lib/membership/instances.c
+++ b/lib/membership/instances.c
@@ -50,7 +50,7 @@
 	}
 }
 
-uint32_t instances_domains(const struct instances *t)
+static uint32_t domains_of_instances(const struct instances *t)
 {
 	uint32_t n = 0;
 
@@ -64,3 +64,39 @@
 	}
 	return n;
 }
+
+/* Add a name to a short list of names; full lists stay as they are. */
+static void add_name(const char **names, uint32_t *count, const char *name)
+{
+	for (uint32_t i = 0; i < *count; i++) {
+		if (strcmp(names[i], name) == 0)
+			return;
+	}
+	if (*count < INSTANCES_DOMAINS_MAX)
+		names[(*count)++] = name;
+}
+
+static uint32_t domains_of_endpoints(const struct fleet *fleet)
+{
+	const char *names[INSTANCES_DOMAINS_MAX];
+	uint32_t count = 0;
+
+	for (uint32_t g = 0; g < fleet->groups_count; g++) {
+		const struct fleet_group *group = &fleet->groups[g];
+
+		for (uint32_t i = 0; i < group->count; i++) {
+			if (group->endpoint[i].present)
+				add_name(names, &count,
+					 group->endpoint[i].failure_domain);
+		}
+	}
+	return count;
+}
+
+uint32_t instances_domains(const struct instances *t, const struct fleet *fleet)
+{
+	uint32_t a = domains_of_instances(t);
+	uint32_t b = domains_of_endpoints(fleet);
+
+	return a > b ? a : b;
+}
--- a/lib/membership/instances.h
+++ b/lib/membership/instances.h
@@ -15,6 +15,7 @@
  * domains how many reports replace a primary.
  */
 
+#define INSTANCES_DOMAINS_MAX 64
 #define INSTANCES_ALIVE_US 3000000ULL
 
 /**
@@ -49,7 +50,18 @@
 /** instances_expire() - forget those that are gone */
 void instances_expire(struct instances *t, uint64_t now_us);
 
-/** instances_domains() - failure domains with an instance alive */
-uint32_t instances_domains(const struct instances *t);
+/**
+ * instances_domains() - failure domains that are in use
+ * @t: instances alive
+ * @fleet: agreed state
+ *
+ * A leader that has just taken over has heard of few instances; the present
+ * endpoints keep it from taking a single failure domain for all of them.
+ *
+ * Return: the number of failure domains of live instances, or of present
+ * endpoints if that is larger.
+ */
+uint32_t instances_domains(const struct instances *t,
+			   const struct fleet *fleet);
 
 #endif
--- a/lib/route/gate.h
+++ b/lib/route/gate.h
@@ -210,6 +210,9 @@
 /** gate_tick() - let time pass */
 void gate_tick(struct gate *g, uint64_t now_us);
 
+/** gate_report_again() - the receiver of reports is new: repeat a bad one */
+void gate_report_again(struct gate *g, uint64_t now_us);
+
 /** gate_drain() - refuse what waits; what runs is finished */
 void gate_drain(struct gate *g, uint64_t now_us);
 
--- a/lib/route/gate_dispatch.c
+++ b/lib/route/gate_dispatch.c
@@ -198,7 +198,12 @@
 
 void gate_dispatch(struct gate *g, uint64_t now_us)
 {
+	uint32_t parked = g->parked.count;
+
 	unpark(g, now_us);
 	dispatch_primary(g, now_us);
 	dispatch_any(g, now_us);
+	/* What a read lacks may only be unknown here. */
+	if (g->parked.count > parked)
+		gate_ask_statuses(g, now_us);
 }
--- a/lib/route/gate_pool.c
+++ b/lib/route/gate_pool.c
@@ -11,6 +11,7 @@
 #define FAILURES_SUSPECT 3
 /* How long an endpoint may wait before it answers a status call. */
 #define STATUS_WAIT_MS 1000
+#define STATUS_AGAIN_US (20 * LWS_US_PER_MS)
 
 /* Connections */
 
@@ -259,6 +260,12 @@
 		report(g, now_us, suspect);
 }
 
+void gate_report_again(struct gate *g, uint64_t now_us)
+{
+	if (gate_primary(g) >= 0 && g->reported_suspect)
+		report(g, now_us, true);
+}
+
 /* Status calls */
 
 static struct gate_conn *any_conn(struct gate *g, uint32_t endpoint)
@@ -296,7 +303,10 @@
 		gate_asked(g, now_us, endpoint);
 }
 
-/* The smallest position that a write waits for at this endpoint, 0: none. */
+/*
+ * The smallest position that a write waits to be held, or a read to be
+ * reached, at this endpoint; 0 for none.
+ */
 static uint64_t wanted_position(const struct gate *g, uint32_t endpoint)
 {
 	const struct positions_member *m = &g->positions.members[endpoint];
@@ -310,6 +320,14 @@
 		if (!held && (!wanted || r->position < wanted))
 			wanted = r->position;
 	}
+	for (const struct request *r = g->parked.head; r; r = r->next) {
+		bool covered = m->known &&
+			       positions_covers(&m->last, r->want.mark_term,
+						r->want.mark_position);
+
+		if (!covered && (!wanted || r->want.mark_position < wanted))
+			wanted = r->want.mark_position;
+	}
 	return wanted;
 }
 
@@ -332,13 +350,15 @@
 	uint64_t wanted = wanted_position(g, i);
 	uint64_t known = m->known ? m->last.position : 0;
 
-	if (wanted) {
-		/* One that has it, but under another promise, answers now. */
-		if (known >= wanted)
-			known = wanted - 1;
+	if (wanted && known < wanted) {
 		ask_status(g, now_us, i, known, STATUS_WAIT_MS);
 		return;
 	}
+	/* It has the position, but of another term: ask now and then. */
+	if (wanted && now_us - e->status_sent_us >= STATUS_AGAIN_US) {
+		ask_status(g, now_us, i, 0, 0);
+		return;
+	}
 	if (now_us - e->status_sent_us >= probe_interval_us(g, i) ||
 	    !e->status_sent_us)
 		ask_status(g, now_us, i, 0, 0);
@@ -460,6 +480,8 @@
 		due = e->connect_us;
 	else if (e->asked_us && (e->status_call || !has_usable_conn(g, i)))
 		due = UINT64_MAX;
+	else if (!e->status_call && wanted_position(g, i))
+		due = e->status_sent_us + STATUS_AGAIN_US;
 	if (e->asked_us && !e->suspect && suspect_due < due)
 		due = suspect_due;
 	if (e->suspect && gate_primary(g) == (int32_t)i &&
--- /dev/null
+++ b/tests/test_raft.c
@@ -0,0 +1,355 @@
+#include <glib.h>
+#include <talloc.h>
+
+#include "lws_error.h"
+#include "support_raft.h"
+
+/**
+ * DOC: Agreement under failure: one leader a term, one order of entries,
+ * nothing committed is lost.
+ */
+
+#define SECOND 1000000ULL
+#define SEEDS 40
+
+enum fault {
+	FAULT_NONE,
+	FAULT_LOSS,
+	FAULT_CRASH_LEADER,
+	FAULT_CRASH_ANY,
+	FAULT_CUT_LEADER,
+	FAULT_ONE_WAY,
+	FAULT_FREEZE_LEADER,
+	FAULT_SLOW_DISK,
+	FAULT_ALL,
+};
+
+struct chaos_case {
+	const char *name;
+	uint32_t nodes;
+	enum fault fault;
+	bool compact;
+};
+
+static const struct chaos_case chaos_cases[] = {
+	{ "calm", 3, FAULT_NONE, false },
+	{ "loss-repeat-delay", 3, FAULT_LOSS, false },
+	{ "crash-leader", 3, FAULT_CRASH_LEADER, true },
+	{ "crash-any-5", 5, FAULT_CRASH_ANY, true },
+	{ "cut-leader", 3, FAULT_CUT_LEADER, false },
+	{ "one-way-cut", 3, FAULT_ONE_WAY, false },
+	{ "freeze-leader", 3, FAULT_FREEZE_LEADER, true },
+	{ "slow-disk-crash", 3, FAULT_SLOW_DISK, true },
+	{ "all-together-5", 5, FAULT_ALL, true },
+};
+
+static void heal(struct fake_rafts *f)
+{
+	for (uint32_t i = 0; i < f->count; i++) {
+		fake_rafts_cut_node(f, i, false);
+		f->nodes[i].frozen = false;
+		if (!f->nodes[i].up)
+			fake_rafts_restart(f, i);
+	}
+	f->loss_percent = 0;
+	f->repeat_percent = 0;
+	f->sync_us = 1000;
+}
+
+static void inject(struct fake_rafts *f, enum fault fault)
+{
+	int32_t leader = fake_rafts_leader(f);
+	uint32_t victim = (uint32_t)lws_rng_below(&f->rng, f->count);
+
+	if (fault == FAULT_ALL)
+		fault = (enum fault)(1 + lws_rng_below(&f->rng, 7));
+	switch (fault) {
+	case FAULT_LOSS:
+		f->loss_percent = 20;
+		f->repeat_percent = 20;
+		return;
+	case FAULT_CRASH_LEADER:
+		if (leader >= 0)
+			fake_rafts_crash(f, (uint32_t)leader);
+		return;
+	case FAULT_CRASH_ANY:
+		if (f->nodes[victim].up)
+			fake_rafts_crash(f, victim);
+		return;
+	case FAULT_CUT_LEADER:
+		if (leader >= 0)
+			fake_rafts_cut_node(f, (uint32_t)leader, true);
+		return;
+	case FAULT_ONE_WAY:
+		f->cut[victim][(victim + 1) % f->count] = true;
+		f->cut[victim][(victim + 2) % f->count] = true;
+		return;
+	case FAULT_FREEZE_LEADER:
+		if (leader >= 0)
+			f->nodes[leader].frozen = true;
+		return;
+	case FAULT_SLOW_DISK:
+		f->sync_us = 30000;
+		if (leader >= 0 && lws_rng_below(&f->rng, 2))
+			fake_rafts_crash(f, (uint32_t)leader);
+		return;
+	default:
+		return;
+	}
+}
+
+
+static void run_chaos(const struct chaos_case *c, uint64_t seed)
+{
+	struct fake_rafts *f = fake_rafts_create(NULL, c->nodes, seed);
+	uint64_t committed_before;
+
+	fake_rafts_run(f, SECOND);
+	for (int round = 0; round < 12; round++) {
+		inject(f, c->fault);
+		for (int i = 0; i < 10; i++) {
+			uint64_t index;
+
+			(void)fake_rafts_propose(f, lws_rng_next(&f->rng),
+						 &index);
+			fake_rafts_run(f, 40000);
+		}
+		if (c->compact)
+			fake_rafts_compact(
+				f, (uint32_t)lws_rng_below(&f->rng, f->count));
+		if (round % 3 == 2)
+			heal(f);
+	}
+	/* The checks at each apply compare with everything ever applied. */
+	committed_before = f->highest;
+	heal(f);
+	fake_rafts_run(f, 3 * SECOND);
+	g_assert_cmpint(fake_rafts_leader(f), >=, 0);
+	for (uint32_t i = 0; i < f->count; i++)
+		g_assert_cmpuint(f->nodes[i].applied_index, >=,
+				 committed_before);
+	g_assert_cmpuint(f->broken, ==, 0);
+	talloc_free(f);
+}
+
+static void test_chaos(gconstpointer data)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++)
+		run_chaos(data, seed);
+}
+
+/* A leader that is cut off steps down and accepts nothing for good. */
+static void test_cut_leader_steps_down(void)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct fake_rafts *f = fake_rafts_create(NULL, 3, seed);
+		uint64_t index;
+		int32_t old;
+
+		fake_rafts_run(f, SECOND);
+		old = fake_rafts_leader(f);
+		fake_rafts_cut_node(f, (uint32_t)old, true);
+		(void)raft_propose(f->nodes[old].raft, f->now_us,
+				   (const uint8_t *)"x", 1, &index);
+		fake_rafts_run(f, SECOND);
+		g_assert_cmpint(raft_role(f->nodes[old].raft), !=, RAFT_LEADER);
+		g_assert_cmpuint(
+			raft_quorum_stamp_us(f->nodes[old].raft, f->now_us), ==,
+			0);
+		g_assert_cmpint(fake_rafts_leader(f), >=, 0);
+		g_assert_cmpint(fake_rafts_leader(f), !=, old);
+		g_assert_cmpuint(raft_commit_index(f->nodes[old].raft), <,
+				 index);
+		talloc_free(f);
+	}
+}
+
+/* Two leases never overlap, however leaders are cut and frozen. */
+static void test_one_lease(void)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct fake_rafts *f = fake_rafts_create(NULL, 5, seed);
+
+		for (int round = 0; round < 200; round++) {
+			uint32_t held = 0;
+
+			if (round % 40 == 20)
+				inject(f, round % 80 == 20 ? FAULT_CUT_LEADER
+							   : FAULT_CRASH_LEADER);
+			if (round % 40 == 39)
+				heal(f);
+			fake_rafts_run(f, 10000);
+			for (uint32_t i = 0; i < f->count; i++)
+				held += f->nodes[i].up &&
+						raft_lease_held(
+							f->nodes[i].raft,
+							f->now_us)
+						? 1
+						: 0;
+			g_assert_cmpuint(held, <=, 1);
+		}
+		talloc_free(f);
+	}
+}
+
+/* A voter that was away does not disturb the leader (pre-vote). */
+static void test_returning_voter_keeps_leader(void)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct fake_rafts *f = fake_rafts_create(NULL, 3, seed);
+		int32_t leader;
+		uint64_t term;
+
+		fake_rafts_run(f, SECOND);
+		leader = fake_rafts_leader(f);
+		term = raft_term(f->nodes[leader].raft);
+		fake_rafts_cut_node(f, (uint32_t)(leader + 1) % 3, true);
+		fake_rafts_run(f, 5 * SECOND);
+		fake_rafts_cut_node(f, (uint32_t)(leader + 1) % 3, false);
+		fake_rafts_run(f, SECOND);
+		g_assert_cmpint(fake_rafts_leader(f), ==, leader);
+		g_assert_cmpuint(raft_term(f->nodes[leader].raft), ==, term);
+		talloc_free(f);
+	}
+}
+
+static uint64_t commit_some(struct fake_rafts *f, int n)
+{
+	uint64_t index = 0;
+
+	for (int i = 0; i < n; i++) {
+		(void)fake_rafts_propose(f, lws_rng_next(&f->rng), &index);
+		fake_rafts_run(f, 20000);
+	}
+	return f->highest;
+}
+
+/* A lost disk is replaced; then a second one is lost: nothing is. */
+static void test_second_loss_after_repair(void)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct fake_rafts *f = fake_rafts_create(NULL, 3, seed);
+		uint64_t committed;
+		uint32_t first = (uint32_t)(seed % 3);
+		uint32_t second = (first + 1 + (uint32_t)(seed / 3 % 2)) % 3;
+
+		fake_rafts_run(f, SECOND);
+		committed = commit_some(f, 20);
+		if (seed % 2)
+			fake_rafts_compact(f, (first + 1) % 3);
+		fake_rafts_lose_disk(f, first, 200);
+		committed = f->highest > committed ? f->highest : committed;
+		g_assert_true(fake_rafts_repair(f, first, 100 + first));
+		committed = commit_some(f, 5);
+		fake_rafts_lose_disk(f, second, 300);
+		g_assert_true(fake_rafts_repair(f, second, 100 + second));
+		commit_some(f, 5);
+		fake_rafts_run(f, SECOND);
+		for (uint32_t i = 0; i < 3; i++)
+			g_assert_cmpuint(f->nodes[i].applied_index, >=,
+					 committed);
+		g_assert_cmpuint(f->broken, ==, 0);
+		talloc_free(f);
+	}
+}
+
+/* A voter without its disk never votes under its old identity. */
+static void test_lost_disk_has_no_vote(void)
+{
+	struct fake_rafts *f = fake_rafts_create(NULL, 3, 7);
+
+	fake_rafts_run(f, SECOND);
+	fake_rafts_lose_disk(f, 0, 200);
+	fake_rafts_lose_disk(f, 1, 201);
+	fake_rafts_run(f, 3 * SECOND);
+	/* One of three voters is left: no leader, rather than a wrong one. */
+	g_assert_cmpint(fake_rafts_leader(f), <, 0);
+	g_assert_cmpuint(f->broken, ==, 0);
+	talloc_free(f);
+}
+
+static void test_restart_after_many_changes(void)
+{
+	struct fake_rafts *f = fake_rafts_create(NULL, 3, 11);
+	uint64_t committed;
+
+	fake_rafts_run(f, SECOND);
+	for (int i = 0; i < 6; i++) {
+		commit_some(f, 100);
+		for (uint32_t n = 0; n < 3; n++)
+			fake_rafts_compact(f, n);
+	}
+	committed = f->highest;
+	g_assert_cmpuint(committed, >=, 500);
+	for (uint32_t n = 0; n < 3; n++)
+		fake_rafts_crash(f, n);
+	for (uint32_t n = 0; n < 3; n++)
+		fake_rafts_restart(f, n);
+	fake_rafts_run(f, 2 * SECOND);
+	commit_some(f, 1);
+	for (uint32_t n = 0; n < 3; n++)
+		g_assert_cmpuint(f->nodes[n].applied_index, >, committed);
+	g_assert_cmpuint(f->broken, ==, 0);
+	talloc_free(f);
+}
+
+static void test_hand_over(void)
+{
+	struct fake_rafts *f = fake_rafts_create(NULL, 3, 5);
+	int32_t leader;
+
+	fake_rafts_run(f, SECOND);
+	leader = fake_rafts_leader(f);
+	raft_hand_over(f->nodes[leader].raft, f->now_us);
+	g_assert_false(raft_lease_held(f->nodes[leader].raft, f->now_us));
+	fake_rafts_run(f, 60000);
+	g_assert_cmpint(fake_rafts_leader(f), >=, 0);
+	g_assert_cmpint(fake_rafts_leader(f), !=, leader);
+	talloc_free(f);
+}
+
+struct params_case {
+	struct raft_params params;
+	int rc;
+};
+
+static void test_params(void)
+{
+	static const struct params_case cases[] = {
+		{ { 1, 150000, 30000, 0 }, 0 },
+		{ { 0, 150000, 30000, 0 }, LWS_E_ARGUMENT },
+		{ { 1, 9999, 1000, 0 }, LWS_E_ARGUMENT },
+		{ { 1, 60000001, 1000, 0 }, LWS_E_ARGUMENT },
+		{ { 1, 150000, 0, 0 }, LWS_E_ARGUMENT },
+		{ { 1, 150000, 60000, 0 }, LWS_E_ARGUMENT },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct raft *r = NULL;
+
+		g_assert_cmpint(raft_create(NULL, &cases[i].params, &r), ==,
+				cases[i].rc);
+		talloc_free(r);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(chaos_cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/raft/chaos/%s", chaos_cases[i].name);
+
+		g_test_add_data_func(path, &chaos_cases[i], test_chaos);
+	}
+	g_test_add_func("/raft/cut-leader", test_cut_leader_steps_down);
+	g_test_add_func("/raft/one-lease", test_one_lease);
+	g_test_add_func("/raft/returning-voter",
+			test_returning_voter_keeps_leader);
+	g_test_add_func("/raft/second-loss", test_second_loss_after_repair);
+	g_test_add_func("/raft/lost-disk-no-vote", test_lost_disk_has_no_vote);
+	g_test_add_func("/raft/restart-500", test_restart_after_many_changes);
+	g_test_add_func("/raft/hand-over", test_hand_over);
+	g_test_add_func("/raft/params", test_params);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_world.c
@@ -0,0 +1,190 @@
+#include <glib.h>
+#include <talloc.h>
+
+#include "lws_time.h"
+#include "support_world.h"
+
+/**
+ * DOC: The promises under failure: gates, admission, rates, agreement and
+ * failover run together over fakes, under faults drawn from a seed.
+ */
+
+#define SEEDS 12
+
+struct world_case {
+	const char *name;
+	struct world_params (*deployment)(uint64_t seed);
+	void (*fault)(struct world *w, uint32_t round);
+};
+
+static int32_t any_endpoint(struct world *w)
+{
+	return world_endpoint(w, (uint32_t)lws_rng_below(world_rng(w), 3),
+			      (uint32_t)lws_rng_below(world_rng(w), 3));
+}
+
+static int32_t any_instance(struct world *w)
+{
+	return (int32_t)lws_rng_below(world_rng(w), 9);
+}
+
+static void fault_none(struct world *w, uint32_t round)
+{
+	(void)w;
+	(void)round;
+}
+
+static void fault_kill_primary(struct world *w, uint32_t round)
+{
+	int32_t primary = world_primary(w, round % 3);
+
+	if (primary >= 0)
+		world_kill(w, primary);
+}
+
+static void fault_freeze_primary(struct world *w, uint32_t round)
+{
+	int32_t primary = world_primary(w, round % 3);
+
+	if (primary >= 0)
+		world_freeze(w, primary, 1500 * LWS_US_PER_MS);
+}
+
+static void fault_cut_primary(struct world *w, uint32_t round)
+{
+	int32_t primary = world_primary(w, round % 3);
+
+	if (primary >= 0)
+		world_cut_node(w, primary, true);
+}
+
+static void fault_cut_primary_domain(struct world *w, uint32_t round)
+{
+	int32_t primary = world_primary(w, round % 3);
+
+	if (primary >= 0)
+		world_cut_domain(w, world_domain_of(w, primary), true);
+}
+
+static void fault_one_way(struct world *w, uint32_t round)
+{
+	int32_t primary = world_primary(w, round % 3);
+
+	for (int32_t i = 0; primary >= 0 && i < 9; i++)
+		world_cut(w, primary, i, true);
+}
+
+static void fault_replica_lag(struct world *w, uint32_t round)
+{
+	(void)round;
+	world_set_lag(w, any_endpoint(w), 400 * LWS_US_PER_MS);
+}
+
+static void fault_refuse(struct world *w, uint32_t round)
+{
+	(void)round;
+	world_refuse(w, any_endpoint(w), 20);
+}
+
+static void fault_leader(struct world *w, uint32_t round)
+{
+	int32_t leader = world_leader(w);
+
+	if (leader < 0)
+		return;
+	if (round % 2)
+		world_freeze(w, leader, 800 * LWS_US_PER_MS);
+	else
+		world_cut_node(w, leader, true);
+}
+
+static void fault_instance(struct world *w, uint32_t round)
+{
+	(void)round;
+	/* Voters keep their disks in the tests of agreement. */
+	world_kill(w, 5 + any_instance(w) % 4);
+}
+
+static void fault_loss(struct world *w, uint32_t round)
+{
+	(void)round;
+	world_set_loss(w, 30);
+}
+
+static void fault_any_two(struct world *w, uint32_t round)
+{
+	static void (*const all[])(struct world *, uint32_t) = {
+		fault_kill_primary, fault_freeze_primary,
+		fault_cut_primary,  fault_cut_primary_domain,
+		fault_one_way,	    fault_replica_lag,
+		fault_refuse,	    fault_leader,
+		fault_instance,	    fault_loss,
+	};
+
+	for (int k = 0; k < 2; k++)
+		all[lws_rng_below(world_rng(w), G_N_ELEMENTS(all))](w, round);
+}
+
+static const struct world_case cases[] = {
+	{ "abay/calm", world_abay, fault_none },
+	{ "abay/kill-primary", world_abay, fault_kill_primary },
+	{ "abay/freeze-primary", world_abay, fault_freeze_primary },
+	{ "abay/cut-primary", world_abay, fault_cut_primary },
+	{ "abay/cut-domain", world_abay, fault_cut_primary_domain },
+	{ "abay/one-way-cut", world_abay, fault_one_way },
+	{ "abay/lag", world_abay, fault_replica_lag },
+	{ "abay/refuse", world_abay, fault_refuse },
+	{ "abay/leader", world_abay, fault_leader },
+	{ "abay/instance", world_abay, fault_instance },
+	{ "abay/loss", world_abay, fault_loss },
+	{ "abay/any-two", world_abay, fault_any_two },
+	{ "refugio/calm", world_refugio, fault_none },
+	{ "refugio/cut-domain", world_refugio, fault_cut_primary_domain },
+	{ "refugio/any-two", world_refugio, fault_any_two },
+};
+
+static void run_case(const struct world_case *c, uint64_t seed)
+{
+	struct world_params p = c->deployment(seed);
+	struct world *w = world_create(NULL, &p);
+	const struct world_findings *f;
+
+	world_load(w, true);
+	world_run(w, LWS_US_PER_S);
+	for (uint32_t round = 0; round < 4; round++) {
+		c->fault(w, round);
+		world_run(w, 2 * LWS_US_PER_S);
+		world_heal(w);
+		world_run(w, LWS_US_PER_S);
+	}
+	f = world_finish(w);
+	g_test_message("%s seed %" G_GUINT64_FORMAT, c->name, seed);
+	g_assert_cmpuint(f->lost_writes, ==, 0);
+	g_assert_cmpuint(f->stale_own_reads, ==, 0);
+	g_assert_cmpuint(f->doubled_runs, ==, 0);
+	g_assert_cmpuint(f->false_not_run, ==, 0);
+	g_assert_cmpuint(f->too_old_reads, ==, 0);
+	g_assert_cmpuint(f->hidden_barriers, ==, 0);
+	g_assert_cmpuint(f->over_rate, ==, 0);
+	g_assert_cmpuint(f->unanswered, ==, 0);
+	g_assert_cmpuint(f->two_answers, ==, 0);
+	talloc_free(w);
+}
+
+static void test_case(gconstpointer data)
+{
+	for (uint64_t seed = 1; seed <= SEEDS; seed++)
+		run_case(data, seed);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/world/%s", cases[i].name);
+
+		g_test_add_data_func(path, &cases[i], test_case);
+	}
+	return g_test_run();
+}
