Let a new owner of rates grant at once what nobody else can hold

Ruled out: the endpoint (promoted 32 ms after the decision) and the queue (empty). Change: instances that are alive are agreed on in the log; no instance holds more than a quarter of a burst; a new owner counts only members that it has not heard yet, and each instance tells a new owner at once what it holds. The number of failure domains that counts for a promotion now comes from the same agreed list.

--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -290,8 +290,8 @@
 	line_value("refused_inside_rate", name, "share",
 		   in_rate ? (double)refused / (double)in_rate : 0,
 		   c->refused_bound, true);
-	line_value("broken_promises", name, "count", (double)broken_promises,
-		   0, true);
+	line_value("broken_promises", name, "count", (double)broken_promises, 0,
+		   true);
 }
 
 int main(int argc, char **argv)
--- a/lib/admit/rate_keeper.c
+++ b/lib/admit/rate_keeper.c
@@ -19,6 +19,7 @@
 	uint64_t tick_us;
 	bool waiting;
 	bool wanted;
+	bool new_owner;
 	struct rate_ask *asks;
 	uint32_t asks_room;
 };
@@ -55,6 +56,13 @@
 	k->wanted = true;
 }
 
+void rate_keeper_new_owner(struct rate_keeper *k)
+{
+	k->new_owner = true;
+	k->waiting = false;
+	k->tick_us = 0;
+}
+
 void rate_keeper_give_back(struct rate_keeper *k)
 {
 	for (struct node *node = k->all; node; node = node->next_of_all)
@@ -74,10 +82,10 @@
 
 static bool make_room(struct rate_keeper *k)
 {
-	if (k->asks_room >= k->count)
+	if (k->asks && k->asks_room >= k->count)
 		return true;
 	talloc_free(k->asks);
-	k->asks_room = k->count * 2;
+	k->asks_room = k->count * 2 + 1;
 	k->asks = talloc_array(k, struct rate_ask, k->asks_room);
 	return k->asks != NULL;
 }
@@ -96,8 +104,9 @@
 		if (rate_account_tick(&node->account, now_us, &k->asks[n]))
 			n++;
 	}
-	if (!n)
+	if (!n && !k->new_owner)
 		return NULL;
+	k->new_owner = false;
 	k->waiting = true;
 	k->sent_us = now_us;
 	*seq = ++k->seq;
--- a/lib/admit/rate_keeper.h
+++ b/lib/admit/rate_keeper.h
@@ -40,6 +40,12 @@
 /** rate_keeper_wanted() - a request waits for a token */
 void rate_keeper_wanted(struct rate_keeper *k);
 
+/**
+ * rate_keeper_new_owner() - tell a new owner soon what is held here, even if
+ * that is nothing
+ */
+void rate_keeper_new_owner(struct rate_keeper *k);
+
 /** rate_keeper_give_back() - give all tokens back with the next request */
 void rate_keeper_give_back(struct rate_keeper *k);
 
--- a/lib/admit/rate_owner.c
+++ b/lib/admit/rate_owner.c
@@ -24,14 +24,22 @@
 	uint32_t burst;
 	uint64_t level_millionths;
 	uint64_t filled_us;
-	uint64_t unknown_until_us;
 	uint32_t holdings_count;
 	struct holding *holdings;
 };
 
+/* An instance of the fleet; heard: since this owner took over. */
+struct member {
+	uint64_t instance;
+	bool heard;
+};
+
 struct rate_owner {
 	struct rate_owner_params params;
 	uint64_t created_us;
+	bool distrust;
+	uint32_t members_count;
+	struct member *members;
 	uint32_t buckets_count;
 	struct bucket *buckets;
 };
@@ -76,16 +84,45 @@
 	return sum;
 }
 
-static void cap_level(struct bucket *b, uint64_t now_us)
+static uint32_t holding_max(const struct bucket *b)
+{
+	uint32_t most = b->burst / RATE_HOLDERS_MIN;
+
+	return most ? most : 1;
+}
+
+static uint32_t silent_members(const struct rate_owner *owner)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < owner->members_count; i++)
+		n += owner->members[i].heard ? 0 : 1;
+	return n;
+}
+
+/* What the predecessor may have granted to those not heard yet. */
+static uint64_t unknown(const struct rate_owner *owner, const struct bucket *b,
+			uint64_t now_us)
 {
-	uint64_t out = outstanding(b, now_us);
+	uint64_t sum = (uint64_t)silent_members(owner) * holding_max(b);
+
+	if (now_us >= owner->created_us + padded_ttl_us(owner))
+		return 0;
+	return owner->distrust || sum > b->burst ? b->burst : sum;
+}
+
+static void cap_level(const struct rate_owner *owner, struct bucket *b,
+		      uint64_t now_us)
+{
+	uint64_t out = outstanding(b, now_us) + unknown(owner, b, now_us);
 	uint64_t room = b->burst > out ? b->burst - out : 0;
 
 	if (b->level_millionths > room * MILLIONTHS)
 		b->level_millionths = room * MILLIONTHS;
 }
 
-static void fill(struct bucket *b, uint64_t now_us)
+static void fill(const struct rate_owner *owner, struct bucket *b,
+		 uint64_t now_us)
 {
 	uint64_t dt = now_us > b->filled_us ? now_us - b->filled_us : 0;
 
@@ -93,10 +130,51 @@
 	if (dt > 3600 * LWS_US_PER_S)
 		dt = 3600 * LWS_US_PER_S;
 	b->filled_us = now_us;
-	if (now_us < b->unknown_until_us)
-		return;
 	b->level_millionths += dt * b->rate_per_s;
-	cap_level(b, now_us);
+	cap_level(owner, b, now_us);
+}
+
+void rate_owner_distrust(struct rate_owner *owner)
+{
+	owner->distrust = true;
+}
+
+static struct member *find_member(const struct rate_owner *owner,
+				  uint64_t instance)
+{
+	for (uint32_t i = 0; i < owner->members_count; i++) {
+		if (owner->members[i].instance == instance)
+			return &owner->members[i];
+	}
+	return NULL;
+}
+
+int rate_owner_set_members(struct rate_owner *owner, const uint64_t *instances,
+			   uint32_t count)
+{
+	struct member *next =
+		talloc_zero_array(owner, struct member, count + 1);
+
+	if (!next)
+		return LWS_E_NOMEM;
+	for (uint32_t i = 0; i < count; i++) {
+		const struct member *old = find_member(owner, instances[i]);
+
+		next[i].instance = instances[i];
+		next[i].heard = old && old->heard;
+	}
+	talloc_free(owner->members);
+	owner->members = next;
+	owner->members_count = count;
+	return 0;
+}
+
+void rate_owner_heard(struct rate_owner *owner, uint64_t instance)
+{
+	struct member *member = find_member(owner, instance);
+
+	if (member)
+		member->heard = true;
 }
 
 int rate_owner_set(struct rate_owner *owner, uint64_t now_us, uint64_t customer,
@@ -116,12 +194,11 @@
 		memset(b, 0, sizeof(*b));
 		b->customer = customer;
 		b->filled_us = now_us;
-		b->unknown_until_us = owner->created_us + padded_ttl_us(owner);
 	}
-	fill(b, now_us);
+	fill(owner, b, now_us);
 	b->rate_per_s = rate_per_s;
 	b->burst = burst;
-	cap_level(b, now_us);
+	cap_level(owner, b, now_us);
 	return 0;
 }
 
@@ -193,7 +270,7 @@
 	uint64_t returned;
 	uint32_t granted;
 
-	if (!b)
+	if (!b || !find_member(owner, instance))
 		return 0;
 	h = find_holding(owner, b, now_us, instance);
 	if (!h)
@@ -209,11 +286,14 @@
 	h->want = ask->want;
 	h->outstanding = ask->held;
 	h->expires_us = now_us + padded_ttl_us(owner);
-	fill(b, now_us);
-	if (now_us >= b->unknown_until_us)
-		b->level_millionths += returned * MILLIONTHS;
-	cap_level(b, now_us);
+	fill(owner, b, now_us);
+	b->level_millionths += returned * MILLIONTHS;
+	cap_level(owner, b, now_us);
 	granted = share_of(b, h, now_us);
+	if (h->outstanding + granted > holding_max(b))
+		granted = h->outstanding < holding_max(b)
+				  ? holding_max(b) - h->outstanding
+				  : 0;
 	b->level_millionths -= granted * MILLIONTHS;
 	h->outstanding += granted;
 	return granted;
@@ -226,9 +306,7 @@
 
 	if (!b || !b->rate_per_s)
 		return LWS_US_PER_S;
-	fill(b, now_us);
-	if (now_us < b->unknown_until_us)
-		return b->unknown_until_us - now_us;
+	fill(owner, b, now_us);
 	if (b->level_millionths >= MILLIONTHS)
 		return 0;
 	return (MILLIONTHS - b->level_millionths) / b->rate_per_s + 1;
--- a/lib/admit/rate_owner.h
+++ b/lib/admit/rate_owner.h
@@ -15,12 +15,15 @@
  * most outstanding + level + rate * w <= burst + rate * w. Lost, repeated and
  * late messages only make the owner count too much as outstanding.
  *
- * A new owner knows nothing of its predecessor's grants: it counts the whole
- * burst as outstanding until they have expired. The caller makes sure that
- * two owners never grant at the same time (raft_lease_held()).
+ * No instance ever holds more than a RATE_HOLDERS_MIN-th of a burst. A new
+ * owner does not know its predecessor's grants: each member of the fleet that
+ * it has not heard yet counts with that much, until those grants have expired.
+ * The caller makes sure that two owners never grant at the same time
+ * (raft_lease_held()) and names the members as agreed on.
  */
 
-#define RATE_INSTANCES_MAX 1024
+#define RATE_INSTANCES_MAX 2048
+#define RATE_HOLDERS_MIN 4U
 
 struct rate_owner;
 
@@ -53,6 +56,31 @@
 				     const struct rate_owner_params *params,
 				     uint64_t now_us);
 
+/**
+ * rate_owner_distrust() - nothing is known of what is outstanding
+ *
+ * To be called right after rate_owner_create() when bursts were changed so
+ * lately that grants by the earlier ones may not have expired.
+ */
+void rate_owner_distrust(struct rate_owner *owner);
+
+/**
+ * rate_owner_set_members() - instances that may hold tokens
+ * @owner: owner
+ * @instances: hashes of their names, copied
+ * @count: number of @instances
+ *
+ * Others get no tokens. Return: 0 or LWS_E_NOMEM.
+ */
+int rate_owner_set_members(struct rate_owner *owner, const uint64_t *instances,
+			   uint32_t count);
+
+/**
+ * rate_owner_heard() - a whole request of an instance was handled: it holds
+ * no tokens of customers that the request did not name
+ */
+void rate_owner_heard(struct rate_owner *owner, uint64_t instance);
+
 /**
  * rate_owner_set() - rate and burst of a customer
  *
@@ -72,7 +100,8 @@
  * @seq: rises with each request of the incarnation
  * @ask: what it asks
  *
- * Return: tokens granted; 0 also for a repeated or late request.
+ * Return: tokens granted; 0 also for a repeated or late request, and for an
+ * instance that is not a member.
  */
 uint32_t rate_owner_ask(struct rate_owner *owner, uint64_t now_us,
 			uint64_t instance, uint64_t incarnation, uint64_t seq,
--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -36,6 +36,35 @@
 	return NULL;
 }
 
+struct fleet_instance *fleet_find_instance(const struct fleet *fleet,
+					   const char *name)
+{
+	for (uint32_t i = 0; i < fleet->instances_count; i++) {
+		if (strcmp(fleet->instances[i].name, name) == 0)
+			return &fleet->instances[i];
+	}
+	return NULL;
+}
+
+static bool domain_seen_before(const struct fleet *fleet, uint32_t i)
+{
+	for (uint32_t k = 0; k < i; k++) {
+		if (strcmp(fleet->instances[k].failure_domain,
+			   fleet->instances[i].failure_domain) == 0)
+			return true;
+	}
+	return false;
+}
+
+uint32_t fleet_domains(const struct fleet *fleet)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < fleet->instances_count; i++)
+		n += domain_seen_before(fleet, i) ? 0 : 1;
+	return n;
+}
+
 static bool endpoint_same(const struct fleet_endpoint *a,
 			  const struct fleet_endpoint *b)
 {
@@ -359,6 +388,39 @@
 	return 0;
 }
 
+/* Instances */
+
+static int apply_instance_join(struct fleet *fleet,
+			       const struct fleet_command *command)
+{
+	struct fleet_instance *known =
+		fleet_find_instance(fleet, command->instance.name);
+
+	if (known) {
+		*known = command->instance;
+		return 0;
+	}
+	if (fleet->instances_count == FLEET_INSTANCES_MAX)
+		return LWS_E_QUEUE_FULL;
+	fleet->instances =
+		talloc_realloc(fleet, fleet->instances, struct fleet_instance,
+			       fleet->instances_count + 1);
+	fleet->instances[fleet->instances_count++] = command->instance;
+	return 0;
+}
+
+static int apply_instance_leave(struct fleet *fleet,
+				const struct fleet_command *command)
+{
+	struct fleet_instance *known =
+		fleet_find_instance(fleet, command->instance.name);
+
+	if (!known)
+		return LWS_E_NOT_FOUND;
+	*known = fleet->instances[--fleet->instances_count];
+	return 0;
+}
+
 /* Requests and audit trail */
 
 static void remember(struct fleet *fleet, const char *id, int rc)
@@ -410,6 +472,12 @@
 			 command->group.group, command->group.primary,
 			 (unsigned long long)command->group.term);
 		return;
+	case FLEET_INSTANCE_JOIN:
+	case FLEET_INSTANCE_LEAVE:
+		snprintf(out, room, "instance %s %s", command->instance.name,
+			 command->type == FLEET_INSTANCE_JOIN ? "join"
+							      : "leave");
+		return;
 	case FLEET_COMMAND_TYPE_COUNT:
 		out[0] = '\0';
 		return;
@@ -457,6 +525,10 @@
 		return apply_term(fleet, command);
 	case FLEET_GROUP_PRIMARY:
 		return apply_primary(fleet, command);
+	case FLEET_INSTANCE_JOIN:
+		return apply_instance_join(fleet, command);
+	case FLEET_INSTANCE_LEAVE:
+		return apply_instance_leave(fleet, command);
 	case FLEET_COMMAND_TYPE_COUNT:
 		break;
 	}
@@ -554,6 +626,20 @@
 	pack_read_str(r, key->customer, sizeof(key->customer));
 }
 
+static void instance_pack(struct pack_writer *w,
+			  const struct fleet_instance *instance)
+{
+	pack_str(w, instance->name);
+	pack_str(w, instance->failure_domain);
+}
+
+static void instance_unpack(struct pack_reader *r,
+			    struct fleet_instance *instance)
+{
+	pack_read_str(r, instance->name, FLEET_NAME_MAX);
+	pack_read_str(r, instance->failure_domain, FLEET_NAME_MAX);
+}
+
 static void group_change_pack(struct pack_writer *w,
 			      const struct fleet_command *command)
 {
@@ -591,7 +677,8 @@
 		[FLEET_CONFIG_APPLY] = 2,   [FLEET_KEY_GIVE] = 2,
 		[FLEET_KEY_WITHDRAW] = 2,   [FLEET_ENDPOINT_JOIN] = 2,
 		[FLEET_ENDPOINT_LEAVE] = 2, [FLEET_GROUP_TERM] = 4,
-		[FLEET_GROUP_PRIMARY] = 4,
+		[FLEET_GROUP_PRIMARY] = 4,  [FLEET_INSTANCE_JOIN] = 2,
+		[FLEET_INSTANCE_LEAVE] = 2,
 	};
 
 	pack_array(w, 4 + fields[command->type]);
@@ -617,6 +704,10 @@
 	case FLEET_GROUP_PRIMARY:
 		group_change_pack(w, command);
 		return;
+	case FLEET_INSTANCE_JOIN:
+	case FLEET_INSTANCE_LEAVE:
+		instance_pack(w, &command->instance);
+		return;
 	case FLEET_COMMAND_TYPE_COUNT:
 		return;
 	}
@@ -643,6 +734,10 @@
 	case FLEET_GROUP_PRIMARY:
 		group_change_unpack(r, command);
 		return;
+	case FLEET_INSTANCE_JOIN:
+	case FLEET_INSTANCE_LEAVE:
+		instance_unpack(r, &command->instance);
+		return;
 	case FLEET_COMMAND_TYPE_COUNT:
 		return;
 	}
@@ -731,6 +826,31 @@
 		r->rc = LWS_E_WIRE_FORMAT;
 }
 
+static void instances_pack(struct pack_writer *w, const struct fleet *fleet)
+{
+	pack_array(w, fleet->instances_count * 2);
+	for (uint32_t i = 0; i < fleet->instances_count; i++)
+		instance_pack(w, &fleet->instances[i]);
+}
+
+static void instances_unpack(struct pack_reader *r, struct fleet *fleet)
+{
+	struct pack_reader in;
+
+	if (pack_reader_enter(r, &in) || in.count > FLEET_INSTANCES_MAX * 2 ||
+	    in.count % 2) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	fleet->instances_count = in.count / 2;
+	fleet->instances = talloc_zero_array(fleet, struct fleet_instance,
+					     fleet->instances_count + 1);
+	for (uint32_t i = 0; i < fleet->instances_count; i++)
+		instance_unpack(&in, &fleet->instances[i]);
+	if (pack_reader_end(&in))
+		r->rc = LWS_E_WIRE_FORMAT;
+}
+
 static void keys_pack(struct pack_writer *w, const struct fleet *fleet)
 {
 	pack_array(w, fleet->given_count * 2);
@@ -848,12 +968,13 @@
 
 void fleet_snapshot_pack(struct pack_writer *w, const struct fleet *fleet)
 {
-	pack_array(w, 9);
+	pack_array(w, 10);
 	pack_u64(w, fleet->applied_index);
 	pack_u64(w, fleet->config_version);
 	pack_str(w, fleet->config_text);
 	pack_bin(w, fleet->secret, FLEET_SECRET_BYTES);
 	groups_pack(w, fleet);
+	instances_pack(w, fleet);
 	keys_pack(w, fleet);
 	requests_pack(w, fleet);
 	audit_pack(w, fleet);
@@ -874,6 +995,7 @@
 	fleet->config_text = pack_read_text(&r, fleet);
 	pack_read_bin_exact(&r, fleet->secret, FLEET_SECRET_BYTES);
 	groups_unpack(&r, fleet);
+	instances_unpack(&r, fleet);
 	keys_unpack(&r, fleet);
 	requests_unpack(&r, fleet);
 	audit_unpack(&r, fleet);
--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -22,6 +22,7 @@
 #define FLEET_ID_MAX 64
 #define FLEET_ENDPOINTS_MAX 16
 #define FLEET_GROUPS_MAX 4096
+#define FLEET_INSTANCES_MAX 2048
 #define FLEET_REQUESTS_MAX 1024
 #define FLEET_AUDIT_MAX 512
 #define FLEET_SECRET_BYTES 32
@@ -61,6 +62,16 @@
 	struct fleet_endpoint endpoint[FLEET_ENDPOINTS_MAX];
 };
 
+/**
+ * struct fleet_instance - an instance that is alive
+ * @name: unique name
+ * @failure_domain: where it runs
+ */
+struct fleet_instance {
+	char name[FLEET_NAME_MAX];
+	char failure_domain[FLEET_NAME_MAX];
+};
+
 struct fleet_key {
 	uint8_t hash[CFG_HASH_BYTES];
 	char customer[FLEET_NAME_MAX];
@@ -99,6 +110,8 @@
 
 	uint32_t groups_count;
 	struct fleet_group *groups;
+	uint32_t instances_count;
+	struct fleet_instance *instances;
 	uint32_t given_count;
 	struct fleet_key *given;
 	uint32_t withdrawn_count;
@@ -120,6 +133,8 @@
 	FLEET_ENDPOINT_LEAVE,
 	FLEET_GROUP_TERM,
 	FLEET_GROUP_PRIMARY,
+	FLEET_INSTANCE_JOIN,
+	FLEET_INSTANCE_LEAVE,
 	FLEET_COMMAND_TYPE_COUNT,
 };
 
@@ -142,6 +157,7 @@
 			char *text;
 		} config;
 		struct fleet_key key;
+		struct fleet_instance instance;
 		struct {
 			char group[FLEET_NAME_MAX];
 			struct fleet_endpoint endpoint;
@@ -221,6 +237,13 @@
 struct fleet_group *fleet_find_group(const struct fleet *fleet,
 				     const char *name);
 
+/** fleet_find_instance() - an instance by name, NULL when it is not alive */
+struct fleet_instance *fleet_find_instance(const struct fleet *fleet,
+					   const char *name);
+
+/** fleet_domains() - number of failure domains that have instances alive */
+uint32_t fleet_domains(const struct fleet *fleet);
+
 /** fleet_group_same() - both hold the same agreed state */
 bool fleet_group_same(const struct fleet_group *a, const struct fleet_group *b);
 
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -30,6 +30,7 @@
 	talloc_free(c->fleet);
 	c->fleet = fleet;
 	c->fleet_changed = true;
+	c->config_applied_us = lws_time_now_us();
 	sync_log_clear(c->sync_log);
 }
 
@@ -62,6 +63,8 @@
 	if (len && !fleet_command_unpack(scratch, data, len, &command)) {
 		result = fleet_apply(c->fleet, index, &command);
 		c->fleet_changed = true;
+		if (command.type == FLEET_CONFIG_APPLY)
+			c->config_applied_us = lws_time_now_us();
 		log_command(c, index, &command, result);
 	}
 	c->fleet->applied_index = index;
@@ -72,17 +75,15 @@
 
 void control_publish(struct control *c)
 {
-	uint32_t instances = c->instances_known ? c->instances_known : 1;
 	struct view *view;
 
 	control_push_children(c);
-	if (!c->fleet_changed && instances == c->instances_in_view)
+	if (!c->fleet_changed)
 		return;
-	view = view_create(NULL, c->fleet, instances, control_account_of, c);
+	view = view_create(NULL, c->fleet, control_account_of, c);
 	if (!view)
 		return;
 	c->fleet_changed = false;
-	c->instances_in_view = instances;
 	daemon_publish(c->daemon, view);
 	if (c->leader)
 		control_leader_fleet_changed(c, lws_time_now_us());
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -104,8 +104,8 @@
 	struct peer *parent;
 	uint32_t parent_at;
 	char leader_name[FLEET_NAME_MAX];
-	uint32_t instances_known;
-	uint32_t instances_in_view;
+	/* When a configuration was applied here last. */
+	uint64_t config_applied_us;
 
 	struct leader *leader;
 	struct proposal *proposals;
@@ -163,8 +163,7 @@
 void control_leader_fleet_changed(struct control *c, uint64_t now_us);
 void control_leader_announce(struct control *c,
 			     const struct wire_announce_item *item);
-void control_leader_report(struct control *c, const char *instance,
-			   const char *failure_domain,
+void control_leader_report(struct control *c, const struct fleet_instance *who,
 			   const struct wire_report *report);
 
 /* control_rates.c: tokens of customers */
--- a/lib/daemon/control_admin.c
+++ b/lib/daemon/control_admin.c
@@ -91,8 +91,8 @@
 		json_array_append_new(
 			list,
 			json_pack("{s:s,s:s,s:I,s:I}", "name",
-				  t->entries[i].name, "failure_domain",
-				  t->entries[i].failure_domain, "index",
+				  t->entries[i].who.name, "failure_domain",
+				  t->entries[i].who.failure_domain, "index",
 				  (json_int_t)t->entries[i].index, "version",
 				  (json_int_t)t->entries[i].version));
 	return list;
@@ -141,7 +141,7 @@
 	more = json_pack("{s:I,s:s,s:I,s:o,s:o,s:o}", "cluster",
 			 (json_int_t)c->identity.cluster, "callers",
 			 c->daemon->listen_addr, "instances_alive",
-			 (json_int_t)c->instances_known, "instances",
+			 (json_int_t)c->fleet->instances_count, "instances",
 			 instances_json(c), "voters", voters_json(c), "groups",
 			 groups_json(c->fleet));
 	json_object_update(body, more);
--- a/lib/daemon/control_leader.c
+++ b/lib/daemon/control_leader.c
@@ -21,13 +21,17 @@
 
 	if (!leader)
 		return NULL;
-	leader->instances = instances_create(leader);
+	leader->instances = instances_create(leader, c->fleet, now_us);
 	leader->leases = lease_create(leader, c->fleet, now_us);
 	leader->owner = rate_owner_create(leader, &rates, now_us);
 	if (!leader->instances || !leader->leases || !leader->owner) {
 		talloc_free(leader);
 		return NULL;
 	}
+	/* Grants by earlier bursts may not have expired. */
+	if (now_us - c->config_applied_us <=
+	    rates.ttl_us * (100 + DRIFT_PERCENT) / 100)
+		rate_owner_distrust(leader->owner);
 	return leader;
 }
 
@@ -182,27 +186,27 @@
 
 /* What instances and endpoints say */
 
-void control_leader_report(struct control *c, const char *instance,
-			   const char *failure_domain,
+void control_leader_report(struct control *c, const struct fleet_instance *who,
 			   const struct wire_report *report)
 {
 	uint64_t now_us = lws_time_now_us();
 
-	instances_seen(c->leader->instances, now_us, instance, failure_domain,
-		       report->index, report->version);
+	instances_seen(c->leader->instances, now_us, who, report->index,
+		       report->version);
 	for (uint32_t i = 0; i < report->count; i++) {
 		const struct wire_report_item *item = &report->items[i];
 		struct group_failover *gf = failover_of(c, item->group, now_us);
 
 		if (!gf)
 			continue;
-		failover_report(gf->failover, now_us, instance, failure_domain,
-				item->endpoint, item->term, item->suspect);
+		failover_report(gf->failover, now_us, who->name,
+				who->failure_domain, item->endpoint, item->term,
+				item->suspect);
 		pump_failover(c, gf);
 	}
 }
 
-static void propose_endpoint(struct control *c, struct fleet_command *command)
+static void propose_own(struct control *c, struct fleet_command *command)
 {
 	LWS_STR_COPY(command->who, c->daemon->settings.name);
 	command->time_ms = control_wall_ms();
@@ -222,7 +226,7 @@
 	if (rc < 0)
 		return;
 	if (rc > 0)
-		propose_endpoint(c, &command);
+		propose_own(c, &command);
 	gf = failover_of(c, item->group, now_us);
 	if (gf) {
 		failover_announced(gf->failover, now_us, item->endpoint.id,
@@ -317,12 +321,12 @@
 	struct fleet_command command;
 	uint32_t domains;
 
-	instances_expire(l->instances, now_us);
-	c->instances_known = l->instances->count;
+	while (instances_command(l->instances, now_us, c->fleet, &command))
+		propose_own(c, &command);
 	while (lease_expired(l->leases, now_us, c->fleet, &command))
-		propose_endpoint(c, &command);
+		propose_own(c, &command);
 	repair_voters(c, now_us);
-	domains = instances_domains(l->instances, c->fleet);
+	domains = fleet_domains(c->fleet);
 	for (uint32_t i = 0; c->leader && i < l->failovers_count; i++) {
 		failover_set_domains(l->failovers[i].failover, domains);
 		failover_tick(l->failovers[i].failover, now_us);
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -126,9 +126,8 @@
 	struct wire_msg msg = { .type = WIRE_SYNC_REPLY,
 				.sync_reply = { .stamp_us = stamp_us,
 						.confirmed = stamp_us != 0,
-						.cluster = c->identity.cluster,
-						.instances =
-							c->instances_known } };
+						.cluster =
+							c->identity.cluster } };
 	void *scratch = talloc_new(c);
 
 	LWS_STR_COPY(msg.sync_reply.leader, leader_name(c));
@@ -213,8 +212,6 @@
 	if (c->raft && raft_role(c->raft) == RAFT_LEADER)
 		return;
 	take_changes(c, reply);
-	if (reply->instances)
-		c->instances_known = reply->instances;
 	if (peer == c->parent && *reply->leader)
 		LWS_STR_COPY(c->leader_name, reply->leader);
 	sync_client_reply(&c->sync, now_us, reply->stamp_us, reply->confirmed);
@@ -256,10 +253,12 @@
 					    .count = count,
 					    .items = items } };
 
+	struct fleet_instance self = { 0 };
+
+	LWS_STR_COPY(self.name, c->daemon->settings.name);
+	LWS_STR_COPY(self.failure_domain, c->daemon->settings.failure_domain);
 	if (c->leader)
-		control_leader_report(c, c->daemon->settings.name,
-				      c->daemon->settings.failure_domain,
-				      &msg.report);
+		control_leader_report(c, &self, &msg.report);
 	else if (peer)
 		peer_send(peer, &msg);
 }
@@ -267,12 +266,13 @@
 /* A new leader knows nothing of what was reported before. */
 static void check_leader_change(struct control *c)
 {
-	const char *name = c->leader ? c->daemon->settings.name
-				     : leader_name(c);
+	const char *name =
+		c->leader ? c->daemon->settings.name : leader_name(c);
 
 	if (!*name || strcmp(name, c->reported_to) == 0)
 		return;
 	LWS_STR_COPY(c->reported_to, name);
+	rate_keeper_new_owner(c->keeper);
 	c->report_us = 0;
 	for (uint32_t i = 0; i < c->daemon->settings.workers; i++)
 		worker_report_again(c->daemon->workers[i]);
@@ -360,6 +360,7 @@
 {
 	struct control *c = private_data;
 	const struct wire_hello *hello = peer_hello(peer);
+	struct fleet_instance who = { 0 };
 
 	switch (msg->type) {
 	case WIRE_RAFT:
@@ -390,10 +391,10 @@
 		control_rates_reply(c, &msg->rate);
 		break;
 	case WIRE_REPORT:
+		LWS_STR_COPY(who.name, hello->name);
+		LWS_STR_COPY(who.failure_domain, hello->failure_domain);
 		if (c->leader)
-			control_leader_report(c, hello->name,
-					      hello->failure_domain,
-					      &msg->report);
+			control_leader_report(c, &who, &msg->report);
 		break;
 	case WIRE_ANNOUNCE:
 		for (uint32_t i = 0; c->leader && i < msg->announce.count; i++)
--- a/lib/daemon/control_rates.c
+++ b/lib/daemon/control_rates.c
@@ -18,6 +18,14 @@
 void control_rates_set(struct control *c, uint64_t now_us)
 {
 	const struct cfg *cfg = c->fleet->cfg;
+	uint32_t count = c->fleet->instances_count;
+	uint64_t *members = talloc_array(c, uint64_t, count + 1);
+
+	for (uint32_t i = 0; members && i < count; i++)
+		members[i] = session_name_hash(c->fleet->instances[i].name);
+	if (members)
+		(void)rate_owner_set_members(c->leader->owner, members, count);
+	talloc_free(members);
 
 	for (uint32_t i = 0; cfg && i < cfg->customers_count; i++)
 		(void)rate_owner_set(c->leader->owner, now_us,
@@ -59,6 +67,9 @@
 				       session_name_hash(hello->name),
 				       hello->incarnation, rate->seq, &ask);
 	}
+	if (rate->count < WIRE_ITEMS_MAX)
+		rate_owner_heard(c->leader->owner,
+				 session_name_hash(hello->name));
 	peer_send(peer, &msg);
 	talloc_free(msg.rate.items);
 }
@@ -103,6 +114,8 @@
 				session_name_hash(c->daemon->settings.name),
 				c->daemon->incarnation, seq, &asks[i]),
 		};
+	rate_owner_heard(c->leader->owner,
+			 session_name_hash(c->daemon->settings.name));
 	take_grants(c, seq, ttl_us(c), grants, count);
 	talloc_free(grants);
 }
--- a/lib/daemon/view.c
+++ b/lib/daemon/view.c
@@ -20,8 +20,9 @@
 	return max_ms * LWS_US_PER_MS;
 }
 
-static void fill_groups(struct view *view, uint32_t instances)
+static void fill_groups(struct view *view)
 {
+	uint32_t instances = view->fleet->instances_count;
 	const struct cfg *cfg = view->cfg;
 
 	view->groups = talloc_zero_array(view, struct view_group,
@@ -36,7 +37,7 @@
 		group->limits = (struct gate_limits){
 			.slots = from->slots,
 			.connections = from->connections,
-			.instances = instances,
+			.instances = instances ? instances : 1,
 			.aged_max_us = aged_max_us(cfg, i),
 		};
 	}
@@ -56,7 +57,6 @@
 }
 
 struct view *view_create(void *mem_ctx, const struct fleet *fleet,
-			 uint32_t instances,
 			 struct rate_account *(*account_of)(void *private_data,
 							    uint64_t customer),
 			 void *private_data)
@@ -74,7 +74,7 @@
 	if (!view->cfg)
 		return view;
 	view->keys = key_table_create(view, view->fleet);
-	fill_groups(view, instances);
+	fill_groups(view);
 	view->accounts = talloc_zero_array(view, struct rate_account *,
 					   view->cfg->customers_count + 1);
 	view->customer_hashes = talloc_zero_array(
--- a/lib/daemon/view.h
+++ b/lib/daemon/view.h
@@ -49,14 +49,12 @@
  * view_create() - copy the agreed state into a snapshot
  * @mem_ctx: talloc parent
  * @fleet: state
- * @instances: instances alive, at least 1
  * @account_of: finds or makes the account of a customer
  * @private_data: passed to @account_of
  *
  * Return: snapshot, NULL without memory.
  */
 struct view *view_create(void *mem_ctx, const struct fleet *fleet,
-			 uint32_t instances,
 			 struct rate_account *(*account_of)(void *private_data,
 							    uint64_t customer),
 			 void *private_data);
--- a/lib/membership/instances.c
+++ b/lib/membership/instances.c
@@ -1,102 +1,104 @@
 #include "instances.h"
-#include "lws_str.h"
 
 #include <string.h>
 #include <talloc.h>
 
-struct instances *instances_create(void *mem_ctx)
-{
-	return talloc_zero(mem_ctx, struct instances);
-}
+#include "lws_time.h"
+
+/* A command that was proposed is not proposed again for this long. */
+#define PROPOSE_PAUSE_US (500 * LWS_US_PER_MS)
 
 static struct instances_entry *find(struct instances *t, const char *name)
 {
 	for (uint32_t i = 0; i < t->count; i++) {
-		if (strcmp(t->entries[i].name, name) == 0)
+		if (strcmp(t->entries[i].who.name, name) == 0)
 			return &t->entries[i];
 	}
 	return NULL;
 }
 
-void instances_seen(struct instances *t, uint64_t now_us, const char *name,
-		    const char *failure_domain, uint64_t index,
-		    uint64_t version)
+static struct instances_entry *add(struct instances *t,
+				   const struct fleet_instance *who)
 {
-	struct instances_entry *e = find(t, name);
-
-	if (!e) {
-		struct instances_entry *grown = talloc_realloc(
-			t, t->entries, struct instances_entry, t->count + 1);
-
-		if (!grown)
-			return;
-		t->entries = grown;
-		e = &grown[t->count++];
-		LWS_STR_COPY(e->name, name);
-	}
-	LWS_STR_COPY(e->failure_domain, failure_domain);
-	e->seen_us = now_us;
-	e->index = index;
-	e->version = version;
+	struct instances_entry *grown = talloc_realloc(
+		t, t->entries, struct instances_entry, t->count + 1);
+
+	if (!grown)
+		return NULL;
+	t->entries = grown;
+	grown[t->count] = (struct instances_entry){ .who = *who };
+	return &grown[t->count++];
 }
 
-void instances_expire(struct instances *t, uint64_t now_us)
+struct instances *instances_create(void *mem_ctx, const struct fleet *fleet,
+				   uint64_t now_us)
 {
-	for (uint32_t i = 0; i < t->count; i++) {
-		if (now_us - t->entries[i].seen_us <= INSTANCES_ALIVE_US)
-			continue;
-		t->entries[i] = t->entries[--t->count];
-		i--;
+	struct instances *t = talloc_zero(mem_ctx, struct instances);
+
+	for (uint32_t i = 0; t && i < fleet->instances_count; i++) {
+		struct instances_entry *e = add(t, &fleet->instances[i]);
+
+		if (!e)
+			return NULL;
+		e->seen_us = now_us;
 	}
+	return t;
 }
 
-static uint32_t domains_of_instances(const struct instances *t)
+void instances_seen(struct instances *t, uint64_t now_us,
+		    const struct fleet_instance *who, uint64_t index,
+		    uint64_t version)
 {
-	uint32_t n = 0;
+	struct instances_entry *e = find(t, who->name);
 
-	for (uint32_t i = 0; i < t->count; i++) {
-		bool seen = false;
-
-		for (uint32_t k = 0; k < i && !seen; k++)
-			seen = strcmp(t->entries[k].failure_domain,
-				      t->entries[i].failure_domain) == 0;
-		n += seen ? 0 : 1;
-	}
-	return n;
+	if (!e)
+		e = add(t, who);
+	if (!e)
+		return;
+	e->who = *who;
+	e->seen_us = now_us;
+	e->index = index;
+	e->version = version;
 }
 
-/* Add a name to a short list of names; full lists stay as they are. */
-static void add_name(const char **names, uint32_t *count, const char *name)
+static bool proposed_lately(const struct instances_entry *e, uint64_t now_us)
 {
-	for (uint32_t i = 0; i < *count; i++) {
-		if (strcmp(names[i], name) == 0)
-			return;
-	}
-	if (*count < INSTANCES_DOMAINS_MAX)
-		names[(*count)++] = name;
+	return e->proposed_us && now_us - e->proposed_us < PROPOSE_PAUSE_US;
 }
 
-static uint32_t domains_of_endpoints(const struct fleet *fleet)
+/* What is to be agreed on about one instance. */
+static bool wanted(const struct instances_entry *e, uint64_t now_us,
+		   const struct fleet *fleet, enum fleet_command_type *type)
 {
-	const char *names[INSTANCES_DOMAINS_MAX];
-	uint32_t count = 0;
-
-	for (uint32_t g = 0; g < fleet->groups_count; g++) {
-		const struct fleet_group *group = &fleet->groups[g];
-
-		for (uint32_t i = 0; i < group->count; i++) {
-			if (group->endpoint[i].present)
-				add_name(names, &count,
-					 group->endpoint[i].failure_domain);
-		}
-	}
-	return count;
+	const struct fleet_instance *known =
+		fleet_find_instance(fleet, e->who.name);
+	bool alive = now_us - e->seen_us <= INSTANCES_ALIVE_US;
+
+	*type = alive ? FLEET_INSTANCE_JOIN : FLEET_INSTANCE_LEAVE;
+	if (!alive)
+		return known != NULL;
+	return !known ||
+	       strcmp(known->failure_domain, e->who.failure_domain) != 0;
 }
 
-uint32_t instances_domains(const struct instances *t, const struct fleet *fleet)
+bool instances_command(struct instances *t, uint64_t now_us,
+		       const struct fleet *fleet, struct fleet_command *command)
 {
-	uint32_t a = domains_of_instances(t);
-	uint32_t b = domains_of_endpoints(fleet);
-
-	return a > b ? a : b;
+	for (uint32_t i = 0; i < t->count; i++) {
+		struct instances_entry *e = &t->entries[i];
+		enum fleet_command_type type;
+
+		if (wanted(e, now_us, fleet, &type)) {
+			if (proposed_lately(e, now_us))
+				continue;
+			e->proposed_us = now_us;
+			memset(command, 0, sizeof(*command));
+			command->type = type;
+			command->instance = e->who;
+			return true;
+		}
+		if (type == FLEET_INSTANCE_LEAVE)
+			t->entries[i--] = t->entries[--t->count];
+	}
+	return false;
 }
--- a/lib/membership/instances.h
+++ b/lib/membership/instances.h
@@ -7,29 +7,27 @@
 #include "fleet.h"
 
 /**
- * DOC: The instances that are alive, as seen by the leader.
+ * DOC: Which instances are alive, at the leader of the control group.
  *
- * Each instance asks for changes a few times a second; one that was not heard
- * for INSTANCES_ALIVE_US counts as gone. The number of those alive decides
- * how connections of endpoints are shared, the number of their failure
- * domains how many reports replace a primary.
+ * Signs of life stay in memory; only joining and leaving become commands of
+ * the log, so that a new leader knows at once who is there. A new leader
+ * gives every instance that it finds the whole of INSTANCES_ALIVE_US.
  */
 
-#define INSTANCES_DOMAINS_MAX 64
 #define INSTANCES_ALIVE_US 3000000ULL
 
 /**
  * struct instances_entry - one instance
- * @name: name
- * @failure_domain: where it runs
+ * @who: its name and failure domain
  * @seen_us: when it was heard last
+ * @proposed_us: when a command about it was proposed last
  * @index: log index that it has applied
  * @version: configuration version in force there
  */
 struct instances_entry {
-	char name[FLEET_NAME_MAX];
-	char failure_domain[FLEET_NAME_MAX];
+	struct fleet_instance who;
 	uint64_t seen_us;
+	uint64_t proposed_us;
 	uint64_t index;
 	uint64_t version;
 };
@@ -39,29 +37,26 @@
 	struct instances_entry *entries;
 };
 
-/** instances_create() - an empty table; NULL without memory */
-struct instances *instances_create(void *mem_ctx);
+/** instances_create() - take over at @now_us; NULL without memory */
+struct instances *instances_create(void *mem_ctx, const struct fleet *fleet,
+				   uint64_t now_us);
 
 /** instances_seen() - an instance was heard */
-void instances_seen(struct instances *t, uint64_t now_us, const char *name,
-		    const char *failure_domain, uint64_t index,
+void instances_seen(struct instances *t, uint64_t now_us,
+		    const struct fleet_instance *who, uint64_t index,
 		    uint64_t version);
 
-/** instances_expire() - forget those that are gone */
-void instances_expire(struct instances *t, uint64_t now_us);
-
 /**
- * instances_domains() - failure domains that are in use
- * @t: instances alive
+ * instances_command() - find one instance whose joining or leaving is due
+ * @t: table
+ * @now_us: time
  * @fleet: agreed state
+ * @command: filled in
  *
- * A leader that has just taken over has heard of few instances; the present
- * endpoints keep it from taking a single failure domain for all of them.
- *
- * Return: the number of failure domains of live instances, or of present
- * endpoints if that is larger.
+ * Return: true when @command is to be proposed; call again until false.
  */
-uint32_t instances_domains(const struct instances *t,
-			   const struct fleet *fleet);
+bool instances_command(struct instances *t, uint64_t now_us,
+		       const struct fleet *fleet,
+		       struct fleet_command *command);
 
 #endif
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -83,7 +83,6 @@
  * @confirmed: all that was committed before the request was sent is included
  * @cluster: identity of the fleet
  * @leader: name of the leader, "" when unknown
- * @instances: instances alive, 0 when unknown
  * @snapshot_len: bytes of @snapshot; 0: @entries continue from have_index
  * @snapshot: encoded fleet state that replaces the receiver's
  * @count: number of entries
@@ -94,7 +93,6 @@
 	bool confirmed;
 	uint64_t cluster;
 	char leader[FLEET_NAME_MAX];
-	uint32_t instances;
 	uint32_t snapshot_len;
 	const uint8_t *snapshot;
 	uint32_t count;
--- a/tests/support_raft.c
+++ b/tests/support_raft.c
@@ -422,8 +422,8 @@
 		struct fake_raft *node = &f->nodes[i];
 
 		if (node->up && raft_role(node->raft) == RAFT_LEADER &&
-		    (best < 0 || raft_term(node->raft) >
-					 raft_term(f->nodes[best].raft)))
+		    (best < 0 ||
+		     raft_term(node->raft) > raft_term(f->nodes[best].raft)))
 			best = (int32_t)i;
 	}
 	return best;
--- a/tests/support_world.c
+++ b/tests/support_world.c
@@ -1,6 +1,7 @@
 #include "support_world.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -186,17 +187,33 @@
 struct world_params world_abay(uint64_t seed)
 {
 	struct world_params p = {
-		.seed = seed, .instances = 9, .voters = 5, .domains = 4,
-		.groups = 3, .slots = 3, .connections = 20,
-		.connect_us = 12000, .service_us = 4000, .one_way_us = 500,
-		.client_us = 1000, .sync_us = 2000, .lag_us = 3000,
-		.max_age_us = 2000000, .timeout_us = 3000000,
-		.write_percent = 20, .aged_percent = 30, .barrier_percent = 0,
+		.seed = seed,
+		.instances = 9,
+		.voters = 5,
+		.domains = 4,
+		.groups = 3,
+		.slots = 3,
+		.connections = 20,
+		.connect_us = 12000,
+		.service_us = 4000,
+		.one_way_us = 500,
+		.client_us = 1000,
+		.sync_us = 2000,
+		.lag_us = 3000,
+		.max_age_us = 2000000,
+		.timeout_us = 3000000,
+		.write_percent = 20,
+		.aged_percent = 30,
+		.barrier_percent = 0,
 		.customers_count = 8,
-		.customers = { { 150, 300, 4, 90 }, { 120, 240, 4, 70 },
-			       { 100, 200, 8, 60 }, { 30, 60, 2, 18 },
-			       { 30, 60, 2, 18 },   { 20, 40, 1, 12 },
-			       { 10, 20, 1, 6 },    { 10, 20, 1, 6 } },
+		.customers = { { 150, 300, 4, 90 },
+			       { 120, 240, 4, 70 },
+			       { 100, 200, 8, 60 },
+			       { 30, 60, 2, 18 },
+			       { 30, 60, 2, 18 },
+			       { 20, 40, 1, 12 },
+			       { 10, 20, 1, 6 },
+			       { 10, 20, 1, 6 } },
 	};
 
 	return p;
@@ -373,9 +390,9 @@
 				      .position = e->log->len };
 
 	if (e->log->len)
-		r.log_term = g_array_index(e->log, struct log_entry,
-					   e->log->len - 1)
-				     .term;
+		r.log_term =
+			g_array_index(e->log, struct log_entry, e->log->len - 1)
+				.term;
 	return r;
 }
 
@@ -632,8 +649,7 @@
 
 	while (e->running < w->p.slots && !g_queue_is_empty(e->queue)) {
 		struct exec *x = g_queue_pop_head(e->queue);
-		uint64_t jitter =
-			lws_rng_below(&w->rng, w->p.service_us + 1);
+		uint64_t jitter = lws_rng_below(&w->rng, w->p.service_us + 1);
 
 		e->running++;
 		g_array_append_val(e->started, w->now_us);
@@ -656,6 +672,8 @@
 	start_execs(w, node);
 }
 
+static void ask_owner(struct world *w, int32_t i);
+
 /* Gates and their connections */
 
 struct conn_event {
@@ -955,8 +973,8 @@
 	if (dice < w->p.write_percent) {
 		r->want.op = GATE_WRITE;
 		r->want.repeatable = false;
-		r->want.barrier = lws_rng_below(&w->rng, 100) <
-				  w->p.barrier_percent;
+		r->want.barrier =
+			lws_rng_below(&w->rng, 100) < w->p.barrier_percent;
 	} else if (dice < w->p.write_percent + w->p.aged_percent) {
 		r->want.max_age_us = w->p.max_age_us;
 		r->want.mark_term = 0;
@@ -972,8 +990,8 @@
 	r->id = ++w->next_id;
 	r->customer = customer;
 	r->group = (uint32_t)lws_rng_below(&w->rng, w->p.groups);
-	r->session = &w->sessions[customer]
-				 [lws_rng_below(&w->rng, WORLD_SESSIONS)];
+	r->session =
+		&w->sessions[customer][lws_rng_below(&w->rng, WORLD_SESSIONS)];
 	r->sent_us = w->now_us;
 	r->in_rate = bucket_take(&w->bucket[customer], &w->bucket_us[customer],
 				 w->now_us, &w->p.customers[customer]);
@@ -1002,8 +1020,6 @@
 
 /* Admission and rates */
 
-static void ask_owner(struct world *w, int32_t i);
-
 static void retry_waiting(struct world *w, int32_t i)
 {
 	struct instance *in = &w->instances[i];
@@ -1025,8 +1041,7 @@
 	struct instance *in = &w->instances[i];
 	struct wrequest *r = arg;
 
-	r->admission.account =
-		rate_keeper_account(in->keeper, r->customer + 1);
+	r->admission.account = rate_keeper_account(in->keeper, r->customer + 1);
 	r->admission.rate_per_s = w->p.customers[r->customer].rate_per_s;
 	r->admission.deadline_us = r->want.deadline_us;
 	switch (admission_enter(in->admission, w->now_us, &r->admission)) {
@@ -1074,6 +1089,7 @@
 			c->owner, w->now_us, (uint64_t)m->instance + 1,
 			m->incarnation, m->seq, &m->asks[k]);
 	}
+	rate_owner_heard(c->owner, (uint64_t)m->instance + 1);
 	send_lossy(w, leader, m->instance, on_rate_reply, m);
 }
 
@@ -1134,6 +1150,10 @@
 
 	new_leader = in->leader != u->leader;
 	in->leader = u->leader;
+	if (new_leader) {
+		rate_keeper_new_owner(in->keeper);
+		ask_owner(w, i);
+	}
 	for (uint32_t g = 0; g < u->count; g++) {
 		if (new_leader)
 			gate_report_again(in->gates[g], w->now_us);
@@ -1152,7 +1172,9 @@
 		struct group_update *u = talloc_zero(w, struct group_update);
 
 		u->leader = leader;
-		u->instances = c->instances->count ? c->instances->count : 1;
+		u->instances = c->fleet->instances_count
+				       ? c->fleet->instances_count
+				       : 1;
 		u->count = c->fleet->groups_count;
 		memcpy(u->groups, c->fleet->groups,
 		       u->count * sizeof(struct fleet_group));
@@ -1271,8 +1293,7 @@
 	o->leader = i;
 	o->group = g;
 	o->a = *a;
-	send_msg(w, i,
-		 endpoint_node(w, g, (uint32_t)nth_of_name(a->endpoint)),
+	send_msg(w, i, endpoint_node(w, g, (uint32_t)nth_of_name(a->endpoint)),
 		 on_order, o);
 }
 
@@ -1328,14 +1349,13 @@
 {
 	struct fake_control *c = &w->instances[leader].control;
 	int32_t from = GPOINTER_TO_INT(arg);
-	char name[FLEET_NAME_MAX];
-	char domain[FLEET_NAME_MAX];
+	struct fleet_instance who = { 0 };
 
 	if (!c->instances)
 		return;
-	snprintf(name, sizeof(name), "entry-%d", from);
-	domain_name(w, from, domain);
-	instances_seen(c->instances, w->now_us, name, domain, 0, 0);
+	snprintf(who.name, sizeof(who.name), "entry-%d", from);
+	domain_name(w, from, who.failure_domain);
+	instances_seen(c->instances, w->now_us, &who, 0, 0);
 }
 
 static void on_raft_msg(struct world *w, int32_t i, void *arg)
@@ -1368,6 +1388,21 @@
 	pump_control(w, i);
 }
 
+static uint64_t member_hash(const char *name)
+{
+	return (uint64_t)strtol(name + strlen("entry-"), NULL, 10) + 1;
+}
+
+static void set_members(struct world *w, struct fake_control *c)
+{
+	uint64_t members[WORLD_INSTANCES_MAX];
+
+	(void)w;
+	for (uint32_t k = 0; k < c->fleet->instances_count; k++)
+		members[k] = member_hash(c->fleet->instances[k].name);
+	rate_owner_set_members(c->owner, members, c->fleet->instances_count);
+}
+
 static void apply(struct world *w, int32_t i, const struct raft_entry *e)
 {
 	struct fake_control *c = &w->instances[i].control;
@@ -1379,6 +1414,7 @@
 	c->fleet->applied_index = e->index;
 	if (!c->leads)
 		return;
+	set_members(w, c);
 	tell_failovers(w, i);
 	push_state(w, i);
 }
@@ -1401,7 +1437,8 @@
 	if (!leads)
 		return;
 	c->owner = rate_owner_create(w, &rates, w->now_us);
-	c->instances = instances_create(w);
+	c->instances = instances_create(w, c->fleet, w->now_us);
+	set_members(w, c);
 	for (uint32_t k = 0; k < w->p.customers_count; k++)
 		rate_owner_set(c->owner, w->now_us, k + 1,
 			       w->p.customers[k].rate_per_s,
@@ -1447,10 +1484,12 @@
 {
 	struct fake_control *c = &w->instances[i].control;
 
-	instances_expire(c->instances, w->now_us);
+	struct fleet_command command;
+
+	while (instances_command(c->instances, w->now_us, c->fleet, &command))
+		propose(w, i, &command);
 	for (uint32_t g = 0; g < w->p.groups; g++) {
-		failover_set_domains(c->failovers[g],
-				     instances_domains(c->instances, c->fleet));
+		failover_set_domains(c->failovers[g], fleet_domains(c->fleet));
 		failover_tick(c->failovers[g], w->now_us);
 	}
 	if (w->now_us - c->pushed_us >= LEADER_PUSH_US)
@@ -1625,8 +1664,7 @@
 
 	for (uint32_t n = 0; n < WORLD_ENDPOINTS; n++) {
 		int32_t node = endpoint_node(w, group, n);
-		const struct endpoint *e =
-			endpoint_of((struct world *)w, node);
+		const struct endpoint *e = endpoint_of((struct world *)w, node);
 
 		if (e->primary && e->primary_term > term) {
 			best = node;
@@ -1669,9 +1707,9 @@
 		while (g_hash_table_iter_next(&it, &key, &value)) {
 			if (GPOINTER_TO_INT(value) == node)
 				conn_event(w, i, group_of(w, node),
-					   GPOINTER_TO_SIZE(key) / WORLD_GROUPS_MAX,
-					   false,
-					   delay_us(w, node, i));
+					   GPOINTER_TO_SIZE(key) /
+						   WORLD_GROUPS_MAX,
+					   false, delay_us(w, node, i));
 		}
 	}
 }
@@ -1880,8 +1918,7 @@
 {
 	int32_t leader = world_leader(w);
 
-	return leader < 0 ? NULL
-			  : &w->instances[leader].control.times[group];
+	return leader < 0 ? NULL : &w->instances[leader].control.times[group];
 }
 
 static uint64_t sum_stats(const struct world *w, bool replica)
--- a/tests/support_world.h
+++ b/tests/support_world.h
@@ -10,8 +10,8 @@
 #include "gate.h"
 #include "instances.h"
 #include "lws_rng.h"
-#include "rate_keeper.h"
 #include "raft.h"
+#include "rate_keeper.h"
 
 /**
  * DOC: Small fakes around the real decisions: a clock, links, endpoints and
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -98,7 +98,6 @@
 	}
 }
 
-
 static void run_chaos(const struct chaos_case *c, uint64_t seed)
 {
 	struct fake_rafts *f = fake_rafts_create(NULL, c->nodes, seed);
@@ -174,16 +173,17 @@
 			uint32_t held = 0;
 
 			if (round % 40 == 20)
-				inject(f, round % 80 == 20 ? FAULT_CUT_LEADER
-							   : FAULT_CRASH_LEADER);
+				inject(f, round % 80 == 20
+						  ? FAULT_CUT_LEADER
+						  : FAULT_CRASH_LEADER);
 			if (round % 40 == 39)
 				heal(f);
 			fake_rafts_run(f, 10000);
 			for (uint32_t i = 0; i < f->count; i++)
-				held += f->nodes[i].up &&
-						raft_lease_held(
-							f->nodes[i].raft,
-							f->now_us)
+				held += f->nodes[i].up && raft_lease_held(
+								  f->nodes[i]
+									  .raft,
+								  f->now_us)
 						? 1
 						: 0;
 			g_assert_cmpuint(held, <=, 1);
