--- a/lib/admit/rate_owner.c
+++ b/lib/admit/rate_owner.c
@@ -121,17 +121,61 @@
 		b->level_millionths = room * MILLIONTHS;
 }
 
-static void fill(const struct rate_owner *owner, struct bucket *b,
-		 uint64_t now_us)
+static void fill_until(const struct rate_owner *owner, struct bucket *b,
+		       uint64_t until_us)
 {
-	uint64_t dt = now_us > b->filled_us ? now_us - b->filled_us : 0;
+	uint64_t dt = until_us > b->filled_us ? until_us - b->filled_us : 0;
 
 	/* An hour of refill is more than any burst that is allowed. */
 	if (dt > 3600 * LWS_US_PER_S)
 		dt = 3600 * LWS_US_PER_S;
-	b->filled_us = now_us;
 	b->level_millionths += dt * b->rate_per_s;
-	cap_level(owner, b, now_us);
+	/* What counts as outstanding now did so all the time since. */
+	cap_level(owner, b, b->filled_us);
+	b->filled_us = until_us > b->filled_us ? until_us : b->filled_us;
+	cap_level(owner, b, b->filled_us);
+}
+
+/* The first moment after the last fill at which something expires. */
+static uint64_t next_expiry(const struct rate_owner *owner,
+			    const struct bucket *b)
+{
+	uint64_t unknown_us = owner->created_us + padded_ttl_us(owner);
+	uint64_t first = UINT64_MAX;
+
+	if (unknown_us > b->filled_us)
+		first = unknown_us;
+	for (uint32_t i = 0; i < b->holdings_count; i++) {
+		const struct holding *h = &b->holdings[i];
+
+		if (h->outstanding && h->expires_us > b->filled_us &&
+		    h->expires_us < first)
+			first = h->expires_us;
+	}
+	return first;
+}
+
+/*
+ * A token that is no longer outstanding may have been spent a moment ago: the
+ * level grows into its place only from then on. So every change of what is
+ * outstanding comes after a fill, and expiries are passed one by one.
+ */
+static void fill(const struct rate_owner *owner, struct bucket *b,
+		 uint64_t now_us)
+{
+	uint64_t expiry_us = next_expiry(owner, b);
+
+	while (expiry_us <= now_us) {
+		fill_until(owner, b, expiry_us);
+		expiry_us = next_expiry(owner, b);
+	}
+	fill_until(owner, b, now_us);
+}
+
+static void fill_all(const struct rate_owner *owner, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < owner->buckets_count; i++)
+		fill(owner, &owner->buckets[i], now_us);
 }
 
 void rate_owner_distrust(struct rate_owner *owner)
@@ -149,14 +193,15 @@
 	return NULL;
 }
 
-int rate_owner_set_members(struct rate_owner *owner, const uint64_t *instances,
-			   uint32_t count)
+int rate_owner_set_members(struct rate_owner *owner, uint64_t now_us,
+			   const uint64_t *instances, uint32_t count)
 {
 	struct member *next =
 		talloc_zero_array(owner, struct member, count + 1);
 
 	if (!next)
 		return LWS_E_NOMEM;
+	fill_all(owner, now_us);
 	for (uint32_t i = 0; i < count; i++) {
 		const struct member *old = find_member(owner, instances[i]);
 
@@ -169,12 +214,15 @@
 	return 0;
 }
 
-void rate_owner_heard(struct rate_owner *owner, uint64_t instance)
+void rate_owner_heard(struct rate_owner *owner, uint64_t now_us,
+		      uint64_t instance)
 {
 	struct member *member = find_member(owner, instance);
 
-	if (member)
-		member->heard = true;
+	if (!member || member->heard)
+		return;
+	fill_all(owner, now_us);
+	member->heard = true;
 }
 
 int rate_owner_set(struct rate_owner *owner, uint64_t now_us, uint64_t customer,
@@ -272,6 +320,7 @@
 
 	if (!b || !find_member(owner, instance))
 		return 0;
+	fill(owner, b, now_us);
 	h = find_holding(owner, b, now_us, instance);
 	if (!h)
 		return 0;
@@ -286,7 +335,6 @@
 	h->want = ask->want;
 	h->outstanding = ask->held;
 	h->expires_us = now_us + padded_ttl_us(owner);
-	fill(owner, b, now_us);
 	b->level_millionths += returned * MILLIONTHS;
 	cap_level(owner, b, now_us);
 	granted = share_of(b, h, now_us);
--- a/lib/admit/rate_owner.h
+++ b/lib/admit/rate_owner.h
@@ -67,19 +67,21 @@
 /**
  * rate_owner_set_members() - instances that may hold tokens
  * @owner: owner
+ * @now_us: time
  * @instances: hashes of their names, copied
  * @count: number of @instances
  *
  * Others get no tokens. Return: 0 or LWS_E_NOMEM.
  */
-int rate_owner_set_members(struct rate_owner *owner, const uint64_t *instances,
-			   uint32_t count);
+int rate_owner_set_members(struct rate_owner *owner, uint64_t now_us,
+			   const uint64_t *instances, uint32_t count);
 
 /**
  * rate_owner_heard() - a whole request of an instance was handled: it holds
  * no tokens of customers that the request did not name
  */
-void rate_owner_heard(struct rate_owner *owner, uint64_t instance);
+void rate_owner_heard(struct rate_owner *owner, uint64_t now_us,
+		      uint64_t instance);
 
 /**
  * rate_owner_set() - rate and burst of a customer
--- a/lib/daemon/control_rates.c
+++ b/lib/daemon/control_rates.c
@@ -24,7 +24,8 @@
 	for (uint32_t i = 0; members && i < count; i++)
 		members[i] = session_name_hash(c->fleet->instances[i].name);
 	if (members)
-		(void)rate_owner_set_members(c->leader->owner, members, count);
+		(void)rate_owner_set_members(c->leader->owner, now_us, members,
+					     count);
 	talloc_free(members);
 
 	for (uint32_t i = 0; cfg && i < cfg->customers_count; i++)
@@ -68,7 +69,7 @@
 				       hello->incarnation, rate->seq, &ask);
 	}
 	if (rate->count < WIRE_ITEMS_MAX)
-		rate_owner_heard(c->leader->owner,
+		rate_owner_heard(c->leader->owner, now_us,
 				 session_name_hash(hello->name));
 	peer_send(peer, &msg);
 	talloc_free(msg.rate.items);
@@ -114,7 +115,7 @@
 				session_name_hash(c->daemon->settings.name),
 				c->daemon->incarnation, seq, &asks[i]),
 		};
-	rate_owner_heard(c->leader->owner,
+	rate_owner_heard(c->leader->owner, now_us,
 			 session_name_hash(c->daemon->settings.name));
 	take_grants(c, seq, ttl_us(c), grants, count);
 	talloc_free(grants);
--- a/lib/route/gate.c
+++ b/lib/route/gate.c
@@ -295,6 +295,7 @@
 	}
 	gate_requeue(g, r);
 	gate_dispatch(g, now_us);
+	gate_open_conns(g, now_us);
 }
 
 void gate_abandon(struct gate *g, uint64_t now_us, uint64_t transaction)
--- a/lib/route/gate_confirm.c
+++ b/lib/route/gate_confirm.c
@@ -301,8 +301,7 @@
 	id = c->id;
 	gate_call_ended(g, now_us, c, outcome, report);
 	/* A late, lost or wrong answer may be followed by another. */
-	if (c->id == id &&
-	    (outcome == GATE_LOST || outcome == GATE_UNSENT))
+	if (c->id == id && (outcome == GATE_LOST || outcome == GATE_UNSENT))
 		gate_fail_conn(g, now_us, c);
 	else if (c->id == id && c->broken)
 		gate_close_conn(g, now_us, c);
--- a/lib/route/gate_pool.c
+++ b/lib/route/gate_pool.c
@@ -41,7 +41,8 @@
 	for (int i = 0; i < GATE_CONNS_MAX; i++) {
 		struct gate_conn *c = &g->conns[i];
 
-		if (c->state == CONN_IDLE && c->endpoint == endpoint)
+		if (c->state == CONN_IDLE && c->endpoint == endpoint &&
+		    !c->broken)
 			return c;
 	}
 	return NULL;
@@ -59,12 +60,14 @@
 	return NULL;
 }
 
+/* Connections that are of use; broken ones only finish what runs. */
 static uint32_t count_conns(const struct gate *g, uint32_t endpoint)
 {
 	uint32_t n = 0;
 
 	for (int i = 0; i < GATE_CONNS_MAX; i++) {
-		if (g->conns[i].id && g->conns[i].endpoint == endpoint)
+		if (g->conns[i].id && g->conns[i].endpoint == endpoint &&
+		    !g->conns[i].broken)
 			n++;
 	}
 	return n;
@@ -75,7 +78,7 @@
 {
 	for (int i = 0; i < GATE_CONNS_MAX; i++) {
 		if (g->conns[i].id && g->conns[i].endpoint == endpoint &&
-		    g->conns[i].state == state)
+		    !g->conns[i].broken && g->conns[i].state == state)
 			return true;
 	}
 	return false;
@@ -286,6 +289,11 @@
 	return NULL;
 }
 
+static uint64_t stuck_us(const struct gate *g)
+{
+	return 2 * g->params.suspect_us;
+}
+
 static void ask_status(struct gate *g, uint64_t now_us, uint32_t endpoint,
 		       uint64_t after, uint32_t wait_ms)
 {
@@ -385,20 +393,6 @@
 	}
 }
 
-void gate_ask_statuses(struct gate *g, uint64_t now_us)
-{
-	for (uint32_t i = 0; i < g->group.count; i++) {
-		const struct fleet_endpoint *endpoint = &g->group.endpoint[i];
-		struct gate_endpoint *e = &g->endpoints[i];
-
-		if (!endpoint->present || !endpoint->member)
-			continue;
-		forget_long_wait(g, now_us, e, i);
-		if (!e->status_call)
-			ask_one(g, now_us, i);
-	}
-}
-
 /* The connection is of no use; what runs on it ends by itself. */
 static void status_lost(struct gate *g, uint64_t now_us, uint32_t endpoint)
 {
@@ -413,6 +407,36 @@
 		gate_fail_conn(g, now_us, c);
 }
 
+/*
+ * A connection may be dead without a sign, as after a cut: do not wait for
+ * the network to notice, open another.
+ */
+static void replace_stuck(struct gate *g, uint64_t now_us, uint32_t i)
+{
+	struct gate_endpoint *e = &g->endpoints[i];
+
+	if (!e->status_call || !e->asked_us ||
+	    now_us - e->status_sent_us < stuck_us(g))
+		return;
+	e->status_call = 0;
+	status_lost(g, now_us, i);
+}
+
+void gate_ask_statuses(struct gate *g, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < g->group.count; i++) {
+		const struct fleet_endpoint *endpoint = &g->group.endpoint[i];
+		struct gate_endpoint *e = &g->endpoints[i];
+
+		if (!endpoint->present || !endpoint->member)
+			continue;
+		replace_stuck(g, now_us, i);
+		forget_long_wait(g, now_us, e, i);
+		if (!e->status_call)
+			ask_one(g, now_us, i);
+	}
+}
+
 void gate_status_done(struct gate *g, uint64_t now_us, uint64_t call,
 		      const struct positions_report *report)
 {
@@ -500,7 +524,9 @@
 
 	if (!count_conns(g, i))
 		due = e->connect_us;
-	else if (e->asked_us && (e->status_call || !has_usable_conn(g, i)))
+	else if (e->asked_us && e->status_call)
+		due = e->status_sent_us + stuck_us(g);
+	else if (e->asked_us && !has_usable_conn(g, i))
 		due = UINT64_MAX;
 	else if (!e->status_call && wanted_position(g, i))
 		due = e->status_sent_us + STATUS_AGAIN_US;
--- a/tests/support_world.c
+++ b/tests/support_world.c
@@ -1089,7 +1089,7 @@
 			c->owner, w->now_us, (uint64_t)m->instance + 1,
 			m->incarnation, m->seq, &m->asks[k]);
 	}
-	rate_owner_heard(c->owner, (uint64_t)m->instance + 1);
+	rate_owner_heard(c->owner, w->now_us, (uint64_t)m->instance + 1);
 	send_lossy(w, leader, m->instance, on_rate_reply, m);
 }
 
@@ -1397,10 +1397,10 @@
 {
 	uint64_t members[WORLD_INSTANCES_MAX];
 
-	(void)w;
 	for (uint32_t k = 0; k < c->fleet->instances_count; k++)
 		members[k] = member_hash(c->fleet->instances[k].name);
-	rate_owner_set_members(c->owner, members, c->fleet->instances_count);
+	rate_owner_set_members(c->owner, w->now_us, members,
+			       c->fleet->instances_count);
 }
 
 static void apply(struct world *w, int32_t i, const struct raft_entry *e)
@@ -1869,7 +1869,11 @@
 {
 	world_load(w, false);
 	world_heal(w);
-	world_run(w, 8 * LWS_US_PER_S);
+	world_run(w, 4 * LWS_US_PER_S);
+	w->findings.needless_promotions = w->promotions;
+	world_run(w, 4 * LWS_US_PER_S);
+	w->findings.needless_promotions =
+		w->promotions - w->findings.needless_promotions;
 	for (uint32_t g = 0; g < w->p.groups; g++)
 		check_acked(w, g);
 	check_runs(w);
@@ -1946,6 +1950,15 @@
 	return sum_stats(w, false);
 }
 
+uint64_t world_acked(const struct world *w)
+{
+	uint64_t n = 0;
+
+	for (uint32_t g = 0; g < w->p.groups; g++)
+		n += w->groups[g].acked->len;
+	return n;
+}
+
 uint64_t world_promotions(const struct world *w)
 {
 	return w->promotions;
--- a/tests/support_world.h
+++ b/tests/support_world.h
@@ -105,6 +105,7 @@
 	uint64_t over_rate;
 	uint64_t unanswered;
 	uint64_t two_answers;
+	uint64_t needless_promotions;
 };
 
 struct world;
@@ -152,6 +153,7 @@
 						  uint32_t group);
 uint64_t world_reads_replica(const struct world *w);
 uint64_t world_reads_primary(const struct world *w);
+uint64_t world_acked(const struct world *w);
 uint64_t world_promotions(const struct world *w);
 /** world_new_work() - executions that started at an endpoint since @us */
 uint64_t world_new_work(const struct world *w, int32_t endpoint, uint64_t us);
--- /dev/null
+++ b/tests/test_codec.c
@@ -0,0 +1,374 @@
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "lws_error.h"
+#include "lws_rng.h"
+#include "lws_str.h"
+#include "session_token.h"
+#include "store.h"
+#include "wire.h"
+
+/**
+ * DOC: Decoders: what was encoded comes back; anything else is refused and
+ * never crashes (seeded mutations, bounded in count).
+ */
+
+#define MUTATIONS 20000
+
+static struct wire_msg sample(enum wire_type type)
+{
+	static struct wire_rate_item rates[2] = { { 7, 8, 9, 1 },
+						  { 1, 2, 3, 0 } };
+	static struct wire_report_item reports[1] = { { "g", "e", 3, true } };
+	static struct wire_announce_item announces[1] = {
+		{ .group = "g",
+		  .endpoint = { .id = "e", .addr = "1.2.3.4:5" },
+		  .lease_ms = 5 }
+	};
+	static struct wire_sync_entry entries[2] = { { 1, 0, NULL },
+						     { 2, 3, NULL } };
+	struct wire_msg m = { .type = type };
+
+	entries[1].data = (const uint8_t *)"abc";
+	switch (type) {
+	case WIRE_HELLO:
+		m.hello = (struct wire_hello){ 1, "entry-1", "bole", 5, 6, 7 };
+		break;
+	case WIRE_RAFT:
+		m.raft.type = RAFT_MSG_APPEND_REPLY;
+		m.raft.append_reply.match_index = 77;
+		break;
+	case WIRE_SYNC_REQUEST:
+		m.sync_request = (struct wire_sync_request){ 1, 2, 3 };
+		break;
+	case WIRE_SYNC_REPLY:
+		m.sync_reply = (struct wire_sync_reply){ .stamp_us = 9,
+							 .confirmed = true,
+							 .count = 2,
+							 .entries = entries };
+		break;
+	case WIRE_PROPOSE:
+		m.propose =
+			(struct wire_propose){ 4, 3, (const uint8_t *)"xyz" };
+		break;
+	case WIRE_PROPOSE_REPLY:
+		m.propose_reply =
+			(struct wire_propose_reply){ 1, LWS_E_VERSION_CONFLICT,
+						     2, 3 };
+		break;
+	case WIRE_RATE_REQUEST:
+	case WIRE_RATE_REPLY:
+		m.rate = (struct wire_rate){ 1, 2, 2, rates };
+		break;
+	case WIRE_REPORT:
+		m.report = (struct wire_report){ 1, 2, 1, reports };
+		break;
+	case WIRE_ANNOUNCE:
+		m.announce = (struct wire_announce){ 1, announces };
+		break;
+	case WIRE_TYPE_COUNT:
+		break;
+	}
+	return m;
+}
+
+static uint8_t *encode(void *mem, enum wire_type type, size_t *len)
+{
+	struct wire_msg m = sample(type);
+	uint8_t *frame;
+
+	g_assert_cmpint(wire_encode(mem, &m, &frame, len), ==, 0);
+	return frame;
+}
+
+static void test_wire_round_trip(void)
+{
+	void *mem = talloc_new(NULL);
+
+	for (int t = 0; t < WIRE_TYPE_COUNT; t++) {
+		struct wire_msg *got;
+		size_t len;
+		size_t frame_len;
+		uint8_t *frame = encode(mem, (enum wire_type)t, &len);
+
+		g_assert_cmpint(wire_frame_length(frame, len, &frame_len), ==,
+				0);
+		g_assert_cmpuint(frame_len, ==, len);
+		g_assert_cmpint(wire_decode(mem, frame + WIRE_HEADER_BYTES,
+					    len - WIRE_HEADER_BYTES, &got),
+				==, 0);
+		g_assert_cmpint(got->type, ==, t);
+	}
+	talloc_free(mem);
+}
+
+struct frame_case {
+	uint8_t bytes[6];
+	size_t len;
+	int rc;
+};
+
+static void test_frame_length(void)
+{
+	static const struct frame_case cases[] = {
+		{ { 0 }, 0, 0 },
+		{ { 0, 0 }, 2, 0 },
+		{ { 0, 0, 0, 0 }, 4, LWS_E_WIRE_FORMAT },
+		{ { 0, 0, 0, 9 }, 4, 0 },
+		{ { 255, 255, 255, 255 }, 4, LWS_E_WIRE_TOO_BIG },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		size_t len;
+
+		g_assert_cmpint(
+			wire_frame_length(cases[i].bytes, cases[i].len, &len),
+			==, cases[i].rc);
+	}
+}
+
+static void test_wire_truncated(void)
+{
+	void *mem = talloc_new(NULL);
+
+	for (int t = 0; t < WIRE_TYPE_COUNT; t++) {
+		size_t len;
+		uint8_t *frame = encode(mem, (enum wire_type)t, &len);
+
+		for (size_t cut = 0; cut < len - WIRE_HEADER_BYTES; cut++) {
+			struct wire_msg *got;
+
+			g_assert_cmpint(wire_decode(mem,
+						    frame + WIRE_HEADER_BYTES,
+						    cut, &got),
+					==, LWS_E_WIRE_FORMAT);
+		}
+	}
+	talloc_free(mem);
+}
+
+static void test_wire_mutations(void)
+{
+	struct lws_rng rng = { .seed = 1 };
+
+	for (int round = 0; round < MUTATIONS; round++) {
+		void *mem = talloc_new(NULL);
+		struct wire_msg *got;
+		size_t len;
+		uint8_t *frame = encode(
+			mem, (enum wire_type)(round % WIRE_TYPE_COUNT), &len);
+
+		frame[WIRE_HEADER_BYTES +
+		      lws_rng_below(&rng, len - WIRE_HEADER_BYTES)] ^=
+			(uint8_t)(1 + lws_rng_below(&rng, 255));
+		(void)wire_decode(mem, frame + WIRE_HEADER_BYTES,
+				  len - WIRE_HEADER_BYTES, &got);
+		talloc_free(mem);
+	}
+}
+
+static void encode_store(msgpack_sbuffer *buf)
+{
+	struct store_record r = { .type = STORE_HARD_STATE };
+
+	msgpack_sbuffer_init(buf);
+	r.hard.term = 5;
+	g_assert_cmpint(store_encode(buf, &r), ==, 0);
+	r = (struct store_record){ .type = STORE_ENTRY };
+	r.entry = (struct raft_entry){ .term = 5,
+				       .index = 9,
+				       .kind = RAFT_ENTRY_COMMAND,
+				       .len = 5,
+				       .data = (uint8_t *)"hello" };
+	g_assert_cmpint(store_encode(buf, &r), ==, 0);
+}
+
+/* Number of records read before the end; negative: an error kind. */
+static int read_all(const uint8_t *data, size_t len)
+{
+	size_t at = 0;
+	int n = 0;
+
+	for (;;) {
+		void *mem = talloc_new(NULL);
+		struct store_record r;
+		size_t used;
+		int rc = store_decode(mem, data + at, len - at, &r, &used);
+
+		talloc_free(mem);
+		if (rc)
+			return rc;
+		if (!used)
+			return n;
+		at += used;
+		n++;
+	}
+}
+
+/* A torn tail is cut; a changed byte inside is never taken for one. */
+static void test_store_torn_and_damaged(void)
+{
+	msgpack_sbuffer buf;
+	size_t first;
+	struct store_record r;
+
+	encode_store(&buf);
+	g_assert_cmpint(store_decode(NULL, (const uint8_t *)buf.data, buf.size,
+				     &r, &first),
+			==, 0);
+	for (size_t cut = 0; cut <= buf.size; cut++) {
+		int n = read_all((const uint8_t *)buf.data, cut);
+		int whole = cut == buf.size ? 2 : cut >= first ? 1 : 0;
+
+		g_assert_cmpint(n, ==, whole);
+	}
+	for (size_t at = 0; at < buf.size; at++) {
+		buf.data[at] ^= 0x40;
+		g_assert_cmpint(read_all((const uint8_t *)buf.data, buf.size),
+				==, LWS_E_STORE_CORRUPT);
+		buf.data[at] ^= 0x40;
+	}
+	msgpack_sbuffer_destroy(&buf);
+}
+
+static void test_store_zero_tail(void)
+{
+	msgpack_sbuffer buf;
+	char zeros[512] = { 0 };
+
+	encode_store(&buf);
+	msgpack_sbuffer_write(&buf, zeros, sizeof(zeros));
+	g_assert_cmpint(read_all((const uint8_t *)buf.data, buf.size), ==, 2);
+	msgpack_sbuffer_destroy(&buf);
+}
+
+static const uint8_t secret[SESSION_SECRET_BYTES] = { 1, 2, 3 };
+
+static void make_token(char *text, uint32_t groups)
+{
+	struct session_token t = { .customer = 7 };
+
+	for (uint32_t i = 0; i < groups; i++)
+		session_token_advance(&t, i + 1, 2, 100 + i);
+	session_token_encode(&t, secret, text);
+}
+
+static void test_token_round_trip(void)
+{
+	char text[SESSION_TEXT_MAX];
+	struct session_token t;
+
+	make_token(text, 3);
+	g_assert_cmpint(session_token_decode(text, secret, 7, &t), ==, 0);
+	g_assert_cmpuint(session_token_find(&t, 2)->position, ==, 101);
+	g_assert_null(session_token_find(&t, 9));
+	g_assert_cmpint(session_token_decode(text, secret, 8, &t), ==,
+			LWS_E_TOKEN_FOREIGN);
+	/* It never goes back. */
+	session_token_advance(&t, 2, 1, 5);
+	g_assert_cmpuint(session_token_find(&t, 2)->position, ==, 101);
+}
+
+static void test_token_many_groups(void)
+{
+	char text[SESSION_TEXT_MAX];
+	struct session_token t;
+
+	make_token(text, SESSION_GROUPS_MAX + 5);
+	g_assert_cmpint(session_token_decode(text, secret, 7, &t), ==, 0);
+	g_assert_true(t.overflow);
+	g_assert_cmpuint(t.count, ==, SESSION_GROUPS_MAX);
+}
+
+static void test_token_mutations(void)
+{
+	struct lws_rng rng = { .seed = 3 };
+	char text[SESSION_TEXT_MAX];
+	struct session_token t;
+	uint8_t other[SESSION_SECRET_BYTES] = { 9 };
+
+	make_token(text, 2);
+	g_assert_cmpint(session_token_decode(text, other, 7, &t), ==,
+			LWS_E_TOKEN_BAD);
+	for (int round = 0; round < MUTATIONS; round++) {
+		char copy[SESSION_TEXT_MAX];
+		size_t at = lws_rng_below(&rng, strlen(text));
+		char byte = (char)(1 + lws_rng_below(&rng, 127));
+
+		LWS_STR_COPY(copy, text);
+		if (copy[at] == byte)
+			continue;
+		copy[at] = byte;
+		g_assert_cmpint(session_token_decode(copy, secret, 7, &t), ==,
+				LWS_E_TOKEN_BAD);
+	}
+}
+
+static void test_command_mutations(void)
+{
+	struct lws_rng rng = { .seed = 5 };
+	struct fleet_command c = { .type = FLEET_GROUP_PRIMARY };
+	struct pack_writer w;
+
+	LWS_STR_COPY(c.group.group, "g");
+	c.group.members_count = 3;
+	pack_writer_init(&w);
+	fleet_command_pack(&w, &c);
+	for (int round = 0; round < MUTATIONS; round++) {
+		void *mem = talloc_new(NULL);
+		size_t at = lws_rng_below(&rng, w.buf.size);
+		char old = w.buf.data[at];
+		struct fleet_command got;
+
+		w.buf.data[at] ^= (char)(1 + lws_rng_below(&rng, 255));
+		(void)fleet_command_unpack(mem, (const uint8_t *)w.buf.data,
+					   w.buf.size, &got);
+		w.buf.data[at] = old;
+		talloc_free(mem);
+	}
+	pack_writer_clear(&w);
+}
+
+/* Every kind has a name of its own, a status and a sentence. */
+static void test_error_table(void)
+{
+	for (int rc = -1; rc > LWS_E_LAST; rc--) {
+		const struct lws_answer *a = lws_error_answer(rc);
+
+		g_assert_true(lws_error_is(rc));
+		g_assert_nonnull(a->name);
+		g_assert_cmpuint(a->http_status, >=, 400);
+		g_assert_nonnull(a->text);
+		for (int other = -1; other > rc; other--)
+			g_assert_cmpstr(a->name, !=, lws_error_name(other));
+		/* What comes back by itself says when. */
+		if (a->http_status == 503 || a->http_status == 429 ||
+		    a->http_status == 504)
+			g_assert_cmpuint(a->retry_after_ms, >, 0);
+	}
+	g_assert_false(lws_error_is(LWS_E_LAST));
+	g_assert_false(lws_error_is(1));
+	g_assert_cmpstr(lws_error_name(-4000), ==, "unknown");
+}
+
+int main(int argc, char **argv)
+{
+	if (sodium_init() < 0)
+		return 1;
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/codec/wire/round-trip", test_wire_round_trip);
+	g_test_add_func("/codec/wire/frame-length", test_frame_length);
+	g_test_add_func("/codec/wire/truncated", test_wire_truncated);
+	g_test_add_func("/codec/wire/mutations", test_wire_mutations);
+	g_test_add_func("/codec/store/torn-and-damaged",
+			test_store_torn_and_damaged);
+	g_test_add_func("/codec/store/zero-tail", test_store_zero_tail);
+	g_test_add_func("/codec/token/round-trip", test_token_round_trip);
+	g_test_add_func("/codec/token/many-groups", test_token_many_groups);
+	g_test_add_func("/codec/token/mutations", test_token_mutations);
+	g_test_add_func("/codec/command/mutations", test_command_mutations);
+	g_test_add_func("/codec/error-table", test_error_table);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_fleet.c
@@ -0,0 +1,274 @@
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "fleet.h"
+#include "key_table.h"
+#include "lws_error.h"
+#include "lws_rng.h"
+#include "lws_str.h"
+
+/**
+ * DOC: The replicated state: racing operators, resends, withdrawn keys,
+ * versions that never fall, also over snapshots and many changes.
+ */
+
+#define CONFIG                                                    \
+	"{\"groups\":{},\"services\":{},\"customers\":{\"vets\":" \
+	"{\"rate_per_s\":1,\"burst\":1,\"services\":[]}}}"
+
+static struct fleet_command apply_command(uint64_t expected, const char *id)
+{
+	struct fleet_command c = { .type = FLEET_CONFIG_APPLY };
+
+	LWS_STR_COPY(c.request_id, id);
+	LWS_STR_COPY(c.who, "ops");
+	c.config.expected_version = expected;
+	c.config.text = (char *)CONFIG;
+	return c;
+}
+
+static struct fleet_command key_command(enum fleet_command_type type,
+					const char *key, const char *id)
+{
+	struct fleet_command c = { .type = type };
+
+	LWS_STR_COPY(c.request_id, id);
+	LWS_STR_COPY(c.key.customer, "vets");
+	key_hash(key, c.key.hash);
+	return c;
+}
+
+static struct fleet *reload(struct fleet *fleet)
+{
+	struct pack_writer w;
+	struct fleet *copy = NULL;
+
+	pack_writer_init(&w);
+	fleet_snapshot_pack(&w, fleet);
+	g_assert_cmpint(fleet_snapshot_unpack(NULL, (const uint8_t *)w.buf.data,
+					      w.buf.size, &copy),
+			==, 0);
+	pack_writer_clear(&w);
+	talloc_free(fleet);
+	return copy;
+}
+
+struct race_case {
+	const char *name;
+	uint64_t expected;
+	const char *id;
+	int rc;
+	uint64_t version;
+};
+
+/* In order, over one state; each row also after a snapshot. */
+static const struct race_case race_cases[] = {
+	{ "first", 0, "a", 0, 1 },
+	{ "same number loses", 0, "b", LWS_E_VERSION_CONFLICT, 1 },
+	{ "resend gets the first answer", 0, "a", 0, 1 },
+	{ "resend of the loser too", 0, "b", LWS_E_VERSION_CONFLICT, 1 },
+	{ "next", 1, "c", 0, 2 },
+	{ "old number", 1, "d", LWS_E_VERSION_CONFLICT, 2 },
+	{ "future number", 7, "e", LWS_E_VERSION_CONFLICT, 2 },
+	{ "late resend of the first", 0, "a", 0, 1 },
+	{ "without identity", 2, "", 0, 3 },
+};
+
+static void run_race(bool snapshots)
+{
+	struct fleet *fleet = fleet_create(NULL);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(race_cases); i++) {
+		const struct race_case *c = &race_cases[i];
+		struct fleet_command command =
+			apply_command(c->expected, c->id);
+		uint64_t before = fleet->config_version;
+		struct fleet_result checked = fleet_check(fleet, &command);
+		struct fleet_result r = fleet_apply(fleet, i + 1, &command);
+
+		g_assert_cmpint(r.rc, ==, c->rc);
+		g_assert_cmpint(checked.rc, ==, c->rc);
+		g_assert_cmpuint(r.version, ==, c->version);
+		g_assert_cmpuint(fleet->config_version, >=, before);
+		if (snapshots)
+			fleet = reload(fleet);
+	}
+	talloc_free(fleet);
+}
+
+static void test_race(void)
+{
+	run_race(false);
+}
+
+static void test_race_with_snapshots(void)
+{
+	run_race(true);
+}
+
+static void test_identity_after_many_changes(void)
+{
+	struct fleet *fleet = fleet_create(NULL);
+	struct fleet_command first = apply_command(0, "first");
+
+	g_assert_cmpint(fleet_apply(fleet, 1, &first).rc, ==, 0);
+	for (uint64_t v = 1; v <= 600; v++) {
+		g_autofree char *id = g_strdup_printf("id-%u", (unsigned)v);
+		struct fleet_command c = apply_command(v, id);
+
+		g_assert_cmpint(fleet_apply(fleet, v + 1, &c).rc, ==, 0);
+		if (v % 100 == 0)
+			fleet = reload(fleet);
+	}
+	g_assert_cmpuint(fleet->config_version, ==, 601);
+	g_assert_cmpuint(fleet_apply(fleet, 700, &first).version, ==, 1);
+	g_assert_cmpuint(fleet->config_version, ==, 601);
+	talloc_free(fleet);
+}
+
+static uint32_t customer_of(const struct fleet *fleet, const char *key)
+{
+	struct key_table *table = key_table_create(NULL, fleet);
+	uint32_t customer = key_table_find(table, key);
+
+	talloc_free(table);
+	return customer;
+}
+
+static void test_keys(void)
+{
+	struct fleet *fleet = fleet_create(NULL);
+	struct fleet_command c = apply_command(0, "cfg");
+	struct fleet_command give = key_command(FLEET_KEY_GIVE, "k1", "g");
+	struct fleet_command again = key_command(FLEET_KEY_GIVE, "k1", "g2");
+	struct fleet_command take = key_command(FLEET_KEY_WITHDRAW, "k1", "w");
+	struct fleet_command other = key_command(FLEET_KEY_WITHDRAW, "k9", "x");
+
+	g_assert_cmpint(fleet_apply(fleet, 1, &give).rc, ==, LWS_E_NOT_FOUND);
+	LWS_STR_COPY(give.request_id, "g1");
+	fleet_apply(fleet, 2, &c);
+	g_assert_cmpint(fleet_apply(fleet, 3, &give).rc, ==, 0);
+	g_assert_cmpuint(customer_of(fleet, "k1"), ==, 0);
+	g_assert_cmpuint(customer_of(fleet, "k2"), ==, KEY_NO_CUSTOMER);
+	g_assert_cmpint(fleet_apply(fleet, 4, &again).rc, ==, LWS_E_EXISTS);
+	g_assert_cmpint(fleet_apply(fleet, 5, &other).rc, ==, LWS_E_NOT_FOUND);
+	g_assert_cmpint(fleet_apply(fleet, 6, &take).rc, ==, 0);
+	g_assert_cmpuint(customer_of(fleet, "k1"), ==, KEY_NO_CUSTOMER);
+	fleet = reload(fleet);
+	g_assert_cmpuint(customer_of(fleet, "k1"), ==, KEY_NO_CUSTOMER);
+	/* A withdrawn key never comes back, by command or by file. */
+	LWS_STR_COPY(again.request_id, "g3");
+	g_assert_cmpint(fleet_apply(fleet, 7, &again).rc, ==,
+			LWS_E_KEY_WITHDRAWN);
+	talloc_free(fleet);
+}
+
+static void test_withdrawn_key_in_file(void)
+{
+	struct fleet *fleet = fleet_create(NULL);
+	struct fleet_command c = apply_command(0, "cfg");
+	struct fleet_command give = key_command(FLEET_KEY_GIVE, "k1", "g");
+	struct fleet_command take = key_command(FLEET_KEY_WITHDRAW, "k1", "w");
+	struct fleet_command file = apply_command(1, "f");
+	char hex[CFG_HASH_BYTES * 2 + 1];
+	g_autofree char *text = NULL;
+
+	fleet_apply(fleet, 1, &c);
+	fleet_apply(fleet, 2, &give);
+	fleet_apply(fleet, 3, &take);
+	sodium_bin2hex(hex, sizeof(hex), take.key.hash, CFG_HASH_BYTES);
+	text = g_strdup_printf(
+		"{\"groups\":{},\"services\":{},\"customers\":{\"vets\":"
+		"{\"rate_per_s\":1,\"burst\":1,\"services\":[],\"keys\":"
+		"[\"blake2b:%s\"]}}}",
+		hex);
+	file.config.text = text;
+	g_assert_cmpint(fleet_apply(fleet, 4, &file).rc, ==,
+			LWS_E_KEY_WITHDRAWN);
+	g_assert_cmpuint(fleet->config_version, ==, 1);
+	talloc_free(fleet);
+}
+
+struct term_case {
+	enum fleet_command_type type;
+	uint64_t term;
+	const char *primary;
+	int rc;
+};
+
+/* Terms only rise; each names one primary at most. */
+static const struct term_case term_cases[] = {
+	{ FLEET_GROUP_TERM, 1, "", 0 },
+	{ FLEET_GROUP_TERM, 1, "", LWS_E_VERSION_CONFLICT },
+	{ FLEET_GROUP_PRIMARY, 2, "e1", LWS_E_VERSION_CONFLICT },
+	{ FLEET_GROUP_PRIMARY, 1, "nobody", LWS_E_NOT_FOUND },
+	{ FLEET_GROUP_PRIMARY, 1, "e1", 0 },
+	{ FLEET_GROUP_PRIMARY, 1, "e2", LWS_E_VERSION_CONFLICT },
+	{ FLEET_GROUP_TERM, 3, "", 0 },
+	{ FLEET_GROUP_PRIMARY, 1, "e2", LWS_E_VERSION_CONFLICT },
+	{ FLEET_GROUP_PRIMARY, 3, "e2", 0 },
+};
+
+static void test_terms(void)
+{
+	struct fleet *fleet = fleet_create(NULL);
+
+	for (int i = 1; i <= 2; i++) {
+		struct fleet_command join = { .type = FLEET_ENDPOINT_JOIN };
+		g_autofree char *id = g_strdup_printf("e%d", i);
+
+		LWS_STR_COPY(join.endpoint.group, "g");
+		LWS_STR_COPY(join.endpoint.endpoint.id, id);
+		g_assert_cmpint(fleet_apply(fleet, (uint64_t)i, &join).rc, ==,
+				0);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(term_cases); i++) {
+		struct fleet_command c = { .type = term_cases[i].type };
+
+		LWS_STR_COPY(c.group.group, "g");
+		LWS_STR_COPY(c.group.primary, term_cases[i].primary);
+		c.group.term = term_cases[i].term;
+		g_assert_cmpint(fleet_apply(fleet, 10 + i, &c).rc, ==,
+				term_cases[i].rc);
+	}
+	g_assert_cmpstr(fleet->groups[0].primary, ==, "e2");
+	talloc_free(fleet);
+}
+
+/* No key, only the start of its hash, is in the audit trail. */
+static void test_audit(void)
+{
+	struct fleet *fleet = fleet_create(NULL);
+	struct fleet_command c = apply_command(0, "cfg");
+	struct fleet_command give =
+		key_command(FLEET_KEY_GIVE, "lwk_secret", "g");
+
+	fleet_apply(fleet, 1, &c);
+	fleet_apply(fleet, 2, &give);
+	fleet = reload(fleet);
+	g_assert_cmpuint(fleet_audit_at(fleet, 0)->index, ==, 2);
+	g_assert_nonnull(strstr(fleet_audit_at(fleet, 0)->what, "key give"));
+	g_assert_null(strstr(fleet_audit_at(fleet, 0)->what, "lwk_secret"));
+	g_assert_cmpstr(fleet_audit_at(fleet, 1)->who, ==, "ops");
+	g_assert_null(fleet_audit_at(fleet, 2));
+	talloc_free(fleet);
+}
+
+int main(int argc, char **argv)
+{
+	if (sodium_init() < 0)
+		return 1;
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/fleet/race", test_race);
+	g_test_add_func("/fleet/race-with-snapshots", test_race_with_snapshots);
+	g_test_add_func("/fleet/identity-after-600",
+			test_identity_after_many_changes);
+	g_test_add_func("/fleet/keys", test_keys);
+	g_test_add_func("/fleet/withdrawn-key-in-file",
+			test_withdrawn_key_in_file);
+	g_test_add_func("/fleet/terms", test_terms);
+	g_test_add_func("/fleet/audit", test_audit);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_gate.c
@@ -0,0 +1,650 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "gate.h"
+#include "lws_error.h"
+#include "lws_str.h"
+#include "lws_time.h"
+
+/**
+ * DOC: One gate, step by step: what is sent where, what is answered, what is
+ * tried again and what never is.
+ */
+
+#define MS LWS_US_PER_MS
+
+/* A gate with three endpoints whose connections all stand. */
+struct fixture {
+	struct gate *g;
+	struct fleet_group group;
+	uint64_t now;
+	uint64_t conns[3];
+	uint64_t status_call[3];
+	/* the newest of each kind */
+	struct gate_action exec;
+	struct gate_action answer;
+	struct gate_action report;
+	uint32_t execs;
+	uint32_t answers;
+	uint64_t closed_conn;
+	uint32_t connects;
+	bool refuse_connects;
+};
+
+static void pump(struct fixture *f)
+{
+	struct gate_action a;
+
+	while (gate_next_action(f->g, &a)) {
+		switch (a.type) {
+		case GATE_CONNECT:
+			f->connects++;
+			f->conns[a.endpoint] = a.conn;
+			gate_conn_state(f->g, f->now, a.conn,
+					!f->refuse_connects);
+			break;
+		case GATE_CLOSE:
+			f->closed_conn = a.conn;
+			break;
+		case GATE_EXEC:
+			f->execs++;
+			f->exec = a;
+			break;
+		case GATE_STATUS:
+			f->status_call[a.endpoint] = a.call;
+			break;
+		case GATE_ANSWER:
+			f->answers++;
+			f->answer = a;
+			break;
+		case GATE_REPORT:
+			f->report = a;
+			break;
+		}
+	}
+}
+
+static void status(struct fixture *f, uint32_t i, uint64_t promised,
+		   uint64_t log_term, uint64_t position)
+{
+	struct positions_report r = { promised, log_term, position };
+
+	gate_status_done(f->g, f->now, f->status_call[i], &r);
+	pump(f);
+}
+
+static void all_statuses(struct fixture *f, uint64_t position)
+{
+	for (uint32_t i = 0; i < 3; i++)
+		status(f, i, 1, 1, position);
+}
+
+static void advance(struct fixture *f, uint64_t us)
+{
+	f->now += us;
+	gate_tick(f->g, f->now);
+	pump(f);
+}
+
+/* Time passes while all endpoints answer. */
+static void quiet(struct fixture *f, uint64_t us)
+{
+	uint64_t until = f->now + us;
+
+	while (f->now < until) {
+		advance(f, until - f->now < 50 * MS ? until - f->now : 50 * MS);
+		all_statuses(f, 10);
+	}
+}
+
+static struct fixture *set_up(uint64_t aged_max_us)
+{
+	struct fixture *f = g_new0(struct fixture, 1);
+	struct gate_params params = gate_params_default();
+	struct gate_limits limits = { 3, 20, 9, aged_max_us };
+
+	f->now = 100 * LWS_US_PER_S;
+	f->g = gate_create(NULL, &params, f->now);
+	f->group = (struct fleet_group){ .name = "g",
+					 .term = 1,
+					 .primary_term = 1,
+					 .count = 3,
+					 .primary = "e0" };
+	for (int i = 0; i < 3; i++) {
+		struct fleet_endpoint *e = &f->group.endpoint[i];
+
+		snprintf(e->id, sizeof(e->id), "e%d", i);
+		snprintf(e->addr, sizeof(e->addr), "a:%d", i);
+		e->present = true;
+		e->member = true;
+	}
+	gate_set_limits(f->g, f->now, &limits);
+	gate_set_group(f->g, f->now, &f->group);
+	pump(f);
+	all_statuses(f, 10);
+	return f;
+}
+
+static void tear_down(struct fixture *f)
+{
+	talloc_free(f->g);
+	g_free(f);
+}
+
+static struct gate_request request(struct fixture *f, enum gate_op op)
+{
+	return (struct gate_request){ .op = op,
+				      .customer = 1,
+				      .worth = 1,
+				      .deadline_us = f->now + 1000 * MS,
+				      .user = f };
+}
+
+static void submit(struct fixture *f, const struct gate_request *r)
+{
+	gate_submit(f->g, f->now, r);
+	pump(f);
+}
+
+static void done(struct fixture *f, enum gate_outcome outcome,
+		 uint64_t promised, uint64_t log_term, uint64_t position)
+{
+	struct positions_report r = { promised, log_term, position };
+	bool known = outcome == GATE_DONE || outcome == GATE_NOT_RUN;
+
+	gate_exec_done(f->g, f->now, f->exec.call, outcome, known ? &r : NULL);
+	pump(f);
+}
+
+/* Writes */
+
+static void test_write_needs_majority(void)
+{
+	struct fixture *f = set_up(0);
+	struct gate_request w = request(f, GATE_WRITE);
+
+	submit(f, &w);
+	g_assert_cmpuint(f->exec.endpoint, ==, 0);
+	done(f, GATE_DONE, 1, 1, 11);
+	g_assert_cmpuint(f->answers, ==, 0);
+	status(f, 1, 1, 1, 10);
+	g_assert_cmpuint(f->answers, ==, 0);
+	status(f, 2, 1, 1, 11);
+	g_assert_cmpuint(f->answers, ==, 1);
+	g_assert_cmpint(f->answer.rc, ==, 0);
+	g_assert_cmpuint(f->answer.position, ==, 11);
+	tear_down(f);
+}
+
+/* A replica that promised a newer term does not confirm an old primary. */
+static void test_fenced_replicas_do_not_confirm(void)
+{
+	struct fixture *f = set_up(0);
+	struct gate_request w = request(f, GATE_WRITE);
+
+	submit(f, &w);
+	done(f, GATE_DONE, 1, 1, 11);
+	status(f, 1, 2, 1, 11);
+	status(f, 2, 2, 1, 11);
+	g_assert_cmpuint(f->answers, ==, 0);
+	advance(f, 1001 * MS);
+	g_assert_cmpuint(f->answers, ==, 1);
+	g_assert_cmpint(f->answer.rc, ==, LWS_E_OUTCOME_UNKNOWN);
+	tear_down(f);
+}
+
+struct outcome_case {
+	const char *name;
+	enum gate_op op;
+	bool repeatable;
+	enum gate_outcome outcome;
+	uint32_t execs;
+	int rc;
+};
+
+/* The same outcome every time it is tried, until it is answered. */
+static const struct outcome_case outcome_cases[] = {
+	{ "lost-write-runs-once", GATE_WRITE, false, GATE_LOST, 1,
+	  LWS_E_OUTCOME_UNKNOWN },
+	{ "lost-repeatable-write", GATE_WRITE, true, GATE_LOST, 4,
+	  LWS_E_OUTCOME_UNKNOWN },
+	{ "lost-read", GATE_READ, false, GATE_LOST, 4, LWS_E_OUTCOME_UNKNOWN },
+	{ "refused-write", GATE_WRITE, false, GATE_NOT_RUN, 4,
+	  LWS_E_ENDPOINT_REFUSED },
+	{ "unsent-write", GATE_WRITE, false, GATE_UNSENT, 4,
+	  LWS_E_NO_ENDPOINT },
+};
+
+static void test_outcome(gconstpointer data)
+{
+	const struct outcome_case *c = data;
+	struct fixture *f = set_up(0);
+	struct gate_request r = request(f, c->op);
+	uint32_t seen = 0;
+
+	r.repeatable = c->repeatable;
+	submit(f, &r);
+	for (int i = 0; i < 100 && !f->answers; i++) {
+		if (f->execs > seen) {
+			seen = f->execs;
+			done(f, c->outcome, 1, 1, 10);
+		}
+		advance(f, 5 * MS);
+		all_statuses(f, 10);
+	}
+	g_assert_cmpuint(f->answers, ==, 1);
+	g_assert_cmpint(f->answer.rc, ==, c->rc);
+	g_assert_cmpuint(f->execs, ==, c->execs);
+	tear_down(f);
+}
+
+/* A request given up on is answered at its deadline, once. */
+static void test_deadline(void)
+{
+	struct fixture *f = set_up(0);
+	struct gate_request w = request(f, GATE_WRITE);
+
+	submit(f, &w);
+	advance(f, 999 * MS);
+	g_assert_cmpuint(f->answers, ==, 0);
+	advance(f, 2 * MS);
+	g_assert_cmpuint(f->answers, ==, 1);
+	g_assert_cmpint(f->answer.rc, ==, LWS_E_OUTCOME_UNKNOWN);
+	/* The late answer is nobody's. */
+	done(f, GATE_DONE, 1, 1, 11);
+	g_assert_cmpuint(f->answers, ==, 1);
+	tear_down(f);
+}
+
+static void test_retry_budget(void)
+{
+	struct fixture *f = set_up(0);
+	uint32_t sent = 0;
+
+	for (int i = 0; i < 400; i++) {
+		struct gate_request r = request(f, GATE_READ);
+		uint32_t answers = f->answers;
+
+		submit(f, &r);
+		sent++;
+		for (int k = 0; k < 60 && f->answers == answers; k++) {
+			done(f, GATE_LOST, 0, 0, 0);
+			advance(f, 50 * MS);
+			all_statuses(f, 10);
+		}
+	}
+	/* 10% and a reserve of 20, however sick the group is. */
+	g_assert_cmpuint(f->execs, <=, sent + sent / 10 + 21);
+	g_assert_cmpuint(gate_stats(f->g)->retries_denied, >, 0);
+	tear_down(f);
+}
+
+/* Reads */
+
+struct read_case {
+	const char *name;
+	uint64_t mark_term;
+	uint64_t mark_position;
+	uint64_t replica_position;
+	bool at_replica;
+};
+
+static const struct read_case read_cases[] = {
+	{ "no-session", 0, 0, 10, true },
+	{ "covered", 1, 10, 10, true },
+	{ "not-covered", 1, 11, 10, false },
+	{ "newer-term", 2, 5, 10, false },
+};
+
+static void test_session_read(gconstpointer data)
+{
+	const struct read_case *c = data;
+	struct fixture *f = set_up(0);
+	struct gate_request r = request(f, GATE_READ);
+
+	r.mark_term = c->mark_term;
+	r.mark_position = c->mark_position;
+	submit(f, &r);
+	g_assert_cmpuint(f->execs, ==, c->at_replica ? 1 : 0);
+	if (c->at_replica) {
+		g_assert_cmpuint(f->exec.endpoint, !=, 0);
+	} else {
+		advance(f, 25 * MS);
+		g_assert_cmpuint(f->execs, ==, 1);
+		g_assert_cmpuint(f->exec.endpoint, ==, 0);
+	}
+	tear_down(f);
+}
+
+/* What the answer says counts, not what was believed when it was sent. */
+static void test_stale_answer_is_not_given(void)
+{
+	struct fixture *f = set_up(0);
+	struct gate_request r = request(f, GATE_READ);
+
+	r.mark_term = 1;
+	r.mark_position = 10;
+	submit(f, &r);
+	done(f, GATE_DONE, 1, 1, 9);
+	g_assert_cmpuint(f->answers, ==, 0);
+	advance(f, 60 * MS);
+	done(f, GATE_DONE, 1, 1, 10);
+	g_assert_cmpuint(f->answers, ==, 1);
+	g_assert_cmpint(f->answer.rc, ==, 0);
+	tear_down(f);
+}
+
+/* Without a majority's word no age is vouched for, as behind a cut. */
+static void test_age_behind_a_cut(void)
+{
+	struct fixture *f = set_up(1000 * MS);
+	struct gate_request r = request(f, GATE_READ);
+
+	r.max_age_us = 1000 * MS;
+	submit(f, &r);
+	done(f, GATE_DONE, 1, 1, 10);
+	g_assert_cmpint(f->answer.rc, ==, 0);
+	/* Only one replica still answers. */
+	for (int i = 0; i < 30; i++) {
+		advance(f, 50 * MS);
+		status(f, 1, 1, 1, 10);
+	}
+	r = request(f, GATE_READ);
+	r.max_age_us = 1000 * MS;
+	f->execs = 0;
+	submit(f, &r);
+	g_assert_cmpuint(f->execs, ==, 0);
+	for (int i = 0; i < 30; i++)
+		advance(f, 50 * MS);
+	g_assert_cmpint(f->answer.rc, ==, LWS_E_AGE_UNKNOWN);
+	tear_down(f);
+}
+
+/* A barrier waits for all, or until every aged read is younger. */
+static void test_barrier(void)
+{
+	struct fixture *f = set_up(1000 * MS);
+	struct gate_request w = request(f, GATE_WRITE);
+
+	advance(f, 2000 * MS);
+	all_statuses(f, 10);
+	w.deadline_us = f->now + 5000 * MS;
+	w.barrier = true;
+	submit(f, &w);
+	done(f, GATE_DONE, 1, 1, 11);
+	status(f, 1, 1, 1, 11);
+	g_assert_cmpuint(f->answers, ==, 0);
+	status(f, 2, 1, 1, 11);
+	g_assert_cmpuint(f->answers, ==, 1);
+	w.deadline_us = f->now + 5000 * MS;
+	submit(f, &w);
+	done(f, GATE_DONE, 1, 1, 12);
+	status(f, 1, 1, 1, 12);
+	for (int i = 0; i < 9; i++) {
+		advance(f, 100 * MS);
+		status(f, 0, 1, 1, 12);
+		status(f, 1, 1, 1, 12);
+	}
+	g_assert_cmpuint(f->answers, ==, 1);
+	advance(f, 101 * MS);
+	g_assert_cmpuint(f->answers, ==, 2);
+	g_assert_cmpint(f->answer.rc, ==, 0);
+	tear_down(f);
+}
+
+/* Transactions */
+
+static void begin(struct fixture *f, uint64_t tx)
+{
+	struct gate_request r = request(f, GATE_BEGIN);
+
+	r.transaction = tx;
+	submit(f, &r);
+	done(f, GATE_DONE, 1, 1, 10);
+	g_assert_cmpint(f->answer.rc, ==, 0);
+}
+
+static struct gate_request in_tx(struct fixture *f, enum gate_op op,
+				 uint64_t tx)
+{
+	struct gate_request r = request(f, op);
+
+	r.transaction = tx;
+	return r;
+}
+
+static void test_transaction_has_its_connection(void)
+{
+	struct fixture *f = set_up(0);
+	struct gate_request r;
+	uint64_t conn_a;
+	uint64_t conn_b;
+
+	begin(f, 77);
+	conn_a = f->exec.conn;
+	begin(f, 78);
+	conn_b = f->exec.conn;
+	g_assert_cmpuint(conn_a, !=, conn_b);
+	r = in_tx(f, GATE_WRITE, 77);
+	submit(f, &r);
+	g_assert_cmpuint(f->exec.conn, ==, conn_a);
+	done(f, GATE_DONE, 1, 1, 10);
+	/* Somebody else's write does not get either connection. */
+	f->execs = 0;
+	r = request(f, GATE_WRITE);
+	submit(f, &r);
+	g_assert_true(f->execs == 0 ||
+		      (f->exec.conn != conn_a && f->exec.conn != conn_b));
+	r = in_tx(f, GATE_COMMIT, 77);
+	submit(f, &r);
+	g_assert_cmpuint(f->exec.conn, ==, conn_a);
+	done(f, GATE_DONE, 1, 1, 11);
+	/* Back in the pool: the waiting write may use it now. */
+	r = in_tx(f, GATE_WRITE, 77);
+	submit(f, &r);
+	g_assert_cmpint(f->answer.rc, ==, LWS_E_TX_UNKNOWN);
+	tear_down(f);
+}
+
+static void test_lost_caller_rolls_back(void)
+{
+	struct fixture *f = set_up(0);
+
+	begin(f, 77);
+	gate_abandon(f->g, f->now, 77);
+	pump(f);
+	g_assert_cmpint(f->exec.op, ==, GATE_ROLLBACK);
+	g_assert_false(gate_idle(f->g));
+	done(f, GATE_DONE, 1, 1, 10);
+	g_assert_true(gate_idle(f->g));
+	tear_down(f);
+}
+
+/* Not clean, not confirmed: the connection never returns to the pool. */
+static void test_unclean_connection_is_closed(void)
+{
+	struct fixture *f = set_up(0);
+	uint64_t conn;
+
+	begin(f, 77);
+	conn = f->exec.conn;
+	gate_abandon(f->g, f->now, 77);
+	pump(f);
+	done(f, GATE_NOT_RUN, 1, 1, 10);
+	g_assert_cmpuint(f->closed_conn, ==, conn);
+	/* A transaction that takes too long, whose rollback is not confirmed */
+	begin(f, 78);
+	conn = f->exec.conn;
+	quiet(f, 10001 * MS);
+	g_assert_cmpint(f->exec.op, ==, GATE_ROLLBACK);
+	g_assert_cmpuint(f->closed_conn, !=, conn);
+	quiet(f, 2001 * MS);
+	g_assert_cmpuint(f->closed_conn, ==, conn);
+	tear_down(f);
+}
+
+static void test_lost_proxy_connection_ends_transaction(void)
+{
+	struct fixture *f = set_up(0);
+	struct gate_request r;
+
+	begin(f, 77);
+	gate_conn_state(f->g, f->now, f->exec.conn, false);
+	pump(f);
+	r = in_tx(f, GATE_COMMIT, 77);
+	submit(f, &r);
+	g_assert_cmpint(f->answer.rc, ==, LWS_E_TX_UNKNOWN);
+	tear_down(f);
+}
+
+static void test_lost_commit_is_unknown(void)
+{
+	struct fixture *f = set_up(0);
+	struct gate_request r;
+
+	begin(f, 77);
+	r = in_tx(f, GATE_COMMIT, 77);
+	submit(f, &r);
+	done(f, GATE_LOST, 0, 0, 0);
+	g_assert_cmpint(f->answer.rc, ==, LWS_E_OUTCOME_UNKNOWN);
+	tear_down(f);
+}
+
+/* Endpoints and stops */
+
+static void test_leaving_endpoint_gets_no_new_work(void)
+{
+	struct fixture *f = set_up(0);
+
+	f->group.endpoint[1].present = false;
+	gate_set_group(f->g, f->now, &f->group);
+	pump(f);
+	for (int i = 0; i < 20; i++) {
+		struct gate_request r = request(f, GATE_READ);
+
+		submit(f, &r);
+		g_assert_cmpuint(f->exec.endpoint, ==, 2);
+		done(f, GATE_DONE, 1, 1, 10);
+	}
+	tear_down(f);
+}
+
+/* A dead connection without a sign is replaced by a new one. */
+static void test_stuck_connection_is_replaced(void)
+{
+	struct fixture *f = set_up(0);
+	uint64_t old = f->conns[0];
+
+	for (int i = 0; i < 100 && f->conns[0] == old; i++)
+		advance(f, 10 * MS);
+	g_assert_cmpuint(f->conns[0], !=, old);
+	status(f, 0, 1, 1, 10);
+	g_assert_false(f->report.suspect);
+	tear_down(f);
+}
+
+static void test_silent_primary_is_reported(void)
+{
+	struct fixture *f = set_up(0);
+	uint64_t asked = f->now;
+
+	while (!f->report.suspect && f->now < asked + 2000 * MS)
+		advance(f, 10 * MS);
+	g_assert_true(f->report.suspect);
+	g_assert_cmpuint(f->now - asked, <=, 450 * MS);
+	status(f, 0, 1, 1, 10);
+	g_assert_false(f->report.suspect);
+	tear_down(f);
+}
+
+static void test_refused_connections_are_reported(void)
+{
+	struct fixture *f = set_up(0);
+	uint64_t broke = f->now;
+
+	f->refuse_connects = true;
+	for (int i = 0; i < 3; i++)
+		gate_conn_state(f->g, f->now, f->conns[i], false);
+	pump(f);
+	while (!f->report.suspect && f->now < broke + 2000 * MS)
+		advance(f, 5 * MS);
+	g_assert_true(f->report.suspect);
+	g_assert_cmpuint(f->now - broke, <=, 200 * MS);
+	tear_down(f);
+}
+
+static void test_drain(void)
+{
+	struct fixture *f = set_up(0);
+	struct gate_request w = request(f, GATE_WRITE);
+
+	submit(f, &w);
+	gate_drain(f->g, f->now);
+	pump(f);
+	g_assert_cmpuint(f->answers, ==, 0);
+	submit(f, &w);
+	g_assert_cmpint(f->answer.rc, ==, LWS_E_DRAINING);
+	done(f, GATE_DONE, 1, 1, 11);
+	status(f, 1, 1, 1, 11);
+	g_assert_cmpuint(f->answers, ==, 2);
+	g_assert_cmpint(f->answer.rc, ==, 0);
+	g_assert_true(gate_idle(f->g));
+	tear_down(f);
+}
+
+/* The expected wait is longer than the time left: refused at once. */
+static void test_hopeless_request_is_refused_at_once(void)
+{
+	struct fixture *f = set_up(0);
+
+	for (int i = 0; i < 400; i++) {
+		struct gate_request w = request(f, GATE_WRITE);
+
+		w.deadline_us = f->now + 50 * MS;
+		submit(f, &w);
+	}
+	g_assert_cmpuint(f->answers, >, 200);
+	g_assert_cmpint(f->answer.rc, ==, LWS_E_QUEUE_FULL);
+	g_assert_true(lws_error_answer(f->answer.rc)->not_run);
+	tear_down(f);
+}
+
+#define ADD(path, fn) g_test_add_func("/gate/" path, fn)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(outcome_cases); i++) {
+		g_autofree char *path = g_strdup_printf("/gate/outcome/%s",
+							outcome_cases[i].name);
+
+		g_test_add_data_func(path, &outcome_cases[i], test_outcome);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(read_cases); i++) {
+		g_autofree char *path = g_strdup_printf("/gate/session-read/%s",
+							read_cases[i].name);
+
+		g_test_add_data_func(path, &read_cases[i], test_session_read);
+	}
+	ADD("write-needs-majority", test_write_needs_majority);
+	ADD("fenced-replicas", test_fenced_replicas_do_not_confirm);
+	ADD("deadline", test_deadline);
+	ADD("retry-budget", test_retry_budget);
+	ADD("stale-answer", test_stale_answer_is_not_given);
+	ADD("age-behind-cut", test_age_behind_a_cut);
+	ADD("barrier", test_barrier);
+	ADD("tx/own-connection", test_transaction_has_its_connection);
+	ADD("tx/lost-caller", test_lost_caller_rolls_back);
+	ADD("tx/unclean", test_unclean_connection_is_closed);
+	ADD("tx/lost-connection", test_lost_proxy_connection_ends_transaction);
+	ADD("tx/lost-commit", test_lost_commit_is_unknown);
+	ADD("leaving", test_leaving_endpoint_gets_no_new_work);
+	ADD("silent-primary", test_silent_primary_is_reported);
+	ADD("stuck-connection", test_stuck_connection_is_replaced);
+	ADD("refused-connections", test_refused_connections_are_reported);
+	ADD("drain", test_drain);
+	ADD("hopeless", test_hopeless_request_is_refused_at_once);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_rates.c
@@ -0,0 +1,478 @@
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "admission.h"
+#include "fair_queue.h"
+#include "lws_error.h"
+#include "lws_rng.h"
+#include "lws_time.h"
+#include "rate_keeper.h"
+
+/**
+ * DOC: Rate and burst over the fleet under loss, repetition, delay, cuts,
+ * restarts and a change of owner; and the shares of customers in a queue.
+ */
+
+#define MS LWS_US_PER_MS
+#define INSTANCES 9
+#define CUSTOMER 1
+#define TTL (600 * MS)
+#define SEEDS 60
+
+struct message {
+	struct message *next;
+	uint64_t due_us;
+	bool reply;
+	uint32_t instance;
+	uint64_t incarnation;
+	uint64_t seq;
+	struct rate_ask ask;
+	bool has_ask;
+	struct rate_grant grant;
+	uint64_t owner_nr;
+};
+
+struct fake_fleet {
+	struct lws_rng rng;
+	uint64_t now;
+	struct rate_owner *owner;
+	uint64_t owner_nr;
+	struct rate_keeper *keepers[INSTANCES];
+	uint64_t incarnation[INSTANCES];
+	bool cut[INSTANCES];
+	struct message *messages;
+	uint64_t spent;
+	uint64_t refused;
+	uint64_t waiting[INSTANCES];
+	uint64_t wait_until[INSTANCES];
+	double level;
+	uint64_t level_us;
+	uint32_t rate;
+	uint32_t burst;
+	uint64_t over;
+	uint32_t loss;
+	uint32_t repeat;
+	uint64_t delay;
+	/* skew of clock rates, percent */
+	int skew[INSTANCES];
+};
+
+static uint64_t local(const struct fake_fleet *f, uint32_t i)
+{
+	return f->now + f->now / 100 * (uint64_t)(f->skew[i] + 5);
+}
+
+static void new_owner(struct fake_fleet *f)
+{
+	struct rate_owner_params params = { .ttl_us = TTL,
+					    .drift_percent = 15 };
+	uint64_t members[INSTANCES];
+
+	talloc_free(f->owner);
+	f->owner = rate_owner_create(NULL, &params, f->now);
+	f->owner_nr++;
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		members[i] = i + 1;
+		rate_keeper_new_owner(f->keepers[i]);
+	}
+	g_assert_cmpint(
+		rate_owner_set_members(f->owner, f->now, members, INSTANCES),
+		==, 0);
+	g_assert_cmpint(
+		rate_owner_set(f->owner, f->now, CUSTOMER, f->rate, f->burst),
+		==, 0);
+}
+
+static void post(struct fake_fleet *f, struct message m)
+{
+	int copies = lws_rng_below(&f->rng, 100) < f->repeat ? 2 : 1;
+
+	if (lws_rng_below(&f->rng, 100) < f->loss || f->cut[m.instance])
+		return;
+	while (copies--) {
+		struct message *copy = g_new(struct message, 1);
+
+		*copy = m;
+		copy->due_us = f->now + 500 + lws_rng_below(&f->rng, f->delay);
+		copy->next = f->messages;
+		f->messages = copy;
+	}
+}
+
+static void handle(struct fake_fleet *f, const struct message *m)
+{
+	struct message reply = *m;
+
+	if (m->reply) {
+		if (m->incarnation == f->incarnation[m->instance])
+			rate_keeper_reply(f->keepers[m->instance],
+					  local(f, m->instance), m->seq, TTL,
+					  &m->grant, 1);
+		return;
+	}
+	/* An earlier process's connection is gone; so is an earlier owner. */
+	if (m->incarnation != f->incarnation[m->instance] ||
+	    m->owner_nr != f->owner_nr)
+		return;
+	reply.reply = true;
+	reply.grant.customer = CUSTOMER;
+	reply.grant.tokens =
+		m->has_ask ? rate_owner_ask(f->owner, f->now, m->instance + 1,
+					    m->incarnation, m->seq, &m->ask)
+			   : 0;
+	rate_owner_heard(f->owner, f->now, m->instance + 1);
+	post(f, reply);
+}
+
+static void deliver(struct fake_fleet *f)
+{
+	struct message *all = f->messages;
+
+	f->messages = NULL;
+	while (all) {
+		struct message *m = all;
+
+		all = m->next;
+		if (m->due_us > f->now) {
+			m->next = f->messages;
+			f->messages = m;
+			continue;
+		}
+		handle(f, m);
+		g_free(m);
+	}
+}
+
+static void ask(struct fake_fleet *f, uint32_t i)
+{
+	uint64_t seq;
+	uint32_t count;
+	const struct rate_ask *asks =
+		rate_keeper_step(f->keepers[i], local(f, i), &seq, &count);
+	struct message m = { .instance = i,
+			     .incarnation = f->incarnation[i],
+			     .owner_nr = f->owner_nr };
+
+	if (!asks)
+		return;
+	m.seq = seq;
+	m.has_ask = count > 0;
+	if (count)
+		m.ask = asks[0];
+	post(f, m);
+}
+
+/* The whole fleet against one bucket of rate and burst. */
+static void note_spent(struct fake_fleet *f)
+{
+	f->level += (double)(f->now - f->level_us) * f->rate / 1e6;
+	f->level_us = f->now;
+	if (f->level > f->burst)
+		f->level = f->burst;
+	f->level -= 1;
+	f->spent++;
+	if (f->level < -1e-6)
+		f->over++;
+}
+
+static void spend(struct fake_fleet *f, uint32_t i)
+{
+	struct rate_account *a = rate_keeper_account(f->keepers[i], CUSTOMER);
+
+	atomic_fetch_add(&a->arrivals, 1);
+	if (rate_account_take(a, local(f, i))) {
+		note_spent(f);
+		return;
+	}
+	f->waiting[i]++;
+	f->wait_until[i] = f->now + 200 * MS;
+	atomic_fetch_add(&a->waiting, 1);
+	rate_keeper_wanted(f->keepers[i]);
+}
+
+static void serve_waiting(struct fake_fleet *f, uint32_t i)
+{
+	struct rate_account *a = rate_keeper_account(f->keepers[i], CUSTOMER);
+
+	while (f->waiting[i] && rate_account_take(a, local(f, i))) {
+		note_spent(f);
+		f->waiting[i]--;
+		atomic_fetch_sub(&a->waiting, 1);
+	}
+	if (f->waiting[i] && f->now >= f->wait_until[i]) {
+		f->refused += f->waiting[i];
+		atomic_fetch_sub(&a->waiting, (uint32_t)f->waiting[i]);
+		f->waiting[i] = 0;
+	}
+}
+
+static void run(struct fake_fleet *f, uint64_t us, uint32_t load_per_s)
+{
+	uint64_t until = f->now + us;
+
+	while (f->now < until) {
+		f->now += MS;
+		deliver(f);
+		if (lws_rng_below(&f->rng, 1000) < load_per_s)
+			spend(f, (uint32_t)lws_rng_below(&f->rng, INSTANCES));
+		for (uint32_t i = 0; i < INSTANCES; i++) {
+			serve_waiting(f, i);
+			ask(f, i);
+		}
+	}
+}
+
+static struct fake_fleet *fleet_up(uint64_t seed, uint32_t rate, uint32_t burst)
+{
+	struct fake_fleet *f = g_new0(struct fake_fleet, 1);
+
+	f->rng.seed = seed;
+	f->now = 1000 * LWS_US_PER_S;
+	f->rate = rate;
+	f->burst = burst;
+	f->level = burst;
+	f->level_us = f->now;
+	f->delay = 2 * MS;
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		f->keepers[i] = rate_keeper_create(NULL);
+		f->incarnation[i] = 1;
+	}
+	new_owner(f);
+	return f;
+}
+
+static void fleet_down(struct fake_fleet *f)
+{
+	talloc_free(f->owner);
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		talloc_free(f->keepers[i]);
+	while (f->messages) {
+		struct message *m = f->messages;
+
+		f->messages = m->next;
+		g_free(m);
+	}
+	g_free(f);
+}
+
+struct rate_case {
+	const char *name;
+	uint32_t loss;
+	uint32_t repeat;
+	uint64_t delay;
+	bool cuts;
+	bool restarts;
+	bool owner_changes;
+	bool skew;
+};
+
+static const struct rate_case rate_cases[] = {
+	{ "calm", 0, 0, 2 * MS, false, false, false, false },
+	{ "loss", 30, 0, 2 * MS, false, false, false, false },
+	{ "repeat-and-delay", 0, 40, 300 * MS, false, false, false, false },
+	{ "cuts", 0, 0, 2 * MS, true, false, false, false },
+	{ "restarts", 0, 0, 2 * MS, false, true, false, false },
+	{ "owner-changes", 0, 0, 2 * MS, false, false, true, false },
+	{ "clock-rates", 0, 0, 2 * MS, false, false, true, true },
+	{ "all", 20, 20, 100 * MS, true, true, true, true },
+};
+
+static void disturb(struct fake_fleet *f, const struct rate_case *c)
+{
+	uint32_t i = (uint32_t)lws_rng_below(&f->rng, INSTANCES);
+
+	if (c->cuts)
+		f->cut[i] = !f->cut[i];
+	if (c->restarts) {
+		talloc_free(f->keepers[i]);
+		f->keepers[i] = rate_keeper_create(NULL);
+		f->waiting[i] = 0;
+		f->incarnation[i]++;
+	}
+	if (c->owner_changes && lws_rng_below(&f->rng, 2))
+		new_owner(f);
+}
+
+static void test_never_over(gconstpointer data)
+{
+	const struct rate_case *c = data;
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct fake_fleet *f =
+			fleet_up(seed, 10 + (uint32_t)(seed % 5) * 40,
+				 1 + (uint32_t)(seed % 7) * 30);
+
+		f->loss = c->loss;
+		f->repeat = c->repeat;
+		f->delay = c->delay;
+		for (uint32_t i = 0; c->skew && i < INSTANCES; i++)
+			f->skew[i] = (int)lws_rng_below(&f->rng, 11) - 5;
+		for (int round = 0; round < 20; round++) {
+			disturb(f, c);
+			run(f, 300 * MS, 1000);
+		}
+		g_test_message("%s seed %" G_GUINT64_FORMAT, c->name, seed);
+		g_assert_cmpuint(f->over, ==, 0);
+		g_assert_cmpuint(f->spent, >, 0);
+		fleet_down(f);
+	}
+}
+
+/* Inside its rate a customer is never refused, at most it waits a little. */
+static void test_calm_serves_the_rate(void)
+{
+	struct fake_fleet *f = fleet_up(1, 200, 400);
+	uint64_t before;
+
+	run(f, LWS_US_PER_S, 100);
+	before = f->refused;
+	f->spent = 0;
+	run(f, 10 * LWS_US_PER_S, 100);
+	g_assert_cmpuint(f->refused - before, ==, 0);
+	g_assert_cmpuint(f->spent, >, 850);
+	fleet_down(f);
+}
+
+/* At ten times its rate it still gets its rate. */
+static void test_overload_gets_the_rate(void)
+{
+	struct fake_fleet *f = fleet_up(1, 80, 160);
+
+	run(f, 3 * LWS_US_PER_S, 800);
+	f->spent = 0;
+	run(f, 10 * LWS_US_PER_S, 800);
+	g_assert_cmpuint(f->spent, >=, 720);
+	g_assert_cmpuint(f->spent, <=, 960);
+	g_assert_cmpuint(f->over, ==, 0);
+	fleet_down(f);
+}
+
+/* A stopped process must not spend what has expired meanwhile. */
+static void test_expired_tokens(void)
+{
+	struct rate_account a = { .customer = CUSTOMER };
+
+	rate_account_grant(&a, 1000 * MS, 999 * MS, TTL, 5);
+	g_assert_true(rate_account_take(&a, 1001 * MS));
+	g_assert_false(rate_account_take(&a, 999 * MS + TTL));
+	/* A grant that arrives after its time is void. */
+	rate_account_grant(&a, 3000 * MS, 999 * MS, TTL, 5);
+	g_assert_false(rate_account_take(&a, 3000 * MS));
+}
+
+/* Admission */
+
+static void test_admission_waits(void)
+{
+	struct admission *a = admission_create(NULL);
+	struct rate_account account = { .customer = CUSTOMER };
+	struct admission_item items[8] = { 0 };
+	enum admission_verdict verdict;
+	uint64_t now = 1000 * MS;
+
+	for (int i = 0; i < 8; i++)
+		items[i] = (struct admission_item){
+			.account = &account,
+			.rate_per_s = 20,
+			.deadline_us = now + 600 * MS,
+		};
+	/* 20/s serve four in 200 ms; two more may always wait. */
+	for (int i = 0; i < 6; i++)
+		g_assert_cmpint(admission_enter(a, now, &items[i]), ==,
+				ADMISSION_WAIT);
+	g_assert_cmpint(admission_enter(a, now, &items[6]), ==,
+			ADMISSION_REFUSE);
+	g_assert_cmpuint(admission_retry_ms(&items[6]), ==, 350);
+	rate_account_grant(&account, now, now, TTL, 2);
+	g_assert_true(admission_next(a, now, &verdict) == &items[0]);
+	g_assert_cmpint(verdict, ==, ADMISSION_PASS);
+	/* A newcomer does not overtake. */
+	g_assert_cmpint(admission_enter(a, now, &items[7]), ==, ADMISSION_WAIT);
+	g_assert_true(admission_next(a, now, &verdict) == &items[1]);
+	g_assert_null(admission_next(a, now, &verdict));
+	g_assert_cmpuint(admission_next_due_us(a), ==, now + 300 * MS);
+	g_assert_true(admission_next(a, now + 300 * MS, &verdict) == &items[2]);
+	g_assert_cmpint(verdict, ==, ADMISSION_REFUSE);
+	talloc_free(a);
+}
+
+/* Queue */
+
+struct share_case {
+	uint32_t worth[3];
+	uint32_t waiting[3];
+	uint32_t served;
+	uint32_t least[3];
+};
+
+static const struct share_case share_cases[] = {
+	{ { 1, 1, 1 }, { 100, 100, 100 }, 90, { 29, 29, 29 } },
+	{ { 8, 2, 1 }, { 200, 200, 200 }, 110, { 78, 18, 9 } },
+	{ { 1, 1, 1 }, { 1000, 5, 5 }, 15, { 0, 5, 5 } },
+	{ { 1, 1000, 1 }, { 50, 50, 50 }, 55, { 1, 50, 1 } },
+};
+
+static void test_shares(void)
+{
+	for (size_t k = 0; k < G_N_ELEMENTS(share_cases); k++) {
+		const struct share_case *c = &share_cases[k];
+		struct fair_queue *q = fair_queue_create(NULL);
+		struct fair_queue_item *items =
+			g_new0(struct fair_queue_item, 1200);
+		uint32_t got[3] = { 0 };
+		uint32_t n = 0;
+
+		for (uint32_t cust = 0; cust < 3; cust++) {
+			for (uint32_t i = 0; i < c->waiting[cust]; i++) {
+				items[n].deadline_us = 1000 + cust;
+				g_assert_cmpint(fair_queue_push(q, cust,
+								c->worth[cust],
+								&items[n++]),
+						==, 0);
+			}
+		}
+		for (uint32_t i = 0; i < c->served; i++)
+			got[fair_queue_pop(q)->deadline_us - 1000]++;
+		for (int cust = 0; cust < 3; cust++)
+			g_assert_cmpuint(got[cust], >=, c->least[cust]);
+		talloc_free(q);
+		g_free(items);
+	}
+}
+
+static void test_queue_deadlines(void)
+{
+	struct fair_queue *q = fair_queue_create(NULL);
+	struct fair_queue_item late = { .deadline_us = 300 };
+	struct fair_queue_item soon = { .deadline_us = 100 };
+
+	fair_queue_push(q, 1, 1, &late);
+	fair_queue_push(q, 1, 1, &soon);
+	g_assert_cmpuint(fair_queue_next_deadline(q), ==, 100);
+	g_assert_true(fair_queue_peek(q) == &soon);
+	g_assert_null(fair_queue_expired(q, 99));
+	g_assert_true(fair_queue_expired(q, 100) == &soon);
+	g_assert_true(fair_queue_pop(q) == &late);
+	g_assert_null(fair_queue_pop(q));
+	g_assert_cmpuint(fair_queue_count(q), ==, 0);
+	talloc_free(q);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(rate_cases); i++) {
+		g_autofree char *path = g_strdup_printf("/rates/never-over/%s",
+							rate_cases[i].name);
+
+		g_test_add_data_func(path, &rate_cases[i], test_never_over);
+	}
+	g_test_add_func("/rates/calm", test_calm_serves_the_rate);
+	g_test_add_func("/rates/overload", test_overload_gets_the_rate);
+	g_test_add_func("/rates/expired", test_expired_tokens);
+	g_test_add_func("/rates/admission", test_admission_waits);
+	g_test_add_func("/rates/shares", test_shares);
+	g_test_add_func("/rates/deadlines", test_queue_deadlines);
+	return g_test_run();
+}
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -168,6 +168,10 @@
 	g_assert_cmpuint(f->over_rate, ==, 0);
 	g_assert_cmpuint(f->unanswered, ==, 0);
 	g_assert_cmpuint(f->two_answers, ==, 0);
+	g_assert_cmpuint(f->needless_promotions, ==, 0);
+	/* The checks above looked at something. */
+	g_assert_cmpuint(world_acked(w), >, 50);
+	g_assert_cmpuint(world_reads_replica(w), >, 100);
 	talloc_free(w);
 }
 
