Prove freshness of copies, leases, and the promises with real processes

test_sync: ten seeds of a tree with two relays, loss, delay and a cut; what a copy claims to hold it holds. test_daemon: kill -9 and stop of a primary, of all instances, two lost disks in a row, withdrawn keys, a cut-off instance, racing operators, refusals, foreign tokens, bytes that are no message.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SANITIZE ?=
 OPT ?= -O2
 PACKAGES = talloc tevent msgpack liburcu jansson yaml-0.1 libsodium libxxhash \
-	   libnghttp2 glib-2.0
+	   libnghttp2 glib-2.0 gio-2.0
 LIB_DIRS = common config authenticate admit route confirm control membership \
 	   wire io daemon tool
 LIB_SRCS = $(wildcard $(LIB_DIRS:%=lib/%/*.c))
--- /dev/null
+++ b/tests/support_fleet.c
@@ -0,0 +1,335 @@
+#include "support_fleet.h"
+
+#include <signal.h>
+#include <stdarg.h>
+#include <string.h>
+
+#define WAIT_ROUNDS 200
+#define WAIT_US 50000
+
+static const char *const domains[] = { "bole", "piassa", "kazanchis" };
+
+static char *program(const char *name)
+{
+	const char *build = g_getenv("LWS_BUILD");
+
+	return g_strdup_printf("%s/%s", build ? build : "build", name);
+}
+
+static GSubprocess *spawn(char **argv, const char *log)
+{
+	GSubprocessLauncher *launcher =
+		g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
+	GSubprocess *p;
+
+	g_subprocess_launcher_set_stdout_file_path(launcher, log);
+	g_subprocess_launcher_set_stderr_file_path(launcher, log);
+	p = g_subprocess_launcher_spawnv(launcher, (const char *const *)argv,
+					 NULL);
+	g_object_unref(launcher);
+	g_assert_nonnull(p);
+	return p;
+}
+
+void test_fleet_run_instance(struct test_fleet *f, uint32_t i)
+{
+	g_autofree char *log = g_strdup_printf("%s/entry-%u.log", f->dir, i);
+	g_auto(GStrv) argv = g_new0(char *, 24);
+	int n = 0;
+
+	argv[n++] = program("lacewingspand");
+	argv[n++] = g_strdup_printf("--name=entry-%u", i);
+	argv[n++] =
+		g_strdup_printf("--failure-domain=%s", domains[(i - 1) % 3]);
+	argv[n++] = g_strdup_printf("--listen=%s.%u:7400", f->net, i);
+	argv[n++] = g_strdup_printf("--peer-listen=%s.%u:7401", f->net, i);
+	argv[n++] = g_strdup_printf("--admin-listen=%s.%u:7402", f->net, i);
+	argv[n++] = g_strdup_printf("--control=%s", f->control);
+	argv[n++] = g_strdup_printf("--key-fresh-ms=%s", f->key_fresh_ms);
+	/* The sanitizers make processes slow. */
+	argv[n++] = g_strdup("--election-ms=600");
+	if (i <= 3)
+		argv[n++] = g_strdup_printf("--data=%s/data-%u", f->dir, i);
+	g_clear_object(&f->instance[i]);
+	f->instance[i] = spawn(argv, log);
+}
+
+void test_fleet_run_endpoint(struct test_fleet *f, uint32_t i)
+{
+	g_autofree char *log = g_strdup_printf("%s/e%u.log", f->dir, i);
+	g_auto(GStrv) argv = g_new0(char *, 24);
+	int n = 0;
+
+	argv[n++] = program("standin");
+	argv[n++] = g_strdup_printf("--listen=%s.%u:7500", f->net, i);
+	argv[n++] = g_strdup("--group=bookings-1");
+	argv[n++] = g_strdup_printf("--id=e%u", i);
+	argv[n++] =
+		g_strdup_printf("--failure-domain=%s", domains[(i - 1) % 3]);
+	argv[n++] = g_strdup_printf("--announce=%s", f->admin);
+	argv[n++] = g_strdup_printf("--data=%s/e%u.db", f->dir, i);
+	g_clear_object(&f->endpoint[i]);
+	f->endpoint[i] = spawn(argv, log);
+}
+
+static char *addresses(const struct test_fleet *f, int port)
+{
+	return g_strdup_printf("%s.1:%d,%s.2:%d,%s.3:%d", f->net, port, f->net,
+			       port, f->net, port);
+}
+
+static bool has_primary(struct test_fleet *f)
+{
+	return test_fleet_primary(f) != 0;
+}
+
+static bool bootstrapped(struct test_fleet *f)
+{
+	return test_fleet_tool(f, NULL, NULL, "bootstrap", NULL) == 0;
+}
+
+struct test_fleet *test_fleet_start(void)
+{
+	struct test_fleet *f = g_new0(struct test_fleet, 1);
+
+	g_snprintf(f->net, sizeof(f->net), "127.%d.%d",
+		   g_random_int_range(10, 250), g_random_int_range(1, 250));
+	f->dir = g_dir_make_tmp("lws-test-XXXXXX", NULL);
+	f->instances = 3;
+	f->admin = addresses(f, 7402);
+	f->control = addresses(f, 7401);
+	f->key_fresh_ms = "3000";
+	for (uint32_t i = 1; i <= 3; i++)
+		test_fleet_run_instance(f, i);
+	g_assert_true(test_fleet_wait(f, bootstrapped));
+	for (uint32_t i = 1; i <= 3; i++)
+		test_fleet_run_endpoint(f, i);
+	g_assert_cmpint(
+		test_fleet_tool(f, NULL, NULL, "apply", "examples/abay", NULL),
+		==, 0);
+	g_assert_true(test_fleet_wait(f, has_primary));
+	return f;
+}
+
+static void end(GSubprocess **p)
+{
+	if (!*p)
+		return;
+	g_subprocess_send_signal(*p, SIGCONT);
+	g_subprocess_force_exit(*p);
+	g_subprocess_wait(*p, NULL, NULL);
+	g_clear_object(p);
+}
+
+void test_fleet_stop(struct test_fleet *f)
+{
+	g_autofree char *remove = g_strdup_printf("rm -rf '%s'", f->dir);
+
+	for (int i = 0; i < FLEET_PROCESSES_MAX; i++) {
+		end(&f->instance[i]);
+		end(&f->endpoint[i]);
+	}
+	g_spawn_command_line_sync(remove, NULL, NULL, NULL, NULL);
+	json_decref(f->answer);
+	g_free(f->session);
+	g_free(f->tx);
+	g_free(f->admin);
+	g_free(f->control);
+	g_free(f->dir);
+	g_free(f);
+}
+
+void test_fleet_signal(struct test_fleet *f, uint32_t i, int signum)
+{
+	g_subprocess_send_signal(f->instance[i], signum);
+}
+
+void test_fleet_signal_endpoint(struct test_fleet *f, uint32_t i, int signum)
+{
+	g_subprocess_send_signal(f->endpoint[i], signum);
+	if (signum == SIGKILL)
+		g_subprocess_wait(f->endpoint[i], NULL, NULL);
+}
+
+int test_fleet_wait_exit(struct test_fleet *f, uint32_t i)
+{
+	g_subprocess_wait(f->instance[i], NULL, NULL);
+	return g_subprocess_get_if_exited(f->instance[i])
+		       ? g_subprocess_get_exit_status(f->instance[i])
+		       : -1;
+}
+
+void test_fleet_wipe_disk(struct test_fleet *f, uint32_t i)
+{
+	g_autofree char *command =
+		g_strdup_printf("rm -rf '%s/data-%u'", f->dir, i);
+
+	g_spawn_command_line_sync(command, NULL, NULL, NULL, NULL);
+}
+
+/* Callers */
+
+static void keep_header(const char *line, const char *name, char **out)
+{
+	size_t len = strlen(name);
+
+	if (g_ascii_strncasecmp(line, name, len) != 0 || line[len] != ':')
+		return;
+	g_free(*out);
+	*out = g_strstrip(g_strdup(line + len + 1));
+}
+
+/* Headers, an empty line, then the body. */
+static void parse_answer(struct test_fleet *f, char *text)
+{
+	char *body = strstr(text, "\r\n\r\n");
+	g_auto(GStrv) lines = NULL;
+
+	f->status = 0;
+	json_decref(f->answer);
+	f->answer = NULL;
+	if (!body)
+		return;
+	*body = '\0';
+	lines = g_strsplit(text, "\r\n", -1);
+	if (lines[0] && strlen(lines[0]) > 7)
+		f->status = (uint16_t)g_ascii_strtoull(lines[0] + 7, NULL, 10);
+	for (int i = 1; lines[i]; i++) {
+		keep_header(lines[i], "lws-session", &f->session);
+		keep_header(lines[i], "lws-tx", &f->tx);
+	}
+	f->answer = json_loads(body + 4, 0, NULL);
+}
+
+uint16_t test_fleet_call(struct test_fleet *f, uint32_t i, const char *method,
+			 const char *path, const char *key, const char *body)
+{
+	g_autoptr(GPtrArray) argv = g_ptr_array_new_with_free_func(g_free);
+	g_autoptr(GSubprocess) p = NULL;
+	g_autofree char *out = NULL;
+
+	g_ptr_array_add(argv, g_strdup("curl"));
+	g_ptr_array_add(argv, g_strdup("-si"));
+	g_ptr_array_add(argv, g_strdup("--http2-prior-knowledge"));
+	g_ptr_array_add(argv, g_strdup("--max-time"));
+	g_ptr_array_add(argv, g_strdup("20"));
+	g_ptr_array_add(argv, g_strdup("-X"));
+	g_ptr_array_add(argv, g_strdup(method));
+	if (key) {
+		g_ptr_array_add(argv, g_strdup("-H"));
+		g_ptr_array_add(argv, g_strdup_printf("lws-key: %s", key));
+	}
+	if (f->session) {
+		g_ptr_array_add(argv, g_strdup("-H"));
+		g_ptr_array_add(argv,
+				g_strdup_printf("lws-session: %s", f->session));
+	}
+	if (body) {
+		g_ptr_array_add(argv, g_strdup("-d"));
+		g_ptr_array_add(argv, g_strdup(body));
+	}
+	g_ptr_array_add(
+		argv, g_strdup_printf("http://%s.%u:7400%s", f->net, i, path));
+	g_ptr_array_add(argv, NULL);
+	p = g_subprocess_newv((const char *const *)argv->pdata,
+			      G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL);
+	g_subprocess_communicate_utf8(p, NULL, NULL, &out, NULL, NULL);
+	parse_answer(f, out);
+	return f->status;
+}
+
+/* Operators */
+
+int test_fleet_tool(struct test_fleet *f, char **out, const char *input,
+		    const char *arg, ...)
+{
+	g_autoptr(GPtrArray) argv = g_ptr_array_new_with_free_func(g_free);
+	g_autoptr(GSubprocess) p = NULL;
+	g_autofree char *text = NULL;
+	g_autofree char *errors = NULL;
+	va_list ap;
+
+	g_ptr_array_add(argv, program("lacewingspan"));
+	g_ptr_array_add(argv, g_strdup_printf("--admin=%s", f->admin));
+	va_start(ap, arg);
+	for (; arg; arg = va_arg(ap, const char *))
+		g_ptr_array_add(argv, g_strdup(arg));
+	va_end(ap);
+	g_ptr_array_add(argv, NULL);
+	p = g_subprocess_newv((const char *const *)argv->pdata,
+			      G_SUBPROCESS_FLAGS_STDIN_PIPE |
+				      G_SUBPROCESS_FLAGS_STDOUT_PIPE |
+				      G_SUBPROCESS_FLAGS_STDERR_PIPE,
+			      NULL);
+	g_subprocess_communicate_utf8(p, input, NULL, &text, &errors, NULL);
+	if (out)
+		*out = g_steal_pointer(&text);
+	return g_subprocess_get_exit_status(p);
+}
+
+char *test_fleet_key(struct test_fleet *f, const char *customer)
+{
+	char *key = NULL;
+
+	g_assert_cmpint(
+		test_fleet_tool(f, &key, NULL, "key", "give", customer, NULL),
+		==, 0);
+	return g_strstrip(key);
+}
+
+json_t *test_fleet_status(struct test_fleet *f, uint32_t i)
+{
+	g_autofree char *addr =
+		g_strdup_printf("--admin=%s.%u:7402", f->net, i);
+	g_autofree char *out = NULL;
+
+	if (test_fleet_tool(f, &out, NULL, addr, "--timeout-ms=200", "--json",
+			    "status", NULL) != 0)
+		return NULL;
+	return json_loads(out, 0, NULL);
+}
+
+uint32_t test_fleet_primary(struct test_fleet *f)
+{
+	g_autofree char *out = NULL;
+	const char *name = "";
+	json_t *status;
+	uint32_t number = 0;
+
+	if (test_fleet_tool(f, &out, NULL, "--json", "status", NULL) != 0)
+		return 0;
+	status = json_loads(out, 0, NULL);
+	if (json_array_size(json_object_get(status, "groups")))
+		name = json_string_value(json_object_get(
+			json_array_get(json_object_get(status, "groups"), 0),
+			"primary"));
+	if (name && strlen(name) == 2)
+		number = (uint32_t)(name[1] - '0');
+	json_decref(status);
+	return number;
+}
+
+uint32_t test_fleet_leader(struct test_fleet *f)
+{
+	for (uint32_t i = 1; i <= 3; i++) {
+		json_t *status = test_fleet_status(f, i);
+		const char *role =
+			json_string_value(json_object_get(status, "role"));
+		bool leads = role && strcmp(role, "leader") == 0;
+
+		json_decref(status);
+		if (leads)
+			return i;
+	}
+	return 0;
+}
+
+bool test_fleet_wait(struct test_fleet *f, bool (*ready)(struct test_fleet *f))
+{
+	for (int i = 0; i < WAIT_ROUNDS; i++) {
+		if (ready(f))
+			return true;
+		g_usleep(WAIT_US);
+	}
+	return false;
+}
--- /dev/null
+++ b/tests/test_daemon.c
@@ -0,0 +1,396 @@
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <string.h>
+
+#include "support_fleet.h"
+
+/**
+ * DOC: Real processes: kills, stops, lost disks, bad input.
+ *
+ * These tests wait for things to happen, up to a generous time; how fast they
+ * happen is measured under virtual time.
+ */
+
+#define BOOK "/booking/book"
+#define PLACES "/booking/places?key="
+
+static const char *error_of(const struct test_fleet *f)
+{
+	const char *error =
+		json_string_value(json_object_get(f->answer, "error"));
+
+	return error ? error : "";
+}
+
+static const char *value_of(const struct test_fleet *f)
+{
+	const char *value =
+		json_string_value(json_object_get(f->answer, "value"));
+
+	return value ? value : "";
+}
+
+/* Write until it is acknowledged; a refusal says when to come back. */
+static bool write_soon(struct test_fleet *f, uint32_t i, const char *key,
+		       const char *body)
+{
+	for (int tries = 0; tries < 20; tries++) {
+		if (test_fleet_call(f, i, "POST", BOOK, key, body) == 200)
+			return true;
+		if (json_is_false(json_object_get(f->answer, "not_run")))
+			return false;
+		g_usleep(100000);
+	}
+	return false;
+}
+
+static void test_path(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *key = test_fleet_key(f, "parents-portal");
+
+	g_assert_true(write_soon(f, 1, key, "{\"key\":\"a\",\"value\":\"1\"}"));
+	g_assert_nonnull(f->session);
+	for (uint32_t i = 1; i <= 3; i++) {
+		g_assert_cmpuint(
+			test_fleet_call(f, i, "GET", PLACES "a", key, NULL), ==,
+			200);
+		g_assert_cmpstr(value_of(f), ==, "1");
+	}
+	test_fleet_stop(f);
+}
+
+struct refusal_case {
+	const char *method;
+	const char *path;
+	bool with_key;
+	const char *body;
+	uint16_t status;
+	const char *error;
+};
+
+static const struct refusal_case refusals[] = {
+	{ "GET", "/", true, NULL, 404, "route_unknown" },
+	{ "GET", "/booking", true, NULL, 404, "route_unknown" },
+	{ "GET", "/booking/nothing", true, NULL, 404, "route_unknown" },
+	{ "GET", "/nothing/places", true, NULL, 404, "route_unknown" },
+	{ "GET", "/_lws/config", true, NULL, 404, "route_unknown" },
+	{ "GET", BOOK, true, NULL, 405, "method_not_allowed" },
+	{ "POST", "/booking/places", true, "{}", 405, "method_not_allowed" },
+	{ "POST", BOOK, false, "{}", 401, "key_missing" },
+	{ "POST", BOOK, true, "{\"key\":", 400, "body_format" },
+	{ "POST", BOOK, true, "{\"a\":1,\"a\":2}", 400, "body_format" },
+	{ "POST", "/booking/_tx/commit", true, "{}", 409, "tx_unknown" },
+	{ "POST", "/booking/_tx/other", true, "{}", 404, "route_unknown" },
+};
+
+static void test_refusals(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *key = test_fleet_key(f, "schools");
+	g_autofree char *big = g_strnfill(70000, '1');
+
+	for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
+		const struct refusal_case *c = &refusals[i];
+
+		g_assert_cmpuint(test_fleet_call(f, 1, c->method, c->path,
+						 c->with_key ? key : NULL,
+						 c->body),
+				 ==, c->status);
+		g_assert_cmpstr(error_of(f), ==, c->error);
+		g_assert_true(
+			json_is_true(json_object_get(f->answer, "not_run")));
+	}
+	g_assert_cmpuint(test_fleet_call(f, 1, "POST", BOOK, "lwk_no", "{}"),
+			 ==, 401);
+	g_assert_cmpuint(test_fleet_call(f, 1, "POST", BOOK, key, big), ==,
+			 413);
+	f->session = g_strdup("AAAA");
+	g_assert_cmpuint(test_fleet_call(f, 1, "GET", PLACES "a", key, NULL),
+			 ==, 400);
+	g_assert_cmpstr(error_of(f), ==, "token_bad");
+	/* Nobody else was touched. */
+	g_clear_pointer(&f->session, g_free);
+	g_assert_cmpuint(test_fleet_call(f, 1, "GET", PLACES "a", key, NULL),
+			 ==, 200);
+	test_fleet_stop(f);
+}
+
+static void test_foreign_token(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *a = test_fleet_key(f, "schools");
+	g_autofree char *b = test_fleet_key(f, "guides");
+
+	g_assert_true(write_soon(f, 1, a, "{\"key\":\"a\",\"value\":\"1\"}"));
+	g_assert_cmpuint(test_fleet_call(f, 2, "GET", PLACES "a", b, NULL), ==,
+			 403);
+	g_assert_cmpstr(error_of(f), ==, "token_foreign");
+	test_fleet_stop(f);
+}
+
+static void test_withdrawn_key(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *key = test_fleet_key(f, "schools");
+	gint64 until;
+
+	g_assert_cmpuint(test_fleet_call(f, 2, "GET", PLACES "a", key, NULL),
+			 ==, 200);
+	g_assert_cmpint(test_fleet_tool(f, NULL, key, "key", "withdraw", NULL),
+			==, 0);
+	/* The bound is the promise: five seconds. */
+	until = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
+	while (test_fleet_call(f, 2, "GET", PLACES "a", key, NULL) == 200)
+		g_assert_cmpint(g_get_monotonic_time(), <, until);
+	g_assert_cmpstr(error_of(f), ==, "key_unknown");
+	test_fleet_stop(f);
+}
+
+/* An instance that hears from no control instance serves open routes only. */
+static void test_cut_off_instance(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *key = test_fleet_key(f, "schools");
+	uint32_t leader = test_fleet_leader(f);
+	uint32_t other = leader % 3 + 1;
+	uint32_t third = other % 3 + 1;
+	gint64 until = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
+
+	g_assert_cmpuint(
+		test_fleet_call(f, other, "GET", PLACES "a", key, NULL), ==,
+		200);
+	test_fleet_signal(f, leader, SIGSTOP);
+	test_fleet_signal(f, third, SIGSTOP);
+	while (test_fleet_call(f, other, "GET", PLACES "a", key, NULL) == 200)
+		g_assert_cmpint(g_get_monotonic_time(), <, until);
+	g_usleep(3 * G_USEC_PER_SEC);
+	test_fleet_call(f, other, "GET", PLACES "a", key, NULL);
+	g_assert_cmpstr(error_of(f), ==, "key_unconfirmed");
+	g_assert_cmpuint(test_fleet_call(f, other, "GET", "/booking/programme",
+					 NULL, NULL),
+			 ==, 200);
+	test_fleet_signal(f, leader, SIGCONT);
+	test_fleet_signal(f, third, SIGCONT);
+	until = g_get_monotonic_time() + 10 * G_USEC_PER_SEC;
+	while (test_fleet_call(f, other, "GET", PLACES "a", key, NULL) != 200)
+		g_assert_cmpint(g_get_monotonic_time(), <, until);
+	test_fleet_stop(f);
+}
+
+static void test_racing_operators(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *out = NULL;
+
+	/* Version 1 stands: of two with the same number one wins. */
+	g_assert_cmpint(test_fleet_tool(f, NULL, NULL, "--expect=1", "apply",
+					"examples/abay", NULL),
+			==, 0);
+	g_assert_cmpint(test_fleet_tool(f, &out, NULL, "--json", "--expect=1",
+					"apply", "examples/refugio", NULL),
+			==, 4);
+	g_assert_nonnull(strstr(out, "\"version\": 2"));
+	test_fleet_stop(f);
+}
+
+static uint32_t killed_primary;
+
+static bool other_primary(struct test_fleet *f)
+{
+	uint32_t primary = test_fleet_primary(f);
+
+	return primary && primary != killed_primary;
+}
+
+static void test_primary_killed(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *key = test_fleet_key(f, "guides");
+
+	g_assert_true(write_soon(f, 1, key, "{\"key\":\"a\",\"value\":\"1\"}"));
+	killed_primary = test_fleet_primary(f);
+	test_fleet_signal_endpoint(f, killed_primary, SIGKILL);
+	g_assert_true(test_fleet_wait(f, other_primary));
+	g_assert_true(write_soon(f, 2, key, "{\"key\":\"b\",\"value\":\"2\"}"));
+	g_assert_cmpuint(test_fleet_call(f, 3, "GET", PLACES "a", key, NULL),
+			 ==, 200);
+	g_assert_cmpstr(value_of(f), ==, "1");
+	/* The old one comes back as a follower, nothing is lost. */
+	test_fleet_run_endpoint(f, killed_primary);
+	g_assert_true(write_soon(f, 2, key, "{\"key\":\"c\",\"value\":\"3\"}"));
+	test_fleet_stop(f);
+}
+
+static void test_primary_stopped(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *key = test_fleet_key(f, "guides");
+
+	g_assert_true(write_soon(f, 1, key, "{\"key\":\"a\",\"value\":\"1\"}"));
+	killed_primary = test_fleet_primary(f);
+	test_fleet_signal_endpoint(f, killed_primary, SIGSTOP);
+	g_assert_true(test_fleet_wait(f, other_primary));
+	g_assert_true(write_soon(f, 2, key, "{\"key\":\"b\",\"value\":\"2\"}"));
+	/* It goes on and believes to be primary: no write is acknowledged. */
+	test_fleet_signal_endpoint(f, killed_primary, SIGCONT);
+	g_assert_true(write_soon(f, 1, key, "{\"key\":\"c\",\"value\":\"3\"}"));
+	for (uint32_t i = 1; i <= 3; i++) {
+		test_fleet_call(f, i, "GET", PLACES "b", key, NULL);
+		g_assert_cmpstr(value_of(f), ==, "2");
+		test_fleet_call(f, i, "GET", PLACES "c", key, NULL);
+		g_assert_cmpstr(value_of(f), ==, "3");
+	}
+	test_fleet_stop(f);
+}
+
+static bool has_leader(struct test_fleet *f)
+{
+	return test_fleet_leader(f) != 0;
+}
+
+static void test_all_instances_killed(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *key = test_fleet_key(f, "guides");
+	g_autofree char *out = NULL;
+
+	g_assert_true(write_soon(f, 1, key, "{\"key\":\"a\",\"value\":\"1\"}"));
+	for (uint32_t i = 1; i <= 3; i++)
+		test_fleet_signal(f, i, SIGKILL);
+	for (uint32_t i = 1; i <= 3; i++) {
+		test_fleet_wait_exit(f, i);
+		test_fleet_run_instance(f, i);
+	}
+	g_assert_true(test_fleet_wait(f, has_leader));
+	g_assert_cmpint(test_fleet_tool(f, &out, NULL, "--json", "show", NULL),
+			==, 0);
+	g_assert_nonnull(strstr(out, "\"version\": 1"));
+	g_assert_true(write_soon(f, 2, key, "{\"key\":\"b\",\"value\":\"2\"}"));
+	test_fleet_call(f, 3, "GET", PLACES "a", key, NULL);
+	g_assert_cmpstr(value_of(f), ==, "1");
+	test_fleet_stop(f);
+}
+
+static uint32_t repaired;
+static uint64_t member_before;
+
+static uint64_t member_in_voters(struct test_fleet *f, uint32_t i)
+{
+	g_autofree char *name = g_strdup_printf("entry-%u", i);
+	uint32_t leader = test_fleet_leader(f);
+	json_t *status = leader ? test_fleet_status(f, leader) : NULL;
+	json_t *voters = json_object_get(status, "voters");
+	uint64_t member = 0;
+	size_t k;
+	json_t *v;
+
+	json_array_foreach(voters, k, v)
+	{
+		if (strcmp(json_string_value(json_object_get(v, "name")),
+			   name) == 0)
+			member = (uint64_t)json_integer_value(
+				json_object_get(v, "member"));
+	}
+	if (json_array_size(voters) != 3)
+		member = 0;
+	json_decref(status);
+	return member;
+}
+
+static bool is_repaired(struct test_fleet *f)
+{
+	uint64_t member = member_in_voters(f, repaired);
+
+	return member && member != member_before;
+}
+
+static void lose_disk(struct test_fleet *f, uint32_t i)
+{
+	repaired = i;
+	member_before = member_in_voters(f, i);
+	g_assert_cmpuint(member_before, !=, 0);
+	test_fleet_signal(f, i, SIGKILL);
+	test_fleet_wait_exit(f, i);
+	test_fleet_wipe_disk(f, i);
+	test_fleet_run_instance(f, i);
+	g_assert_true(test_fleet_wait(f, is_repaired));
+}
+
+/* Two disks are lost, the second right after the repair of the first. */
+static void test_lost_disks(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *key = test_fleet_key(f, "guides");
+	g_autofree char *out = NULL;
+
+	g_assert_true(write_soon(f, 1, key, "{\"key\":\"a\",\"value\":\"1\"}"));
+	lose_disk(f, 1);
+	lose_disk(f, 2);
+	g_assert_cmpint(test_fleet_tool(f, &out, NULL, "--json", "show", NULL),
+			==, 0);
+	g_assert_nonnull(strstr(out, "\"version\": 1"));
+	g_assert_true(write_soon(f, 3, key, "{\"key\":\"b\",\"value\":\"2\"}"));
+	test_fleet_stop(f);
+}
+
+static void test_graceful_stop(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *key = test_fleet_key(f, "guides");
+	uint32_t leader = test_fleet_leader(f);
+
+	g_assert_true(write_soon(f, 1, key, "{\"key\":\"a\",\"value\":\"1\"}"));
+	test_fleet_signal(f, leader, SIGTERM);
+	g_assert_cmpint(test_fleet_wait_exit(f, leader), ==, 0);
+	g_assert_true(write_soon(f, leader % 3 + 1, key,
+				 "{\"key\":\"b\",\"value\":\"2\"}"));
+	test_fleet_stop(f);
+}
+
+/* Bytes that are no message end that connection and nothing else. */
+static void test_bad_peer_bytes(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	static const char *const bytes[] = { "\\xff\\xff\\xff\\xff",
+					     "\\x00\\x00\\x00\\x00",
+					     "\\x00\\x00\\x00\\x02ab",
+					     "GET / HTTP/1.1\\r\\n\\r\\n" };
+	g_autofree char *admin = g_strdup_printf("--admin=%s.1:7402", f->net);
+	g_autofree char *out = NULL;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bytes); i++) {
+		g_autofree char *command = g_strdup_printf(
+			"bash -c \"printf '%s' > /dev/tcp/%s.1/7401\"",
+			bytes[i], f->net);
+
+		g_spawn_command_line_sync(command, NULL, NULL, NULL, NULL);
+	}
+	g_usleep(300000);
+	g_assert_cmpint(test_fleet_tool(f, &out, NULL, admin, "counters", NULL),
+			==, 0);
+	g_assert_nonnull(strstr(out, "refused_wire_too_big"));
+	g_assert_nonnull(strstr(out, "refused_wire_format"));
+	test_fleet_stop(f);
+}
+
+#define ADD(path, fn) g_test_add_func("/daemon/" path, fn)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("path", test_path);
+	ADD("refusals", test_refusals);
+	ADD("foreign-token", test_foreign_token);
+	ADD("withdrawn-key", test_withdrawn_key);
+	ADD("cut-off-instance", test_cut_off_instance);
+	ADD("racing-operators", test_racing_operators);
+	ADD("primary-killed", test_primary_killed);
+	ADD("primary-stopped", test_primary_stopped);
+	ADD("all-killed", test_all_instances_killed);
+	ADD("lost-disks", test_lost_disks);
+	ADD("graceful-stop", test_graceful_stop);
+	ADD("bad-peer-bytes", test_bad_peer_bytes);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_sync.c
@@ -0,0 +1,368 @@
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "instances.h"
+#include "lease.h"
+#include "lws_error.h"
+#include "lws_rng.h"
+#include "lws_str.h"
+#include "lws_time.h"
+#include "sync.h"
+
+/**
+ * DOC: What a copy of the state may claim: through relays, delays and cuts an
+ * instance that counts its copy as confirmed at a time holds everything that
+ * was accepted before it. Leases of endpoints and instances.
+ */
+
+#define MS LWS_US_PER_MS
+#define NODES 7
+#define FRESH_US (3000 * MS)
+
+/* A root, two relays, four leaves; a message is a question or an answer. */
+struct link_msg {
+	struct link_msg *next;
+	uint64_t due_us;
+	uint32_t from;
+	uint32_t to;
+	bool reply;
+	uint64_t stamp_us;
+	uint64_t have;
+	bool confirmed;
+};
+
+struct tree {
+	uint64_t now;
+	struct lws_rng rng;
+	uint64_t index[NODES];
+	struct sync_client client[NODES];
+	struct sync_questions *questions[NODES];
+	bool cut[NODES];
+	struct link_msg *messages;
+	/* when each index was accepted at the root */
+	uint64_t accepted[4096];
+};
+
+static uint32_t parent_of(uint32_t n)
+{
+	return (n - 1) / 2;
+}
+
+/* Clocks of nodes differ by whole minutes. */
+static uint64_t clock_of(const struct tree *t, uint32_t n)
+{
+	return t->now + n * 60 * LWS_US_PER_S;
+}
+
+static void post(struct tree *t, struct link_msg m)
+{
+	struct link_msg *copy;
+
+	if (t->cut[m.from] || t->cut[m.to] || lws_rng_below(&t->rng, 100) < 5)
+		return;
+	copy = g_new(struct link_msg, 1);
+	*copy = m;
+	copy->due_us = t->now + 200 + lws_rng_below(&t->rng, 20 * MS);
+	copy->next = t->messages;
+	t->messages = copy;
+}
+
+static void ask(struct tree *t, uint32_t n)
+{
+	enum sync_step step = sync_client_step(&t->client[n], clock_of(t, n));
+
+	if (step == SYNC_WAIT)
+		return;
+	sync_client_asked(&t->client[n], clock_of(t, n));
+	post(t, (struct link_msg){ .from = n,
+				   .to = parent_of(n),
+				   .stamp_us = clock_of(t, n),
+				   .have = t->index[n] });
+}
+
+static void answer(struct tree *t, uint32_t n)
+{
+	uint64_t confirmed = n ? t->client[n].confirmed_us : clock_of(t, 0);
+	struct sync_question q;
+
+	while (sync_questions_take(t->questions[n], confirmed, &q))
+		post(t, (struct link_msg){ .from = n,
+					   .to = GPOINTER_TO_UINT(q.child),
+					   .reply = true,
+					   .stamp_us = q.stamp_us,
+					   .have = t->index[n],
+					   .confirmed = true });
+}
+
+static void take(struct tree *t, const struct link_msg *m)
+{
+	struct sync_question q = { .child = GUINT_TO_POINTER(m->from),
+				   .have_index = m->have,
+				   .stamp_us = m->stamp_us,
+				   .arrived_us = clock_of(t, m->to) };
+
+	if (!m->reply) {
+		(void)sync_questions_add(t->questions[m->to], &q);
+		return;
+	}
+	if (m->have > t->index[m->to])
+		t->index[m->to] = m->have;
+	sync_client_reply(&t->client[m->to], clock_of(t, m->to), m->stamp_us,
+			  m->confirmed);
+}
+
+static void check_claims(const struct tree *t)
+{
+	for (uint32_t n = 1; n < NODES; n++) {
+		uint64_t claim = t->client[n].confirmed_us;
+		uint64_t missing = t->index[n] + 1;
+
+		if (!claim || missing > t->index[0])
+			continue;
+		/* The first change that it lacks was accepted later. */
+		g_assert_cmpuint(t->accepted[missing] + n * 60 * LWS_US_PER_S,
+				 >=, claim);
+	}
+}
+
+static void step_tree(struct tree *t)
+{
+	struct link_msg *all = t->messages;
+
+	t->now += MS;
+	t->messages = NULL;
+	while (all) {
+		struct link_msg *m = all;
+
+		all = m->next;
+		if (m->due_us > t->now) {
+			m->next = t->messages;
+			t->messages = m;
+			continue;
+		}
+		take(t, m);
+		g_free(m);
+	}
+	if (lws_rng_below(&t->rng, 100) < 2 && t->index[0] < 4000)
+		t->accepted[++t->index[0]] = t->now;
+	for (uint32_t n = 0; n < NODES; n++) {
+		if (n)
+			ask(t, n);
+		answer(t, n);
+	}
+	check_claims(t);
+}
+
+static void test_claims(void)
+{
+	for (uint64_t seed = 1; seed <= 10; seed++) {
+		struct tree t = { .now = 1000 * LWS_US_PER_S,
+				  .rng = { .seed = seed } };
+		uint64_t cut_at = 0;
+
+		for (uint32_t n = 0; n < NODES; n++) {
+			t.client[n].poll_us = 100 * MS;
+			t.client[n].timeout_us = 300 * MS;
+			t.questions[n] = g_new0(struct sync_questions, 1);
+		}
+		for (int i = 0; i < 12000; i++) {
+			if (i == 4000) {
+				t.cut[1] = true;
+				cut_at = t.now;
+			}
+			if (i == 9000) {
+				/* Node 3 hangs behind node 1. */
+				g_assert_cmpuint(t.client[3].confirmed_us, <=,
+						 cut_at + 180 * LWS_US_PER_S);
+				g_assert_cmpuint(
+					clock_of(&t, 3) -
+						t.client[3].confirmed_us,
+					>, FRESH_US);
+				t.cut[1] = false;
+			}
+			step_tree(&t);
+		}
+		/* Whoever is connected is fresh. */
+		for (uint32_t n = 1; n < NODES; n++)
+			g_assert_cmpuint(clock_of(&t, n) -
+						 t.client[n].confirmed_us,
+					 <, FRESH_US);
+		while (t.messages) {
+			struct link_msg *m = t.messages;
+
+			t.messages = m->next;
+			g_free(m);
+		}
+		for (uint32_t n = 0; n < NODES; n++)
+			g_free(t.questions[n]);
+	}
+}
+
+/* An answer to an older question must not extend a newer claim. */
+static void test_late_reply(void)
+{
+	struct sync_client c = { .poll_us = 100, .timeout_us = 300 };
+
+	sync_client_asked(&c, 1000);
+	g_assert_cmpint(sync_client_step(&c, 1299), ==, SYNC_WAIT);
+	g_assert_cmpint(sync_client_step(&c, 1300), ==, SYNC_NEXT_PARENT);
+	sync_client_asked(&c, 1300);
+	sync_client_reply(&c, 1400, 1000, true);
+	g_assert_cmpuint(c.confirmed_us, ==, 1000);
+	sync_client_reply(&c, 1500, 1300, false);
+	g_assert_cmpuint(c.confirmed_us, ==, 1000);
+	sync_client_reply(&c, 1600, 0, true);
+	g_assert_cmpuint(c.confirmed_us, ==, 1000);
+}
+
+static void test_log_or_snapshot(void)
+{
+	struct fleet *fleet = fleet_create(NULL);
+	struct sync_log *log = sync_log_create(NULL);
+	struct wire_sync_reply r = { 0 };
+
+	for (uint64_t i = 1; i <= 600; i++)
+		sync_log_push(log, i, (const uint8_t *)"c", i % 2);
+	fleet->applied_index = 600;
+	sync_log_fill(log, fleet, 600, fleet, &r);
+	g_assert_true(!r.count && !r.snapshot_len);
+	sync_log_fill(log, fleet, 590, fleet, &r);
+	g_assert_cmpuint(r.count, ==, 10);
+	g_assert_cmpuint(r.entries[0].index, ==, 591);
+	memset(&r, 0, sizeof(r));
+	sync_log_fill(log, fleet, 50, fleet, &r);
+	g_assert_true(!r.count && r.snapshot_len);
+	memset(&r, 0, sizeof(r));
+	sync_log_fill(log, fleet, 0, fleet, &r);
+	g_assert_true(!r.count && r.snapshot_len);
+	talloc_free(log);
+	talloc_free(fleet);
+}
+
+/* Leases */
+
+static struct fleet_endpoint endpoint(const char *addr)
+{
+	struct fleet_endpoint e = { .id = "e1", .failure_domain = "d1" };
+
+	LWS_STR_COPY(e.addr, addr);
+	return e;
+}
+
+static int announce(struct lease_table *t, struct fleet *fleet, uint64_t now,
+		    const char *addr, bool leaving)
+{
+	struct fleet_endpoint e = endpoint(addr);
+	struct fleet_command c;
+	int rc = lease_announce(t, now, fleet, "g", &e, leaving, 1000, &c);
+
+	if (rc > 0)
+		fleet_apply(fleet, fleet->applied_index + 1, &c);
+	return rc;
+}
+
+static void test_leases(void)
+{
+	struct fleet *fleet = fleet_create(NULL);
+	uint64_t now = 100 * LWS_US_PER_S;
+	struct lease_table *t = lease_create(NULL, fleet, now);
+	struct fleet_command c;
+
+	g_assert_cmpint(announce(t, fleet, now, "1.1.1.1:1", false), ==, 1);
+	g_assert_true(fleet->groups[0].endpoint[0].present);
+	/* Renewals are no commands. */
+	for (int i = 0; i < 20; i++) {
+		now += 400 * MS;
+		g_assert_cmpint(announce(t, fleet, now, "1.1.1.1:1", false), ==,
+				0);
+		g_assert_false(lease_expired(t, now, fleet, &c));
+	}
+	/* A new address is told. */
+	g_assert_cmpint(announce(t, fleet, now, "1.1.1.1:2", false), ==, 1);
+	g_assert_cmpstr(fleet->groups[0].endpoint[0].addr, ==, "1.1.1.1:2");
+	/* Silence ends it after the lease. */
+	g_assert_false(lease_expired(t, now + 999 * MS, fleet, &c));
+	g_assert_true(lease_expired(t, now + 1000 * MS, fleet, &c));
+	g_assert_cmpint(c.type, ==, FLEET_ENDPOINT_LEAVE);
+	fleet_apply(fleet, fleet->applied_index + 1, &c);
+	now += 5 * LWS_US_PER_S;
+	g_assert_cmpint(announce(t, fleet, now, "1.1.1.1:2", false), ==, 1);
+	/* Leaving counts at once, and only once. */
+	now += LWS_US_PER_S;
+	g_assert_cmpint(announce(t, fleet, now, "1.1.1.1:2", true), ==, 1);
+	g_assert_false(fleet->groups[0].endpoint[0].present);
+	g_assert_cmpint(announce(t, fleet, now + MS, "1.1.1.1:2", true), ==, 0);
+	talloc_free(t);
+	talloc_free(fleet);
+}
+
+struct announce_case {
+	const char *group;
+	const char *id;
+	const char *domain;
+};
+
+static void test_bad_announcements(void)
+{
+	static const struct announce_case cases[] = {
+		{ "", "e", "d" },
+		{ "g", "", "d" },
+		{ "g", "e", "" },
+		{ "g/x", "e", "d" },
+	};
+	struct fleet *fleet = fleet_create(NULL);
+	struct lease_table *t = lease_create(NULL, fleet, 1);
+	struct fleet_command c;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fleet_endpoint e = endpoint("1.1.1.1:1");
+
+		LWS_STR_COPY(e.id, cases[i].id);
+		LWS_STR_COPY(e.failure_domain, cases[i].domain);
+		g_assert_cmpint(lease_announce(t, 1, fleet, cases[i].group, &e,
+					       false, 1000, &c),
+				==, LWS_E_ARGUMENT);
+	}
+	talloc_free(t);
+	talloc_free(fleet);
+}
+
+static void test_instances(void)
+{
+	struct fleet *fleet = fleet_create(NULL);
+	uint64_t now = 100 * LWS_US_PER_S;
+	struct instances *t = instances_create(NULL, fleet, now);
+	struct fleet_instance who = { "entry-1", "d1" };
+	struct fleet_command c;
+
+	instances_seen(t, now, &who, 5, 1);
+	g_assert_true(instances_command(t, now, fleet, &c));
+	fleet_apply(fleet, 1, &c);
+	g_assert_cmpuint(fleet_domains(fleet), ==, 1);
+	g_assert_false(instances_command(t, now + MS, fleet, &c));
+	talloc_free(t);
+	/* A new leader gives it the whole time again. */
+	now += 10 * LWS_US_PER_S;
+	t = instances_create(NULL, fleet, now);
+	g_assert_false(
+		instances_command(t, now + INSTANCES_ALIVE_US, fleet, &c));
+	g_assert_true(
+		instances_command(t, now + INSTANCES_ALIVE_US + 1, fleet, &c));
+	g_assert_cmpint(c.type, ==, FLEET_INSTANCE_LEAVE);
+	talloc_free(t);
+	talloc_free(fleet);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/sync/claims", test_claims);
+	g_test_add_func("/sync/late-reply", test_late_reply);
+	g_test_add_func("/sync/log-or-snapshot", test_log_or_snapshot);
+	g_test_add_func("/membership/leases", test_leases);
+	g_test_add_func("/membership/bad-announcements",
+			test_bad_announcements);
+	g_test_add_func("/membership/instances", test_instances);
+	return g_test_run();
+}
