Let gates without requests sleep; watch primaries from two instances a domain

Cause (from the sums for the two-year size): every instance kept connections to and probed every endpoint of every group, some 14 status calls a second a group, whether it had requests for it or not. Change: a gate without requests for 10 s keeps nothing, but for those instances that watch the primary: two of each failure domain by rendezvous hashing over the agreed list of instances. Also: empty texts and byte strings are handled before memory functions see a null pointer (found by the undefined behaviour sanitizer).

--- a/lib/common/pack.c
+++ b/lib/common/pack.c
@@ -50,7 +50,8 @@
 void pack_bin(struct pack_writer *w, const void *data, uint32_t len)
 {
 	msgpack_pack_bin(&w->packer, len);
-	msgpack_pack_bin_body(&w->packer, data, len);
+	if (len)
+		msgpack_pack_bin_body(&w->packer, data, len);
 }
 
 static void read_array(struct pack_reader *r, const msgpack_object *object)
@@ -145,6 +146,8 @@
 	out[0] = '\0';
 	if (!o)
 		return;
+	if (!o->via.str.size)
+		return;
 	if (o->via.str.size >= room ||
 	    memchr(o->via.str.ptr, 0, o->via.str.size)) {
 		r->rc = LWS_E_WIRE_FORMAT;
@@ -181,7 +184,7 @@
 		r->rc = LWS_E_WIRE_FORMAT;
 		return;
 	}
-	if (data)
+	if (data && len)
 		memcpy(out, data, len);
 }
 
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -80,7 +80,8 @@
 	control_push_children(c);
 	if (!c->fleet_changed)
 		return;
-	view = view_create(NULL, c->fleet, control_account_of, c);
+	view = view_create(NULL, c->fleet, c->daemon->settings.name,
+			   control_account_of, c);
 	if (!view)
 		return;
 	c->fleet_changed = false;
--- a/lib/daemon/group_shell.c
+++ b/lib/daemon/group_shell.c
@@ -484,6 +484,7 @@
 	uint64_t now_us = lws_time_now_us();
 
 	gate_set_limits(gs->gate, now_us, &group->limits);
+	gate_set_watch(gs->gate, now_us, group->watch);
 	if (group->state && !fleet_group_same(&gs->state, group->state)) {
 		gs->state = *group->state;
 		gate_set_group(gs->gate, now_us, group->state);
--- a/lib/daemon/view.c
+++ b/lib/daemon/view.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 #include <talloc.h>
+#include <xxhash.h>
 
 #include "lws_str.h"
 #include "lws_time.h"
@@ -20,7 +21,29 @@
 	return max_ms * LWS_US_PER_MS;
 }
 
-static void fill_groups(struct view *view)
+/*
+ * Rendezvous hashing: of the instances of a failure domain, those with the
+ * highest hash of group and name watch the group.
+ */
+static bool watches(const struct fleet *fleet, const char *self, uint64_t group)
+{
+	const struct fleet_instance *own = fleet_find_instance(fleet, self);
+	uint64_t own_hash = XXH64(self, strlen(self), group);
+	uint32_t higher = 0;
+
+	if (!own)
+		return true;
+	for (uint32_t i = 0; i < fleet->instances_count; i++) {
+		const struct fleet_instance *other = &fleet->instances[i];
+
+		if (strcmp(other->failure_domain, own->failure_domain) == 0 &&
+		    XXH64(other->name, strlen(other->name), group) > own_hash)
+			higher++;
+	}
+	return higher < VIEW_WATCHERS;
+}
+
+static void fill_groups(struct view *view, const char *self)
 {
 	uint32_t instances = view->fleet->instances_count;
 	const struct cfg *cfg = view->cfg;
@@ -34,6 +57,7 @@
 		LWS_STR_COPY(group->name, from->name);
 		group->hash = session_name_hash(from->name);
 		group->state = fleet_find_group(view->fleet, from->name);
+		group->watch = watches(view->fleet, self, group->hash);
 		group->limits = (struct gate_limits){
 			.slots = from->slots,
 			.connections = from->connections,
@@ -57,6 +81,7 @@
 }
 
 struct view *view_create(void *mem_ctx, const struct fleet *fleet,
+			 const char *self,
 			 struct rate_account *(*account_of)(void *private_data,
 							    uint64_t customer),
 			 void *private_data)
@@ -74,7 +99,7 @@
 	if (!view->cfg)
 		return view;
 	view->keys = key_table_create(view, view->fleet);
-	fill_groups(view);
+	fill_groups(view, self);
 	view->accounts = talloc_zero_array(view, struct rate_account *,
 					   view->cfg->customers_count + 1);
 	view->customer_hashes = talloc_zero_array(
--- a/lib/daemon/view.h
+++ b/lib/daemon/view.h
@@ -19,14 +19,19 @@
  * @hash: session_name_hash() of it
  * @state: agreed state, NULL until an endpoint announced itself
  * @limits: limits for a gate
+ * @watch: this instance is one of those that watch its primary
  */
 struct view_group {
 	char name[FLEET_NAME_MAX];
 	uint64_t hash;
 	const struct fleet_group *state;
 	struct gate_limits limits;
+	bool watch;
 };
 
+/* Instances of each failure domain that watch a primary all the time. */
+#define VIEW_WATCHERS 2
+
 /**
  * struct view - the snapshot
  * @fleet: own copy of the agreed state
@@ -49,12 +54,14 @@
  * view_create() - copy the agreed state into a snapshot
  * @mem_ctx: talloc parent
  * @fleet: state
+ * @self: name of this instance
  * @account_of: finds or makes the account of a customer
  * @private_data: passed to @account_of
  *
  * Return: snapshot, NULL without memory.
  */
 struct view *view_create(void *mem_ctx, const struct fleet *fleet,
+			 const char *self,
 			 struct rate_account *(*account_of)(void *private_data,
 							    uint64_t customer),
 			 void *private_data);
--- a/lib/route/gate.c
+++ b/lib/route/gate.c
@@ -13,6 +13,7 @@
 		.suspect_us = 300 * LWS_US_PER_MS,
 		.replica_probe_us = 500 * LWS_US_PER_MS,
 		.reconnect_us = 40 * LWS_US_PER_MS,
+		.sleep_us = 10 * LWS_US_PER_S,
 		.grace_us = 2 * LWS_US_PER_S,
 		.transaction_us = 10 * LWS_US_PER_S,
 		.retry_percent = 10,
@@ -153,6 +154,8 @@
 					  .instances = 1 };
 	g->positions.primary = -1;
 	g->term_seen_us = now_us;
+	g->watch = true;
+	g->used_us = now_us;
 	g->service_us = LWS_US_PER_MS;
 	retry_budget_init(&g->budget, params->retry_percent,
 			  params->retry_reserve);
@@ -258,6 +261,12 @@
 	return 0;
 }
 
+void gate_set_watch(struct gate *g, uint64_t now_us, bool watch)
+{
+	g->watch = watch;
+	gate_tick(g, now_us);
+}
+
 static void submit_in_transaction(struct gate *g, uint64_t now_us,
 				  struct request *r)
 {
@@ -283,6 +292,8 @@
 	assert(r);
 	r->want = *want;
 	r->arrived_us = now_us;
+	g->used_us = now_us;
+	g->ticked_us = now_us;
 	rc = refuse_reason(g, r, now_us);
 	if (rc) {
 		gate_answer(g, r, rc);
@@ -336,6 +347,7 @@
 
 void gate_tick(struct gate *g, uint64_t now_us)
 {
+	g->ticked_us = now_us;
 	expire_lane(g, g->any_lane, now_us);
 	expire_lane(g, g->primary_lane, now_us);
 	expire_list(g, &g->parked, now_us, LWS_E_NO_ENDPOINT);
--- a/lib/route/gate.h
+++ b/lib/route/gate.h
@@ -29,6 +29,7 @@
  *              least twice @probe_us
  * @replica_probe_us: how often silent replicas are asked
  * @reconnect_us: first pause after a failed connection
+ * @sleep_us: without requests for this long the gate only watches
  * @grace_us: how long a connection may stay busy after its request was given
  *            up, before it is closed
  * @transaction_us: longest transaction
@@ -44,6 +45,7 @@
 	uint64_t suspect_us;
 	uint64_t replica_probe_us;
 	uint64_t reconnect_us;
+	uint64_t sleep_us;
 	uint64_t grace_us;
 	uint64_t transaction_us;
 	uint32_t retry_percent;
@@ -179,6 +181,17 @@
 void gate_set_group(struct gate *g, uint64_t now_us,
 		    const struct fleet_group *group);
 
+/**
+ * gate_set_watch() - whether this instance watches the primary all the time
+ * @g: gate, which watches when it is new
+ * @now_us: time
+ * @watch: watch it; otherwise only while requests come
+ *
+ * A gate without requests keeps one connection to the primary when it
+ * watches, and none at all when it does not.
+ */
+void gate_set_watch(struct gate *g, uint64_t now_us, bool watch);
+
 /** gate_submit() - take a request; it is answered by an action */
 void gate_submit(struct gate *g, uint64_t now_us,
 		 const struct gate_request *request);
--- a/lib/route/gate_internal.h
+++ b/lib/route/gate_internal.h
@@ -142,6 +142,9 @@
 	uint64_t reported_us;
 	bool reported_suspect;
 	bool draining;
+	bool watch;
+	uint64_t used_us;
+	uint64_t ticked_us;
 	uint64_t service_us;
 	struct gate_stats stats;
 
@@ -167,6 +170,7 @@
 struct gate_conn *gate_conn_of_transaction(struct gate *g, uint64_t id);
 void gate_close_conn(struct gate *g, uint64_t now_us, struct gate_conn *c);
 void gate_fail_conn(struct gate *g, uint64_t now_us, struct gate_conn *c);
+bool gate_wants(const struct gate *g, uint64_t now_us, uint32_t endpoint);
 void gate_open_conns(struct gate *g, uint64_t now_us);
 void gate_heard(struct gate *g, uint64_t now_us, uint32_t endpoint);
 void gate_asked(struct gate *g, uint64_t now_us, uint32_t endpoint);
--- a/lib/route/gate_pool.c
+++ b/lib/route/gate_pool.c
@@ -119,12 +119,30 @@
 	       !any_in_state(g, endpoint, CONN_IDLE);
 }
 
+static bool is_awake(const struct gate *g, uint64_t now_us)
+{
+	return now_us - g->used_us < g->params.sleep_us ||
+	       fair_queue_count(g->any_lane) ||
+	       fair_queue_count(g->primary_lane) || g->parked.count ||
+	       g->running.count || g->confirming.count;
+}
+
+/* Whether connections to an endpoint are kept at the moment. */
+bool gate_wants(const struct gate *g, uint64_t now_us, uint32_t endpoint)
+{
+	const struct fleet_endpoint *e = &g->group.endpoint[endpoint];
+
+	if (!e->present || !e->member)
+		return false;
+	return is_awake(g, now_us) ||
+	       (g->watch && gate_primary(g) == (int32_t)endpoint);
+}
+
 void gate_open_conns(struct gate *g, uint64_t now_us)
 {
 	for (uint32_t i = 0; i < g->group.count; i++) {
-		const struct fleet_endpoint *e = &g->group.endpoint[i];
 
-		if (!e->present || !e->member || g->draining ||
+		if (!gate_wants(g, now_us, i) || g->draining ||
 		    now_us < g->endpoints[i].connect_us)
 			continue;
 		if (wants_more(g, i))
@@ -425,11 +443,13 @@
 void gate_ask_statuses(struct gate *g, uint64_t now_us)
 {
 	for (uint32_t i = 0; i < g->group.count; i++) {
-		const struct fleet_endpoint *endpoint = &g->group.endpoint[i];
 		struct gate_endpoint *e = &g->endpoints[i];
 
-		if (!endpoint->present || !endpoint->member)
+		if (!gate_wants(g, now_us, i)) {
+			/* Nobody asks, so silence says nothing. */
+			e->asked_us = 0;
 			continue;
+		}
 		replace_stuck(g, now_us, i);
 		forget_long_wait(g, now_us, e, i);
 		if (!e->status_call)
@@ -506,6 +526,9 @@
 		if (c->transaction && !c->call &&
 		    now_us >= c->transaction_due_us)
 			gate_end_transaction(g, now_us, c);
+		else if (c->state == CONN_IDLE &&
+			 !gate_wants(g, now_us, c->endpoint))
+			gate_close_conn(g, now_us, c);
 	}
 }
 
@@ -554,8 +577,7 @@
 	for (uint32_t i = 0; i < g->group.count; i++) {
 		uint64_t one;
 
-		if (!g->group.endpoint[i].present ||
-		    !g->group.endpoint[i].member)
+		if (!gate_wants(g, g->ticked_us, i))
 			continue;
 		one = endpoint_due_us(g, i);
 		due = one < due ? one : due;
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -575,6 +575,43 @@
 	tear_down(f);
 }
 
+struct sleep_case {
+	bool watch;
+	bool kept[3];
+};
+
+/* Without requests: a watcher keeps the primary, others keep nothing. */
+static void test_sleep(void)
+{
+	static const struct sleep_case cases[] = {
+		{ true, { true, false, false } },
+		{ false, { false, false, false } },
+	};
+
+	for (size_t k = 0; k < G_N_ELEMENTS(cases); k++) {
+		struct fixture *f = set_up(0);
+		struct gate_request w;
+
+		gate_set_watch(f->g, f->now, cases[k].watch);
+		pump(f);
+		quiet(f, 12000 * MS);
+		memset(f->status_call, 0, sizeof(f->status_call));
+		for (int i = 0; i < 40; i++)
+			advance(f, 50 * MS);
+		for (int i = 0; i < 3; i++)
+			g_assert_cmpint(f->status_call[i] != 0, ==,
+					cases[k].kept[i]);
+		g_assert_cmpint(f->report.suspect, ==, cases[k].watch);
+		/* A request wakes it. */
+		quiet(f, 100 * MS);
+		w = request(f, GATE_WRITE);
+		submit(f, &w);
+		quiet(f, 100 * MS);
+		g_assert_cmpuint(f->execs, ==, 1);
+		tear_down(f);
+	}
+}
+
 static void test_drain(void)
 {
 	struct fixture *f = set_up(0);
@@ -644,6 +681,7 @@
 	ADD("silent-primary", test_silent_primary_is_reported);
 	ADD("stuck-connection", test_stuck_connection_is_replaced);
 	ADD("refused-connections", test_refused_connections_are_reported);
+	ADD("sleep", test_sleep);
 	ADD("drain", test_drain);
 	ADD("hopeless", test_hopeless_request_is_refused_at_once);
 	return g_test_run();
