Measure slopes; make the owner's work independent of the fleet's size

Cause, from the new slopes: an ask at the owner of rates walked over all holdings and members, 8.8 us at 730 instances (0.012 us for each), which at the two-year size would take several cores. Change: holdings in a hash table and a list by expiry, running sums, members sorted, customers hashed.

Found by the address sanitizer in /codec/wire/mutations: a changed length made the codec library ask for 64 GB. Claims of a message are now checked against its length before the library sees it.

--- a/lib/admit/rate_owner.c
+++ b/lib/admit/rate_owner.c
@@ -1,14 +1,25 @@
 #include "rate_owner.h"
 
 #include <stdbool.h>
-#include <string.h>
+#include <stdlib.h>
 #include <talloc.h>
 
 #include "lws_error.h"
 #include "lws_time.h"
 
-/* What one instance may still hold of one customer's tokens. */
+#define MILLIONTHS 1000000ULL
+#define HOLDING_SLOTS 128
+#define BUCKET_SLOTS 1024
+
+/*
+ * What one instance may still hold of one customer's tokens. All holdings of
+ * a bucket are in a hash table, and in a list by the time of their expiry,
+ * which is the order of their renewal.
+ */
 struct holding {
+	struct holding *next_in_slot;
+	struct holding *prev;
+	struct holding *next;
 	uint64_t instance;
 	uint64_t incarnation;
 	uint64_t seq;
@@ -19,13 +30,18 @@
 
 /* Levels count millionths of a token, so that slow rates lose nothing. */
 struct bucket {
+	struct bucket *next_in_slot;
+	struct bucket *next_of_all;
 	uint64_t customer;
 	uint32_t rate_per_s;
 	uint32_t burst;
 	uint64_t level_millionths;
 	uint64_t filled_us;
-	uint32_t holdings_count;
-	struct holding *holdings;
+	uint64_t outstanding;
+	uint64_t wants;
+	struct holding *slots[HOLDING_SLOTS];
+	struct holding *oldest;
+	struct holding *newest;
 };
 
 /* An instance of the fleet; heard: since this owner took over. */
@@ -38,14 +54,14 @@
 	struct rate_owner_params params;
 	uint64_t created_us;
 	bool distrust;
+	/* Sorted by instance. */
 	uint32_t members_count;
+	uint32_t silent_count;
 	struct member *members;
-	uint32_t buckets_count;
 	struct bucket *buckets;
+	struct bucket *slots[BUCKET_SLOTS];
 };
 
-#define MILLIONTHS 1000000ULL
-
 static uint64_t padded_ttl_us(const struct rate_owner *owner)
 {
 	return owner->params.ttl_us * (100 + owner->params.drift_percent) / 100;
@@ -64,47 +80,115 @@
 	return owner;
 }
 
-static struct bucket *find_bucket(struct rate_owner *owner, uint64_t customer)
+static struct bucket *find_bucket(const struct rate_owner *owner,
+				  uint64_t customer)
 {
-	for (uint32_t i = 0; i < owner->buckets_count; i++) {
-		if (owner->buckets[i].customer == customer)
-			return &owner->buckets[i];
-	}
-	return NULL;
+	struct bucket *b = owner->slots[customer % BUCKET_SLOTS];
+
+	while (b && b->customer != customer)
+		b = b->next_in_slot;
+	return b;
 }
 
-static uint64_t outstanding(const struct bucket *b, uint64_t now_us)
+static struct bucket *make_bucket(struct rate_owner *owner, uint64_t customer,
+				  uint64_t now_us)
 {
-	uint64_t sum = 0;
+	struct bucket *b = talloc_zero(owner, struct bucket);
+	struct bucket **slot = &owner->slots[customer % BUCKET_SLOTS];
 
-	for (uint32_t i = 0; i < b->holdings_count; i++) {
-		if (b->holdings[i].expires_us > now_us)
-			sum += b->holdings[i].outstanding;
-	}
-	return sum;
+	if (!b)
+		return NULL;
+	b->customer = customer;
+	b->filled_us = now_us;
+	b->next_in_slot = *slot;
+	*slot = b;
+	b->next_of_all = owner->buckets;
+	owner->buckets = b;
+	return b;
 }
 
-static uint32_t holding_max(const struct bucket *b)
+/* Holdings */
+
+static void list_remove(struct bucket *b, struct holding *h)
 {
-	uint32_t most = b->burst / RATE_HOLDERS_MIN;
+	if (h->prev)
+		h->prev->next = h->next;
+	else
+		b->oldest = h->next;
+	if (h->next)
+		h->next->prev = h->prev;
+	else
+		b->newest = h->prev;
+	h->prev = NULL;
+	h->next = NULL;
+}
 
-	return most ? most : 1;
+static void list_append(struct bucket *b, struct holding *h)
+{
+	h->prev = b->newest;
+	if (b->newest)
+		b->newest->next = h;
+	else
+		b->oldest = h;
+	b->newest = h;
 }
 
-static uint32_t silent_members(const struct rate_owner *owner)
+static void set_holding(struct bucket *b, struct holding *h,
+			uint32_t outstanding, uint32_t want)
 {
-	uint32_t n = 0;
+	b->outstanding += outstanding;
+	b->outstanding -= h->outstanding;
+	b->wants += want;
+	b->wants -= h->want;
+	h->outstanding = outstanding;
+	h->want = want;
+}
+
+static struct holding *find_holding(struct bucket *b, uint64_t instance)
+{
+	struct holding **slot = &b->slots[instance % HOLDING_SLOTS];
+	struct holding *h = *slot;
+
+	while (h && h->instance != instance)
+		h = h->next_in_slot;
+	if (h)
+		return h;
+	h = talloc_zero(b, struct holding);
+	if (!h)
+		return NULL;
+	h->instance = instance;
+	h->next_in_slot = *slot;
+	*slot = h;
+	list_append(b, h);
+	return h;
+}
+
+static void drop_holding(struct bucket *b, struct holding *h)
+{
+	struct holding **at = &b->slots[h->instance % HOLDING_SLOTS];
+
+	set_holding(b, h, 0, 0);
+	list_remove(b, h);
+	while (*at != h)
+		at = &(*at)->next_in_slot;
+	*at = h->next_in_slot;
+	talloc_free(h);
+}
+
+/* The level */
+
+static uint32_t holding_max(const struct bucket *b)
+{
+	uint32_t most = b->burst / RATE_HOLDERS_MIN;
 
-	for (uint32_t i = 0; i < owner->members_count; i++)
-		n += owner->members[i].heard ? 0 : 1;
-	return n;
+	return most ? most : 1;
 }
 
 /* What the predecessor may have granted to those not heard yet. */
 static uint64_t unknown(const struct rate_owner *owner, const struct bucket *b,
 			uint64_t now_us)
 {
-	uint64_t sum = (uint64_t)silent_members(owner) * holding_max(b);
+	uint64_t sum = (uint64_t)owner->silent_count * holding_max(b);
 
 	if (now_us >= owner->created_us + padded_ttl_us(owner))
 		return 0;
@@ -114,7 +198,7 @@
 static void cap_level(const struct rate_owner *owner, struct bucket *b,
 		      uint64_t now_us)
 {
-	uint64_t out = outstanding(b, now_us) + unknown(owner, b, now_us);
+	uint64_t out = b->outstanding + unknown(owner, b, now_us);
 	uint64_t room = b->burst > out ? b->burst - out : 0;
 
 	if (b->level_millionths > room * MILLIONTHS)
@@ -136,25 +220,6 @@
 	cap_level(owner, b, b->filled_us);
 }
 
-/* The first moment after the last fill at which something expires. */
-static uint64_t next_expiry(const struct rate_owner *owner,
-			    const struct bucket *b)
-{
-	uint64_t unknown_us = owner->created_us + padded_ttl_us(owner);
-	uint64_t first = UINT64_MAX;
-
-	if (unknown_us > b->filled_us)
-		first = unknown_us;
-	for (uint32_t i = 0; i < b->holdings_count; i++) {
-		const struct holding *h = &b->holdings[i];
-
-		if (h->outstanding && h->expires_us > b->filled_us &&
-		    h->expires_us < first)
-			first = h->expires_us;
-	}
-	return first;
-}
-
 /*
  * A token that is no longer outstanding may have been spent a moment ago: the
  * level grows into its place only from then on. So every change of what is
@@ -163,34 +228,50 @@
 static void fill(const struct rate_owner *owner, struct bucket *b,
 		 uint64_t now_us)
 {
-	uint64_t expiry_us = next_expiry(owner, b);
+	uint64_t unknown_us = owner->created_us + padded_ttl_us(owner);
 
-	while (expiry_us <= now_us) {
-		fill_until(owner, b, expiry_us);
-		expiry_us = next_expiry(owner, b);
+	while (b->oldest && b->oldest->expires_us <= now_us) {
+		if (unknown_us > b->filled_us &&
+		    unknown_us < b->oldest->expires_us)
+			fill_until(owner, b, unknown_us);
+		fill_until(owner, b, b->oldest->expires_us);
+		drop_holding(b, b->oldest);
 	}
+	if (unknown_us > b->filled_us && unknown_us <= now_us)
+		fill_until(owner, b, unknown_us);
 	fill_until(owner, b, now_us);
 }
 
 static void fill_all(const struct rate_owner *owner, uint64_t now_us)
 {
-	for (uint32_t i = 0; i < owner->buckets_count; i++)
-		fill(owner, &owner->buckets[i], now_us);
+	for (struct bucket *b = owner->buckets; b; b = b->next_of_all)
+		fill(owner, b, now_us);
 }
 
+/* Members */
+
 void rate_owner_distrust(struct rate_owner *owner)
 {
 	owner->distrust = true;
 }
 
+static int compare_members(const void *a, const void *b)
+{
+	uint64_t x = ((const struct member *)a)->instance;
+	uint64_t y = ((const struct member *)b)->instance;
+
+	return x < y ? -1 : x > y;
+}
+
 static struct member *find_member(const struct rate_owner *owner,
 				  uint64_t instance)
 {
-	for (uint32_t i = 0; i < owner->members_count; i++) {
-		if (owner->members[i].instance == instance)
-			return &owner->members[i];
-	}
-	return NULL;
+	struct member key = { .instance = instance };
+
+	if (!owner->members_count)
+		return NULL;
+	return bsearch(&key, owner->members, owner->members_count, sizeof(key),
+		       compare_members);
 }
 
 int rate_owner_set_members(struct rate_owner *owner, uint64_t now_us,
@@ -198,6 +279,7 @@
 {
 	struct member *next =
 		talloc_zero_array(owner, struct member, count + 1);
+	uint32_t silent = 0;
 
 	if (!next)
 		return LWS_E_NOMEM;
@@ -207,10 +289,13 @@
 
 		next[i].instance = instances[i];
 		next[i].heard = old && old->heard;
+		silent += next[i].heard ? 0 : 1;
 	}
+	qsort(next, count, sizeof(*next), compare_members);
 	talloc_free(owner->members);
 	owner->members = next;
 	owner->members_count = count;
+	owner->silent_count = silent;
 	return 0;
 }
 
@@ -223,26 +308,20 @@
 		return;
 	fill_all(owner, now_us);
 	member->heard = true;
+	owner->silent_count--;
 }
 
+/* Customers */
+
 int rate_owner_set(struct rate_owner *owner, uint64_t now_us, uint64_t customer,
 		   uint32_t rate_per_s, uint32_t burst)
 {
 	struct bucket *b = find_bucket(owner, customer);
 
-	if (!b) {
-		struct bucket *grown =
-			talloc_realloc(owner, owner->buckets, struct bucket,
-				       owner->buckets_count + 1);
-
-		if (!grown)
-			return LWS_E_NOMEM;
-		owner->buckets = grown;
-		b = &grown[owner->buckets_count++];
-		memset(b, 0, sizeof(*b));
-		b->customer = customer;
-		b->filled_us = now_us;
-	}
+	if (!b)
+		b = make_bucket(owner, customer, now_us);
+	if (!b)
+		return LWS_E_NOMEM;
 	fill(owner, b, now_us);
 	b->rate_per_s = rate_per_s;
 	b->burst = burst;
@@ -250,63 +329,41 @@
 	return 0;
 }
 
-static struct holding *find_holding(struct rate_owner *owner, struct bucket *b,
-				    uint64_t now_us, uint64_t instance)
-{
-	struct holding *expired = NULL;
-	struct holding *grown;
-
-	for (uint32_t i = 0; i < b->holdings_count; i++) {
-		if (b->holdings[i].instance == instance)
-			return &b->holdings[i];
-		if (b->holdings[i].expires_us <= now_us)
-			expired = &b->holdings[i];
-	}
-	if (!expired) {
-		if (b->holdings_count == RATE_INSTANCES_MAX)
-			return NULL;
-		grown = talloc_realloc(owner, b->holdings, struct holding,
-				       b->holdings_count + 1);
-		if (!grown)
-			return NULL;
-		b->holdings = grown;
-		expired = &grown[b->holdings_count++];
-	}
-	*expired = (struct holding){ .instance = instance };
-	return expired;
-}
-
-static uint64_t sum_wants(const struct bucket *b, uint64_t now_us)
+/* When tokens are scarce, each instance gets its part by what all want. */
+static uint32_t share_of(const struct bucket *b, const struct holding *h)
 {
-	uint64_t sum = 0;
+	uint64_t level = b->level_millionths / MILLIONTHS;
+	uint64_t part = h->want < level ? h->want : level;
 
-	for (uint32_t i = 0; i < b->holdings_count; i++) {
-		if (b->holdings[i].expires_us > now_us)
-			sum += b->holdings[i].want;
+	if (b->wants > level && h->want < b->wants) {
+		part = (level * h->want + b->wants - 1) / b->wants;
+		part = part < h->want ? part : h->want;
 	}
-	return sum;
+	return (uint32_t)part;
 }
 
-/* When tokens are scarce, each instance gets its part by what all want. */
-static uint32_t share_of(const struct bucket *b, const struct holding *h,
-			 uint64_t now_us)
+static uint32_t room_of(const struct bucket *b, const struct holding *h)
 {
-	uint64_t level = b->level_millionths / MILLIONTHS;
-	uint64_t wants = sum_wants(b, now_us);
-	uint64_t part;
+	uint32_t most = holding_max(b);
 
-	if (wants <= level || h->want >= wants)
-		return (uint32_t)(h->want < level ? h->want : level);
-	part = (level * h->want + wants - 1) / wants;
-	return (uint32_t)(part < h->want ? part : h->want);
+	return h->outstanding < most ? most - h->outstanding : 0;
 }
 
-static void restart_holding(struct holding *h, uint64_t incarnation)
+static void restart_holding(struct bucket *b, struct holding *h,
+			    uint64_t incarnation)
 {
 	/* The earlier process is gone, and its tokens with it. */
+	set_holding(b, h, 0, 0);
 	h->incarnation = incarnation;
 	h->seq = 0;
-	h->outstanding = 0;
+}
+
+static void renew_holding(struct rate_owner *owner, struct bucket *b,
+			  struct holding *h, uint64_t now_us)
+{
+	h->expires_us = now_us + padded_ttl_us(owner);
+	list_remove(b, h);
+	list_append(b, h);
 }
 
 uint32_t rate_owner_ask(struct rate_owner *owner, uint64_t now_us,
@@ -321,29 +378,26 @@
 	if (!b || !find_member(owner, instance))
 		return 0;
 	fill(owner, b, now_us);
-	h = find_holding(owner, b, now_us, instance);
+	h = find_holding(b, instance);
 	if (!h)
 		return 0;
 	if (h->incarnation != incarnation)
-		restart_holding(h, incarnation);
+		restart_holding(b, h, incarnation);
 	if (seq <= h->seq)
 		return 0;
 	/* Nobody returns more than it could hold. */
 	returned =
 		ask->returned < h->outstanding ? ask->returned : h->outstanding;
 	h->seq = seq;
-	h->want = ask->want;
-	h->outstanding = ask->held;
-	h->expires_us = now_us + padded_ttl_us(owner);
+	renew_holding(owner, b, h, now_us);
+	set_holding(b, h, ask->held, ask->want);
 	b->level_millionths += returned * MILLIONTHS;
 	cap_level(owner, b, now_us);
-	granted = share_of(b, h, now_us);
-	if (h->outstanding + granted > holding_max(b))
-		granted = h->outstanding < holding_max(b)
-				  ? holding_max(b) - h->outstanding
-				  : 0;
+	granted = share_of(b, h);
+	if (granted > room_of(b, h))
+		granted = room_of(b, h);
 	b->level_millionths -= granted * MILLIONTHS;
-	h->outstanding += granted;
+	set_holding(b, h, h->outstanding + granted, h->want);
 	return granted;
 }
 
--- a/lib/admit/rate_owner.h
+++ b/lib/admit/rate_owner.h
@@ -22,7 +22,6 @@
  * (raft_lease_held()) and names the members as agreed on.
  */
 
-#define RATE_INSTANCES_MAX 2048
 #define RATE_HOLDERS_MIN 4U
 
 struct rate_owner;
--- a/lib/common/pack.c
+++ b/lib/common/pack.c
@@ -54,6 +54,86 @@
 		msgpack_pack_bin_body(&w->packer, data, len);
 }
 
+/*
+ * The library allocates what a header claims before it looks for it. Walk
+ * over the headers first: each item takes a byte at least, so a claim beyond
+ * the end is refused before any allocation.
+ */
+
+/* Bytes of the length field and of each kind, by the first byte 0xc0-0xdf. */
+struct head_shape {
+	uint8_t length_bytes;
+	uint8_t fixed_bytes;
+	uint8_t items_each;
+};
+
+static const struct head_shape shapes[32] = {
+	[0x04] = { 1, 0, 0 }, [0x05] = { 2, 0, 0 }, [0x06] = { 4, 0, 0 },
+	[0x07] = { 1, 1, 0 }, [0x08] = { 2, 1, 0 }, [0x09] = { 4, 1, 0 },
+	[0x0a] = { 0, 4, 0 }, [0x0b] = { 0, 8, 0 }, [0x0c] = { 0, 1, 0 },
+	[0x0d] = { 0, 2, 0 }, [0x0e] = { 0, 4, 0 }, [0x0f] = { 0, 8, 0 },
+	[0x10] = { 0, 1, 0 }, [0x11] = { 0, 2, 0 }, [0x12] = { 0, 4, 0 },
+	[0x13] = { 0, 8, 0 }, [0x14] = { 0, 2, 0 }, [0x15] = { 0, 3, 0 },
+	[0x16] = { 0, 5, 0 }, [0x17] = { 0, 9, 0 }, [0x18] = { 0, 17, 0 },
+	[0x19] = { 1, 0, 0 }, [0x1a] = { 2, 0, 0 }, [0x1b] = { 4, 0, 0 },
+	[0x1c] = { 2, 0, 1 }, [0x1d] = { 4, 0, 1 }, [0x1e] = { 2, 0, 2 },
+	[0x1f] = { 4, 0, 2 },
+};
+
+static uint64_t read_length(const uint8_t *at, uint32_t bytes)
+{
+	uint64_t value = 0;
+
+	for (uint32_t i = 0; i < bytes; i++)
+		value = value << 8 | at[i];
+	return value;
+}
+
+/* Bytes that one head takes with its text; *items: what follows as items. */
+static uint64_t head_bytes(const uint8_t *at, size_t left, uint64_t *items)
+{
+	uint8_t first = *at;
+	const struct head_shape *shape;
+	uint64_t length;
+
+	*items = 0;
+	if (first < 0x80 || first >= 0xe0)
+		return 1;
+	if (first < 0xa0) {
+		*items = (uint64_t)(first & 0x0f) * (first < 0x90 ? 2 : 1);
+		return 1;
+	}
+	if (first < 0xc0)
+		return 1 + (uint64_t)(first & 0x1f);
+	shape = &shapes[first - 0xc0];
+	if (left < 1U + shape->length_bytes)
+		return left + 1;
+	length = read_length(at + 1, shape->length_bytes);
+	*items = length * shape->items_each;
+	return 1U + shape->length_bytes + shape->fixed_bytes +
+	       (shape->items_each ? 0 : length);
+}
+
+static bool claims_fit(const uint8_t *data, size_t len)
+{
+	uint64_t items = 1;
+	size_t at = 0;
+
+	while (items) {
+		uint64_t more;
+		uint64_t bytes;
+
+		if (at >= len || items > len - at)
+			return false;
+		bytes = head_bytes(data + at, len - at, &more);
+		if (bytes > len - at)
+			return false;
+		at += bytes;
+		items += more - 1;
+	}
+	return true;
+}
+
 static void read_array(struct pack_reader *r, const msgpack_object *object)
 {
 	if (object->type != MSGPACK_OBJECT_ARRAY) {
@@ -71,6 +151,10 @@
 
 	*r = (struct pack_reader){ 0 };
 	msgpack_unpacked_init(&r->unpacked);
+	if (!claims_fit(data, len)) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return r->rc;
+	}
 	got = msgpack_unpack_next(&r->unpacked, data, len, &off);
 	if (got != MSGPACK_UNPACK_SUCCESS || off != len)
 		r->rc = LWS_E_WIRE_FORMAT;
--- a/lib/io/h2.h
+++ b/lib/io/h2.h
@@ -196,6 +196,9 @@
 /** h2_client_usable() - connected, and the other side takes new requests */
 bool h2_client_usable(const struct h2_client *client);
 
+/** h2_client_traffic() - bytes sent and received so far */
+uint64_t h2_client_traffic(const struct h2_client *client);
+
 /**
  * h2_client_close() - end the connection; open calls get LWS_E_IO
  * The memory is freed by the loop, so it may be called from callbacks.
--- a/lib/io/h2_client.c
+++ b/lib/io/h2_client.c
@@ -398,6 +398,11 @@
 	return 0;
 }
 
+uint64_t h2_client_traffic(const struct h2_client *client)
+{
+	return client->io->traffic;
+}
+
 void h2_client_close(struct h2_client *client)
 {
 	if (client->closed)
--- a/lib/io/h2_internal.h
+++ b/lib/io/h2_internal.h
@@ -17,6 +17,7 @@
  * @out: bytes that the socket did not take yet
  * @out_len: bytes in @out
  * @out_room: size of @out
+ * @traffic: bytes sent and received
  * @flush_due: @flush is scheduled
  * @dead: the socket is closed; @on_dead was called
  * @owner: passed to @on_dead
@@ -31,6 +32,7 @@
 	uint8_t *out;
 	size_t out_len;
 	size_t out_room;
+	uint64_t traffic;
 	bool flush_due;
 	bool dead;
 	bool protocol_error;
--- a/lib/io/h2_io.c
+++ b/lib/io/h2_io.c
@@ -51,6 +51,7 @@
 	done = write(io->fd, io->out, io->out_len);
 	if (done < 0)
 		return errno == EAGAIN || errno == EINTR ? 0 : LWS_E_IO;
+	io->traffic += (uint64_t)done;
 	io->out_len -= (size_t)done;
 	memmove(io->out, io->out + done, io->out_len);
 	return 0;
@@ -114,6 +115,7 @@
 		h2_io_kill(io);
 		return;
 	}
+	io->traffic += (uint64_t)got;
 	if (nghttp2_session_mem_recv(io->session, buf, (size_t)got) < 0) {
 		io->protocol_error = true;
 		h2_io_kill(io);
