Find services by hash; bootstrap survives lost answers

Cause, from counting instructions: a request compared its service with every configured name. A bootstrap whose answer was lost could not be repeated; now it can.

--- /dev/null
+++ b/bench/run.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Runs the measures of the decisions; fails when a bound is broken. With
+# LWS_BENCH_PROCESSES=1 also a load on real processes, which is only reported.
+# Usage: bench/run.sh BUILD
+set -u
+cd "$(dirname "$0")/.."
+"$1/bench/bench_policy"
+rc=$?
+if [ "${LWS_BENCH_PROCESSES:-0}" = 1 ]; then
+	bench/processes.sh || rc=1
+fi
+exit $rc
--- a/contrib/fleet.sh
+++ b/contrib/fleet.sh
@@ -118,3 +118,13 @@
 	done
 	return $rc
 }
+
+# fleet_diskless NUMBER: start one more entry instance without a disk
+fleet_diskless() {
+	local i=$1
+	build/lacewingspand --name "entry-$i" \
+		--failure-domain "${FLEET_DOMAINS[$(((i - 1) % 4))]}" \
+		--listen "$FLEET_NET.$i:7400" --admin-listen "$FLEET_NET.$i:7402" \
+		--control "$FLEET_CONTROL" >>"$FLEET_DIR/entry-$i.log" 2>&1 &
+	FLEET_PID[$i]=$!
+}
--- a/lib/config/cfg.c
+++ b/lib/config/cfg.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
+#include <xxhash.h>
 
 #include "lws_error.h"
 #include "lws_str.h"
@@ -361,6 +362,30 @@
 	cfg->services_count++;
 }
 
+/* Every request looks for its service: a table by hash of the name. */
+
+static uint32_t service_slot(const struct cfg *cfg, const char *name)
+{
+	return (uint32_t)XXH64(name, strlen(name), 0) & cfg->service_mask;
+}
+
+static void index_services(struct cfg *cfg)
+{
+	uint32_t room = 16;
+
+	while (room < 2 * cfg->services_count)
+		room *= 2;
+	cfg->service_mask = room - 1;
+	cfg->service_slots = talloc_zero_array(cfg, uint32_t, room);
+	for (uint32_t i = 0; i < cfg->services_count; i++) {
+		uint32_t at = service_slot(cfg, cfg->services[i].name);
+
+		while (cfg->service_slots[at])
+			at = (at + 1) & cfg->service_mask;
+		cfg->service_slots[at] = i + 1;
+	}
+}
+
 static void parse_services(struct cfg *cfg, const json_t *services,
 			   struct cfg_errors *errors)
 {
@@ -376,6 +401,7 @@
 					  json_object_size(services) + 1);
 	json_object_foreach((json_t *)services, name, value)
 		parse_service(cfg, name, value, errors);
+	index_services(cfg);
 }
 
 /* Customers */
@@ -518,9 +544,13 @@
 
 int32_t cfg_find_service(const struct cfg *cfg, const char *name)
 {
-	for (uint32_t i = 0; i < cfg->services_count; i++) {
-		if (strcmp(cfg->services[i].name, name) == 0)
-			return (int32_t)i;
+	uint32_t at = service_slot(cfg, name);
+
+	for (; cfg->service_slots[at]; at = (at + 1) & cfg->service_mask) {
+		uint32_t index = cfg->service_slots[at] - 1;
+
+		if (strcmp(cfg->services[index].name, name) == 0)
+			return (int32_t)index;
 	}
 	return -1;
 }
--- a/lib/config/cfg.h
+++ b/lib/config/cfg.h
@@ -105,6 +105,9 @@
 	struct cfg_service *services;
 	struct cfg_route *routes;
 	struct cfg_customer *customers;
+	/* Internal: services by the hash of their names, index + 1. */
+	uint32_t service_mask;
+	uint32_t *service_slots;
 };
 
 /**
--- a/lib/daemon/control_log.c
+++ b/lib/daemon/control_log.c
@@ -522,6 +522,9 @@
 
 	if (!c->raft)
 		return LWS_E_ARGUMENT;
+	/* The same request once more, after a lost answer. */
+	if (c->identity.cluster == cluster)
+		return 0;
 	if (c->identity.cluster || raft_last_index(c->raft))
 		return LWS_E_EXISTS;
 	fleet = fleet_create(c);
--- a/lib/tool/tool.c
+++ b/lib/tool/tool.c
@@ -467,11 +467,14 @@
 	enum tool_exit exit_status = TOOL_OK;
 
 	for (uint32_t i = 0; i < count; i++) {
+		struct tool_options one = *options;
 		uint16_t status;
-		json_t *answer =
-			tool_call_one(options, addrs[i], "POST",
-				      "/_lws/bootstrap", body, &status);
+		json_t *answer;
 
+		/* Repeated until it answers: half a fleet is of no use. */
+		one.admin = addrs[i];
+		answer = tool_call(&one, "POST", "/_lws/bootstrap", body,
+				   &status);
 		if (exit_of(answer) != TOOL_OK) {
 			exit_status = exit_of(answer);
 			explain(options, answer);
