--- a/lib/daemon/front.c
+++ b/lib/daemon/front.c
@@ -158,6 +158,10 @@
 	struct worker *owner = front->worker->daemon->workers[front->owner];
 
 	front->work = NULL;
+	if (owner == front->worker) {
+		on_work_mail(owner, &work->mail);
+		return;
+	}
 	work->mail.fn = on_work_mail;
 	mailbox_post(owner->box, &work->mail);
 }
--- a/lib/daemon/group_shell.c
+++ b/lib/daemon/group_shell.c
@@ -333,7 +333,6 @@
 	struct work *work = action->user;
 	struct reply_mail *reply;
 
-	(void)gs;
 	if (!work)
 		return;
 	reply = talloc_zero(NULL, struct reply_mail);
@@ -347,7 +346,10 @@
 	if (!action->rc && work->result_call == action->call)
 		reply->result = talloc_move(reply, &work->result);
 	work->answered = true;
-	mailbox_post(work->origin->box, &reply->mail);
+	if (work->origin == gs->worker)
+		front_reply(gs->worker, reply);
+	else
+		mailbox_post(work->origin->box, &reply->mail);
 	if (!work->calls)
 		talloc_free(work);
 }
--- a/lib/membership/sync.c
+++ b/lib/membership/sync.c
@@ -123,14 +123,38 @@
 	}
 }
 
+/* What a child would get as entries. */
+static uint64_t entries_bytes(const struct sync_log *log, uint64_t have_index)
+{
+	uint64_t bytes = 0;
+
+	for (uint32_t i = 0; i < log->count; i++) {
+		const struct sync_log_entry *e = entry_at(log, i);
+
+		bytes += e->index > have_index ? e->len : 0;
+	}
+	return bytes;
+}
+
+static bool entries_serve(const struct sync_log *log, const struct fleet *fleet,
+			  uint64_t have_index)
+{
+	uint64_t state = fleet->config_text ? strlen(fleet->config_text) : 0;
+
+	if (!have_index || !log->count ||
+	    entry_at(log, 0)->index > have_index + 1)
+		return false;
+	/* After a long cut the whole state is smaller than its history. */
+	return entries_bytes(log, have_index) <= 2 * state + SYNC_SMALL_BYTES;
+}
+
 void sync_log_fill(const struct sync_log *log, const struct fleet *fleet,
 		   uint64_t have_index, void *mem_ctx,
 		   struct wire_sync_reply *reply)
 {
 	if (have_index >= fleet->applied_index)
 		return;
-	if (have_index && log->count &&
-	    entry_at(log, 0)->index <= have_index + 1)
+	if (entries_serve(log, fleet, have_index))
 		fill_entries(log, have_index, mem_ctx, reply);
 	else
 		fill_snapshot(fleet, mem_ctx, reply);
--- a/lib/membership/sync.h
+++ b/lib/membership/sync.h
@@ -21,6 +21,7 @@
 
 #define SYNC_LOG_ENTRIES 512
 #define SYNC_PENDING_MAX 2048
+#define SYNC_SMALL_BYTES (64U * 1024U)
 
 /* The asking side */
 
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -221,6 +221,7 @@
 	struct fleet *fleet = fleet_create(NULL);
 	struct sync_log *log = sync_log_create(NULL);
 	struct wire_sync_reply r = { 0 };
+	static const char big[4096];
 
 	for (uint64_t i = 1; i <= 600; i++)
 		sync_log_push(log, i, (const uint8_t *)"c", i % 2);
@@ -236,6 +237,16 @@
 	memset(&r, 0, sizeof(r));
 	sync_log_fill(log, fleet, 0, fleet, &r);
 	g_assert_true(!r.count && r.snapshot_len);
+	/* Many large changes: the state is less than its history. */
+	memset(&r, 0, sizeof(r));
+	for (uint64_t i = 601; i <= 700; i++)
+		sync_log_push(log, i, (const uint8_t *)big, sizeof(big));
+	fleet->applied_index = 700;
+	sync_log_fill(log, fleet, 601, fleet, &r);
+	g_assert_true(!r.count && r.snapshot_len);
+	memset(&r, 0, sizeof(r));
+	sync_log_fill(log, fleet, 695, fleet, &r);
+	g_assert_cmpuint(r.count, ==, 5);
 	talloc_free(log);
 	talloc_free(fleet);
 }
