Close weak checks found by breaking mechanisms on purpose

With real processes now: transactions, crossed answers, a primary that leaves, a stop that finishes what runs.

--- a/lib/daemon/front.c
+++ b/lib/daemon/front.c
@@ -599,6 +599,8 @@
 	struct h2_header headers[2];
 	char token[SESSION_TEXT_MAX];
 	char tx[32];
+	char begun[64];
+	const char *body = reply->result ? reply->result : "{}";
 	uint32_t n = 0;
 	bool wrote = reply->op == GATE_COMMIT ||
 		     (reply->op == GATE_WRITE && !front->transaction);
@@ -613,11 +615,12 @@
 		snprintf(tx, sizeof(tx), "%016llx",
 			 (unsigned long long)front->transaction);
 		headers[n++] = (struct h2_header){ "lws-tx", tx };
+		snprintf(begun, sizeof(begun), "{\"tx\":\"%s\"}", tx);
+		body = begun;
 	}
 	lws_counter_add(&front->worker->daemon->counters,
 			LWS_COUNTER_ANSWERED_OK, 1);
-	respond(front->request, 200, reply->result ? reply->result : "{}",
-		headers, n);
+	respond(front->request, 200, body, headers, n);
 }
 
 void front_reply(struct worker *w, struct reply_mail *reply)
--- a/tests/support_fleet.c
+++ b/tests/support_fleet.c
@@ -1,5 +1,7 @@
 #include "support_fleet.h"
 
+#include "h2.h"
+
 #include <signal.h>
 #include <stdarg.h>
 #include <string.h>
@@ -239,6 +241,101 @@
 	return f->status;
 }
 
+/* A caller that keeps its connection */
+
+struct test_caller {
+	struct tevent_context *ev;
+	struct h2_client *client;
+	bool done;
+	uint16_t status;
+	json_t *answer;
+};
+
+static void on_caller_state(void *private_data, bool up)
+{
+	(void)private_data;
+	(void)up;
+}
+
+static void on_caller_reply(void *private_data, const struct h2_reply *reply)
+{
+	struct test_caller *c = private_data;
+
+	c->done = true;
+	c->status = reply->rc ? 0 : reply->status;
+	c->answer = reply->rc ? NULL : json_loads(reply->body, 0, NULL);
+}
+
+static struct test_caller *caller_to(const char *addr)
+{
+	struct test_caller *c = g_new0(struct test_caller, 1);
+	struct h2_client_params params = { .addr = addr,
+					   .connect_timeout_ms = 5000,
+					   .private_data = c,
+					   .on_state = on_caller_state };
+
+	c->ev = tevent_context_init(NULL);
+	g_assert_cmpint(h2_client_create(c->ev, c->ev, &params, &c->client), ==,
+			0);
+	return c;
+}
+
+struct test_caller *test_caller_open(struct test_fleet *f, uint32_t i)
+{
+	g_autofree char *addr = g_strdup_printf("%s.%u:7400", f->net, i);
+
+	return caller_to(addr);
+}
+
+void test_caller_close(struct test_caller *c)
+{
+	talloc_free(c->ev);
+	g_free(c);
+}
+
+json_t *test_caller_call(struct test_caller *c, const char *method,
+			 const char *path, const char *key, const char *tx,
+			 const char *body, uint16_t *status)
+{
+	struct h2_header headers[2];
+	struct h2_call call = { .method = method,
+				.path = path,
+				.body = body,
+				.body_len = body ? strlen(body) : 0,
+				.headers = headers,
+				.timeout_ms = 20000,
+				.private_data = c,
+				.done = on_caller_reply };
+
+	if (key)
+		headers[call.headers_count++] =
+			(struct h2_header){ "lws-key", key };
+	if (tx)
+		headers[call.headers_count++] =
+			(struct h2_header){ "lws-tx", tx };
+	c->done = false;
+	c->status = 0;
+	c->answer = NULL;
+	if (h2_client_call(c->client, &call))
+		c->done = true;
+	while (!c->done)
+		tevent_loop_once(c->ev);
+	*status = c->status;
+	return c->answer;
+}
+
+void test_fleet_fault(struct test_fleet *f, uint32_t i, const char *body)
+{
+	g_autofree char *addr = g_strdup_printf("%s.%u:7500", f->net, i);
+	struct test_caller *c = caller_to(addr);
+	uint16_t status;
+
+	json_decref(test_caller_call(c, "POST", "/fault", NULL, NULL, body,
+				     &status));
+	g_assert_cmpuint(status, ==, 200);
+	test_caller_close(c);
+}
+
 /* Operators */
 
 int test_fleet_tool(struct test_fleet *f, char **out, const char *input,
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -48,6 +48,27 @@
 uint16_t test_fleet_call(struct test_fleet *f, uint32_t i, const char *method,
 			 const char *path, const char *key, const char *body);
 
+/**
+ * struct test_caller - a caller that keeps its connection
+ */
+struct test_caller;
+
+struct test_caller *test_caller_open(struct test_fleet *f, uint32_t i);
+void test_caller_close(struct test_caller *c);
+
+/**
+ * test_caller_call() - one request on the caller's connection
+ * @tx: transaction, NULL for none
+ *
+ * Return: JSON of the answer, to be released.
+ */
+json_t *test_caller_call(struct test_caller *c, const char *method,
+			 const char *path, const char *key, const char *tx,
+			 const char *body, uint16_t *status);
+
+/** test_fleet_fault() - set a fault of endpoint @i */
+void test_fleet_fault(struct test_fleet *f, uint32_t i, const char *body);
+
 /** test_fleet_tool() - run the tool; its exit status; @out may be NULL */
 int test_fleet_tool(struct test_fleet *f, char **out, const char *input,
 		    const char *arg, ...) G_GNUC_NULL_TERMINATED;
--- a/tests/support_world.c
+++ b/tests/support_world.c
@@ -39,6 +39,7 @@
 
 struct exec {
 	int32_t instance;
+	int32_t endpoint;
 	uint64_t incarnation;
 	uint32_t group;
 	uint64_t conn;
@@ -608,6 +609,9 @@
 
 	if (!g_hash_table_contains(in->conns, conn_key(x->group, x->conn)))
 		return;
+	/* The reset of a killed process overtakes what it sent last. */
+	if (w->nodes[x->endpoint].incarnation != x->incarnation)
+		return;
 	gate_exec_done(in->gates[x->group], w->now_us, x->call, x->outcome,
 		       &x->report);
 	pump_gate(w, i, x->group);
@@ -616,6 +620,8 @@
 static void reply_exec(struct world *w, int32_t node, struct exec *x)
 {
 	x->report = report_of(endpoint_of(w, node));
+	x->endpoint = node;
+	x->incarnation = w->nodes[node].incarnation;
 	send_msg(w, node, x->instance, on_exec_reply, x);
 }
 
--- a/tests/test_daemon.c
+++ b/tests/test_daemon.c
@@ -349,6 +349,202 @@
 	test_fleet_stop(f);
 }
 
+static char *begin(struct test_caller *c, const char *key)
+{
+	uint16_t status = 0;
+
+	for (int tries = 0; tries < 30; tries++) {
+		json_t *a = test_caller_call(c, "POST", "/booking/_tx/begin",
+					     key, NULL, "{}", &status);
+		char *tx =
+			g_strdup(json_string_value(json_object_get(a, "tx")));
+
+		json_decref(a);
+		if (status == 200)
+			return tx;
+		g_free(tx);
+		g_usleep(100000);
+	}
+	g_assert_not_reached();
+}
+
+static uint16_t call(struct test_caller *c, const char *path, const char *key,
+		     const char *tx, const char *body)
+{
+	uint16_t status;
+
+	json_decref(test_caller_call(c, body ? "POST" : "GET", path, key, tx,
+				     body, &status));
+	return status;
+}
+
+/* Two callers' transactions, one committed, one lost with its caller. */
+static void test_transactions(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *key = test_fleet_key(f, "guides");
+	struct test_caller *a = test_caller_open(f, 1);
+	struct test_caller *b = test_caller_open(f, 1);
+	g_autofree char *tx_a = begin(a, key);
+	g_autofree char *tx_b = begin(b, key);
+
+	g_assert_cmpstr(tx_a, !=, tx_b);
+	g_assert_cmpuint(
+		call(a, BOOK, key, tx_a, "{\"key\":\"ta\",\"value\":\"1\"}"),
+		==, 200);
+	g_assert_cmpuint(
+		call(b, BOOK, key, tx_b, "{\"key\":\"tb\",\"value\":\"2\"}"),
+		==, 200);
+	/* Nobody gets into another's transaction. */
+	g_assert_cmpuint(call(b, BOOK, key, tx_a, "{\"key\":\"x\"}"), ==, 409);
+	/* Not visible before the commit. */
+	test_fleet_call(f, 2, "GET", PLACES "ta", key, NULL);
+	g_assert_cmpstr(value_of(f), ==, "");
+	g_assert_cmpuint(call(a, "/booking/_tx/commit", key, tx_a, "{}"), ==,
+			 200);
+	test_caller_close(b);
+	g_assert_cmpuint(
+		call(a, BOOK, key, NULL, "{\"key\":\"tc\",\"value\":\"3\"}"),
+		==, 200);
+	g_usleep(500000);
+	test_fleet_call(f, 1, "GET", PLACES "ta", key, NULL);
+	g_assert_cmpstr(value_of(f), ==, "1");
+	test_fleet_call(f, 1, "GET", PLACES "tb", key, NULL);
+	g_assert_cmpstr(value_of(f), ==, "");
+	g_assert_cmpuint(call(a, "/booking/_tx/commit", key, tx_a, "{}"), ==,
+			 409);
+	test_caller_close(a);
+	test_fleet_stop(f);
+}
+
+struct reader {
+	struct test_fleet *f;
+	const char *key;
+	const char *name;
+	int wrong;
+	int right;
+};
+
+static gpointer read_often(gpointer data)
+{
+	struct reader *r = data;
+	struct test_caller *c = test_caller_open(r->f, 1);
+	g_autofree char *path = g_strdup_printf(PLACES "%s", r->name);
+
+	for (int i = 0; i < 40; i++) {
+		uint16_t status;
+		json_t *a = test_caller_call(c, "GET", path, r->key, NULL, NULL,
+					     &status);
+		const char *value =
+			json_string_value(json_object_get(a, "value"));
+
+		if (status == 200 && value && strcmp(value, r->name) == 0)
+			r->right++;
+		else if (status == 200)
+			r->wrong++;
+		json_decref(a);
+	}
+	test_caller_close(c);
+	return NULL;
+}
+
+/* Endpoints swap the bodies of their answers: nobody gets another's. */
+static void test_crossed_answers(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *key = test_fleet_key(f, "parents-portal");
+	struct reader readers[2] = { { f, key, "left", 0, 0 },
+				     { f, key, "right", 0, 0 } };
+	GThread *threads[2];
+
+	g_assert_true(
+		write_soon(f, 1, key, "{\"key\":\"left\",\"value\":\"left\"}"));
+	g_assert_true(write_soon(f, 1, key,
+				 "{\"key\":\"right\",\"value\":\"right\"}"));
+	for (uint32_t i = 1; i <= 3; i++)
+		test_fleet_fault(f, i, "{\"crossed\":true}");
+	for (int i = 0; i < 2; i++)
+		threads[i] = g_thread_new("reader", read_often, &readers[i]);
+	g_usleep(500000);
+	for (uint32_t i = 1; i <= 3; i++)
+		test_fleet_fault(f, i, "{\"crossed\":false}");
+	for (int i = 0; i < 2; i++) {
+		g_thread_join(threads[i]);
+		g_assert_cmpint(readers[i].wrong, ==, 0);
+		g_assert_cmpint(readers[i].right, >, 0);
+	}
+	test_fleet_stop(f);
+}
+
+static bool is_gone(struct test_fleet *f)
+{
+	json_t *status = test_fleet_status(f, 1);
+	json_t *group = json_array_get(json_object_get(status, "groups"), 0);
+	size_t k;
+	json_t *e;
+	bool gone = false;
+
+	json_array_foreach(json_object_get(group, "endpoints"), k, e)
+	{
+		const char *id = json_string_value(json_object_get(e, "id"));
+
+		if (id && id[1] - '0' == (int)killed_primary)
+			gone = !json_is_true(json_object_get(e, "present"));
+	}
+	json_decref(status);
+	return gone;
+}
+
+/* The primary announces that it leaves: another takes over, writes go on. */
+static void test_primary_leaves(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *key = test_fleet_key(f, "guides");
+
+	g_assert_true(write_soon(f, 1, key, "{\"key\":\"a\",\"value\":\"1\"}"));
+	killed_primary = test_fleet_primary(f);
+	test_fleet_fault(f, killed_primary, "{\"leaving\":true}");
+	g_assert_true(test_fleet_wait(f, is_gone));
+	g_assert_true(test_fleet_wait(f, other_primary));
+	g_assert_true(write_soon(f, 2, key, "{\"key\":\"b\",\"value\":\"2\"}"));
+	for (uint32_t i = 1; i <= 3; i++) {
+		test_fleet_call(f, i, "GET", PLACES "a", key, NULL);
+		g_assert_cmpstr(value_of(f), ==, "1");
+	}
+	test_fleet_stop(f);
+}
+
+static gpointer write_slowly(gpointer data)
+{
+	struct reader *r = data;
+	struct test_caller *c = test_caller_open(r->f, 1);
+
+	r->right = call(c, BOOK, r->key, NULL,
+			"{\"key\":\"slow\",\"value\":\"1\"}");
+	test_caller_close(c);
+	return NULL;
+}
+
+/* What runs when the stop begins is finished and answered. */
+static void test_stop_finishes_what_runs(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *key = test_fleet_key(f, "guides");
+	struct reader r = { f, key, "", 0, 0 };
+	GThread *thread;
+
+	g_assert_true(write_soon(f, 1, key, "{\"key\":\"a\",\"value\":\"1\"}"));
+	for (uint32_t i = 1; i <= 3; i++)
+		test_fleet_fault(f, i, "{\"slow_us\":1000000}");
+	thread = g_thread_new("writer", write_slowly, &r);
+	g_usleep(500000);
+	test_fleet_signal(f, 1, SIGTERM);
+	g_thread_join(thread);
+	g_assert_cmpint(r.right, ==, 200);
+	g_assert_cmpint(test_fleet_wait_exit(f, 1), ==, 0);
+	test_fleet_stop(f);
+}
+
 /* Bytes that are no message end that connection and nothing else. */
 static void test_bad_peer_bytes(void)
 {
@@ -391,6 +587,10 @@
 	ADD("all-killed", test_all_instances_killed);
 	ADD("lost-disks", test_lost_disks);
 	ADD("graceful-stop", test_graceful_stop);
+	ADD("transactions", test_transactions);
+	ADD("crossed-answers", test_crossed_answers);
+	ADD("primary-leaves", test_primary_leaves);
+	ADD("stop-finishes", test_stop_finishes_what_runs);
 	ADD("bad-peer-bytes", test_bad_peer_bytes);
 	return g_test_run();
 }
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -362,6 +362,31 @@
 	tear_down(f);
 }
 
+/* A new primary's age is not known before it was asked. */
+static void test_age_of_a_new_term(void)
+{
+	struct fixture *f = set_up(1000 * MS);
+	struct gate_request r = request(f, GATE_READ);
+
+	f->group.term = 2;
+	f->group.primary_term = 2;
+	LWS_STR_COPY(f->group.primary, "e1");
+	gate_set_group(f->g, f->now, &f->group);
+	pump(f);
+	/* Two replicas are in the new term; its primary says nothing yet. */
+	status(f, 0, 2, 2, 11);
+	status(f, 2, 2, 2, 11);
+	r.max_age_us = 1000 * MS;
+	submit(f, &r);
+	g_assert_cmpuint(f->execs, ==, 0);
+	status(f, 1, 2, 2, 11);
+	advance(f, 500 * MS);
+	for (uint32_t i = 0; i < 3; i++)
+		status(f, i, 2, 2, 11);
+	g_assert_cmpuint(f->execs, ==, 1);
+	tear_down(f);
+}
+
 /* A barrier waits for all, or until every aged read is younger. */
 static void test_barrier(void)
 {
@@ -671,6 +696,7 @@
 	ADD("retry-budget", test_retry_budget);
 	ADD("stale-answer", test_stale_answer_is_not_given);
 	ADD("age-behind-cut", test_age_behind_a_cut);
+	ADD("age-new-term", test_age_of_a_new_term);
 	ADD("barrier", test_barrier);
 	ADD("tx/own-connection", test_transaction_has_its_connection);
 	ADD("tx/lost-caller", test_lost_caller_rolls_back);
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -21,6 +21,7 @@
 	FAULT_ONE_WAY,
 	FAULT_FREEZE_LEADER,
 	FAULT_SLOW_DISK,
+	FAULT_POWER_CUT,
 	FAULT_ALL,
 };
 
@@ -40,6 +41,8 @@
 	{ "one-way-cut", 3, FAULT_ONE_WAY, false },
 	{ "freeze-leader", 3, FAULT_FREEZE_LEADER, true },
 	{ "slow-disk-crash", 3, FAULT_SLOW_DISK, true },
+	{ "power-cut", 3, FAULT_POWER_CUT, false },
+	{ "power-cut-5", 5, FAULT_POWER_CUT, true },
 	{ "all-together-5", 5, FAULT_ALL, true },
 };
 
@@ -56,13 +59,30 @@
 	f->sync_us = 1000;
 }
 
+/* All lose what is not synced yet, in the middle of a change. */
+static void power_cut(struct fake_rafts *f)
+{
+	uint64_t index;
+
+	f->sync_us = 30000;
+	(void)fake_rafts_propose(f, lws_rng_next(&f->rng), &index);
+	fake_rafts_run(f, 5000 + lws_rng_below(&f->rng, 30000));
+	for (uint32_t i = 0; i < f->count; i++) {
+		if (f->nodes[i].up)
+			fake_rafts_crash(f, i);
+	}
+	for (uint32_t i = 0; i < f->count; i++)
+		fake_rafts_restart(f, i);
+	f->sync_us = 1000;
+}
+
 static void inject(struct fake_rafts *f, enum fault fault)
 {
 	int32_t leader = fake_rafts_leader(f);
 	uint32_t victim = (uint32_t)lws_rng_below(&f->rng, f->count);
 
 	if (fault == FAULT_ALL)
-		fault = (enum fault)(1 + lws_rng_below(&f->rng, 7));
+		fault = (enum fault)(1 + lws_rng_below(&f->rng, 8));
 	switch (fault) {
 	case FAULT_LOSS:
 		f->loss_percent = 20;
@@ -93,6 +113,9 @@
 		if (leader >= 0 && lws_rng_below(&f->rng, 2))
 			fake_rafts_crash(f, (uint32_t)leader);
 		return;
+	case FAULT_POWER_CUT:
+		power_cut(f);
+		return;
 	default:
 		return;
 	}
--- a/tests/test_rates.c
+++ b/tests/test_rates.c
@@ -361,6 +361,59 @@
 	g_assert_false(rate_account_take(&a, 3000 * MS));
 }
 
+struct owner_case {
+	const char *name;
+	uint32_t heard;
+	bool distrust;
+	uint64_t after_us;
+	uint32_t most;
+};
+
+/* Burst 40: five members may hold 10 each; rate 1000/s fills within 40 ms. */
+static void test_new_owner(void)
+{
+	static const struct owner_case cases[] = {
+		{ "nobody-heard", 0, false, 400 * MS, 0 },
+		{ "one-silent", 4, false, 400 * MS, 30 },
+		{ "two-silent", 3, false, 400 * MS, 20 },
+		{ "all-heard", 5, false, 400 * MS, 40 },
+		{ "bursts-changed", 5, true, 400 * MS, 0 },
+		{ "grants-expired", 0, true, 800 * MS, 40 },
+	};
+
+	for (size_t k = 0; k < G_N_ELEMENTS(cases); k++) {
+		struct rate_owner_params params = { TTL, 10 };
+		uint64_t now = 1000 * MS;
+		struct rate_owner *o = rate_owner_create(NULL, &params, now);
+		uint64_t members[] = { 1, 2, 3, 4, 5 };
+		uint32_t granted = 0;
+
+		if (cases[k].distrust)
+			rate_owner_distrust(o);
+		rate_owner_set_members(o, now, members, 5);
+		rate_owner_set(o, now, CUSTOMER, 1000, 40);
+		for (uint32_t i = 1; i <= cases[k].heard; i++)
+			rate_owner_heard(o, now, i);
+		now += cases[k].after_us;
+		for (uint32_t i = 1; i <= 5; i++) {
+			struct rate_ask a = { .customer = CUSTOMER,
+					      .want = 100 };
+
+			granted += rate_owner_ask(o, now, i, 1, 1, &a);
+		}
+		g_test_message("%s", cases[k].name);
+		g_assert_cmpuint(granted, <=, cases[k].most);
+		/* Shares are rounded down, but not to nothing. */
+		g_assert_cmpuint(granted, >=, cases[k].most / 2);
+		/* Strangers get nothing. */
+		g_assert_cmpuint(
+			rate_owner_ask(o, now + LWS_US_PER_S, 9, 1, 1,
+				       &(struct rate_ask){ CUSTOMER, 9, 0, 0 }),
+			==, 0);
+		talloc_free(o);
+	}
+}
+
 /* Admission */
 
 static void test_admission_waits(void)
@@ -470,6 +523,7 @@
 	}
 	g_test_add_func("/rates/calm", test_calm_serves_the_rate);
 	g_test_add_func("/rates/overload", test_overload_gets_the_rate);
+	g_test_add_func("/rates/new-owner", test_new_owner);
 	g_test_add_func("/rates/expired", test_expired_tokens);
 	g_test_add_func("/rates/admission", test_admission_waits);
 	g_test_add_func("/rates/shares", test_shares);
