--- /dev/null
+++ b/lib/control/fleet_pack.c
@@ -0,0 +1,435 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "fleet_internal.h"
+#include "lws_error.h"
+
+/* Commands on the wire */
+
+static void endpoint_pack(struct pack_writer *w,
+			  const struct fleet_endpoint *endpoint)
+{
+	pack_array(w, 5);
+	pack_str(w, endpoint->id);
+	pack_str(w, endpoint->addr);
+	pack_str(w, endpoint->failure_domain);
+	pack_bool(w, endpoint->present);
+	pack_bool(w, endpoint->member);
+}
+
+static void endpoint_unpack(struct pack_reader *r,
+			    struct fleet_endpoint *endpoint)
+{
+	struct pack_reader in;
+
+	*endpoint = (struct fleet_endpoint){ 0 };
+	if (pack_reader_enter(r, &in)) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	pack_read_str(&in, endpoint->id, sizeof(endpoint->id));
+	pack_read_str(&in, endpoint->addr, sizeof(endpoint->addr));
+	pack_read_str(&in, endpoint->failure_domain,
+		      sizeof(endpoint->failure_domain));
+	endpoint->present = pack_read_bool(&in);
+	endpoint->member = pack_read_bool(&in);
+	if (pack_reader_end(&in))
+		r->rc = LWS_E_WIRE_FORMAT;
+}
+
+static void key_pack(struct pack_writer *w, const struct fleet_key *key)
+{
+	pack_bin(w, key->hash, CFG_HASH_BYTES);
+	pack_str(w, key->customer);
+}
+
+static void key_unpack(struct pack_reader *r, struct fleet_key *key)
+{
+	pack_read_bin_exact(r, key->hash, CFG_HASH_BYTES);
+	pack_read_str(r, key->customer, sizeof(key->customer));
+}
+
+static void instance_pack(struct pack_writer *w,
+			  const struct fleet_instance *instance)
+{
+	pack_str(w, instance->name);
+	pack_str(w, instance->failure_domain);
+}
+
+static void instance_unpack(struct pack_reader *r,
+			    struct fleet_instance *instance)
+{
+	pack_read_str(r, instance->name, FLEET_NAME_MAX);
+	pack_read_str(r, instance->failure_domain, FLEET_NAME_MAX);
+}
+
+static void group_change_pack(struct pack_writer *w,
+			      const struct fleet_command *command)
+{
+	pack_str(w, command->group.group);
+	pack_u64(w, command->group.term);
+	pack_str(w, command->group.primary);
+	pack_array(w, command->group.members_count);
+	for (uint32_t i = 0; i < command->group.members_count; i++)
+		pack_str(w, command->group.members[i]);
+}
+
+static void group_change_unpack(struct pack_reader *r,
+				struct fleet_command *command)
+{
+	struct pack_reader in;
+
+	pack_read_str(r, command->group.group, FLEET_NAME_MAX);
+	command->group.term = pack_read_u64(r);
+	pack_read_str(r, command->group.primary, FLEET_NAME_MAX);
+	if (pack_reader_enter(r, &in) || in.count > FLEET_ENDPOINTS_MAX) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	command->group.members_count = in.count;
+	for (uint32_t i = 0; i < in.count; i++)
+		pack_read_str(&in, command->group.members[i], FLEET_NAME_MAX);
+	if (pack_reader_end(&in))
+		r->rc = LWS_E_WIRE_FORMAT;
+}
+
+void fleet_command_pack(struct pack_writer *w,
+			const struct fleet_command *command)
+{
+	static const uint32_t fields[] = {
+		[FLEET_CONFIG_APPLY] = 2,   [FLEET_KEY_GIVE] = 2,
+		[FLEET_KEY_WITHDRAW] = 2,   [FLEET_ENDPOINT_JOIN] = 2,
+		[FLEET_ENDPOINT_LEAVE] = 2, [FLEET_GROUP_TERM] = 4,
+		[FLEET_GROUP_PRIMARY] = 4,  [FLEET_INSTANCE_JOIN] = 2,
+		[FLEET_INSTANCE_LEAVE] = 2,
+	};
+
+	pack_array(w, 4 + fields[command->type]);
+	pack_u64(w, command->type);
+	pack_str(w, command->request_id);
+	pack_str(w, command->who);
+	pack_u64(w, command->time_ms);
+	switch (command->type) {
+	case FLEET_CONFIG_APPLY:
+		pack_u64(w, command->config.expected_version);
+		pack_str(w, command->config.text);
+		return;
+	case FLEET_KEY_GIVE:
+	case FLEET_KEY_WITHDRAW:
+		key_pack(w, &command->key);
+		return;
+	case FLEET_ENDPOINT_JOIN:
+	case FLEET_ENDPOINT_LEAVE:
+		pack_str(w, command->endpoint.group);
+		endpoint_pack(w, &command->endpoint.endpoint);
+		return;
+	case FLEET_GROUP_TERM:
+	case FLEET_GROUP_PRIMARY:
+		group_change_pack(w, command);
+		return;
+	case FLEET_INSTANCE_JOIN:
+	case FLEET_INSTANCE_LEAVE:
+		instance_pack(w, &command->instance);
+		return;
+	case FLEET_COMMAND_TYPE_COUNT:
+		return;
+	}
+}
+
+static void command_body_unpack(struct pack_reader *r, void *mem_ctx,
+				struct fleet_command *command)
+{
+	switch (command->type) {
+	case FLEET_CONFIG_APPLY:
+		command->config.expected_version = pack_read_u64(r);
+		command->config.text = pack_read_text(r, mem_ctx);
+		return;
+	case FLEET_KEY_GIVE:
+	case FLEET_KEY_WITHDRAW:
+		key_unpack(r, &command->key);
+		return;
+	case FLEET_ENDPOINT_JOIN:
+	case FLEET_ENDPOINT_LEAVE:
+		pack_read_str(r, command->endpoint.group, FLEET_NAME_MAX);
+		endpoint_unpack(r, &command->endpoint.endpoint);
+		return;
+	case FLEET_GROUP_TERM:
+	case FLEET_GROUP_PRIMARY:
+		group_change_unpack(r, command);
+		return;
+	case FLEET_INSTANCE_JOIN:
+	case FLEET_INSTANCE_LEAVE:
+		instance_unpack(r, &command->instance);
+		return;
+	case FLEET_COMMAND_TYPE_COUNT:
+		return;
+	}
+}
+
+int fleet_command_unpack(void *mem_ctx, const uint8_t *data, size_t len,
+			 struct fleet_command *command)
+{
+	struct pack_reader r;
+	uint64_t type;
+	int rc;
+
+	memset(command, 0, sizeof(*command));
+	pack_reader_init(&r, data, len);
+	type = pack_read_u64(&r);
+	if (type >= FLEET_COMMAND_TYPE_COUNT)
+		r.rc = LWS_E_WIRE_FORMAT;
+	command->type = (enum fleet_command_type)type;
+	pack_read_str(&r, command->request_id, FLEET_ID_MAX);
+	pack_read_str(&r, command->who, FLEET_NAME_MAX);
+	command->time_ms = pack_read_u64(&r);
+	if (!r.rc)
+		command_body_unpack(&r, mem_ctx, command);
+	rc = pack_reader_end(&r);
+	pack_reader_clear(&r);
+	return rc;
+}
+
+/* Snapshots */
+
+static void groups_pack(struct pack_writer *w, const struct fleet *fleet)
+{
+	pack_array(w, fleet->groups_count);
+	for (uint32_t g = 0; g < fleet->groups_count; g++) {
+		const struct fleet_group *group = &fleet->groups[g];
+
+		pack_array(w, 5);
+		pack_str(w, group->name);
+		pack_u64(w, group->term);
+		pack_u64(w, group->primary_term);
+		pack_str(w, group->primary);
+		pack_array(w, group->count);
+		for (uint32_t i = 0; i < group->count; i++)
+			endpoint_pack(w, &group->endpoint[i]);
+	}
+}
+
+static void group_unpack(struct pack_reader *r, struct fleet_group *group)
+{
+	struct pack_reader in;
+	struct pack_reader list;
+
+	if (pack_reader_enter(r, &in)) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	pack_read_str(&in, group->name, FLEET_NAME_MAX);
+	group->term = pack_read_u64(&in);
+	group->primary_term = pack_read_u64(&in);
+	pack_read_str(&in, group->primary, FLEET_NAME_MAX);
+	if (pack_reader_enter(&in, &list) || list.count > FLEET_ENDPOINTS_MAX) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	group->count = list.count;
+	for (uint32_t i = 0; i < list.count; i++)
+		endpoint_unpack(&list, &group->endpoint[i]);
+	if (pack_reader_end(&list) || pack_reader_end(&in))
+		r->rc = LWS_E_WIRE_FORMAT;
+}
+
+static void groups_unpack(struct pack_reader *r, struct fleet *fleet)
+{
+	struct pack_reader in;
+
+	if (pack_reader_enter(r, &in) || in.count > FLEET_GROUPS_MAX) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	fleet->groups_count = in.count;
+	fleet->groups =
+		talloc_zero_array(fleet, struct fleet_group, in.count + 1);
+	for (uint32_t g = 0; g < in.count; g++)
+		group_unpack(&in, &fleet->groups[g]);
+	if (pack_reader_end(&in))
+		r->rc = LWS_E_WIRE_FORMAT;
+}
+
+static void instances_pack(struct pack_writer *w, const struct fleet *fleet)
+{
+	pack_array(w, fleet->instances_count * 2);
+	for (uint32_t i = 0; i < fleet->instances_count; i++)
+		instance_pack(w, &fleet->instances[i]);
+}
+
+static void instances_unpack(struct pack_reader *r, struct fleet *fleet)
+{
+	struct pack_reader in;
+
+	if (pack_reader_enter(r, &in) || in.count > FLEET_INSTANCES_MAX * 2 ||
+	    in.count % 2) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	fleet->instances_count = in.count / 2;
+	fleet->instances = talloc_zero_array(fleet, struct fleet_instance,
+					     fleet->instances_count + 1);
+	for (uint32_t i = 0; i < fleet->instances_count; i++)
+		instance_unpack(&in, &fleet->instances[i]);
+	if (pack_reader_end(&in))
+		r->rc = LWS_E_WIRE_FORMAT;
+}
+
+static void keys_pack(struct pack_writer *w, const struct fleet *fleet)
+{
+	pack_array(w, fleet->given_count * 2);
+	for (uint32_t i = 0; i < fleet->given_count; i++)
+		key_pack(w, &fleet->given[i]);
+	pack_bin(w, fleet->withdrawn, fleet->withdrawn_count * CFG_HASH_BYTES);
+}
+
+static void keys_unpack(struct pack_reader *r, struct fleet *fleet)
+{
+	struct pack_reader in;
+	const uint8_t *hashes;
+	uint32_t len;
+
+	if (pack_reader_enter(r, &in) || in.count % 2) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	fleet->given_count = in.count / 2;
+	fleet->given = talloc_zero_array(fleet, struct fleet_key,
+					 fleet->given_count + 1);
+	for (uint32_t i = 0; i < fleet->given_count; i++)
+		key_unpack(&in, &fleet->given[i]);
+	hashes = pack_read_bin(r, &len);
+	if (pack_reader_end(&in) || len % CFG_HASH_BYTES) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	for (uint32_t at = 0; at < len; at += CFG_HASH_BYTES)
+		fleet_push_withdrawn(fleet, hashes + at);
+}
+
+/* Rings are written oldest first, so that reading refills them in order. */
+static void requests_pack(struct pack_writer *w, const struct fleet *fleet)
+{
+	uint32_t n = fleet->requests_count;
+
+	pack_array(w, n * 3);
+	for (uint32_t i = 0; i < n; i++) {
+		uint32_t at =
+			(fleet->requests_next + FLEET_REQUESTS_MAX - n + i) %
+			FLEET_REQUESTS_MAX;
+		const struct fleet_request *request = &fleet->requests[at];
+
+		pack_str(w, request->id);
+		pack_i64(w, request->rc);
+		pack_u64(w, request->version);
+	}
+}
+
+static void requests_unpack(struct pack_reader *r, struct fleet *fleet)
+{
+	struct pack_reader in;
+	char id[FLEET_ID_MAX];
+
+	if (pack_reader_enter(r, &in) || in.count > FLEET_REQUESTS_MAX * 3 ||
+	    in.count % 3) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	for (uint32_t i = 0; i < in.count; i += 3) {
+		uint32_t at = fleet->requests_next;
+		int rc;
+
+		pack_read_str(&in, id, sizeof(id));
+		rc = (int)pack_read_i64(&in);
+		fleet_remember(fleet, id, rc);
+		fleet->requests[at].version = pack_read_u64(&in);
+	}
+	if (pack_reader_end(&in))
+		r->rc = LWS_E_WIRE_FORMAT;
+}
+
+static void audit_pack(struct pack_writer *w, const struct fleet *fleet)
+{
+	uint32_t n = fleet->audit_count;
+
+	pack_array(w, n * 6);
+	for (uint32_t i = 0; i < n; i++) {
+		const struct fleet_audit *entry =
+			fleet_audit_at(fleet, n - 1 - i);
+
+		pack_u64(w, entry->index);
+		pack_u64(w, entry->time_ms);
+		pack_str(w, entry->who);
+		pack_str(w, entry->what);
+		pack_i64(w, entry->rc);
+		pack_u64(w, entry->version);
+	}
+}
+
+static void audit_unpack(struct pack_reader *r, struct fleet *fleet)
+{
+	struct pack_reader in;
+
+	if (pack_reader_enter(r, &in) || in.count > FLEET_AUDIT_MAX * 6 ||
+	    in.count % 6) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	for (uint32_t i = 0; i < in.count; i += 6) {
+		struct fleet_audit entry = { 0 };
+
+		entry.index = pack_read_u64(&in);
+		entry.time_ms = pack_read_u64(&in);
+		pack_read_str(&in, entry.who, sizeof(entry.who));
+		pack_read_str(&in, entry.what, sizeof(entry.what));
+		entry.rc = (int)pack_read_i64(&in);
+		entry.version = pack_read_u64(&in);
+		fleet_push_audit(fleet, &entry);
+	}
+	if (pack_reader_end(&in))
+		r->rc = LWS_E_WIRE_FORMAT;
+}
+
+void fleet_snapshot_pack(struct pack_writer *w, const struct fleet *fleet)
+{
+	pack_array(w, 10);
+	pack_u64(w, fleet->applied_index);
+	pack_u64(w, fleet->config_version);
+	pack_str(w, fleet->config_text);
+	pack_bin(w, fleet->secret, FLEET_SECRET_BYTES);
+	groups_pack(w, fleet);
+	instances_pack(w, fleet);
+	keys_pack(w, fleet);
+	requests_pack(w, fleet);
+	audit_pack(w, fleet);
+}
+
+int fleet_snapshot_unpack(void *mem_ctx, const uint8_t *data, size_t len,
+			  struct fleet **out)
+{
+	struct fleet *fleet = fleet_create(mem_ctx);
+	struct pack_reader r;
+	int rc;
+
+	if (!fleet)
+		return LWS_E_NOMEM;
+	pack_reader_init(&r, data, len);
+	fleet->applied_index = pack_read_u64(&r);
+	fleet->config_version = pack_read_u64(&r);
+	fleet->config_text = pack_read_text(&r, fleet);
+	pack_read_bin_exact(&r, fleet->secret, FLEET_SECRET_BYTES);
+	groups_unpack(&r, fleet);
+	instances_unpack(&r, fleet);
+	keys_unpack(&r, fleet);
+	requests_unpack(&r, fleet);
+	audit_unpack(&r, fleet);
+	rc = pack_reader_end(&r);
+	pack_reader_clear(&r);
+	if (!rc && fleet->config_version)
+		rc = fleet_load_config(fleet, fleet->config_text, &fleet->cfg);
+	if (rc) {
+		talloc_free(fleet);
+		return rc;
+	}
+	*out = fleet;
+	return 0;
+}
