--- a/lib/common/lws_counter.c
+++ b/lib/common/lws_counter.c
@@ -9,7 +9,6 @@
 	[LWS_COUNTER_RETRIES] = "retries",
 	[LWS_COUNTER_RETRIES_DENIED] = "retries_denied",
 	[LWS_COUNTER_CONNECTS] = "endpoint_connects",
-	[LWS_COUNTER_CALLER_CONNECTIONS] = "caller_connections",
 	[LWS_COUNTER_CALLER_CONNECTIONS_REFUSED] = "caller_connections_refused",
 	[LWS_COUNTER_PEER_BYTES_SENT] = "peer_bytes_sent",
 	[LWS_COUNTER_PEER_BYTES_RECEIVED] = "peer_bytes_received",
--- a/lib/common/lws_error.c
+++ b/lib/common/lws_error.c
@@ -270,13 +270,6 @@
 		.retry_after_ms = 0,
 		.text = "It exists already.",
 	},
-	[-LWS_E_STOPPED] = {
-		.name = "stopped",
-		.http_status = 503,
-		.not_run = true,
-		.retry_after_ms = 200,
-		.text = "The service has been stopped.",
-	},
 };
 
 bool lws_error_is(int rc)
--- a/lib/common/lws_error.h
+++ b/lib/common/lws_error.h
@@ -52,8 +52,7 @@
 	LWS_E_ARGUMENT = -36,
 	LWS_E_KEY_WITHDRAWN = -37,
 	LWS_E_EXISTS = -38,
-	LWS_E_STOPPED = -39,
-	LWS_E_LAST = -40,
+	LWS_E_LAST = -39,
 };
 
 /**
--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -1,6 +1,5 @@
 #include "fleet_internal.h"
 
-#include <jansson.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
--- a/lib/control/raft_election.c
+++ b/lib/control/raft_election.c
@@ -1,10 +1,6 @@
 #include "raft_internal.h"
 
-#include <assert.h>
 #include <string.h>
-#include <talloc.h>
-
-#include "lws_error.h"
 
 /* Elections */
 
--- a/lib/daemon/worker_internal.h
+++ b/lib/daemon/worker_internal.h
@@ -113,6 +113,11 @@
 	bool stopping;
 };
 
+/* front_parse.c, front_transaction.c */
+int front_parse_with_view(struct front *front);
+struct transaction *front_find_transaction(struct worker *w, uint64_t id);
+struct transaction *front_free_transaction(struct worker *w);
+
 /* front.c */
 void front_on_request(void *private_data, struct h2_request *request);
 void front_on_close(void *private_data, uint64_t conn_id);
--- a/programs/standin/http.c
+++ b/programs/standin/http.c
@@ -263,6 +263,8 @@
 	const char *key = json_string_value(json_object_get(body, "key"));
 	json_t *answer = standin_status(s);
 
+	json_object_set_new(answer, "keys_seen",
+			    json_integer((json_int_t)s->keys_seen));
 	if (id)
 		json_object_set_new(
 			answer, "runs",
@@ -296,6 +298,19 @@
 			       json_pack("{s:s}", "error", "not_found"));
 }
 
+static bool carries_key(const struct h2_request *request)
+{
+	static const char mark[] = "lwk_";
+
+	for (uint32_t i = 0; i < request->headers_count; i++) {
+		if (strcmp(request->headers[i].name, "lws-key") == 0 ||
+		    strstr(request->headers[i].value, mark))
+			return true;
+	}
+	return request->body_len &&
+	       memmem(request->body, request->body_len, mark, sizeof(mark) - 1);
+}
+
 static void on_request(void *private_data, struct h2_request *request)
 {
 	struct standin *s = private_data;
@@ -310,6 +325,7 @@
 		json_decref(body);
 		return;
 	}
+	s->keys_seen += carries_key(request) ? 1 : 0;
 	if (strcmp(request->path, "/fault") == 0) {
 		on_fault(s, request, body);
 	} else if (lws_time_now_us() < s->faults.frozen_until_us ||
--- a/programs/standin/standin.h
+++ b/programs/standin/standin.h
@@ -63,6 +63,8 @@
 	bool primary;
 	bool leaving;
 	uint64_t primary_term;
+	/* Requests that carried anything like a caller's key. */
+	uint64_t keys_seen;
 	struct replica *replica;
 	struct exec_queue *exec;
 	struct h2_request *waiting;
--- a/tests/support_fleet.c
+++ b/tests/support_fleet.c
@@ -294,6 +294,13 @@
 	return caller_to(addr);
 }
 
+struct test_caller *test_caller_open_endpoint(struct test_fleet *f, uint32_t i)
+{
+	g_autofree char *addr = g_strdup_printf("%s.%u:7500", f->net, i);
+
+	return caller_to(addr);
+}
+
 void test_caller_close(struct test_caller *c)
 {
 	talloc_free(c->ev);
@@ -343,6 +350,22 @@
 	test_caller_close(c);
 }
 
+uint64_t test_fleet_keys_seen(struct test_fleet *f, uint32_t i)
+{
+	g_autofree char *addr = g_strdup_printf("%s.%u:7500", f->net, i);
+	struct test_caller *c = caller_to(addr);
+	uint16_t status;
+	json_t *answer =
+		test_caller_call(c, "POST", "/runs", NULL, NULL, "{}", &status);
+	uint64_t seen = (uint64_t)json_integer_value(
+		json_object_get(answer, "keys_seen"));
+
+	g_assert_cmpuint(status, ==, 200);
+	json_decref(answer);
+	test_caller_close(c);
+	return seen;
+}
+
 /* Operators */
 
 int test_fleet_tool(struct test_fleet *f, char **out, const char *input,
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -54,6 +54,7 @@
 struct test_caller;
 
 struct test_caller *test_caller_open(struct test_fleet *f, uint32_t i);
+struct test_caller *test_caller_open_endpoint(struct test_fleet *f, uint32_t i);
 void test_caller_close(struct test_caller *c);
 
 /**
@@ -69,6 +70,9 @@
 /** test_fleet_fault() - set a fault of endpoint @i */
 void test_fleet_fault(struct test_fleet *f, uint32_t i, const char *body);
 
+/** test_fleet_keys_seen() - requests with a key that endpoint @i has seen */
+uint64_t test_fleet_keys_seen(struct test_fleet *f, uint32_t i);
+
 /** test_fleet_tool() - run the tool; its exit status; @out may be NULL */
 int test_fleet_tool(struct test_fleet *f, char **out, const char *input,
 		    const char *arg, ...) G_GNUC_NULL_TERMINATED;
--- a/tests/test_daemon.c
+++ b/tests/test_daemon.c
@@ -61,6 +61,62 @@
 	test_fleet_stop(f);
 }
 
+static void test_endpoints_see_no_key(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *key = test_fleet_key(f, "parents-portal");
+	struct test_caller *c = test_caller_open(f, 1);
+	uint16_t status;
+
+	g_assert_true(write_soon(f, 1, key, "{\"key\":\"a\",\"value\":\"1\"}"));
+	for (int i = 0; i < 20; i++)
+		test_fleet_call(f, 1 + i % 3, "GET", PLACES "a", key, NULL);
+	json_decref(test_caller_call(c, "POST", "/booking/_tx/begin", key, NULL,
+				     "{}", &status));
+	test_caller_close(c);
+	for (uint32_t i = 1; i <= 3; i++)
+		g_assert_cmpuint(test_fleet_keys_seen(f, i), ==, 0);
+	/* The count does count. */
+	c = test_caller_open_endpoint(f, 1);
+	json_decref(test_caller_call(c, "POST", "/status", key, NULL, "{}",
+				     &status));
+	test_caller_close(c);
+	g_assert_cmpuint(test_fleet_keys_seen(f, 1), ==, 1);
+	test_fleet_stop(f);
+}
+
+/* Connections that never send a request are bounded and end by themselves. */
+static void test_half_open_connections(void)
+{
+	GSocketConnection *open[40];
+	GSocketClient *client = g_socket_client_new();
+	struct test_fleet *f;
+	g_autofree char *admin = NULL;
+	g_autofree char *host = NULL;
+	g_autofree char *out = NULL;
+
+	g_setenv("LACEWINGSPAN_CALLERS_MAX", "8", TRUE);
+	f = test_fleet_start();
+	g_unsetenv("LACEWINGSPAN_CALLERS_MAX");
+	admin = g_strdup_printf("--admin=%s.1:7402", f->net);
+	host = g_strdup_printf("%s.1:7400", f->net);
+	for (int i = 0; i < 40; i++)
+		open[i] = g_socket_client_connect_to_host(client, host, 7400,
+							  NULL, NULL);
+	g_usleep(300000);
+	g_assert_cmpint(test_fleet_tool(f, &out, NULL, admin, "counters", NULL),
+			==, 0);
+	g_assert_nonnull(strstr(out, "caller_connections_refused   32"));
+	for (int i = 0; i < 40; i++)
+		g_object_unref(open[i]);
+	g_usleep(300000);
+	g_assert_cmpuint(
+		test_fleet_call(f, 1, "GET", "/_lws/health", NULL, NULL), ==,
+		200);
+	g_object_unref(client);
+	test_fleet_stop(f);
+}
+
 struct refusal_case {
 	const char *method;
 	const char *path;
@@ -577,6 +633,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	ADD("path", test_path);
+	ADD("no-key-at-endpoints", test_endpoints_see_no_key);
+	ADD("half-open", test_half_open_connections);
 	ADD("refusals", test_refusals);
 	ADD("foreign-token", test_foreign_token);
 	ADD("withdrawn-key", test_withdrawn_key);
