--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -211,6 +211,40 @@
 		   all ? (double)replica / (double)all : 0, 0.95, false);
 }
 
+/* Until a change, as of configuration or keys, is in force everywhere */
+
+static void bench_in_force(const struct deployment *d, bool healed)
+{
+	GArray *ms = doubles();
+	char name[64];
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct world_params p = d->params(seed);
+		struct world *w = world_create(NULL, &p);
+		uint64_t index;
+		uint64_t from;
+
+		world_run(w, lws_rng_below(world_rng(w), 500000));
+		if (healed)
+			world_cut_node(w, (int32_t)p.instances - 1, true);
+		from = world_now_us(w);
+		index = world_change(w);
+		if (healed) {
+			world_run(w, 2 * SECOND);
+			world_heal(w);
+			from = world_now_us(w);
+		}
+		while (!world_in_force(w, index) &&
+		       world_now_us(w) < from + 10 * SECOND)
+			world_run(w, LWS_US_PER_MS);
+		add_ms(ms, from, world_now_us(w));
+		talloc_free(w);
+	}
+	snprintf(name, sizeof(name), "%s/%s", d->name,
+		 healed ? "after-a-healed-cut" : "steady");
+	line_spread("change_in_force", name, ms, 5000);
+}
+
 /* Fair share */
 
 struct share_case {
@@ -313,6 +347,8 @@
 		bench_reads(d, "steady");
 		bench_reads(d, "one-lagging");
 		bench_reads(d, "one-leaving");
+		bench_in_force(d, false);
+		bench_in_force(d, true);
 		for (size_t k = 0; k < G_N_ELEMENTS(share_cases); k++)
 			bench_share(d, &share_cases[k]);
 	}
--- a/bench/bench_slopes.c
+++ b/bench/bench_slopes.c
@@ -317,6 +317,45 @@
 	print_slope(&d);
 }
 
+/* Keys withdrawn over the years, looked up when a view is built. */
+static void slope_withdrawn(void)
+{
+	static const uint32_t counts[] = { 1000, 10000, 40000, 73000 };
+	struct slope s = { "view_ms_by_withdrawn_keys",
+			   "withdrawn keys",
+			   "ms",
+			   0,
+			   { 0 },
+			   { 0 } };
+	struct rate_account account = { 0 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
+		struct fleet *fleet = make_fleet(9, 3, 1000);
+		struct view *view;
+		double from;
+
+		for (uint32_t k = 0; k < counts[i] + 1000; k++) {
+			struct fleet_command c = { .type = FLEET_KEY_GIVE };
+			char key[32];
+
+			snprintf(key, sizeof(key), "key-%u", k);
+			key_hash(key, c.key.hash);
+			LWS_STR_COPY(c.key.customer, "customer-1");
+			fleet_apply(fleet, 10000 + 2 * k, &c);
+			c.type = FLEET_KEY_WITHDRAW;
+			if (k >= 1000)
+				fleet_apply(fleet, 10001 + 2 * k, &c);
+		}
+		from = cpu_us();
+		view = view_create(NULL, fleet, "entry-1", account_of,
+				   &account);
+		add_point(&s, counts[i], (cpu_us() - from) / 1000);
+		talloc_free(view);
+		talloc_free(fleet);
+	}
+	print_slope(&s);
+}
+
 static void slope_config(void)
 {
 	static const uint32_t counts[] = { 8, 64, 256, 1024 };
@@ -656,6 +695,7 @@
 	slope_rates();
 	slope_rate_bytes();
 	slope_state();
+	slope_withdrawn();
 	slope_config();
 	slope_restart();
 	slope_failover_tick();
--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -85,13 +85,29 @@
 	return true;
 }
 
-bool fleet_key_withdrawn(const struct fleet *fleet, const uint8_t *hash)
+/* Where a hash stands, or belongs, in the sorted list. */
+static uint32_t withdrawn_place(const struct fleet *fleet, const uint8_t *hash)
 {
-	for (uint32_t i = 0; i < fleet->withdrawn_count; i++) {
-		if (memcmp(fleet->withdrawn[i], hash, CFG_HASH_BYTES) == 0)
-			return true;
+	uint32_t from = 0;
+	uint32_t to = fleet->withdrawn_count;
+
+	while (from < to) {
+		uint32_t middle = from + (to - from) / 2;
+
+		if (memcmp(fleet->withdrawn[middle], hash, CFG_HASH_BYTES) < 0)
+			from = middle + 1;
+		else
+			to = middle;
 	}
-	return false;
+	return from;
+}
+
+bool fleet_key_withdrawn(const struct fleet *fleet, const uint8_t *hash)
+{
+	uint32_t at = withdrawn_place(fleet, hash);
+
+	return at < fleet->withdrawn_count &&
+	       memcmp(fleet->withdrawn[at], hash, CFG_HASH_BYTES) == 0;
 }
 
 const struct fleet_audit *fleet_audit_at(const struct fleet *fleet,
@@ -245,11 +261,14 @@
 
 void fleet_push_withdrawn(struct fleet *fleet, const uint8_t *hash)
 {
+	uint32_t at = withdrawn_place(fleet, hash);
 	uint32_t n = fleet->withdrawn_count++;
 
 	fleet->withdrawn = (uint8_t(*)[CFG_HASH_BYTES])talloc_realloc_size(
 		fleet, fleet->withdrawn, (n + 1) * CFG_HASH_BYTES);
-	memcpy(fleet->withdrawn[n], hash, CFG_HASH_BYTES);
+	memmove(fleet->withdrawn[at] + CFG_HASH_BYTES, fleet->withdrawn[at],
+		(size_t)(n - at) * CFG_HASH_BYTES);
+	memcpy(fleet->withdrawn[at], hash, CFG_HASH_BYTES);
 }
 
 static int check_withdraw(const struct fleet *fleet,
--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -114,6 +114,7 @@
 	struct fleet_instance *instances;
 	uint32_t given_count;
 	struct fleet_key *given;
+	/* Sorted. */
 	uint32_t withdrawn_count;
 	uint8_t (*withdrawn)[CFG_HASH_BYTES];
 
--- a/tests/support_world.c
+++ b/tests/support_world.c
@@ -405,6 +405,28 @@
 	}
 }
 
+uint64_t world_change(struct world *w)
+{
+	int32_t leader = world_leader(w);
+	struct fleet_command c = { .type = FLEET_INSTANCE_LEAVE,
+				   .instance.name = "nobody" };
+
+	if (leader < 0)
+		return 0;
+	world_propose(w, leader, &c);
+	world_pump_control(w, leader);
+	return raft_last_index(w->instances[leader].control.raft);
+}
+
+bool world_in_force(const struct world *w, uint64_t index)
+{
+	for (uint32_t i = 0; i < w->p.instances; i++) {
+		if (w->nodes[i].alive && w->instances[i].index < index)
+			return false;
+	}
+	return true;
+}
+
 const struct world_findings *world_finish(struct world *w)
 {
 	world_load(w, false);
--- a/tests/support_world.h
+++ b/tests/support_world.h
@@ -141,6 +141,11 @@
 
 /* Results */
 
+/** world_change() - the leader proposes a change; its log index, 0: none */
+uint64_t world_change(struct world *w);
+/** world_in_force() - every instance that is alive holds it */
+bool world_in_force(const struct world *w, uint64_t index);
+
 /** world_finish() - stop the load, heal, let all end, and check */
 const struct world_findings *world_finish(struct world *w);
 const struct world_score *world_score(const struct world *w, uint32_t customer);
--- a/tests/support_world_control.c
+++ b/tests/support_world_control.c
@@ -19,7 +19,7 @@
 
 struct group_update {
 	int32_t leader;
-	uint64_t term;
+	uint64_t index;
 	uint32_t instances;
 	uint32_t count;
 	struct fleet_group groups[WORLD_GROUPS_MAX];
@@ -37,6 +37,8 @@
 
 	new_leader = in->leader != u->leader;
 	in->leader = u->leader;
+	if (u->index > in->index)
+		in->index = u->index;
 	if (new_leader) {
 		rate_keeper_new_owner(in->keeper);
 		world_ask_owner(w, i);
@@ -59,6 +61,7 @@
 		struct group_update *u = talloc_zero(w, struct group_update);
 
 		u->leader = leader;
+		u->index = c->fleet->applied_index;
 		u->instances = c->fleet->instances_count
 				       ? c->fleet->instances_count
 				       : 1;
--- a/tests/support_world_internal.h
+++ b/tests/support_world_internal.h
@@ -113,6 +113,7 @@
 	GHashTable *conns;
 	struct fake_control control;
 	int32_t leader;
+	uint64_t index;
 	GQueue *requests;
 };
 
