Keep no pointer to a call that has ended

Found by a trial load on real processes with kills and stops: all instances died (segmentation fault) when an endpoint that had been stopped went on. Cause, by the address sanitizer: several answers came in one read, the first one's callback closed the connection, the calls behind it were freed, and the session went on to hand their answers to freed memory. Change: a call that ends takes itself off its stream; the same on the server's side. /h2/close-inside-a-reply failed under the sanitizer before and passes now.

--- a/lib/io/h2_client.c
+++ b/lib/io/h2_client.c
@@ -65,6 +65,9 @@
 				  .body_len = call->body_len };
 
 	unlink_call(call);
+	/* More of what was read may follow for this stream. */
+	nghttp2_session_set_stream_user_data(call->client->io->session,
+					     call->stream_id, NULL);
 	if (!call->abandoned)
 		call->done(call->private_data, &reply);
 	talloc_free(call);
@@ -168,7 +171,6 @@
 	(void)user_data;
 	if (!call)
 		return 0;
-	nghttp2_session_set_stream_user_data(session, stream_id, NULL);
 	/* The other side says itself that it did not look at the request. */
 	if (error_code == NGHTTP2_REFUSED_STREAM)
 		call->sent = false;
--- a/lib/io/h2_server.c
+++ b/lib/io/h2_server.c
@@ -86,6 +86,8 @@
 		stream->conn->streams = stream->next;
 	if (stream->next)
 		stream->next->prev = stream->prev;
+	nghttp2_session_set_stream_user_data(stream->conn->io->session,
+					     stream->id, NULL);
 	if (stream->request && stream->handed_over)
 		stream->request->stream = NULL;
 	talloc_free(stream);
