Prove the disk's file: full disk, damage, a folder in use; withdrawal on a live connection

/disk/full: while writes fail nothing is reported as synced; with room again all ten records are there in order.

--- a/tests/test_daemon.c
+++ b/tests/test_daemon.c
@@ -190,8 +190,14 @@
 {
 	struct test_fleet *f = test_fleet_start();
 	g_autofree char *key = test_fleet_key(f, "schools");
+	struct test_caller *live = test_caller_open(f, 3);
+	uint16_t status;
 	gint64 until;
 
+	json_decref(test_caller_call(live, "GET", PLACES "a", key, NULL, NULL,
+				     &status));
+	g_assert_cmpuint(status, ==, 200);
+
 	g_assert_cmpuint(test_fleet_call(f, 2, "GET", PLACES "a", key, NULL),
 			 ==, 200);
 	g_assert_cmpint(test_fleet_tool(f, NULL, key, "key", "withdraw", NULL),
@@ -201,6 +207,14 @@
 	while (test_fleet_call(f, 2, "GET", PLACES "a", key, NULL) == 200)
 		g_assert_cmpint(g_get_monotonic_time(), <, until);
 	g_assert_cmpstr(error_of(f), ==, "key_unknown");
+	/* The same on the connection that it was used on before. */
+	do {
+		g_assert_cmpint(g_get_monotonic_time(), <, until);
+		json_decref(test_caller_call(live, "GET", PLACES "a", key, NULL,
+					     NULL, &status));
+	} while (status == 200);
+	g_assert_cmpuint(status, ==, 401);
+	test_caller_close(live);
 	test_fleet_stop(f);
 }
 
--- /dev/null
+++ b/tests/test_disk.c
@@ -0,0 +1,219 @@
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <talloc.h>
+
+#include "disk.h"
+#include "lws_error.h"
+
+/**
+ * DOC: The durable log file: what is reported as synced is read back; a disk
+ * without room is waited for; a damaged or taken folder is refused.
+ */
+
+struct fixture {
+	struct tevent_context *ev;
+	struct mailbox *box;
+	struct disk *disk;
+	char *folder;
+	uint64_t durable;
+	uint32_t errors;
+	uint32_t records;
+	uint64_t last_term;
+};
+
+static int on_record(void *private_data, const struct store_record *record)
+{
+	struct fixture *f = private_data;
+
+	f->records++;
+	if (record->type == STORE_HARD_STATE)
+		f->last_term = record->hard.term;
+	return 0;
+}
+
+static void on_durable(void *private_data, uint64_t seq)
+{
+	((struct fixture *)private_data)->durable = seq;
+}
+
+static void on_error(void *private_data, int rc)
+{
+	(void)rc;
+	((struct fixture *)private_data)->errors++;
+}
+
+static int reopen(struct fixture *f)
+{
+	struct disk_params params = { .folder = f->folder,
+				      .box = f->box,
+				      .private_data = f,
+				      .on_record = on_record,
+				      .on_durable = on_durable,
+				      .on_error = on_error };
+
+	TALLOC_FREE(f->disk);
+	f->records = 0;
+	return disk_open(f->ev, &params, &f->disk);
+}
+
+static struct fixture *set_up(void)
+{
+	struct fixture *f = g_new0(struct fixture, 1);
+
+	f->ev = tevent_context_init(NULL);
+	f->box = mailbox_create(f->ev, f->ev, f);
+	f->folder = g_dir_make_tmp("lws-disk-XXXXXX", NULL);
+	g_assert_cmpint(reopen(f), ==, 0);
+	return f;
+}
+
+static char *log_path(const struct fixture *f)
+{
+	return g_strdup_printf("%s/log", f->folder);
+}
+
+static void tear_down(struct fixture *f)
+{
+	g_autofree char *log = log_path(f);
+	g_autofree char *lock = g_strdup_printf("%s/lock", f->folder);
+
+	TALLOC_FREE(f->disk);
+	g_unlink(log);
+	g_unlink(lock);
+	g_rmdir(f->folder);
+	talloc_free(f->ev);
+	g_free(f->folder);
+	g_free(f);
+}
+
+static void append(struct fixture *f, uint64_t seq, uint64_t term)
+{
+	struct store_record r = { .type = STORE_HARD_STATE };
+
+	r.hard.term = term;
+	disk_append(f->disk, seq, &r);
+}
+
+static void wait_durable(struct fixture *f, uint64_t seq)
+{
+	while (f->durable < seq)
+		tevent_loop_once(f->ev);
+}
+
+static void test_append_and_replace(void)
+{
+	struct fixture *f = set_up();
+	struct store_record all[2] = { { .type = STORE_IDENTITY },
+				       { .type = STORE_HARD_STATE } };
+
+	for (uint64_t i = 1; i <= 100; i++)
+		append(f, i, i);
+	wait_durable(f, 100);
+	g_assert_cmpint(reopen(f), ==, 0);
+	g_assert_cmpuint(f->records, ==, 100);
+	g_assert_cmpuint(f->last_term, ==, 100);
+	all[1].hard.term = 500;
+	disk_replace(f->disk, 101, all, 2);
+	append(f, 102, 501);
+	wait_durable(f, 102);
+	g_assert_cmpint(reopen(f), ==, 0);
+	g_assert_cmpuint(f->records, ==, 3);
+	g_assert_cmpuint(f->last_term, ==, 501);
+	tear_down(f);
+}
+
+/* No room: nothing counts as synced; room again: all is written, in order. */
+static void test_full_disk(void)
+{
+	struct fixture *f = set_up();
+	struct rlimit old;
+	struct rlimit tight;
+
+	signal(SIGXFSZ, SIG_IGN);
+	append(f, 1, 1);
+	wait_durable(f, 1);
+	getrlimit(RLIMIT_FSIZE, &old);
+	tight = old;
+	tight.rlim_cur = 40;
+	setrlimit(RLIMIT_FSIZE, &tight);
+	for (uint64_t i = 2; i <= 10; i++)
+		append(f, i, i);
+	while (f->errors < 2)
+		tevent_loop_once(f->ev);
+	g_assert_cmpuint(f->durable, ==, 1);
+	setrlimit(RLIMIT_FSIZE, &old);
+	wait_durable(f, 10);
+	g_assert_cmpint(reopen(f), ==, 0);
+	g_assert_cmpuint(f->records, ==, 10);
+	g_assert_cmpuint(f->last_term, ==, 10);
+	tear_down(f);
+}
+
+struct damage_case {
+	const char *name;
+	gssize cut;
+	gssize flip;
+	int rc;
+	uint32_t records;
+};
+
+static void test_damage(void)
+{
+	static const struct damage_case cases[] = {
+		{ "whole", 0, -1, 0, 3 },
+		{ "torn tail", 1, -1, 0, 2 },
+		{ "torn deeper", 25, -1, 0, 1 },
+		{ "first record", 0, 18, LWS_E_STORE_CORRUPT, 0 },
+		{ "length field", 0, 1, LWS_E_STORE_CORRUPT, 0 },
+	};
+
+	for (size_t k = 0; k < G_N_ELEMENTS(cases); k++) {
+		struct fixture *f = set_up();
+		g_autofree char *path = log_path(f);
+		g_autofree char *bytes = NULL;
+		gsize len;
+
+		for (uint64_t i = 1; i <= 3; i++)
+			append(f, i, i);
+		wait_durable(f, 3);
+		TALLOC_FREE(f->disk);
+		g_assert_true(g_file_get_contents(path, &bytes, &len, NULL));
+		if (cases[k].flip >= 0)
+			bytes[cases[k].flip] ^= 0x20;
+		g_assert_true(g_file_set_contents(
+			path, bytes, (gssize)len - cases[k].cut, NULL));
+		g_test_message("%s", cases[k].name);
+		g_assert_cmpint(reopen(f), ==, cases[k].rc);
+		if (!cases[k].rc)
+			g_assert_cmpuint(f->records, ==, cases[k].records);
+		tear_down(f);
+	}
+}
+
+static void test_folder_in_use(void)
+{
+	struct fixture *f = set_up();
+	struct disk_params params = { .folder = f->folder,
+				      .box = f->box,
+				      .private_data = f,
+				      .on_record = on_record,
+				      .on_durable = on_durable,
+				      .on_error = on_error };
+	struct disk *second;
+
+	g_assert_cmpint(disk_open(f->ev, &params, &second), ==, LWS_E_BUSY);
+	tear_down(f);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/disk/append-and-replace", test_append_and_replace);
+	g_test_add_func("/disk/full", test_full_disk);
+	g_test_add_func("/disk/damage", test_damage);
+	g_test_add_func("/disk/folder-in-use", test_folder_in_use);
+	return g_test_run();
+}
