Run the full disk's test where its output goes to a file, too

Cause: the limit on the size of files also held for the file that the test's own output went to (fails under tests/run.sh, passes on a terminal). The log is made larger than any output first; the checks are the same.

--- a/tests/test_disk.c
+++ b/tests/test_disk.c
@@ -132,12 +132,21 @@
 	struct rlimit old;
 	struct rlimit tight;
 
+	static uint8_t state[1 << 20];
+	struct store_record large = { .type = STORE_SNAPSHOT };
+
 	signal(SIGXFSZ, SIG_IGN);
-	append(f, 1, 1);
+	/* The limit holds for what the test prints, too: make the log large. */
+	large.snap = (struct raft_snapshot){
+		.index = 1, .term = 1, .len = sizeof(state), .data = state
+	};
+	large.snap.voters.count = 1;
+	large.snap.voters.member[0].id = 1;
+	disk_append(f->disk, 1, &large);
 	wait_durable(f, 1);
 	getrlimit(RLIMIT_FSIZE, &old);
 	tight = old;
-	tight.rlim_cur = 40;
+	tight.rlim_cur = sizeof(state) + 120;
 	setrlimit(RLIMIT_FSIZE, &tight);
 	for (uint64_t i = 2; i <= 10; i++)
 		append(f, i, i);
