--- a/tests/test_disk.c
+++ b/tests/test_disk.c
@@ -131,7 +131,8 @@
 	struct fixture *f = set_up();
 	struct rlimit old;
 	struct rlimit tight;
-
+	g_autofree char *path = NULL;
+	GStatBuf st;
 	static uint8_t state[1 << 20];
 	struct store_record large = { .type = STORE_SNAPSHOT };
 
@@ -146,7 +147,10 @@
 	wait_durable(f, 1);
 	getrlimit(RLIMIT_FSIZE, &old);
 	tight = old;
-	tight.rlim_cur = sizeof(state) + 120;
+	/* Not one byte more. */
+	path = log_path(f);
+	g_assert_cmpint(g_stat(path, &st), ==, 0);
+	tight.rlim_cur = (rlim_t)st.st_size;
 	setrlimit(RLIMIT_FSIZE, &tight);
 	for (uint64_t i = 2; i <= 10; i++)
 		append(f, i, i);
