--- a/lib/admit/rate_holder.c
+++ b/lib/admit/rate_holder.c
@@ -62,7 +62,6 @@
 		.returned = account->returned,
 	};
 	account->returned = 0;
-	account->asked_us = now_us;
 	return true;
 }
 
--- a/lib/admit/rate_holder.h
+++ b/lib/admit/rate_holder.h
@@ -34,7 +34,6 @@
 
 	uint32_t demand_per_tick;
 	uint32_t returned;
-	uint64_t asked_us;
 	uint64_t idle_since_us;
 };
 
--- a/lib/admit/rate_owner.c
+++ b/lib/admit/rate_owner.c
@@ -400,16 +400,3 @@
 	set_holding(b, h, h->outstanding + granted, h->want);
 	return granted;
 }
-
-uint64_t rate_owner_wait_us(struct rate_owner *owner, uint64_t now_us,
-			    uint64_t customer)
-{
-	struct bucket *b = find_bucket(owner, customer);
-
-	if (!b || !b->rate_per_s)
-		return LWS_US_PER_S;
-	fill(owner, b, now_us);
-	if (b->level_millionths >= MILLIONTHS)
-		return 0;
-	return (MILLIONTHS - b->level_millionths) / b->rate_per_s + 1;
-}
--- a/lib/admit/rate_owner.h
+++ b/lib/admit/rate_owner.h
@@ -108,8 +108,4 @@
 			uint64_t instance, uint64_t incarnation, uint64_t seq,
 			const struct rate_ask *ask);
 
-/** rate_owner_wait_us() - time until a token will be free, for retry hints */
-uint64_t rate_owner_wait_us(struct rate_owner *owner, uint64_t now_us,
-			    uint64_t customer);
-
 #endif
--- a/lib/authenticate/key_table.c
+++ b/lib/authenticate/key_table.c
@@ -102,8 +102,3 @@
 	}
 	return KEY_NO_CUSTOMER;
 }
-
-uint32_t key_table_count(const struct key_table *table)
-{
-	return table->count;
-}
--- a/lib/authenticate/key_table.h
+++ b/lib/authenticate/key_table.h
@@ -42,7 +42,4 @@
  */
 uint32_t key_table_find(const struct key_table *table, const char *key);
 
-/** key_table_count() - number of keys in force */
-uint32_t key_table_count(const struct key_table *table);
-
 #endif
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -34,13 +34,11 @@
 	sync_log_clear(c->sync_log);
 }
 
-static void log_command(struct control *c, uint64_t index,
-			const struct fleet_command *command,
-			struct fleet_result result)
+static void log_change(struct control *c, uint64_t index,
+		       struct fleet_result result)
 {
 	const struct fleet_audit *audit = fleet_audit_at(c->fleet, 0);
 
-	(void)command;
 	if (!audit || audit->index != index)
 		return;
 	lws_log_info(c->daemon->log, "change", "{s:I,s:s,s:s,s:s,s:I}", "index",
@@ -65,7 +63,7 @@
 		c->fleet_changed = true;
 		if (command.type == FLEET_CONFIG_APPLY)
 			c->config_applied_us = lws_time_now_us();
-		log_command(c, index, &command, result);
+		log_change(c, index, result);
 	}
 	c->fleet->applied_index = index;
 	sync_log_push(c->sync_log, index, data, len);
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -92,7 +92,6 @@
 	uint64_t durable_seq;
 	struct held_message *held_head;
 	struct held_message *held_tail;
-	uint64_t log_writes;
 
 	struct fleet *fleet;
 	bool fleet_changed;
--- a/lib/daemon/control_log.c
+++ b/lib/daemon/control_log.c
@@ -355,7 +355,6 @@
 		};
 	disk_replace(c->disk, seq, records, n);
 	talloc_free(records);
-	c->log_writes = 0;
 }
 
 /* Messages */
@@ -432,7 +431,6 @@
 static void append_record(struct control *c, uint64_t seq,
 			  const struct store_record *record)
 {
-	c->log_writes++;
 	disk_append(c->disk, seq, record);
 }
 
--- a/lib/daemon/front_transaction.c
+++ b/lib/daemon/front_transaction.c
@@ -1,9 +1,9 @@
+#include <string.h>
+
 #include "lws_str.h"
 #include "worker_internal.h"
-#include <stdio.h>
-#include <string.h>
 
-struct work_mail {
+struct abandon_mail {
 	struct mail mail;
 	char group[FLEET_NAME_MAX];
 	uint64_t transaction;
@@ -31,7 +31,7 @@
 
 static void on_abandon_mail(void *private_data, struct mail *mail)
 {
-	struct work_mail *abandon = (struct work_mail *)mail;
+	struct abandon_mail *abandon = (struct abandon_mail *)mail;
 	struct group_shell *gs = worker_group(private_data, abandon->group);
 
 	if (gs)
@@ -41,7 +41,7 @@
 
 static void abandon(struct worker *w, struct transaction *tx)
 {
-	struct work_mail *mail = talloc_zero(NULL, struct work_mail);
+	struct abandon_mail *mail = talloc_zero(NULL, struct abandon_mail);
 
 	if (mail) {
 		mail->mail.fn = on_abandon_mail;
--- a/lib/route/gate.c
+++ b/lib/route/gate.c
@@ -177,15 +177,6 @@
 	gate_open_conns(g, now_us);
 }
 
-static int32_t index_of(const struct fleet_group *group, const char *id)
-{
-	for (uint32_t i = 0; i < group->count; i++) {
-		if (strcmp(group->endpoint[i].id, id) == 0)
-			return (int32_t)i;
-	}
-	return -1;
-}
-
 /* Writes of an older term cannot be confirmed any more. */
 static void fail_old_confirms(struct gate *g)
 {
@@ -203,6 +194,8 @@
 void gate_set_group(struct gate *g, uint64_t now_us,
 		    const struct fleet_group *group)
 {
+	const struct fleet_endpoint *primary =
+		fleet_find_endpoint(group, group->primary);
 	struct fleet_group old = g->group;
 	bool members[FLEET_ENDPOINTS_MAX];
 
@@ -213,8 +206,9 @@
 	if (group->primary_term != old.primary_term)
 		g->term_seen_us = now_us;
 	positions_set_primary(&g->positions, group->primary_term,
-			      index_of(group, group->primary), group->count,
-			      members);
+			      primary ? (int32_t)(primary - group->endpoint)
+				      : -1,
+			      group->count, members);
 	if (group->primary_term != old.primary_term) {
 		/* Promises made meanwhile may already confirm. */
 		gate_check_confirms(g, now_us);
@@ -439,8 +433,3 @@
 {
 	return &g->stats;
 }
-
-bool gate_suspects(const struct gate *g, uint32_t endpoint)
-{
-	return g->endpoints[endpoint].suspect;
-}
--- a/lib/route/gate.h
+++ b/lib/route/gate.h
@@ -258,7 +258,4 @@
 
 const struct gate_stats *gate_stats(const struct gate *g);
 
-/** gate_suspects() - an endpoint does not answer this instance */
-bool gate_suspects(const struct gate *g, uint32_t endpoint);
-
 #endif
--- a/lib/route/gate_internal.h
+++ b/lib/route/gate_internal.h
@@ -32,6 +32,7 @@
  * @prev, @next: place in the list of its state (all but QUEUED)
  * @want: as submitted
  * @arrived_us: when it was submitted
+ * @not_before_us: not sent again, or not passed on to the primary, earlier
  * @attempts: times it was sent
  * @state: where it is
  * @primary_lane: QUEUED: in the queue for the primary
