--- a/Makefile
+++ b/Makefile
@@ -7,16 +7,16 @@
 PACKAGES = talloc tevent msgpack liburcu jansson yaml-0.1 libsodium libxxhash \
 	   libnghttp2 glib-2.0 gio-2.0
 LIB_DIRS = common config authenticate admit route confirm control membership \
-	   wire io daemon tool
-LIB_SRCS = $(wildcard $(LIB_DIRS:%=lib/%/*.c))
+	   wire io session daemon tool
+LIB_SRCS = $(wildcard $(LIB_DIRS:%=lib/%/*.c)) $(wildcard platform/*.c)
 LIB_OBJS = $(LIB_SRCS:%.c=$(BUILD)/%.o)
 
 CFLAGS = -std=gnu11 -D_GNU_SOURCE -g $(OPT) -Wall -Wextra -Werror \
 	 -Wstrict-prototypes -Wmissing-prototypes -Wno-format-truncation \
 	 $(SANITIZE)
-CPPFLAGS = $(LIB_DIRS:%=-Ilib/%) -Iprograms/standin -Itests -Ibench \
+CPPFLAGS = $(LIB_DIRS:%=-Ilib/%) -Iplatform -Iprograms/standin -Itests -Ibench \
 	   $(shell pkg-config --cflags $(PACKAGES)) -MMD -MP
-LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lurcu-memb -lpthread
+LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lurcu-memb -lhttp_parser -lpthread
 LDFLAGS = $(SANITIZE)
 
 PROGRAMS = $(BUILD)/lacewingspand $(BUILD)/lacewingspan $(BUILD)/standin
@@ -24,7 +24,7 @@
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
 BENCH_SUPPORT = $(wildcard bench/support_*.c)
-FORMATTED = $(wildcard lib/*/*.[ch] programs/*/*.[ch] tests/*.[ch] \
+FORMATTED = $(wildcard lib/*/*.[ch] platform/*.[ch] programs/*/*.[ch] tests/*.[ch] \
 	    bench/*.[ch])
 
 .PHONY: all check bench bench-slopes demo format format-check lint clean tests
@@ -88,8 +88,8 @@
 		--enable=warning,performance,portability \
 		'-Djson_object_foreach(o,k,v)=for(;;)' \
 		'-Djson_array_foreach(a,i,v)=for(;;)' \
-		--suppress=missingIncludeSystem $(LIB_DIRS:%=-Ilib/%) lib \
-		programs
+		--suppress=missingIncludeSystem $(LIB_DIRS:%=-Ilib/%) -Iplatform \
+		lib platform programs
 
 clean:
 	rm -rf $(BUILD) build-*
--- a/demo.sh
+++ b/demo.sh
@@ -6,7 +6,7 @@
 
 PACKAGES="build-essential pkg-config libtalloc-dev libtevent-dev libmsgpack-dev
 	liburcu-dev libglib2.0-dev libnghttp2-dev nghttp2-client curl
-	libjansson-dev libyaml-dev libsodium-dev libxxhash-dev"
+	libjansson-dev libyaml-dev libsodium-dev libxxhash-dev libhttp-parser-dev"
 if ! dpkg -s $PACKAGES >/dev/null 2>&1; then
 	apt-get update -qq && apt-get install -y -qq $PACKAGES >/dev/null ||
 		{ echo "demo: packages cannot be installed"; exit 1; }
--- a/lib/admit/admission.c
+++ b/lib/admit/admission.c
@@ -96,6 +96,11 @@
 	return item;
 }
 
+void admission_remove(struct admission *a, struct admission_item *item)
+{
+	unlink_item(a, item);
+}
+
 uint64_t admission_next_due_us(const struct admission *a)
 {
 	uint64_t due = UINT64_MAX;
--- a/lib/admit/admission.h
+++ b/lib/admit/admission.h
@@ -73,6 +73,9 @@
 /** admission_take_any() - take a request out, NULL when nobody waits */
 struct admission_item *admission_take_any(struct admission *a);
 
+/** admission_remove() - the caller of a request that waits is gone */
+void admission_remove(struct admission *a, struct admission_item *item);
+
 /** admission_next_due_us() - when admission_next() is due at the latest */
 uint64_t admission_next_due_us(const struct admission *a);
 
--- a/lib/common/lws_time.h
+++ b/lib/common/lws_time.h
@@ -7,7 +7,8 @@
  * DOC: Units of time.
  *
  * Decisions take the time as an argument, in microseconds of a monotonic
- * clock of the calling instance. Times of two instances are never compared.
+ * clock of the calling instance that also counts while the machine is
+ * suspended. Times of two instances are never compared.
  */
 
 #define LWS_US_PER_MS 1000ULL
--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -69,7 +69,9 @@
 {
 	return strcmp(a->id, b->id) == 0 && strcmp(a->addr, b->addr) == 0 &&
 	       strcmp(a->failure_domain, b->failure_domain) == 0 &&
-	       a->present == b->present && a->member == b->member;
+	       a->present == b->present && a->leaving == b->leaving &&
+	       a->member == b->member && a->slots == b->slots &&
+	       a->incarnation == b->incarnation;
 }
 
 bool fleet_group_same(const struct fleet_group *a, const struct fleet_group *b)
@@ -230,6 +232,46 @@
 	return 0;
 }
 
+/* The catalog */
+
+uint64_t fleet_catalog_version(const struct fleet *fleet)
+{
+	return fleet->catalog ? fleet->catalog->version : 0;
+}
+
+int fleet_set_catalog(struct fleet *fleet, const uint8_t *document,
+		      uint32_t document_len, const uint8_t *packed,
+		      uint32_t packed_len)
+{
+	struct catalog *catalog;
+	uint8_t *copy;
+	int rc = catalog_unpack(fleet, packed, packed_len, &catalog);
+
+	if (rc)
+		return rc;
+	copy = talloc_memdup(fleet, document, document_len);
+	if (!copy) {
+		talloc_free(catalog);
+		return LWS_E_NOMEM;
+	}
+	talloc_free(fleet->catalog);
+	talloc_free(fleet->document);
+	fleet->catalog = catalog;
+	fleet->document = copy;
+	fleet->document_len = document_len;
+	return 0;
+}
+
+static int apply_catalog(struct fleet *fleet,
+			 const struct fleet_command *command)
+{
+	if (command->catalog.version <= fleet_catalog_version(fleet))
+		return 0;
+	return fleet_set_catalog(
+		fleet, command->catalog.document, command->catalog.document_len,
+		command->catalog.packed, command->catalog.packed_len);
+}
+
 /* Keys */
 
 static int check_give(const struct fleet *fleet,
@@ -330,6 +372,15 @@
 	return NULL;
 }
 
+/* An announcement that was overtaken by a newer one of the same endpoint. */
+static bool announced_before(const struct fleet_endpoint *known,
+			     const struct fleet_endpoint *from)
+{
+	if (known->incarnation != from->incarnation)
+		return from->incarnation < known->incarnation;
+	return from->seq < known->seq;
+}
+
 static int apply_join(struct fleet *fleet, const struct fleet_command *command)
 {
 	const struct fleet_endpoint *from = &command->endpoint.endpoint;
@@ -346,9 +397,15 @@
 		*endpoint = *from;
 		endpoint->member = false;
 	}
+	if (announced_before(endpoint, from))
+		return LWS_E_VERSION_CONFLICT;
+	endpoint->slots = from->slots;
+	endpoint->incarnation = from->incarnation;
+	endpoint->seq = from->seq;
 	LWS_STR_COPY(endpoint->addr, from->addr);
 	LWS_STR_COPY(endpoint->failure_domain, from->failure_domain);
 	endpoint->present = true;
+	endpoint->leaving = false;
 	return 0;
 }
 
@@ -363,7 +420,30 @@
 
 	if (!endpoint)
 		return LWS_E_NOT_FOUND;
+	if (announced_before(endpoint, &command->endpoint.endpoint))
+		return LWS_E_VERSION_CONFLICT;
+	endpoint->incarnation = command->endpoint.endpoint.incarnation;
+	endpoint->seq = command->endpoint.endpoint.seq;
 	endpoint->present = false;
+	endpoint->leaving |= command->endpoint.endpoint.leaving;
+	return 0;
+}
+
+static int apply_gone(struct fleet *fleet, const struct fleet_command *command)
+{
+	struct fleet_group *group =
+		fleet_find_group(fleet, command->endpoint.group);
+	struct fleet_endpoint *endpoint =
+		group ? fleet_find_endpoint(group,
+					    command->endpoint.endpoint.id)
+		      : NULL;
+
+	if (!endpoint)
+		return LWS_E_NOT_FOUND;
+	if (announced_before(endpoint, &command->endpoint.endpoint))
+		return LWS_E_VERSION_CONFLICT;
+	*endpoint = group->endpoint[--group->count];
+	memset(&group->endpoint[group->count], 0, sizeof(*endpoint));
 	return 0;
 }
 
@@ -476,10 +556,16 @@
 		return;
 	case FLEET_ENDPOINT_JOIN:
 	case FLEET_ENDPOINT_LEAVE:
+	case FLEET_ENDPOINT_GONE:
 		snprintf(out, room, "endpoint %s/%s %s",
 			 command->endpoint.group, command->endpoint.endpoint.id,
-			 command->type == FLEET_ENDPOINT_JOIN ? "join"
-							      : "leave");
+			 command->type == FLEET_ENDPOINT_JOIN	 ? "join"
+			 : command->type == FLEET_ENDPOINT_LEAVE ? "leave"
+								 : "gone");
+		return;
+	case FLEET_CATALOG_REPLACE:
+		snprintf(out, room, "catalog version %llu",
+			 (unsigned long long)command->catalog.version);
 		return;
 	case FLEET_GROUP_TERM:
 		snprintf(out, room, "group %s term %llu", command->group.group,
@@ -547,6 +633,10 @@
 		return apply_instance_join(fleet, command);
 	case FLEET_INSTANCE_LEAVE:
 		return apply_instance_leave(fleet, command);
+	case FLEET_CATALOG_REPLACE:
+		return apply_catalog(fleet, command);
+	case FLEET_ENDPOINT_GONE:
+		return apply_gone(fleet, command);
 	case FLEET_COMMAND_TYPE_COUNT:
 		break;
 	}
--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "catalog.h"
 #include "cfg.h"
 #include "pack.h"
 
@@ -35,6 +36,10 @@
  * @failure_domain: where it runs
  * @present: its lease holds and it is not leaving
  * @member: its positions count towards the group's majority
+ * @leaving: it asked for no new work; its data stays until it is gone
+ * @slots: statements that it runs at a time, 0 when it does not say
+ * @incarnation: rises with each start of the endpoint, 0 when it does not say
+ * @seq: announcement of that incarnation that @present was taken from
  */
 struct fleet_endpoint {
 	char id[FLEET_NAME_MAX];
@@ -42,6 +47,10 @@
 	char failure_domain[FLEET_NAME_MAX];
 	bool present;
 	bool member;
+	bool leaving;
+	uint32_t slots;
+	uint64_t incarnation;
+	uint64_t seq;
 };
 
 /**
@@ -66,10 +75,14 @@
  * struct fleet_instance - an instance that is alive
  * @name: unique name
  * @failure_domain: where it runs
+ * @addr: where other instances reach it, "" when they do not
+ * @entry: it serves callers
  */
 struct fleet_instance {
 	char name[FLEET_NAME_MAX];
 	char failure_domain[FLEET_NAME_MAX];
+	char addr[FLEET_ADDR_MAX];
+	bool entry;
 };
 
 struct fleet_key {
@@ -106,6 +119,10 @@
 	uint64_t config_version;
 	char *config_text;
 	struct cfg *cfg;
+	/* Of an external operator; the version stands in the catalog. */
+	struct catalog *catalog;
+	uint8_t *document;
+	uint32_t document_len;
 	uint8_t secret[FLEET_SECRET_BYTES];
 
 	uint32_t groups_count;
@@ -136,6 +153,8 @@
 	FLEET_GROUP_PRIMARY,
 	FLEET_INSTANCE_JOIN,
 	FLEET_INSTANCE_LEAVE,
+	FLEET_CATALOG_REPLACE,
+	FLEET_ENDPOINT_GONE,
 	FLEET_COMMAND_TYPE_COUNT,
 };
 
@@ -157,6 +176,13 @@
 			uint64_t expected_version;
 			char *text;
 		} config;
+		struct {
+			uint64_t version;
+			uint32_t document_len;
+			const uint8_t *document;
+			uint32_t packed_len;
+			const uint8_t *packed;
+		} catalog;
 		struct fleet_key key;
 		struct fleet_instance instance;
 		struct {
@@ -183,6 +209,14 @@
 	uint64_t version;
 };
 
+/**
+ * fleet_catalog_version() - version of the catalog, 0 before the first
+ *
+ * A catalog is replaced by one with a higher version only; any other is
+ * answered with 0 and changes nothing.
+ */
+uint64_t fleet_catalog_version(const struct fleet *fleet);
+
 /** fleet_create() - an empty state */
 struct fleet *fleet_create(void *mem_ctx);
 
--- a/lib/control/fleet_pack.c
+++ b/lib/control/fleet_pack.c
@@ -4,17 +4,23 @@
 #include "fleet_internal.h"
 #include "lws_error.h"
 
+#define INSTANCE_FIELDS 4
+
 /* Commands on the wire */
 
 static void endpoint_pack(struct pack_writer *w,
 			  const struct fleet_endpoint *endpoint)
 {
-	pack_array(w, 5);
+	pack_array(w, 9);
 	pack_str(w, endpoint->id);
 	pack_str(w, endpoint->addr);
 	pack_str(w, endpoint->failure_domain);
 	pack_bool(w, endpoint->present);
 	pack_bool(w, endpoint->member);
+	pack_bool(w, endpoint->leaving);
+	pack_u64(w, endpoint->slots);
+	pack_u64(w, endpoint->incarnation);
+	pack_u64(w, endpoint->seq);
 }
 
 static void endpoint_unpack(struct pack_reader *r,
@@ -33,6 +39,10 @@
 		      sizeof(endpoint->failure_domain));
 	endpoint->present = pack_read_bool(&in);
 	endpoint->member = pack_read_bool(&in);
+	endpoint->leaving = pack_read_bool(&in);
+	endpoint->slots = (uint32_t)pack_read_u64(&in);
+	endpoint->incarnation = pack_read_u64(&in);
+	endpoint->seq = pack_read_u64(&in);
 	if (pack_reader_end(&in))
 		r->rc = LWS_E_WIRE_FORMAT;
 }
@@ -54,6 +64,8 @@
 {
 	pack_str(w, instance->name);
 	pack_str(w, instance->failure_domain);
+	pack_str(w, instance->addr);
+	pack_bool(w, instance->entry);
 }
 
 static void instance_unpack(struct pack_reader *r,
@@ -61,6 +73,8 @@
 {
 	pack_read_str(r, instance->name, FLEET_NAME_MAX);
 	pack_read_str(r, instance->failure_domain, FLEET_NAME_MAX);
+	pack_read_str(r, instance->addr, FLEET_ADDR_MAX);
+	instance->entry = pack_read_bool(r);
 }
 
 static void group_change_pack(struct pack_writer *w,
@@ -100,8 +114,9 @@
 		[FLEET_CONFIG_APPLY] = 2,   [FLEET_KEY_GIVE] = 2,
 		[FLEET_KEY_WITHDRAW] = 2,   [FLEET_ENDPOINT_JOIN] = 2,
 		[FLEET_ENDPOINT_LEAVE] = 2, [FLEET_GROUP_TERM] = 4,
-		[FLEET_GROUP_PRIMARY] = 4,  [FLEET_INSTANCE_JOIN] = 2,
-		[FLEET_INSTANCE_LEAVE] = 2,
+		[FLEET_GROUP_PRIMARY] = 4,  [FLEET_INSTANCE_JOIN] = 4,
+		[FLEET_INSTANCE_LEAVE] = 4, [FLEET_CATALOG_REPLACE] = 3,
+		[FLEET_ENDPOINT_GONE] = 2,
 	};
 
 	pack_array(w, 4 + fields[command->type]);
@@ -120,6 +135,7 @@
 		return;
 	case FLEET_ENDPOINT_JOIN:
 	case FLEET_ENDPOINT_LEAVE:
+	case FLEET_ENDPOINT_GONE:
 		pack_str(w, command->endpoint.group);
 		endpoint_pack(w, &command->endpoint.endpoint);
 		return;
@@ -131,11 +147,27 @@
 	case FLEET_INSTANCE_LEAVE:
 		instance_pack(w, &command->instance);
 		return;
+	case FLEET_CATALOG_REPLACE:
+		pack_u64(w, command->catalog.version);
+		pack_bin(w, command->catalog.document,
+			 command->catalog.document_len);
+		pack_bin(w, command->catalog.packed,
+			 command->catalog.packed_len);
+		return;
 	case FLEET_COMMAND_TYPE_COUNT:
 		return;
 	}
 }
 
+/* Bytes of the input do not outlive the reader. */
+static const uint8_t *copy_bin(struct pack_reader *r, void *mem_ctx,
+			       uint32_t *len)
+{
+	const uint8_t *data = pack_read_bin(r, len);
+
+	return data ? talloc_memdup(mem_ctx, data, *len) : NULL;
+}
+
 static void command_body_unpack(struct pack_reader *r, void *mem_ctx,
 				struct fleet_command *command)
 {
@@ -150,6 +182,7 @@
 		return;
 	case FLEET_ENDPOINT_JOIN:
 	case FLEET_ENDPOINT_LEAVE:
+	case FLEET_ENDPOINT_GONE:
 		pack_read_str(r, command->endpoint.group, FLEET_NAME_MAX);
 		endpoint_unpack(r, &command->endpoint.endpoint);
 		return;
@@ -161,6 +194,13 @@
 	case FLEET_INSTANCE_LEAVE:
 		instance_unpack(r, &command->instance);
 		return;
+	case FLEET_CATALOG_REPLACE:
+		command->catalog.version = pack_read_u64(r);
+		command->catalog.document =
+			copy_bin(r, mem_ctx, &command->catalog.document_len);
+		command->catalog.packed =
+			copy_bin(r, mem_ctx, &command->catalog.packed_len);
+		return;
 	case FLEET_COMMAND_TYPE_COUNT:
 		return;
 	}
@@ -251,7 +291,7 @@
 
 static void instances_pack(struct pack_writer *w, const struct fleet *fleet)
 {
-	pack_array(w, fleet->instances_count * 2);
+	pack_array(w, fleet->instances_count * INSTANCE_FIELDS);
 	for (uint32_t i = 0; i < fleet->instances_count; i++)
 		instance_pack(w, &fleet->instances[i]);
 }
@@ -260,12 +300,13 @@
 {
 	struct pack_reader in;
 
-	if (pack_reader_enter(r, &in) || in.count > FLEET_INSTANCES_MAX * 2 ||
-	    in.count % 2) {
+	if (pack_reader_enter(r, &in) ||
+	    in.count > FLEET_INSTANCES_MAX * INSTANCE_FIELDS ||
+	    in.count % INSTANCE_FIELDS) {
 		r->rc = LWS_E_WIRE_FORMAT;
 		return;
 	}
-	fleet->instances_count = in.count / 2;
+	fleet->instances_count = in.count / INSTANCE_FIELDS;
 	fleet->instances = talloc_zero_array(fleet, struct fleet_instance,
 					     fleet->instances_count + 1);
 	for (uint32_t i = 0; i < fleet->instances_count; i++)
@@ -389,9 +430,34 @@
 		r->rc = LWS_E_WIRE_FORMAT;
 }
 
+static void catalog_state_pack(struct pack_writer *w, const struct fleet *fleet)
+{
+	struct pack_writer packed;
+
+	pack_writer_init(&packed);
+	if (fleet->catalog)
+		catalog_pack(&packed, fleet->catalog);
+	pack_bin(w, fleet->document, fleet->document_len);
+	pack_bin(w, packed.buf.data, (uint32_t)packed.buf.size);
+	pack_writer_clear(&packed);
+}
+
+static void catalog_state_unpack(struct pack_reader *r, struct fleet *fleet)
+{
+	uint32_t document_len;
+	uint32_t packed_len;
+	const uint8_t *document = pack_read_bin(r, &document_len);
+	const uint8_t *packed = pack_read_bin(r, &packed_len);
+
+	if (r->rc || !packed_len)
+		return;
+	r->rc = fleet_set_catalog(fleet, document, document_len, packed,
+				  packed_len);
+}
+
 void fleet_snapshot_pack(struct pack_writer *w, const struct fleet *fleet)
 {
-	pack_array(w, 10);
+	pack_array(w, 12);
 	pack_u64(w, fleet->applied_index);
 	pack_u64(w, fleet->config_version);
 	pack_str(w, fleet->config_text);
@@ -401,6 +467,7 @@
 	keys_pack(w, fleet);
 	requests_pack(w, fleet);
 	audit_pack(w, fleet);
+	catalog_state_pack(w, fleet);
 }
 
 int fleet_snapshot_unpack(void *mem_ctx, const uint8_t *data, size_t len,
@@ -422,6 +489,7 @@
 	keys_unpack(&r, fleet);
 	requests_unpack(&r, fleet);
 	audit_unpack(&r, fleet);
+	catalog_state_unpack(&r, fleet);
 	rc = pack_reader_end(&r);
 	pack_reader_clear(&r);
 	if (!rc && fleet->config_version)
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -8,6 +8,8 @@
 #include "lws_time.h"
 
 #define SYNC_POLL_US (500 * LWS_US_PER_MS)
+/* A planned stop ends resting sessions once new ones go elsewhere. */
+#define DRAIN_REST_MS 2300
 #define SYNC_TIMEOUT_US (400 * LWS_US_PER_MS)
 
 uint64_t control_wall_ms(void)
@@ -78,6 +80,15 @@
 	control_push_children(c);
 	if (!c->fleet_changed)
 		return;
+	control_dial_fleet(c);
+	if (c->entry)
+		entry_fleet_changed(c->entry);
+	if (!c->daemon->settings.workers) {
+		c->fleet_changed = false;
+		if (c->leader)
+			control_leader_fleet_changed(c, lws_time_now_us());
+		return;
+	}
 	view = view_create(NULL, c->fleet, c->daemon->settings.name,
 			   control_account_of, c);
 	if (!view)
@@ -102,13 +113,19 @@
 	lws_log_info(d->log, "drain", NULL);
 	for (uint32_t i = 0; i < d->settings.workers; i++)
 		worker_drain(d->workers[i]);
+	if (c->entry)
+		entry_drain(c->entry,
+			    c->drain_started_us + DRAIN_REST_MS * LWS_US_PER_MS,
+			    c->drain_started_us +
+				    d->settings.drain_ms * LWS_US_PER_MS / 2);
 }
 
 static void drain_tick(struct control *c, uint64_t now_us)
 {
 	struct daemon *d = c->daemon;
 	uint64_t waited = now_us - c->drain_started_us;
-	bool idle = atomic_load(&d->workers_idle) == d->settings.workers;
+	bool idle = atomic_load(&d->workers_idle) == d->settings.workers &&
+		    (!c->entry || entry_idle(c->entry));
 
 	if (!idle && waited < d->settings.drain_ms * LWS_US_PER_MS)
 		return;
@@ -144,6 +161,8 @@
 	control_sync_tick(c, now_us);
 	control_rates_tick(c, now_us);
 	control_report_tick(c, now_us);
+	control_form_tick(c, now_us);
+	operator_tick(c, now_us);
 	control_proposals_expire(c, now_us);
 	control_publish(c);
 	if (c->draining)
@@ -174,7 +193,7 @@
 		rc = control_log_open(c);
 	if (!rc)
 		rc = control_peers_start(c);
-	if (!rc)
+	if (!rc && !d->adapter)
 		rc = control_admin_start(c);
 	if (rc) {
 		lws_log_error(d->log, "start_failed", "{s:s,s:s}", "error",
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -6,6 +6,7 @@
 
 #include "daemon.h"
 #include "disk.h"
+#include "entry.h"
 #include "failover.h"
 #include "h2.h"
 #include "instances.h"
@@ -26,6 +27,7 @@
 #define CONTROL_SNAPSHOT_ENTRIES 256
 
 struct control;
+struct group_succession;
 
 typedef void (*proposal_fn)(void *private_data, int rc, uint64_t version,
 			    uint64_t index);
@@ -75,7 +77,11 @@
 	struct rate_owner *owner;
 	uint32_t failovers_count;
 	struct group_failover *failovers;
+	struct group_succession *successions;
 	uint64_t voters_changed_us;
+	/* When each voter was connected last, in the order of their list. */
+	uint64_t voter_ids[RAFT_VOTERS_MAX];
+	uint64_t voter_seen_us[RAFT_VOTERS_MAX];
 };
 
 struct control {
@@ -111,6 +117,8 @@
 	uint64_t next_proposal;
 
 	struct rate_keeper *keeper;
+	struct entry *entry;
+	struct operator_read *reads;
 
 	uint64_t report_us;
 	char reported_to[FLEET_NAME_MAX];
@@ -155,6 +163,8 @@
 struct peer *control_peer_of_member(struct control *c, uint64_t member);
 struct peer *control_leader_peer(struct control *c);
 void control_report_tick(struct control *c, uint64_t now_us);
+void control_sync_now(struct control *c);
+uint64_t control_confirmed_us(const struct control *c, uint64_t now_us);
 
 /* control_leader.c: what the leader decides */
 void control_leader_check(struct control *c, uint64_t now_us);
@@ -165,6 +175,17 @@
 void control_leader_report(struct control *c, const struct fleet_instance *who,
 			   const struct wire_report *report);
 
+/* control_succession.c: primaries of groups that replicate by themselves */
+void control_succession_fleet(struct control *c, uint64_t now_us);
+void control_succession_tick(struct control *c, uint64_t now_us);
+void control_succession_announce(struct control *c,
+				 const struct wire_announce_item *item);
+void control_succession_report(struct control *c,
+			       const struct fleet_instance *who,
+			       const struct wire_report_item *item);
+void control_succession_promoted(struct control *c, const char *group,
+				 const char *endpoint, uint64_t fence, int rc);
+
 /* control_rates.c: tokens of customers */
 struct rate_account *control_account_of(void *private_data, uint64_t customer);
 void control_rates_tick(struct control *c, uint64_t now_us);
@@ -178,6 +199,14 @@
 void control_endpoint_order(struct control *c, const char *group,
 			    const struct failover_action *action);
 
+/* control_form.c: who votes */
+void control_form_tick(struct control *c, uint64_t now_us);
+void control_voters_tick(struct control *c, uint64_t now_us);
+void control_dial_fleet(struct control *c);
+
+/* operator.c: operators and endpoints that speak through an adapter */
+void operator_tick(struct control *c, uint64_t now_us);
+
 /* control_admin.c: operators and announcements */
 int control_admin_start(struct control *c);
 
--- a/lib/daemon/control_admin.c
+++ b/lib/daemon/control_admin.c
@@ -228,7 +228,7 @@
 	control_log_pump(c);
 }
 
-static const char *text_of(const json_t *body, const char *name)
+static const char *body_text(const json_t *body, const char *name)
 {
 	const char *text = json_string_value(json_object_get(body, name));
 
@@ -239,7 +239,7 @@
 static bool copy_text(const json_t *body, const char *name, char *out,
 		      size_t room)
 {
-	const char *text = text_of(body, name);
+	const char *text = body_text(body, name);
 
 	if (strlen(text) >= room)
 		return false;
@@ -309,7 +309,7 @@
 	struct fleet_command command;
 
 	if (!start_command(body, &command) ||
-	    cfg_hash_parse(text_of(body, "hash"), command.key.hash) ||
+	    cfg_hash_parse(body_text(body, "hash"), command.key.hash) ||
 	    !copy_text(body, "customer", command.key.customer,
 		       FLEET_NAME_MAX)) {
 		answer_error(c, request, LWS_E_ARGUMENT);
@@ -344,7 +344,7 @@
 			   const json_t *body)
 {
 	uint8_t secret[FLEET_SECRET_BYTES];
-	const char *hex = text_of(body, "secret");
+	const char *hex = body_text(body, "secret");
 	uint64_t cluster =
 		(uint64_t)json_integer_value(json_object_get(body, "cluster"));
 	struct raft_voters voters;
--- /dev/null
+++ b/lib/daemon/control_form.c
@@ -0,0 +1,280 @@
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <xxhash.h>
+
+#include "control.h"
+#include "lws_error.h"
+#include "lws_str.h"
+#include "lws_time.h"
+#include "sock.h"
+
+#define SEEDS_MAX 16
+#define DIALS_MAX 256
+/* Pause between two changes of the voters. */
+#define VOTERS_PAUSE_US (200 * LWS_US_PER_MS)
+/* A voter that was not connected for this long is replaced by another. */
+#define VOTER_LOST_US (6 * LWS_US_PER_S)
+
+/* Addresses */
+
+/* Splits the list of seeds; @list is changed. */
+static uint32_t split_seeds(char *list, const char **out)
+{
+	uint32_t n = 0;
+	char *save;
+
+	for (char *addr = strtok_r(list, ",", &save); addr && n < SEEDS_MAX;
+	     addr = strtok_r(NULL, ",", &save))
+		out[n++] = addr;
+	return n;
+}
+
+static void add_addr(const char **list, uint32_t *n, const char *addr)
+{
+	for (uint32_t i = 0; i < *n; i++) {
+		if (strcmp(list[i], addr) == 0)
+			return;
+	}
+	if (*n < DIALS_MAX)
+		list[(*n)++] = addr;
+}
+
+/* Everyone keeps connected to the seeds and to all that can be dialled. */
+void control_dial_fleet(struct control *c)
+{
+	char *seeds = talloc_strdup(c, c->daemon->settings.control);
+	const char *list[DIALS_MAX + SEEDS_MAX];
+	const char *split[SEEDS_MAX];
+	uint32_t count = 0;
+	uint32_t n = split_seeds(seeds, split);
+
+	if (!c->daemon->adapter) {
+		talloc_free(seeds);
+		return;
+	}
+	for (uint32_t i = 0; i < n; i++) {
+		if (strcmp(split[i], c->peer_addr) != 0)
+			add_addr(list, &count, split[i]);
+	}
+	for (uint32_t i = 0; i < c->fleet->instances_count; i++) {
+		const struct fleet_instance *other = &c->fleet->instances[i];
+
+		if (*other->addr && strcmp(other->addr, c->peer_addr) != 0)
+			add_addr(list, &count, other->addr);
+	}
+	peer_hub_set_dials(c->hub, list, count);
+	talloc_free(seeds);
+}
+
+/* Forming a new fleet */
+
+static int by_id(const void *a, const void *b)
+{
+	const struct raft_member *left = a;
+	const struct raft_member *right = b;
+
+	if (left->id == right->id)
+		return 0;
+	return left->id < right->id ? -1 : 1;
+}
+
+/* A seed without a fleet; NULL when it is not connected or has one. */
+static const struct wire_hello *fresh_seed(struct control *c, const char *addr)
+{
+	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p)) {
+		const struct wire_hello *hello = peer_hello(p);
+
+		if (hello->member && !hello->cluster &&
+		    strcmp(hello->addr, addr) == 0)
+			return hello;
+	}
+	return NULL;
+}
+
+/* All seeds see the same identities, so all make the same fleet. */
+static bool collect_voters(struct control *c, struct raft_voters *voters)
+{
+	char *seeds = talloc_strdup(c, c->daemon->settings.control);
+	const char *split[SEEDS_MAX];
+	uint32_t n = split_seeds(seeds, split);
+	bool self = false;
+
+	*voters = (struct raft_voters){ 0 };
+	for (uint32_t i = 0; i < n && i < RAFT_VOTERS_MAX; i++) {
+		struct raft_member *member = &voters->member[voters->count];
+		const struct wire_hello *hello;
+
+		if (strcmp(split[i], c->peer_addr) == 0) {
+			self = true;
+			member->id = c->identity.member;
+			LWS_STR_COPY(member->name, c->daemon->settings.name);
+			voters->count++;
+			continue;
+		}
+		hello = fresh_seed(c, split[i]);
+		if (!hello)
+			break;
+		member->id = hello->member;
+		LWS_STR_COPY(member->name, hello->name);
+		voters->count++;
+	}
+	talloc_free(seeds);
+	qsort(voters->member, voters->count, sizeof(voters->member[0]), by_id);
+	return self && voters->count == n;
+}
+
+void control_form_tick(struct control *c, uint64_t now_us)
+{
+	uint8_t secret[FLEET_SECRET_BYTES];
+	struct raft_voters voters;
+	uint64_t cluster;
+	int rc;
+
+	(void)now_us;
+	if (!c->daemon->settings.seeds_form || !c->raft ||
+	    c->identity.cluster || !collect_voters(c, &voters))
+		return;
+	cluster = XXH64(voters.member, sizeof(voters.member), 0) | 1;
+	crypto_generichash(secret, sizeof(secret),
+			   (const uint8_t *)voters.member,
+			   sizeof(voters.member), NULL, 0);
+	rc = control_bootstrap(c, cluster, secret, &voters);
+	lws_log_info(c->daemon->log, "fleet_formed", "{s:I,s:s}", "voters",
+		     (json_int_t)voters.count, "error", lws_error_name(rc));
+}
+
+/* Voters */
+
+static bool is_voter(const struct raft_voters *voters, uint64_t id)
+{
+	for (uint32_t i = 0; i < voters->count; i++) {
+		if (voters->member[i].id == id)
+			return true;
+	}
+	return false;
+}
+
+static const char *domain_of(const struct control *c, const char *name)
+{
+	const struct fleet_instance *i = fleet_find_instance(c->fleet, name);
+
+	return i ? i->failure_domain : "";
+}
+
+static uint32_t voters_in(const struct control *c, const char *domain)
+{
+	const struct raft_voters *voters = raft_voters(c->raft);
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < voters->count; i++)
+		n += strcmp(domain_of(c, voters->member[i].name), domain) == 0;
+	return n;
+}
+
+/* A connected data folder without a vote, in the emptiest failure domain. */
+static const struct wire_hello *candidate(struct control *c)
+{
+	const struct raft_voters *voters = raft_voters(c->raft);
+	const struct wire_hello *best = NULL;
+
+	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p)) {
+		const struct wire_hello *hello = peer_hello(p);
+
+		if (!hello->member || is_voter(voters, hello->member) ||
+		    (hello->cluster && hello->cluster != c->identity.cluster))
+			continue;
+		if (!best || voters_in(c, hello->failure_domain) <
+				     voters_in(c, best->failure_domain))
+			best = hello;
+	}
+	return best;
+}
+
+/* Index of the voter that was not connected for longest, -1 for none. */
+static int32_t lost_voter(struct control *c, uint64_t now_us)
+{
+	const struct raft_voters *voters = raft_voters(c->raft);
+	struct leader *l = c->leader;
+	uint64_t longest_us = VOTER_LOST_US;
+	int32_t lost = -1;
+
+	for (uint32_t i = 0; i < voters->count; i++) {
+		uint64_t id = voters->member[i].id;
+
+		if (l->voter_ids[i] != id || id == c->identity.member ||
+		    control_peer_of_member(c, id)) {
+			l->voter_ids[i] = id;
+			l->voter_seen_us[i] = now_us;
+			continue;
+		}
+		if (now_us - l->voter_seen_us[i] > longest_us) {
+			longest_us = now_us - l->voter_seen_us[i];
+			lost = (int32_t)i;
+		}
+	}
+	return lost;
+}
+
+static void add_voter(struct control *c, const struct wire_hello *hello,
+		      uint64_t now_us)
+{
+	struct raft_voters next = *raft_voters(c->raft);
+	struct raft_member *member = &next.member[next.count++];
+
+	raft_set_learner(c->raft, hello->member);
+	if (!raft_learner_ready(c->raft))
+		return;
+	member->id = hello->member;
+	LWS_STR_COPY(member->name, hello->name);
+	if (!raft_propose_voters(c->raft, now_us, &next))
+		lws_log_info(c->daemon->log, "voter_added", "{s:s,s:s}", "name",
+			     hello->name, "failure_domain",
+			     hello->failure_domain);
+}
+
+static void remove_voter(struct control *c, uint32_t at, uint64_t now_us)
+{
+	struct raft_voters next = *raft_voters(c->raft);
+	char name[RAFT_NAME_MAX];
+
+	LWS_STR_COPY(name, next.member[at].name);
+	next.member[at] = next.member[next.count - 1];
+	next.member[--next.count] = (struct raft_member){ 0 };
+	if (!raft_propose_voters(c->raft, now_us, &next))
+		lws_log_info(
+			c->daemon->log, "voter_removed", "{s:s,s:I}", "name",
+			name, "missing_ms",
+			(json_int_t)((now_us - c->leader->voter_seen_us[at]) /
+				     LWS_US_PER_MS));
+}
+
+/*
+ * Keeps the wanted number of voters: a new one joins once it has caught up,
+ * and only then a lost one is put out.
+ */
+void control_voters_tick(struct control *c, uint64_t now_us)
+{
+	const struct raft_voters *voters = raft_voters(c->raft);
+	uint32_t wanted = c->daemon->settings.voters;
+	const struct wire_hello *hello;
+	int32_t lost;
+
+	if (!wanted || now_us - c->leader->voters_changed_us < VOTERS_PAUSE_US)
+		return;
+	c->leader->voters_changed_us = now_us;
+	lost = lost_voter(c, now_us);
+	if (voters->count > wanted) {
+		if (lost >= 0)
+			remove_voter(c, (uint32_t)lost, now_us);
+		control_log_pump(c);
+		return;
+	}
+	if (voters->count == wanted && lost < 0)
+		return;
+	hello = voters->count < RAFT_VOTERS_MAX ? candidate(c) : NULL;
+	if (hello)
+		add_voter(c, hello, now_us);
+	control_log_pump(c);
+}
--- a/lib/daemon/control_leader.c
+++ b/lib/daemon/control_leader.c
@@ -171,6 +171,10 @@
 void control_leader_fleet_changed(struct control *c, uint64_t now_us)
 {
 	control_rates_set(c, now_us);
+	if (c->daemon->adapter) {
+		control_succession_fleet(c, now_us);
+		return;
+	}
 	for (uint32_t i = 0; c->leader && i < c->fleet->groups_count; i++) {
 		/* Copied: a step of one group may change the state. */
 		struct fleet_group group = c->fleet->groups[i];
@@ -195,8 +199,13 @@
 		       report->version);
 	for (uint32_t i = 0; i < report->count; i++) {
 		const struct wire_report_item *item = &report->items[i];
-		struct group_failover *gf = failover_of(c, item->group, now_us);
+		struct group_failover *gf;
 
+		if (c->daemon->adapter) {
+			control_succession_report(c, who, item);
+			continue;
+		}
+		gf = failover_of(c, item->group, now_us);
 		if (!gf)
 			continue;
 		failover_report(gf->failover, now_us, who->name,
@@ -227,6 +236,10 @@
 		return;
 	if (rc > 0)
 		propose_own(c, &command);
+	if (c->daemon->adapter) {
+		control_succession_announce(c, item);
+		return;
+	}
 	gf = failover_of(c, item->group, now_us);
 	if (gf) {
 		failover_announced(gf->failover, now_us, item->endpoint.id,
@@ -326,6 +339,12 @@
 	while (lease_expired(l->leases, now_us, c->fleet, &command))
 		propose_own(c, &command);
 	repair_voters(c, now_us);
+	if (c->daemon->adapter) {
+		control_voters_tick(c, now_us);
+		control_succession_tick(c, now_us);
+		control_log_pump(c);
+		return;
+	}
 	domains = fleet_domains(c->fleet);
 	for (uint32_t i = 0; c->leader && i < l->failovers_count; i++) {
 		failover_set_domains(l->failovers[i].failover, domains);
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -102,7 +102,7 @@
 	peer_send(c->parent, &msg);
 }
 
-static uint64_t own_confirmed_us(const struct control *c, uint64_t now_us)
+uint64_t control_confirmed_us(const struct control *c, uint64_t now_us)
 {
 	if (c->raft && raft_role(c->raft) == RAFT_LEADER)
 		return raft_quorum_stamp_us(c->raft, now_us);
@@ -169,7 +169,7 @@
 
 static void answer_children(struct control *c, uint64_t now_us)
 {
-	uint64_t confirmed_us = own_confirmed_us(c, now_us);
+	uint64_t confirmed_us = control_confirmed_us(c, now_us);
 	struct sync_question question;
 
 	while (sync_questions_take(&c->questions, confirmed_us, &question)) {
@@ -218,6 +218,15 @@
 	control_publish(c);
 }
 
+/* Somebody waits for a confirmation: ask now. */
+void control_sync_now(struct control *c)
+{
+	bool leads = c->raft && raft_role(c->raft) == RAFT_LEADER;
+
+	if (!leads && !c->sync.asked_us)
+		ask_parent(c, lws_time_now_us());
+}
+
 void control_sync_tick(struct control *c, uint64_t now_us)
 {
 	bool leads = c->raft && raft_role(c->raft) == RAFT_LEADER;
@@ -235,14 +244,23 @@
 			break;
 		}
 	}
-	if (own_confirmed_us(c, now_us))
+	if (control_confirmed_us(c, now_us))
 		atomic_store(&c->daemon->confirmed_us,
-			     own_confirmed_us(c, now_us));
+			     control_confirmed_us(c, now_us));
+	if (c->entry)
+		entry_confirmed(c->entry,
+				atomic_load(&c->daemon->confirmed_us));
 	answer_children(c, now_us);
 }
 
 /* Reports */
 
+/* With the own interface every instance does. */
+static bool serves_callers(const struct control *c)
+{
+	return !c->daemon->adapter || c->daemon->settings.statement_listen;
+}
+
 static void send_report(struct control *c, struct wire_report_item *items,
 			uint32_t count)
 {
@@ -257,6 +275,8 @@
 
 	LWS_STR_COPY(self.name, c->daemon->settings.name);
 	LWS_STR_COPY(self.failure_domain, c->daemon->settings.failure_domain);
+	LWS_STR_COPY(self.addr, c->peer_addr);
+	self.entry = serves_callers(c);
 	if (c->leader)
 		control_leader_report(c, &self, &msg.report);
 	else if (peer)
@@ -276,6 +296,8 @@
 	c->report_us = 0;
 	for (uint32_t i = 0; i < c->daemon->settings.workers; i++)
 		worker_report_again(c->daemon->workers[i]);
+	if (c->entry)
+		entry_report_again(c->entry);
 }
 
 void control_report_tick(struct control *c, uint64_t now_us)
@@ -397,6 +419,8 @@
 	case WIRE_REPORT:
 		LWS_STR_COPY(who.name, hello->name);
 		LWS_STR_COPY(who.failure_domain, hello->failure_domain);
+		LWS_STR_COPY(who.addr, hello->addr);
+		who.entry = hello->entry;
 		if (c->leader)
 			control_leader_report(c, &who, &msg->report);
 		break;
@@ -446,10 +470,12 @@
 
 	LWS_STR_COPY(params.hello.name, s->name);
 	LWS_STR_COPY(params.hello.failure_domain, s->failure_domain);
+	params.hello.entry = serves_callers(c);
 	if (s->peer_listen) {
 		params.listen_fd = sock_listen(s->peer_listen, c->peer_addr);
 		if (params.listen_fd < 0)
 			return params.listen_fd;
+		LWS_STR_COPY(params.hello.addr, c->peer_addr);
 	}
 	rc = peer_hub_create(c, c->ev, &params, &c->hub);
 	return rc ? rc : dial_all(c);
--- a/lib/daemon/control_rates.c
+++ b/lib/daemon/control_rates.c
@@ -18,6 +18,7 @@
 void control_rates_set(struct control *c, uint64_t now_us)
 {
 	const struct cfg *cfg = c->fleet->cfg;
+	const struct catalog *catalog = c->fleet->catalog;
 	uint32_t count = c->fleet->instances_count;
 	uint64_t *members = talloc_array(c, uint64_t, count + 1);
 
@@ -33,6 +34,12 @@
 				     session_name_hash(cfg->customers[i].name),
 				     cfg->customers[i].rate_per_s,
 				     cfg->customers[i].burst);
+	for (uint32_t i = 0; catalog && i < catalog->customers_count; i++)
+		(void)rate_owner_set(
+			c->leader->owner, now_us,
+			session_name_hash(catalog->customers[i].name),
+			catalog->customers[i].rate_per_s,
+			catalog->customers[i].burst);
 }
 
 static uint64_t ttl_us(const struct control *c)
@@ -85,6 +92,8 @@
 		return;
 	for (uint32_t i = 0; i < c->daemon->settings.workers; i++)
 		worker_granted(c->daemon->workers[i]);
+	if (c->entry)
+		entry_granted(c->entry);
 }
 
 void control_rates_reply(struct control *c, const struct wire_rate *rate)
--- a/lib/daemon/daemon.c
+++ b/lib/daemon/daemon.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "control.h"
+#include "entry.h"
 #include "lws_error.h"
 #include "lws_rcu.h"
 #include "sock.h"
@@ -75,6 +76,11 @@
 	if (!c)
 		return 1;
 	rc = start_workers(d);
+	if (!rc && d->settings.statement_listen)
+		rc = entry_create(c, d->adapter->codec,
+				  d->settings.statement_listen, &c->entry);
+	if (!rc && d->adapter)
+		rc = d->adapter->start(d->adapter->private_data, c);
 	if (rc) {
 		lws_log_error(d->log, "start_failed", "{s:s,s:s}", "listen",
 			      d->settings.listen, "error", lws_error_name(rc));
@@ -93,7 +99,8 @@
 	return 0;
 }
 
-int daemon_run(const struct settings *settings)
+int daemon_run(const struct settings *settings,
+	       const struct daemon_adapter *adapter)
 {
 	struct daemon *d = talloc_zero(NULL, struct daemon);
 	struct tevent_context *ev;
@@ -103,6 +110,7 @@
 		return 1;
 	signal(SIGPIPE, SIG_IGN);
 	d->settings = *settings;
+	d->adapter = adapter;
 	d->log = lws_log_create(d, STDOUT_FILENO, settings->log_level,
 				settings->name);
 	randombytes_buf(&d->incarnation, sizeof(d->incarnation));
--- a/lib/daemon/daemon.h
+++ b/lib/daemon/daemon.h
@@ -22,6 +22,8 @@
 #define DAEMON_WORKERS_MAX 64
 
 struct worker;
+struct control;
+struct statement_codec;
 
 /**
  * struct daemon - one process
@@ -36,6 +38,7 @@
  * @control_box: mailbox of the control thread
  * @workers: worker threads
  * @listen_addr: address for callers that was bound
+ * @adapter: NULL for the own interface
  */
 struct daemon {
 	struct settings settings;
@@ -49,12 +52,37 @@
 	struct mailbox *control_box;
 	struct worker *workers[DAEMON_WORKERS_MAX];
 	char listen_addr[64];
+	const struct daemon_adapter *adapter;
 };
 
 /* daemon.c */
 
-/** daemon_run() - serve until a planned stop; returns the exit status */
-int daemon_run(const struct settings *settings);
+/**
+ * struct daemon_adapter - interfaces in the format of others
+ * @codec: statement protocol of callers and endpoints
+ * @private_data: passed to @start and @promote
+ * @start: open the adapter's own interfaces; 0 or an error kind
+ * @promote: ask the platform that runs the endpoints for a new primary;
+ *           operator_promoted() tells the outcome
+ */
+struct daemon_adapter {
+	const struct statement_codec *codec;
+	void *private_data;
+	int (*start)(void *private_data, struct control *c);
+	void (*promote)(void *private_data, struct control *c,
+			const char *group, const char *endpoint,
+			uint64_t fence);
+};
+
+/**
+ * daemon_run() - serve until a planned stop
+ * @settings: checked settings
+ * @adapter: NULL for the own interface
+ *
+ * Return: the exit status.
+ */
+int daemon_run(const struct settings *settings,
+	       const struct daemon_adapter *adapter);
 
 /** daemon_publish() - control thread: put a new view in force */
 void daemon_publish(struct daemon *d, struct view *view);
--- /dev/null
+++ b/lib/daemon/entry.c
@@ -0,0 +1,658 @@
+#include "entry.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "control.h"
+#include "lws_error.h"
+#include "lws_str.h"
+#include "lws_time.h"
+#include "pooler.h"
+#include "session_token.h"
+#include "sock.h"
+#include "stream.h"
+
+/* Bytes that may wait in either direction of one connection. */
+#define OUT_MAX (4U * 1024U * 1024U)
+/* Unacknowledged bytes end a connection to an endpoint, or to a caller. */
+#define LINK_SILENT_MS 2500
+#define CALLER_SILENT_MS 10000
+/* Connections taken in one turn of the loop. */
+#define ACCEPT_BATCH 32
+/* Callers that did not open a session yet. */
+#define UNOPENED_MAX 512
+#define OPEN_TIMEOUT_MS 5000
+
+struct entry {
+	struct control *control;
+	const struct statement_codec *codec;
+	struct pooler *pooler;
+	int listen_fd;
+	struct tevent_timer *timer;
+	uint64_t timer_due_us;
+	uint32_t callers;
+	uint32_t unopened;
+	bool draining;
+	uint64_t rest_us;
+	uint64_t open_us;
+	bool rest_started;
+	uint64_t malformed;
+};
+
+/* A connection of a caller. */
+struct caller {
+	struct entry *entry;
+	struct stream *stream;
+	struct pool_session *session;
+	struct tevent_timer *open_timer;
+	bool busy;
+};
+
+/* A connection to an endpoint. */
+struct entry_link {
+	struct entry *entry;
+	struct stream *stream;
+	struct pool_conn *conn;
+	struct byte_buffer rows;
+	char tag[256];
+	char text[256];
+	enum statement_error error;
+};
+
+static void arm(struct entry *e);
+
+/* Callers */
+
+static void release_caller(struct caller *c)
+{
+	if (!c->session)
+		c->entry->unopened -= c->open_timer ? 1 : 0;
+	c->entry->callers--;
+	talloc_free(c);
+}
+
+static void send_reply(struct caller *c, const struct caller_reply *reply)
+{
+	struct byte_buffer out = { 0 };
+
+	if (!c->entry->codec->encode_reply(&out, reply))
+		stream_write(c->stream, out.data, out.len);
+	talloc_free(out.data);
+}
+
+static void refuse_caller(struct caller *c, enum statement_error error,
+			  const char *text)
+{
+	struct caller_reply reply = { .error = error,
+				      .text = text,
+				      .last = true };
+	struct stream *stream = c->stream;
+
+	send_reply(c, &reply);
+	c->stream = NULL;
+	stream_finish(stream);
+	release_caller(c);
+}
+
+static void on_reply(void *private_data, void *user,
+		     const struct caller_reply *reply)
+{
+	struct caller *c = user;
+
+	(void)private_data;
+	send_reply(c, reply);
+	c->busy = false;
+	stream_pause(c->stream, false);
+}
+
+static void on_end_session(void *private_data, void *user)
+{
+	struct caller *c = user;
+	struct stream *stream = c->stream;
+
+	(void)private_data;
+	c->session = NULL;
+	c->stream = NULL;
+	stream_finish(stream);
+	release_caller(c);
+}
+
+/* False when the connection has ended. */
+static bool open_session(struct caller *c, const struct caller_message *msg)
+{
+	struct entry *e = c->entry;
+	struct caller_reply reply = { .opened = true };
+	enum statement_error refused;
+
+	if (c->session) {
+		pooler_gone(e->pooler, lws_time_now_us(), c->session);
+		c->session = NULL;
+		refuse_caller(c, STATEMENT_E_MALFORMED,
+			      "the session is open already");
+		return false;
+	}
+	c->session =
+		pooler_open(e->pooler, lws_time_now_us(), msg->open.database,
+			    msg->open.key, c, &refused);
+	if (!c->session) {
+		refuse_caller(c, refused, "the session cannot be opened");
+		return false;
+	}
+	e->unopened--;
+	TALLOC_FREE(c->open_timer);
+	send_reply(c, &reply);
+	return true;
+}
+
+static bool handle_message(struct caller *c, const struct caller_message *msg)
+{
+	struct entry *e = c->entry;
+
+	switch (msg->kind) {
+	case CALLER_OPEN:
+		return open_session(c, msg);
+	case CALLER_STATEMENT:
+		if (!c->session)
+			break;
+		c->busy = true;
+		stream_pause(c->stream, true);
+		pooler_statement(e->pooler, lws_time_now_us(), c->session,
+				 &msg->statement);
+		arm(e);
+		return true;
+	case CALLER_END:
+		if (c->session)
+			pooler_gone(e->pooler, lws_time_now_us(), c->session);
+		c->session = NULL;
+		stream_finish(c->stream);
+		c->stream = NULL;
+		release_caller(c);
+		return false;
+	case CALLER_MALFORMED:
+		break;
+	}
+	e->malformed++;
+	if (c->session)
+		pooler_gone(e->pooler, lws_time_now_us(), c->session);
+	c->session = NULL;
+	refuse_caller(c, STATEMENT_E_MALFORMED, "the message cannot be read");
+	return false;
+}
+
+static ssize_t on_caller_data(void *private_data, const uint8_t *data,
+			      size_t len)
+{
+	struct caller *c = private_data;
+	const struct statement_codec *codec = c->entry->codec;
+	size_t at = 0;
+
+	while (at < len && !c->busy) {
+		struct caller_message msg;
+		ssize_t used = codec->decode_caller(data + at, len - at, &msg);
+
+		if (used < 0)
+			return used;
+		if (!used)
+			break;
+		at += (size_t)used;
+		if (!handle_message(c, &msg))
+			return (ssize_t)len;
+	}
+	return (ssize_t)at;
+}
+
+static void on_caller_down(void *private_data, int rc)
+{
+	struct caller *c = private_data;
+	struct entry *e = c->entry;
+
+	if (rc == LWS_E_WIRE_TOO_BIG || rc == LWS_E_QUEUE_FULL) {
+		e->malformed++;
+		lws_log_warn(e->control->daemon->log, "caller_cut", "{s:s}",
+			     "error", lws_error_name(rc));
+	}
+	c->stream = NULL;
+	if (c->session)
+		pooler_gone(e->pooler, lws_time_now_us(), c->session);
+	release_caller(c);
+}
+
+static void on_open_timer(struct tevent_context *ev, struct tevent_timer *te,
+			  struct timeval now, void *private_data)
+{
+	struct caller *c = private_data;
+
+	(void)ev;
+	(void)te;
+	(void)now;
+	refuse_caller(c, STATEMENT_E_MALFORMED, "no session was opened");
+}
+
+static bool accept_one(struct entry *e, struct tevent_context *ev)
+{
+	int fd = sock_accept(e->listen_fd);
+	struct caller *c;
+	struct stream_params params = {
+		.in_max = e->codec->message_max + 4096,
+		.out_max = OUT_MAX,
+		.silent_ms = CALLER_SILENT_MS,
+		.on_data = on_caller_data,
+		.on_down = on_caller_down,
+	};
+
+	if (fd < 0)
+		return false;
+	c = e->callers < e->control->daemon->settings.callers_max &&
+			    e->unopened < UNOPENED_MAX
+		    ? talloc_zero(e, struct caller)
+		    : NULL;
+	if (!c) {
+		lws_counter_add(&e->control->daemon->counters,
+				LWS_COUNTER_CALLER_CONNECTIONS_REFUSED, 1);
+		close(fd);
+		return true;
+	}
+	c->entry = e;
+	params.private_data = c;
+	e->callers++;
+	c->stream = stream_accept(e, ev, fd, &params);
+	if (!c->stream) {
+		release_caller(c);
+		return true;
+	}
+	e->unopened++;
+	c->open_timer = tevent_add_timer(
+		ev, c,
+		tevent_timeval_current_ofs(OPEN_TIMEOUT_MS / 1000,
+					   (OPEN_TIMEOUT_MS % 1000) * 1000),
+		on_open_timer, c);
+	return true;
+}
+
+static void on_acceptable(struct tevent_context *ev, struct tevent_fd *fde,
+			  uint16_t flags, void *private_data)
+{
+	(void)fde;
+	(void)flags;
+	for (int i = 0; i < ACCEPT_BATCH; i++) {
+		if (!accept_one(private_data, ev))
+			return;
+	}
+}
+
+/* Endpoints */
+
+static void clear_answer(struct entry_link *link)
+{
+	TALLOC_FREE(link->rows.data);
+	link->rows = (struct byte_buffer){ 0 };
+	link->tag[0] = '\0';
+	link->text[0] = '\0';
+	link->error = STATEMENT_E_NONE;
+}
+
+static void end_answer(struct entry_link *link,
+		       const struct endpoint_message *msg)
+{
+	struct endpoint_result result = {
+		.rows = { .at = (const char *)link->rows.data,
+			  .len = link->rows.len },
+		.tag = text_of(link->tag),
+		.error = link->error,
+		.text = text_of(link->text),
+		.state = msg->state,
+		.position = msg->position,
+	};
+
+	pooler_conn_result(link->entry->pooler, lws_time_now_us(), link->conn,
+			   &result);
+}
+
+/* Negative when the endpoint is out of step. */
+static int handle_endpoint(struct entry_link *link,
+			   const struct endpoint_message *msg)
+{
+	switch (msg->kind) {
+	case ENDPOINT_ROW:
+		return byte_buffer_append(&link->rows, msg->whole.at,
+					  msg->whole.len);
+	case ENDPOINT_DONE:
+		if (!text_copy(msg->tag, link->tag, sizeof(link->tag)))
+			return LWS_E_WIRE_FORMAT;
+		return 0;
+	case ENDPOINT_ERROR:
+		link->error = msg->error;
+		(void)text_copy(msg->text, link->text, sizeof(link->text));
+		return 0;
+	case ENDPOINT_READY:
+		end_answer(link, msg);
+		return 0;
+	case ENDPOINT_MALFORMED:
+		break;
+	}
+	return LWS_E_WIRE_FORMAT;
+}
+
+static ssize_t on_link_data(void *private_data, const uint8_t *data, size_t len)
+{
+	struct entry_link *link = private_data;
+	struct entry *e = link->entry;
+	size_t at = 0;
+
+	while (at < len && link->conn) {
+		struct endpoint_message msg;
+		ssize_t used =
+			e->codec->decode_endpoint(data + at, len - at, &msg);
+		int rc;
+
+		if (!used)
+			break;
+		rc = used < 0 ? (int)used : handle_endpoint(link, &msg);
+		if (rc)
+			return rc;
+		at += (size_t)used;
+		if (msg.kind == ENDPOINT_READY)
+			clear_answer(link);
+	}
+	arm(e);
+	return (ssize_t)at;
+}
+
+static int destroy_link(struct entry_link *link)
+{
+	talloc_free(link->rows.data);
+	return 0;
+}
+
+/* An answer to the opening may be an error that nothing follows. */
+static void on_link_down(void *private_data, int rc)
+{
+	struct entry_link *link = private_data;
+	struct entry *e = link->entry;
+	struct pool_conn *conn = link->conn;
+	struct endpoint_result result = { .error = link->error };
+
+	(void)rc;
+	link->stream = NULL;
+	if (conn && link->error)
+		pooler_conn_result(e->pooler, lws_time_now_us(), conn, &result);
+	if (link->conn)
+		pooler_conn_down(e->pooler, lws_time_now_us(), link->conn);
+	talloc_free(link);
+	arm(e);
+}
+
+static void on_link_up(void *private_data)
+{
+	struct entry_link *link = private_data;
+
+	pooler_conn_up(link->entry->pooler, lws_time_now_us(), link->conn);
+}
+
+static void *connect_endpoint(void *private_data, struct pool_conn *conn,
+			      const char *addr)
+{
+	struct entry *e = private_data;
+	struct entry_link *link = talloc_zero(e, struct entry_link);
+	struct stream_params params = {
+		.in_max = e->codec->message_max + 4096,
+		.out_max = OUT_MAX,
+		.silent_ms = LINK_SILENT_MS,
+		.private_data = link,
+		.on_up = on_link_up,
+		.on_data = on_link_data,
+		.on_down = on_link_down,
+	};
+
+	if (!link)
+		return NULL;
+	link->entry = e;
+	link->conn = conn;
+	talloc_set_destructor(link, destroy_link);
+	link->stream = stream_connect(e, e->control->ev, addr, &params);
+	if (!link->stream) {
+		talloc_free(link);
+		return NULL;
+	}
+	return link;
+}
+
+/* Freed later: its answer may be in use further up the stack. */
+static void on_link_reap(struct tevent_context *ev, struct tevent_immediate *im,
+			 void *private_data)
+{
+	(void)ev;
+	(void)im;
+	talloc_free(private_data);
+}
+
+static void close_endpoint(void *private_data, void *handle)
+{
+	struct entry_link *link = handle;
+	struct tevent_immediate *im;
+
+	(void)private_data;
+	link->conn = NULL;
+	/* Without a stream on_link_down() is under way and frees it. */
+	if (!link->stream)
+		return;
+	stream_close(link->stream);
+	link->stream = NULL;
+	im = tevent_create_immediate(link);
+	if (im)
+		tevent_schedule_immediate(im, link->entry->control->ev,
+					  on_link_reap, link);
+}
+
+static void send_to_endpoint(void *private_data, void *handle,
+			     const struct endpoint_order *orders,
+			     uint32_t count)
+{
+	struct entry_link *link = handle;
+	struct byte_buffer out = { 0 };
+	int rc = 0;
+
+	(void)private_data;
+	for (uint32_t i = 0; i < count && !rc; i++)
+		rc = link->entry->codec->encode_order(&out, &orders[i]);
+	if (!rc && link->stream)
+		stream_write(link->stream, out.data, out.len);
+	talloc_free(out.data);
+}
+
+/* Rates, reports and log */
+
+static struct rate_account *account_of(void *private_data, const char *customer)
+{
+	struct entry *e = private_data;
+
+	return control_account_of(e->control, session_name_hash(customer));
+}
+
+static void on_tokens_wanted(void *private_data)
+{
+	struct entry *e = private_data;
+
+	rate_keeper_wanted(e->control->keeper);
+}
+
+static void on_report(void *private_data, const char *group,
+		      const char *endpoint, uint64_t term, bool suspect)
+{
+	struct entry *e = private_data;
+
+	control_report(e->control->daemon, group, endpoint, term, suspect);
+}
+
+static const char *or_empty(const char *text)
+{
+	return text ? text : "";
+}
+
+static void on_event(void *private_data, const struct pooler_event *event)
+{
+	struct entry *e = private_data;
+
+	lws_log_info(e->control->daemon->log, event->event,
+		     "{s:s%,s:s,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I}", "id",
+		     event->id.at ? event->id.at : "", event->id.len,
+		     "database", or_empty(event->database), "group",
+		     or_empty(event->group), "endpoint",
+		     or_empty(event->endpoint), "customer",
+		     or_empty(event->customer), "error",
+		     statement_error_name(event->error), "reason",
+		     or_empty(event->reason), "waited_us",
+		     (json_int_t)event->waited_us, "age_us",
+		     (json_int_t)event->age_us, "attempts",
+		     (json_int_t)event->attempts, "version",
+		     (json_int_t)event->version);
+}
+
+/* Time */
+
+static void on_timer(struct tevent_context *ev, struct tevent_timer *te,
+		     struct timeval now, void *private_data)
+{
+	struct entry *e = private_data;
+	uint64_t now_us = lws_time_now_us();
+
+	(void)ev;
+	(void)te;
+	(void)now;
+	e->timer = NULL;
+	if (e->draining && !e->rest_started && now_us >= e->rest_us) {
+		e->rest_started = true;
+		pooler_drain(e->pooler, now_us, e->open_us);
+	}
+	pooler_tick(e->pooler, now_us);
+	arm(e);
+}
+
+static void arm(struct entry *e)
+{
+	uint64_t now_us = lws_time_now_us();
+	uint64_t due_us = pooler_next_due_us(e->pooler, now_us);
+	uint64_t wait_us = due_us > now_us ? due_us - now_us : 0;
+
+	if (e->timer && e->timer_due_us <= due_us)
+		return;
+	TALLOC_FREE(e->timer);
+	e->timer_due_us = due_us;
+	e->timer = tevent_add_timer(
+		e->control->ev, e,
+		tevent_timeval_current_ofs((uint32_t)(wait_us / LWS_US_PER_S),
+					   (uint32_t)(wait_us % LWS_US_PER_S)),
+		on_timer, e);
+}
+
+/* The control thread */
+
+void entry_fleet_changed(struct entry *e)
+{
+	pooler_set_fleet(e->pooler, lws_time_now_us(), e->control->fleet);
+}
+
+void entry_confirmed(struct entry *e, uint64_t confirmed_us)
+{
+	pooler_set_confirmed(e->pooler, confirmed_us);
+}
+
+void entry_granted(struct entry *e)
+{
+	pooler_granted(e->pooler, lws_time_now_us());
+}
+
+void entry_report_again(struct entry *e)
+{
+	pooler_report_again(e->pooler);
+}
+
+void entry_drain(struct entry *e, uint64_t rest_us, uint64_t open_us)
+{
+	e->draining = true;
+	e->rest_us = rest_us;
+	e->open_us = open_us;
+}
+
+bool entry_idle(const struct entry *e)
+{
+	return !e->callers;
+}
+
+static void put_counter(struct byte_buffer *out, const char *name,
+			uint64_t value)
+{
+	char line[128];
+	int n = snprintf(line, sizeof(line), "lws_%s %" PRIu64 "\n", name,
+			 value);
+
+	(void)byte_buffer_append(out, line, (size_t)n);
+}
+
+void entry_metrics(const struct entry *e, struct byte_buffer *out)
+{
+	const struct pooler_stats *stats = pooler_stats(e->pooler);
+	char name[64];
+
+	put_counter(out, "sessions", pooler_sessions(e->pooler));
+	put_counter(out, "operations", stats->operations);
+	put_counter(out, "statements", stats->statements);
+	put_counter(out, "replica_reads", stats->replica_reads);
+	put_counter(out, "primary_reads", stats->primary_reads);
+	put_counter(out, "proofs", stats->proofs);
+	put_counter(out, "endpoint_connects", stats->connects);
+	put_counter(out, "retries", stats->retries);
+	put_counter(out, "malformed", e->malformed);
+	for (int i = STATEMENT_E_NONE + 1; i < STATEMENT_E_COUNT; i++) {
+		snprintf(name, sizeof(name), "refused{error=\"%s\"}",
+			 statement_error_name((enum statement_error)i));
+		put_counter(out, name, stats->refused[i]);
+	}
+}
+
+int entry_create(struct control *c, const struct statement_codec *codec,
+		 const char *listen, struct entry **out)
+{
+	const struct settings *s = &c->daemon->settings;
+	struct entry *e = talloc_zero(c, struct entry);
+	struct pooler_params params = {
+		.key_fresh_us = s->key_fresh_ms * LWS_US_PER_MS,
+		.suspect_us = s->suspect_ms * LWS_US_PER_MS,
+		.customer_bound = true,
+		.seed = c->daemon->incarnation,
+	};
+	struct pooler_ops ops = {
+		.private_data = e,
+		.connect = connect_endpoint,
+		.close = close_endpoint,
+		.send = send_to_endpoint,
+		.reply = on_reply,
+		.end_session = on_end_session,
+		.account = account_of,
+		.tokens_wanted = on_tokens_wanted,
+		.report = on_report,
+		.event = on_event,
+	};
+	char bound[SOCK_ADDR_MAX];
+
+	if (!e)
+		return LWS_E_NOMEM;
+	e->control = c;
+	e->codec = codec;
+	LWS_STR_COPY(params.failure_domain, s->failure_domain);
+	e->pooler = pooler_create(e, &params, &ops);
+	if (!e->pooler)
+		return LWS_E_NOMEM;
+	e->listen_fd = sock_listen(listen, bound);
+	if (e->listen_fd < 0)
+		return e->listen_fd;
+	if (!tevent_add_fd(c->ev, e, e->listen_fd, TEVENT_FD_READ,
+			   on_acceptable, e))
+		return LWS_E_NOMEM;
+	arm(e);
+	*out = e;
+	return 0;
+}
--- /dev/null
+++ b/lib/daemon/operator.c
@@ -0,0 +1,207 @@
+#include "operator.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "control.h"
+#include "lws_error.h"
+#include "lws_str.h"
+#include "lws_time.h"
+
+/* A question that nobody can answer is given up after this time. */
+#define READ_TIMEOUT_US (800 * LWS_US_PER_MS)
+/* An announcement counts this long. */
+#define ANNOUNCE_LEASE_MS LEASE_MAX_MS
+
+/* A document that waits until the own state is known to be the newest. */
+struct operator_read {
+	struct operator_read *next;
+	uint64_t arrived_us;
+	void *private_data;
+	operator_read_fn done;
+};
+
+struct outcome {
+	void *private_data;
+	operator_done_fn done;
+};
+
+static void on_outcome(void *private_data, int rc, uint64_t version,
+		       uint64_t index)
+{
+	struct outcome *o = private_data;
+
+	(void)version;
+	(void)index;
+	o->done(o->private_data, rc);
+	talloc_free(o);
+}
+
+static void propose(struct control *c, struct fleet_command *command,
+		    void *private_data, operator_done_fn done)
+{
+	struct outcome *o = talloc_zero(c, struct outcome);
+
+	if (!o) {
+		done(private_data, LWS_E_NOMEM);
+		return;
+	}
+	o->private_data = private_data;
+	o->done = done;
+	LWS_STR_COPY(command->who, c->daemon->settings.name);
+	command->time_ms = control_wall_ms();
+	control_propose(c, command, o, on_outcome);
+	control_log_pump(c);
+}
+
+void operator_replace(struct control *c, const struct catalog *catalog,
+		      const uint8_t *document, uint32_t len, void *private_data,
+		      operator_done_fn done)
+{
+	struct fleet_command command = { .type = FLEET_CATALOG_REPLACE };
+	struct pack_writer packed;
+
+	pack_writer_init(&packed);
+	catalog_pack(&packed, catalog);
+	command.catalog.version = catalog->version;
+	command.catalog.document = document;
+	command.catalog.document_len = len;
+	command.catalog.packed = (const uint8_t *)packed.buf.data;
+	command.catalog.packed_len = (uint32_t)packed.buf.size;
+	propose(c, &command, private_data, done);
+	pack_writer_clear(&packed);
+}
+
+/* Reading */
+
+void operator_read(struct control *c, void *private_data, operator_read_fn done)
+{
+	struct operator_read *r = talloc_zero(c, struct operator_read);
+	struct operator_read **at = &c->reads;
+
+	if (!r) {
+		done(private_data, LWS_E_NOMEM, NULL, 0);
+		return;
+	}
+	r->arrived_us = lws_time_now_us();
+	r->private_data = private_data;
+	r->done = done;
+	while (*at)
+		at = &(*at)->next;
+	*at = r;
+	control_sync_now(c);
+}
+
+static bool answer_read(struct control *c, const struct operator_read *r,
+			uint64_t now_us)
+{
+	const struct fleet *fleet = c->fleet;
+
+	if (control_confirmed_us(c, now_us) < r->arrived_us) {
+		if (now_us - r->arrived_us < READ_TIMEOUT_US)
+			return false;
+		r->done(r->private_data, LWS_E_NO_QUORUM, NULL, 0);
+		return true;
+	}
+	r->done(r->private_data, fleet->catalog ? 0 : LWS_E_NOT_FOUND,
+		fleet->document, fleet->document_len);
+	return true;
+}
+
+void operator_tick(struct control *c, uint64_t now_us)
+{
+	while (c->reads && answer_read(c, c->reads, now_us)) {
+		struct operator_read *done = c->reads;
+
+		c->reads = done->next;
+		talloc_free(done);
+	}
+}
+
+/* Endpoints */
+
+static bool valid(const struct operator_announcement *a)
+{
+	return cfg_name_valid(a->group) && cfg_name_valid(a->endpoint.id) &&
+	       cfg_name_valid(a->endpoint.failure_domain);
+}
+
+void operator_announce(struct control *c, const struct operator_announcement *a,
+		       void *private_data, operator_done_fn done)
+{
+	struct wire_announce_item item = { .endpoint = a->endpoint,
+					   .leaving = a->leaving,
+					   .lease_ms = ANNOUNCE_LEASE_MS,
+					   .claims_primary =
+						   a->claims_primary };
+	struct wire_msg msg = { .type = WIRE_ANNOUNCE,
+				.announce = { .count = 1, .items = &item } };
+	struct peer *peer = control_leader_peer(c);
+	struct fleet_command command = { .type = FLEET_ENDPOINT_LEAVE };
+	const struct fleet_group *group;
+
+	if (!valid(a)) {
+		done(private_data, LWS_E_ARGUMENT);
+		return;
+	}
+	LWS_STR_COPY(item.group, a->group);
+	if (c->leader) {
+		control_leader_announce(c, &item);
+	} else if (peer) {
+		peer_send(peer, &msg);
+	} else {
+		done(private_data, LWS_E_NOT_LEADER);
+		return;
+	}
+	group = fleet_find_group(c->fleet, a->group);
+	if (!a->leaving || !group ||
+	    !fleet_find_endpoint(group, a->endpoint.id)) {
+		done(private_data, 0);
+		return;
+	}
+	LWS_STR_COPY(command.endpoint.group, a->group);
+	command.endpoint.endpoint = a->endpoint;
+	command.endpoint.endpoint.leaving = true;
+	propose(c, &command, private_data, done);
+}
+
+void operator_gone(struct control *c, const char *endpoint,
+		   uint64_t incarnation, void *private_data,
+		   operator_done_fn done)
+{
+	struct fleet_command command = { .type = FLEET_ENDPOINT_GONE };
+
+	for (uint32_t i = 0; i < c->fleet->groups_count; i++) {
+		const struct fleet_group *group = &c->fleet->groups[i];
+		const struct fleet_endpoint *e =
+			fleet_find_endpoint(group, endpoint);
+
+		if (!e || (incarnation && incarnation < e->incarnation))
+			continue;
+		LWS_STR_COPY(command.endpoint.group, group->name);
+		command.endpoint.endpoint = *e;
+		propose(c, &command, private_data, done);
+		return;
+	}
+	done(private_data, 0);
+}
+
+bool operator_ready(const struct control *c)
+{
+	uint64_t now_us = lws_time_now_us();
+	uint64_t confirmed_us = atomic_load(&c->daemon->confirmed_us);
+	uint64_t fresh_us = c->daemon->settings.key_fresh_ms * LWS_US_PER_MS;
+
+	return !c->draining && c->fleet->catalog && confirmed_us &&
+	       now_us - confirmed_us < fresh_us;
+}
+
+void operator_promoted(struct control *c, const char *group,
+		       const char *endpoint, uint64_t fence, int rc)
+{
+	lws_log_info(c->daemon->log, "promote_answered", "{s:s,s:s,s:I,s:s}",
+		     "group", group, "endpoint", endpoint, "fence",
+		     (json_int_t)fence, "error", lws_error_name(rc));
+	if (c->leader)
+		control_succession_promoted(c, group, endpoint, fence, rc);
+}
--- a/lib/daemon/settings.c
+++ b/lib/daemon/settings.c
@@ -222,18 +222,8 @@
 		     "--operator-key-file");
 }
 
-void settings_parse(struct settings *s, int argc, char **argv)
+void settings_default(struct settings *s)
 {
-	struct argp_option options[SETTINGS_COUNT + 1] = { 0 };
-	struct argp argp = {
-		.options = options,
-		.parser = parse_flag,
-		.doc = "Database proxy with session consistency.\v"
-		       "Each flag can also be given as an environment "
-		       "variable: LACEWINGSPAN_ and its name in capitals with "
-		       "_ for -. A flag wins.",
-	};
-
 	*s = (struct settings){ .listen = "127.0.0.1:0",
 				.admin_listen = "127.0.0.1:0",
 				.workers = 2,
@@ -245,6 +235,21 @@
 				.suspect_ms = 300,
 				.drain_ms = 10000,
 				.log_level = LWS_LOG_INFO };
+}
+
+void settings_parse(struct settings *s, int argc, char **argv)
+{
+	struct argp_option options[SETTINGS_COUNT + 1] = { 0 };
+	struct argp argp = {
+		.options = options,
+		.parser = parse_flag,
+		.doc = "Database proxy with session consistency.\v"
+		       "Each flag can also be given as an environment "
+		       "variable: LACEWINGSPAN_ and its name in capitals with "
+		       "_ for -. A flag wins.",
+	};
+
+	settings_default(s);
 	for (size_t i = 0; i < SETTINGS_COUNT; i++)
 		options[i] = (struct argp_option){ .name = table[i].flag,
 						   .key = FIRST_KEY + (int)i,
--- a/lib/daemon/settings.h
+++ b/lib/daemon/settings.h
@@ -1,6 +1,7 @@
 #ifndef SETTINGS_H
 #define SETTINGS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "lws_log.h"
@@ -32,6 +33,11 @@
  * @suspect_ms: silence that makes an endpoint suspect
  * @drain_ms: longest graceful stop
  * @log_level: most detailed level that is logged
+ * @statement_listen: address for callers of a statement protocol; NULL
+ *                    without
+ * @seeds_form: the instances of @control form a new fleet by themselves when
+ *              all of them have empty data folders
+ * @voters: control instances that vote, 0: those of the bootstrap
  */
 struct settings {
 	const char *name;
@@ -54,8 +60,16 @@
 	uint32_t suspect_ms;
 	uint32_t drain_ms;
 	enum lws_log_level log_level;
+	const char *statement_listen;
+	bool seeds_form;
+	uint32_t voters;
 };
 
+/**
+ * settings_default() - the defaults of all settings that have one
+ */
+void settings_default(struct settings *s);
+
 /**
  * settings_parse() - read environment and flags; ends the process with a
  * message on standard error when one of them is wrong
--- a/lib/io/peer.c
+++ b/lib/io/peer.c
@@ -16,6 +16,7 @@
 
 /* An address that is kept connected. */
 struct dial {
+	struct dial *next;
 	struct peer_hub *hub;
 	char addr[SOCK_ADDR_MAX];
 	struct peer *peer;
@@ -47,6 +48,7 @@
 	struct peer_hub_params params;
 	struct tevent_fd *listen_fde;
 	struct peer *peers;
+	struct dial *dials;
 	uint32_t count;
 };
 
@@ -389,10 +391,65 @@
 		return LWS_E_NOMEM;
 	dial->hub = hub;
 	LWS_STR_COPY(dial->addr, addr);
+	dial->next = hub->dials;
+	hub->dials = dial;
 	start_dial(dial);
 	return 0;
 }
 
+static bool wanted(const struct dial *dial, const char *const *addrs,
+		   uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		if (strcmp(dial->addr, addrs[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool is_dialled(const struct peer_hub *hub, const char *addr)
+{
+	for (const struct dial *d = hub->dials; d; d = d->next) {
+		if (strcmp(d->addr, addr) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void drop_dial(struct dial *dial)
+{
+	struct peer *peer = dial->peer;
+
+	/* The connection must not outlive the dial that it belongs to. */
+	if (peer) {
+		dial->peer = NULL;
+		peer->dial = NULL;
+		peer_close(peer);
+	}
+	talloc_free(dial);
+}
+
+void peer_hub_set_dials(struct peer_hub *hub, const char *const *addrs,
+			uint32_t count)
+{
+	struct dial **at = &hub->dials;
+
+	while (*at) {
+		struct dial *dial = *at;
+
+		if (wanted(dial, addrs, count)) {
+			at = &dial->next;
+			continue;
+		}
+		*at = dial->next;
+		drop_dial(dial);
+	}
+	for (uint32_t i = 0; i < count; i++) {
+		if (!is_dialled(hub, addrs[i]))
+			(void)peer_hub_dial(hub, addrs[i]);
+	}
+}
+
 int peer_hub_create(void *mem_ctx, struct tevent_context *ev,
 		    const struct peer_hub_params *params, struct peer_hub **out)
 {
--- a/lib/io/peer.h
+++ b/lib/io/peer.h
@@ -53,6 +53,15 @@
 /** peer_hub_dial() - keep a connection to an address, with pauses */
 int peer_hub_dial(struct peer_hub *hub, const char *addr);
 
+/**
+ * peer_hub_set_dials() - keep connections to these addresses, and no other
+ * @hub: hub
+ * @addrs: addresses; those that cannot be read are left out
+ * @count: number of @addrs
+ */
+void peer_hub_set_dials(struct peer_hub *hub, const char *const *addrs,
+			uint32_t count);
+
 /** peer_hub_first(), peer_hub_next() - the peers that are up */
 struct peer *peer_hub_first(struct peer_hub *hub);
 struct peer *peer_hub_next(struct peer *peer);
--- a/lib/membership/instances.c
+++ b/lib/membership/instances.c
@@ -77,7 +77,8 @@
 	*type = alive ? FLEET_INSTANCE_JOIN : FLEET_INSTANCE_LEAVE;
 	if (!alive)
 		return known != NULL;
-	return !known ||
+	return !known || strcmp(known->addr, e->who.addr) != 0 ||
+	       known->entry != e->who.entry ||
 	       strcmp(known->failure_domain, e->who.failure_domain) != 0;
 }
 
--- a/lib/membership/lease.c
+++ b/lib/membership/lease.c
@@ -93,11 +93,18 @@
 		g ? fleet_find_endpoint(g, endpoint->id) : NULL;
 	struct lease *lease = find(t, group, endpoint->id);
 	bool same = known && known->present &&
-		    strcmp(known->addr, endpoint->addr) == 0;
+		    strcmp(known->addr, endpoint->addr) == 0 &&
+		    known->slots == endpoint->slots &&
+		    known->incarnation == endpoint->incarnation;
 
 	if (!cfg_name_valid(group) || !cfg_name_valid(endpoint->id) ||
 	    !cfg_name_valid(endpoint->failure_domain))
 		return LWS_E_ARGUMENT;
+	/* Overtaken on its way by a newer one. */
+	if (known && (endpoint->incarnation < known->incarnation ||
+		      (endpoint->incarnation == known->incarnation &&
+		       endpoint->seq < known->seq)))
+		return 0;
 	if (lease_ms < LEASE_MIN_MS)
 		lease_ms = LEASE_MIN_MS;
 	if (lease_ms > LEASE_MAX_MS)
@@ -116,6 +123,7 @@
 	fill_command(command,
 		     leaving ? FLEET_ENDPOINT_LEAVE : FLEET_ENDPOINT_JOIN,
 		     group, endpoint);
+	command->endpoint.endpoint.leaving = leaving;
 	return 1;
 }
 
--- /dev/null
+++ b/lib/session/pooler_internal.h
@@ -0,0 +1,268 @@
+#ifndef POOLER_INTERNAL_H
+#define POOLER_INTERNAL_H
+
+#include "admission.h"
+#include "fair_queue.h"
+#include "lws_rng.h"
+#include "lws_time.h"
+#include "pooler.h"
+#include "session.h"
+
+/* Shared by the files of the pooler. */
+
+/* Positions of a primary that are remembered, and the pause between two. */
+#define POOL_SAMPLES 32
+#define POOL_SAMPLE_PAUSE_US (50 * LWS_US_PER_MS)
+/* Connections that are left to the control role and to restarts. */
+#define POOL_RESERVED_CONNS 2
+/* Connections above the even share while nobody else needs them. */
+#define POOL_EXTRA_CONNS 2
+/* An extra connection that rests this long is closed. */
+#define POOL_EXTRA_IDLE_US (1000 * LWS_US_PER_MS)
+/* After a refused connection for lack of room. */
+#define POOL_FULL_PAUSE_US (200 * LWS_US_PER_MS)
+/* After an answer that the endpoint has no room: first and longest pause. */
+#define POOL_BUSY_PAUSE_US (4 * LWS_US_PER_MS)
+#define POOL_BUSY_PAUSE_MAX_US (32 * LWS_US_PER_MS)
+/* After a failed connection: first and longest pause. */
+#define POOL_FAIL_PAUSE_US (50 * LWS_US_PER_MS)
+#define POOL_FAIL_PAUSE_MAX_US (800 * LWS_US_PER_MS)
+/* After a log that lacked a position: first and longest pause. */
+#define POOL_LAG_PAUSE_US (25 * LWS_US_PER_MS)
+#define POOL_LAG_PAUSE_MAX_US (800 * LWS_US_PER_MS)
+/* After the endpoint that should lead said that it does not. */
+#define POOL_READ_ONLY_PAUSE_US (20 * LWS_US_PER_MS)
+/* A statement of an endpoint that was never asked is expected to take. */
+#define POOL_SERVICE_US (10 * LWS_US_PER_MS)
+/* What another failure domain costs when endpoints are compared. */
+#define POOL_FAR_US (1 * LWS_US_PER_MS)
+/* Connections opened in a row that fail before a primary is suspect. */
+#define POOL_FAILURES_SUSPECT 2
+/* Orders of one write: reset, all values, a prepared name. */
+#define POOL_ORDERS_MAX (SESSION_VALUES_MAX + 2)
+/* Prepared names on one connection before it is reset. */
+#define POOL_PREPARED_MAX (SESSION_PREPARED_MAX - 1)
+/* Pause of the tick while statements are under way, and while none is. */
+#define POOL_TICK_US (4 * LWS_US_PER_MS)
+#define POOL_IDLE_TICK_US (100 * LWS_US_PER_MS)
+/* A planned stop ends a session that rested this long. */
+#define POOL_DRAIN_REST_US (10 * LWS_US_PER_MS)
+
+enum conn_state {
+	/** being opened, or opened in the protocol */
+	CONN_OPENING,
+	CONN_IDLE,
+	/** a statement of a session is under way */
+	CONN_WORKING,
+	/** a transaction rests */
+	CONN_HELD,
+	/** asked whether its endpoint leads */
+	CONN_PROVING,
+	/** a rollback of the pooler's own is under way */
+	CONN_CLEANING,
+};
+
+enum conn_step {
+	STEP_SETUP,
+	STEP_BEGIN,
+	STEP_STATEMENT,
+};
+
+struct pool_conn {
+	struct pool_endpoint *endpoint;
+	struct pool_conn *prev;
+	struct pool_conn *next;
+	void *link;
+	enum conn_state state;
+	enum conn_step step;
+	/* Orders that are not answered. */
+	uint32_t expected;
+	struct pool_session *session;
+	char customer[CATALOG_NAME_MAX];
+	/* What was set and prepared there. */
+	struct session_record record;
+	void *record_mem;
+	bool extra;
+	uint64_t sent_us;
+	uint64_t idle_since_us;
+};
+
+struct pool_endpoint {
+	struct pool_group *group;
+	char id[FLEET_NAME_MAX];
+	char addr[FLEET_ADDR_MAX];
+	char failure_domain[FLEET_NAME_MAX];
+	uint64_t incarnation;
+	uint32_t slots;
+	/* In the agreed state; takes new reads. */
+	bool known;
+	bool present;
+	struct pool_conn *conns;
+	uint32_t conns_count;
+	uint32_t opening;
+	uint32_t running;
+	uint64_t service_us;
+	uint64_t full_until_us;
+	uint64_t busy_until_us;
+	uint64_t busy_pause_us;
+	uint64_t fail_until_us;
+	uint64_t fail_pause_us;
+	uint32_t failures;
+	uint64_t lag_until_us;
+	uint64_t lag_pause_us;
+	uint64_t read_only_until_us;
+	uint64_t heard_us;
+	bool suspect;
+};
+
+struct pool_sample {
+	/* The endpoint led at or after this time. */
+	uint64_t proved_us;
+	struct log_position position;
+};
+
+struct pool_group {
+	struct pooler *pooler;
+	char name[CATALOG_NAME_MAX];
+	uint32_t connections_max;
+	uint32_t endpoints_count;
+	struct pool_endpoint *endpoints[FLEET_ENDPOINTS_MAX];
+	struct pool_endpoint *primary;
+	uint64_t primary_term;
+	uint32_t samples_count;
+	uint32_t samples_next;
+	struct pool_sample samples[POOL_SAMPLES];
+	struct fair_queue *at_primary;
+	struct fair_queue *anywhere;
+	bool proof_wanted;
+	struct pool_conn *proving;
+	bool report_due;
+};
+
+enum job_kind {
+	/** a read that any endpoint with a fresh enough log may serve */
+	JOB_READ_ANYWHERE,
+	/** a read that must see every acknowledged commit */
+	JOB_READ_PRIMARY,
+	JOB_WRITE,
+	/** the first statement of a transaction */
+	JOB_FIRST,
+	/** a later statement of a transaction */
+	JOB_IN_TRANSACTION,
+};
+
+enum job_place {
+	JOB_NONE,
+	JOB_WAITS_TOKEN,
+	JOB_QUEUED,
+	JOB_ON_CONN,
+	/** to be sent once more on its own connection */
+	JOB_AGAIN,
+};
+
+/* The running statement of a session. */
+struct pool_job {
+	struct fair_queue_item item;
+	struct admission_item admission;
+	enum job_kind kind;
+	enum job_place place;
+	struct statement st;
+	void *mem;
+	/* EXECUTE: what it runs, and its name towards endpoints. */
+	bool writes;
+	char shape_name[24];
+	const char *shape;
+	struct pool_group *group;
+	struct log_position wait;
+	uint64_t wait_proved_us;
+	uint64_t arrived_us;
+	uint64_t deadline_us;
+	uint64_t again_us;
+	uint32_t attempts;
+	/* Endpoints whose log lacked the position, by index. */
+	uint32_t lagging;
+	const char *wait_reason;
+};
+
+struct pool_session {
+	struct pooler *pooler;
+	struct pool_session *prev;
+	struct pool_session *next;
+	void *user;
+	char database[CATALOG_NAME_MAX];
+	bool keyed;
+	uint8_t key[CFG_HASH_BYTES];
+	struct session_record record;
+	/* As the caller knows it. */
+	enum transaction_state state;
+	bool read_only;
+	bool wrote;
+	enum statement_error lost;
+	struct pool_conn *conn;
+	char customer[CATALOG_NAME_MAX];
+	uint64_t customer_hash;
+	uint32_t worth;
+	enum catalog_reads reads;
+	uint32_t max_age_ms;
+	uint32_t timeout_ms;
+	uint32_t attempts_max;
+	uint64_t began_us;
+	uint64_t rests_since_us;
+	struct log_position committed;
+	char committed_group[CATALOG_NAME_MAX];
+	bool busy;
+	struct pool_job job;
+};
+
+struct pooler {
+	struct pooler_params params;
+	struct pooler_ops ops;
+	const struct fleet *fleet;
+	const struct catalog *catalog;
+	uint32_t entries;
+	uint64_t confirmed_us;
+	struct lws_rng rng;
+	struct admission *admission;
+	uint32_t groups_count;
+	struct pool_group **groups;
+	struct pool_session *sessions;
+	uint32_t sessions_count;
+	uint32_t busy_count;
+	uint64_t tick_us;
+	bool draining;
+	uint64_t open_until_us;
+	struct pooler_stats stats;
+};
+
+/* pooler.c */
+void pooler_answer(struct pool_session *s, uint64_t now_us,
+		   const struct caller_reply *reply, const char *reason);
+void pooler_refuse(struct pool_session *s, uint64_t now_us,
+		   enum statement_error error, enum transaction_state state,
+		   const char *reason);
+void pooler_job_lost(struct pool_session *s, uint64_t now_us, bool sent);
+void pooler_job_result(struct pool_session *s, uint64_t now_us,
+		       const struct endpoint_result *result);
+void pooler_not_started(struct pool_session *s, uint64_t now_us,
+			enum statement_error error,
+			const struct pool_endpoint *by);
+void pooler_requeue(struct pool_session *s, uint64_t now_us);
+void pooler_note(struct pool_session *s, uint64_t now_us, const char *event,
+		 enum statement_error error, const char *reason,
+		 uint64_t age_us);
+
+/* pool_conns.c */
+void pool_dispatch(struct pool_group *g, uint64_t now_us);
+void pool_run(struct pool_session *s, struct pool_conn *conn, uint64_t now_us);
+void pool_release(struct pool_conn *conn, uint64_t now_us,
+		  enum transaction_state state);
+void pool_hold(struct pool_conn *conn);
+void pool_drop(struct pool_conn *conn, uint64_t now_us);
+void pool_sample(struct pool_group *g, uint64_t proved_us,
+		 struct log_position position);
+void pool_group_tick(struct pool_group *g, uint64_t now_us);
+void pool_group_update(struct pool_group *g, uint64_t now_us,
+		       const struct fleet_group *state);
+void pool_report(struct pool_group *g, bool again);
+
+#endif
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -40,6 +40,8 @@
 	pack_u64(w, hello->protocol);
 	pack_str(w, hello->name);
 	pack_str(w, hello->failure_domain);
+	pack_str(w, hello->addr);
+	pack_bool(w, hello->entry);
 	pack_u64(w, hello->member);
 	pack_u64(w, hello->cluster);
 	pack_u64(w, hello->incarnation);
@@ -50,6 +52,8 @@
 	hello->protocol = (uint32_t)pack_read_u64(r);
 	pack_read_str(r, hello->name, FLEET_NAME_MAX);
 	pack_read_str(r, hello->failure_domain, FLEET_NAME_MAX);
+	pack_read_str(r, hello->addr, FLEET_ADDR_MAX);
+	hello->entry = pack_read_bool(r);
 	hello->member = pack_read_u64(r);
 	hello->cluster = pack_read_u64(r);
 	hello->incarnation = pack_read_u64(r);
@@ -275,10 +279,12 @@
 	leave_list(r, &in);
 }
 
+#define ANNOUNCE_FIELDS 12
+
 static void announce_pack(struct pack_writer *w,
 			  const struct wire_announce *announce)
 {
-	pack_array(w, announce->count * 8);
+	pack_array(w, announce->count * ANNOUNCE_FIELDS);
 	for (uint32_t i = 0; i < announce->count; i++) {
 		const struct wire_announce_item *item = &announce->items[i];
 
@@ -290,6 +296,10 @@
 		pack_u64(w, item->lease_ms);
 		pack_u64(w, item->log_term);
 		pack_u64(w, item->position);
+		pack_u64(w, item->endpoint.slots);
+		pack_u64(w, item->endpoint.incarnation);
+		pack_u64(w, item->endpoint.seq);
+		pack_bool(w, item->claims_primary);
 	}
 }
 
@@ -298,7 +308,7 @@
 {
 	struct pack_reader in;
 
-	announce->count = enter_list(r, &in, 8);
+	announce->count = enter_list(r, &in, ANNOUNCE_FIELDS);
 	announce->items = talloc_zero_array(mem_ctx, struct wire_announce_item,
 					    announce->count + 1);
 	for (uint32_t i = 0; i < announce->count; i++) {
@@ -313,6 +323,10 @@
 		item->lease_ms = (uint32_t)pack_read_u64(&in);
 		item->log_term = pack_read_u64(&in);
 		item->position = pack_read_u64(&in);
+		item->endpoint.slots = (uint32_t)pack_read_u64(&in);
+		item->endpoint.incarnation = pack_read_u64(&in);
+		item->endpoint.seq = pack_read_u64(&in);
+		item->claims_primary = pack_read_bool(&in);
 	}
 	leave_list(r, &in);
 }
@@ -320,7 +334,7 @@
 /* Whole messages */
 
 static const uint32_t field_count[WIRE_TYPE_COUNT] = {
-	[WIRE_HELLO] = 6,	  [WIRE_SYNC_REQUEST] = 3,
+	[WIRE_HELLO] = 8,	  [WIRE_SYNC_REQUEST] = 3,
 	[WIRE_SYNC_REPLY] = 6,	  [WIRE_PROPOSE] = 2,
 	[WIRE_PROPOSE_REPLY] = 4, [WIRE_RATE_REQUEST] = 3,
 	[WIRE_RATE_REPLY] = 3,	  [WIRE_REPORT] = 3,
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -16,7 +16,7 @@
  * codec is pure; reading and writing sockets is done by lib/io.
  */
 
-#define WIRE_PROTOCOL_VERSION 1
+#define WIRE_PROTOCOL_VERSION 2
 #define WIRE_HEADER_BYTES 4
 #define WIRE_FRAME_MAX (64U * 1024U * 1024U)
 #define WIRE_ITEMS_MAX 4096
@@ -40,6 +40,8 @@
  * @protocol: WIRE_PROTOCOL_VERSION
  * @name: instance name
  * @failure_domain: its failure domain
+ * @addr: where other instances reach it, "" when they do not
+ * @entry: it serves callers
  * @member: identity of its data folder, 0 without one
  * @cluster: identity of the fleet it belongs to, 0 when not known yet
  * @incarnation: random number of this run of the process
@@ -48,6 +50,8 @@
 	uint32_t protocol;
 	char name[FLEET_NAME_MAX];
 	char failure_domain[FLEET_NAME_MAX];
+	char addr[FLEET_ADDR_MAX];
+	bool entry;
 	uint64_t member;
 	uint64_t cluster;
 	uint64_t incarnation;
@@ -180,6 +184,7 @@
  * @lease_ms: how long the announcement counts
  * @log_term: term of its log
  * @position: its log position
+ * @claims_primary: it takes itself for the primary
  */
 struct wire_announce_item {
 	char group[FLEET_NAME_MAX];
@@ -188,6 +193,7 @@
 	uint32_t lease_ms;
 	uint64_t log_term;
 	uint64_t position;
+	bool claims_primary;
 };
 
 struct wire_announce {
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -34,7 +34,14 @@
 	entries[1].data = (const uint8_t *)"abc";
 	switch (type) {
 	case WIRE_HELLO:
-		m.hello = (struct wire_hello){ 1, "entry-1", "bole", 5, 6, 7 };
+		m.hello = (struct wire_hello){ .protocol = 1,
+					       .name = "entry-1",
+					       .failure_domain = "bole",
+					       .addr = "127.0.0.1:7401",
+					       .entry = true,
+					       .member = 5,
+					       .cluster = 6,
+					       .incarnation = 7 };
 		break;
 	case WIRE_RAFT:
 		m.raft.type = RAFT_MSG_APPEND_REPLY;
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -344,7 +344,8 @@
 	struct fleet *fleet = fleet_create(NULL);
 	uint64_t now = 100 * LWS_US_PER_S;
 	struct instances *t = instances_create(NULL, fleet, now);
-	struct fleet_instance who = { "entry-1", "d1" };
+	struct fleet_instance who = { .name = "entry-1",
+				      .failure_domain = "d1" };
 	struct fleet_command c;
 
 	instances_seen(t, now, &who, 5, 1);
