Give back extra connections at once; open one for each statement that waits

Ruled out: slots (endpoints rejected 469 of 7,770 arrivals only). Change: extras above the even share live while they are in use; each waiting statement may open its own; tokens are waited for 200 ms at most; a statement has its whole timeout from when it is sent.

--- a/lib/admit/admission.c
+++ b/lib/admit/admission.c
@@ -54,6 +54,8 @@
 enum admission_verdict admission_enter(struct admission *a, uint64_t now_us,
 				       struct admission_item *item)
 {
+	uint64_t most =
+		item->wait_max_us ? item->wait_max_us : ADMISSION_WAIT_US;
 	uint64_t half = item->deadline_us > now_us
 				? (item->deadline_us - now_us) / 2
 				: 0;
@@ -65,8 +67,7 @@
 		return ADMISSION_PASS;
 	if (queue_full(item))
 		return ADMISSION_REFUSE;
-	item->wait_until_us =
-		now_us + (half < ADMISSION_WAIT_US ? half : ADMISSION_WAIT_US);
+	item->wait_until_us = now_us + (half < most ? half : most);
 	link_last(a, item);
 	return ADMISSION_WAIT;
 }
--- a/lib/admit/admission.h
+++ b/lib/admit/admission.h
@@ -26,6 +26,7 @@
  * @account: tokens of its customer
  * @rate_per_s: rate of its customer
  * @deadline_us: when the request must be answered
+ * @wait_max_us: longest wait, 0 for ADMISSION_WAIT_US
  *
  * The other members belong to the admission.
  */
@@ -33,6 +34,7 @@
 	struct rate_account *account;
 	uint32_t rate_per_s;
 	uint64_t deadline_us;
+	uint64_t wait_max_us;
 	uint64_t wait_until_us;
 	struct admission_item *prev;
 	struct admission_item *next;
--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -254,7 +254,7 @@
 		talloc_free(catalog);
 		return LWS_E_NOMEM;
 	}
-	talloc_free(fleet->catalog);
+	talloc_unlink(fleet, fleet->catalog);
 	talloc_free(fleet->document);
 	fleet->catalog = catalog;
 	fleet->document = copy;
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -49,6 +49,48 @@
 		     (json_int_t)result.version);
 }
 
+/* Rates of one change that are logged at most. */
+#define RATES_LOGGED_MAX 16
+
+static void log_rates(struct control *c, const struct catalog *old,
+		      const struct catalog *now)
+{
+	uint32_t logged = 0;
+
+	for (uint32_t i = 0; old && i < now->customers_count; i++) {
+		const struct catalog_customer *to = &now->customers[i];
+		const struct catalog_customer *from = NULL;
+
+		for (uint32_t k = 0; k < old->customers_count; k++) {
+			if (strcmp(old->customers[k].name, to->name) == 0)
+				from = &old->customers[k];
+		}
+		if (!from || (from->rate_per_s == to->rate_per_s &&
+			      from->burst == to->burst))
+			continue;
+		if (logged++ == RATES_LOGGED_MAX)
+			return;
+		lws_log_info(c->daemon->log, "rate_changed",
+			     "{s:s,s:I,s:I,s:I,s:I}", "customer", to->name,
+			     "from_per_s", (json_int_t)from->rate_per_s,
+			     "to_per_s", (json_int_t)to->rate_per_s, "burst",
+			     (json_int_t)to->burst, "version",
+			     (json_int_t)now->version);
+	}
+}
+
+static void log_catalog(struct control *c, const struct catalog *old)
+{
+	const struct catalog *now = c->fleet->catalog;
+
+	lws_log_info(c->daemon->log, "catalog_in_force", "{s:I,s:I,s:I,s:I}",
+		     "version", (json_int_t)now->version, "databases",
+		     (json_int_t)now->databases_count, "customers",
+		     (json_int_t)now->customers_count, "keys",
+		     (json_int_t)now->keys_count);
+	log_rates(c, old, now);
+}
+
 void control_apply(struct control *c, uint64_t index, const uint8_t *data,
 		   uint32_t len)
 {
@@ -61,10 +103,18 @@
 		return;
 	scratch = talloc_new(NULL);
 	if (len && !fleet_command_unpack(scratch, data, len, &command)) {
+		struct catalog *old = c->fleet->catalog;
+
+		/* Kept until the change has been told. */
+		if (old)
+			(void)talloc_reference(scratch, old);
 		result = fleet_apply(c->fleet, index, &command);
 		c->fleet_changed = true;
-		if (command.type == FLEET_CONFIG_APPLY)
+		if (command.type == FLEET_CONFIG_APPLY ||
+		    command.type == FLEET_CATALOG_REPLACE)
 			c->config_applied_us = lws_time_now_us();
+		if (c->fleet->catalog != old)
+			log_catalog(c, old);
 		log_change(c, index, result);
 	}
 	c->fleet->applied_index = index;
--- a/lib/session/pool_conns.c
+++ b/lib/session/pool_conns.c
@@ -59,10 +59,26 @@
 	conn->record_mem = talloc_new(conn);
 }
 
+static void forget_opener(struct pool_conn *conn)
+{
+	if (conn->opener)
+		conn->opener->job.opening = NULL;
+	conn->opener = NULL;
+}
+
+/* The statement that a connection was opened for has ended. */
+void pool_forget_opening(struct pool_session *s)
+{
+	if (s->job.opening)
+		s->job.opening->opener = NULL;
+	s->job.opening = NULL;
+}
+
 static void unlink_conn(struct pool_conn *conn)
 {
 	struct pool_endpoint *e = conn->endpoint;
 
+	forget_opener(conn);
 	if (conn->prev)
 		conn->prev->next = conn->next;
 	else
@@ -120,7 +136,6 @@
 	conn->record_mem = talloc_new(conn);
 	conn->state = CONN_OPENING;
 	conn->sent_us = now_us;
-	conn->extra = e->conns_count >= share_of(e->group);
 	LWS_STR_COPY(conn->customer, customer);
 	conn->link = p->ops.connect(p->ops.private_data, conn, e->addr);
 	if (!conn->link) {
@@ -162,7 +177,7 @@
 }
 
 /* Closes the connection that rested longest, to open one for another. */
-static bool make_room(struct pool_endpoint *e, uint64_t now_us)
+static void make_room(struct pool_endpoint *e, uint64_t now_us)
 {
 	struct pool_conn *oldest = NULL;
 
@@ -171,35 +186,27 @@
 		    (!oldest || c->idle_since_us < oldest->idle_since_us))
 			oldest = c;
 	}
-	if (!oldest)
-		return false;
-	pool_drop(oldest, now_us);
-	return true;
-}
-
-static bool opening_for(const struct pool_endpoint *e, const char *customer)
-{
-	for (const struct pool_conn *c = e->conns; c; c = c->next) {
-		if (c->state == CONN_OPENING && serves(c, customer))
-			return true;
-	}
-	return false;
+	if (oldest)
+		pool_drop(oldest, now_us);
 }
 
 /* Gets a connection, or makes sure that one is on its way. */
 static struct pool_conn *conn_for(struct pool_endpoint *e,
-				  const struct pool_session *s, uint64_t now_us)
+				  struct pool_session *s, uint64_t now_us)
 {
 	struct pool_conn *conn =
 		idle_conn(e, s->customer, s->record.values_hash);
 
-	if (conn || opening_for(e, s->customer))
+	if (conn || s->job.opening || now_us < e->fail_until_us ||
+	    now_us < e->full_until_us)
 		return conn;
-	if (!may_open(e, now_us) &&
-	    (now_us < e->fail_until_us || now_us < e->full_until_us ||
-	     !make_room(e, now_us)))
+	if (e->conns_count >= share_of(e->group))
+		make_room(e, now_us);
+	if (!may_open(e, now_us))
 		return NULL;
-	(void)open_conn(e, s->customer, now_us);
+	s->job.opening = open_conn(e, s->customer, now_us);
+	if (s->job.opening)
+		s->job.opening->opener = s;
 	return NULL;
 }
 
@@ -212,10 +219,23 @@
 	conn->state = CONN_IDLE;
 	conn->idle_since_us = now_us;
 	conn->session = NULL;
+	forget_opener(conn);
 	if (!conn->endpoint->known)
 		pool_drop(conn, now_us);
 }
 
+/* What is above the even share is for others, once nobody waits for it. */
+static void give_back_extra(struct pool_endpoint *e, uint64_t now_us)
+{
+	while (e->conns_count > share_of(e->group)) {
+		uint32_t before = e->conns_count;
+
+		make_room(e, now_us);
+		if (e->conns_count == before)
+			return;
+	}
+}
+
 static void set_state(struct pool_conn *conn, enum conn_state state)
 {
 	if (conn->state == CONN_WORKING && state != CONN_WORKING)
@@ -346,6 +366,7 @@
 	if (job->kind == JOB_READ_ANYWHERE)
 		order.wait = job->wait;
 	conn->step = STEP_STATEMENT;
+	job->deadline_us = now_us + s->timeout_ms * LWS_US_PER_MS;
 	job->attempts++;
 	s->wrote |= job->writes && s->state != TRANSACTION_NONE;
 	s->pooler->stats.statements++;
@@ -399,7 +420,8 @@
 
 /* Choosing a connection */
 
-static uint64_t cost_of(const struct pool_endpoint *e)
+static uint64_t cost_of(const struct pool_endpoint *e,
+			const struct pool_session *s)
 {
 	const struct pooler *p = e->group->pooler;
 	uint64_t service = e->service_us ? e->service_us : POOL_SERVICE_US;
@@ -407,6 +429,8 @@
 
 	if (strcmp(e->failure_domain, p->params.failure_domain) != 0)
 		cost += POOL_FAR_US;
+	if (!idle_conn(e, s->customer, 0))
+		cost += POOL_HANDSHAKE_US;
 	/* It has the writes besides. */
 	if (e == e->group->primary)
 		cost += service;
@@ -464,7 +488,7 @@
 				continue;
 			if (!best || lags < (now_us < best->lag_until_us) ||
 			    (lags == (now_us < best->lag_until_us) &&
-			     cost_of(e) < cost_of(best))) {
+			     cost_of(e, s) < cost_of(best, s))) {
 				best = e;
 				best_index = i;
 			}
@@ -741,6 +765,7 @@
 		return;
 	}
 	pool_dispatch(g, now_us);
+	give_back_extra(e, now_us);
 }
 
 void pooler_conn_up(struct pooler *p, uint64_t now_us, struct pool_conn *conn)
@@ -967,19 +992,6 @@
 	pool_report(g, false);
 }
 
-static void close_extra(struct pool_endpoint *e, uint64_t now_us)
-{
-	struct pool_conn *next;
-
-	for (struct pool_conn *c = e->conns; c; c = next) {
-		next = c->next;
-		if (c->state == CONN_IDLE && c->extra &&
-		    e->conns_count > share_of(e->group) &&
-		    now_us - c->idle_since_us > POOL_EXTRA_IDLE_US)
-			pool_drop(c, now_us);
-	}
-}
-
 /* A rollback, opening or question that is never answered. */
 static struct pool_conn *silent_conn(const struct pool_endpoint *e,
 				     uint64_t now_us)
@@ -1007,7 +1019,7 @@
 {
 	for (uint32_t i = 0; i < g->endpoints_count; i++) {
 		close_silent(g->endpoints[i], now_us);
-		close_extra(g->endpoints[i], now_us);
+		give_back_extra(g->endpoints[i], now_us);
 	}
 	watch_primary(g, now_us);
 	forget_gone(g);
--- a/lib/session/pooler.c
+++ b/lib/session/pooler.c
@@ -70,6 +70,7 @@
 			    reason,
 			    p->confirmed_us ? now_us - p->confirmed_us : 0);
 	}
+	pool_forget_opening(s);
 	s->busy = false;
 	s->state = reply->state;
 	s->rests_since_us = now_us;
@@ -277,6 +278,7 @@
 void pooler_gone(struct pooler *p, uint64_t now_us, struct pool_session *s)
 {
 	if (s->busy) {
+		pool_forget_opening(s);
 		unqueue(s);
 		p->busy_count--;
 	}
@@ -353,9 +355,17 @@
 	pool_dispatch(g, now_us);
 }
 
+/* Later it would be answered too late; it may be tried elsewhere by then. */
+static uint64_t send_by_us(const struct pool_session *s)
+{
+	return s->job.arrived_us +
+	       s->timeout_ms * LWS_US_PER_MS * POOL_WAIT_PERCENT / 100;
+}
+
 void pooler_requeue(struct pool_session *s, uint64_t now_us)
 {
 	s->pooler->stats.retries++;
+	s->job.deadline_us = send_by_us(s);
 	enqueue(s, now_us);
 }
 
@@ -369,7 +379,7 @@
 		job->kind = s->reads == CATALOG_READS_PRIMARY
 				    ? JOB_READ_PRIMARY
 				    : JOB_READ_ANYWHERE;
-	job->deadline_us = job->arrived_us + s->timeout_ms * LWS_US_PER_MS;
+	job->deadline_us = send_by_us(s);
 	enqueue(s, now_us);
 }
 
@@ -421,6 +431,7 @@
 		.account = p->ops.account(p->ops.private_data, s->customer),
 		.rate_per_s = c->rate_per_s,
 		.deadline_us = now_us + s->timeout_ms * LWS_US_PER_MS,
+		.wait_max_us = POOL_TOKEN_WAIT_US,
 	};
 	switch (job->admission.account
 			? admission_enter(p->admission, now_us, &job->admission)
@@ -550,7 +561,7 @@
 	}
 	if (!resolve(s, now_us))
 		return;
-	job->deadline_us = job->arrived_us + s->timeout_ms * LWS_US_PER_MS;
+	job->deadline_us = send_by_us(s);
 	if (s->conn) {
 		job->kind = JOB_IN_TRANSACTION;
 		job->group = s->conn->endpoint->group;
@@ -626,7 +637,7 @@
 
 static bool time_left(const struct pool_session *s, uint64_t now_us)
 {
-	return now_us < s->job.deadline_us;
+	return now_us < send_by_us(s);
 }
 
 static enum transaction_state state_after_error(const struct pool_session *s)
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -15,10 +15,14 @@
 #define POOL_SAMPLE_PAUSE_US (50 * LWS_US_PER_MS)
 /* Connections that are left to the control role and to restarts. */
 #define POOL_RESERVED_CONNS 2
-/* Connections above the even share while nobody else needs them. */
-#define POOL_EXTRA_CONNS 2
-/* An extra connection that rests this long is closed. */
-#define POOL_EXTRA_IDLE_US (1000 * LWS_US_PER_MS)
+/* Connections above the even share, each only while it is in use. */
+#define POOL_EXTRA_CONNS 6
+/* What an endpoint is taken to need for a new connection. */
+#define POOL_HANDSHAKE_US (12 * LWS_US_PER_MS)
+/* Tokens are fetched every 100 ms: who has none after two rounds is over. */
+#define POOL_TOKEN_WAIT_US (200 * LWS_US_PER_MS)
+/* Part of a statement's timeout that it may wait before it is sent. */
+#define POOL_WAIT_PERCENT 60
 /* After a refused connection for lack of room. */
 #define POOL_FULL_PAUSE_US (200 * LWS_US_PER_MS)
 /* After an answer that the endpoint has no room: first and longest pause. */
@@ -82,7 +86,8 @@
 	/* What was set and prepared there. */
 	struct session_record record;
 	void *record_mem;
-	bool extra;
+	/* Whose statement it was opened for. */
+	struct pool_session *opener;
 	uint64_t sent_us;
 	uint64_t idle_since_us;
 };
@@ -173,9 +178,12 @@
 	char shape_name[24];
 	const char *shape;
 	struct pool_group *group;
+	/* Being opened for it. */
+	struct pool_conn *opening;
 	struct log_position wait;
 	uint64_t wait_proved_us;
 	uint64_t arrived_us;
+	/* To be sent by; then the time by which it must be answered. */
 	uint64_t deadline_us;
 	uint64_t again_us;
 	uint32_t attempts;
@@ -256,6 +264,7 @@
 void pool_run(struct pool_session *s, struct pool_conn *conn, uint64_t now_us);
 void pool_release(struct pool_conn *conn, uint64_t now_us,
 		  enum transaction_state state);
+void pool_forget_opening(struct pool_session *s);
 void pool_hold(struct pool_conn *conn);
 void pool_drop(struct pool_conn *conn, uint64_t now_us);
 void pool_sample(struct pool_group *g, uint64_t proved_us,
