--- a/bench/run.sh
+++ b/bench/run.sh
@@ -6,6 +6,7 @@
 cd "$(dirname "$0")/.."
 "$1/bench/bench_policy"
 rc=$?
+"$1/bench/bench_pooler" || rc=1
 if [ "${LWS_BENCH_PROCESSES:-0}" = 1 ]; then
 	bench/processes.sh || rc=1
 fi
--- a/lib/admit/fair_queue.c
+++ b/lib/admit/fair_queue.c
@@ -1,5 +1,6 @@
 #include "fair_queue.h"
 
+#include <stdlib.h>
 #include <talloc.h>
 
 #include "lws_error.h"
@@ -164,6 +165,69 @@
 	return item;
 }
 
+struct fair_queue_item *fair_queue_peek_customer(const struct fair_queue *q,
+						 uint64_t customer)
+{
+	const struct fair_queue_flow *flow = find_flow(q, customer);
+
+	return flow ? flow->head : NULL;
+}
+
+struct ranked {
+	uint64_t tag;
+	struct fair_queue_item *item;
+};
+
+static int by_rank(const void *a, const void *b)
+{
+	const struct ranked *x = a;
+	const struct ranked *y = b;
+
+	if (x->tag != y->tag)
+		return x->tag < y->tag ? -1 : 1;
+	if (x->item->deadline_us != y->item->deadline_us)
+		return x->item->deadline_us < y->item->deadline_us ? -1 : 1;
+	return 0;
+}
+
+uint32_t fair_queue_list(const struct fair_queue *q,
+			 struct fair_queue_item **items, uint32_t max)
+{
+	struct ranked ranked[FAIR_QUEUE_LIST_MAX];
+	uint32_t n = 0;
+
+	if (max > FAIR_QUEUE_LIST_MAX)
+		max = FAIR_QUEUE_LIST_MAX;
+	for (struct fair_queue_flow *f = q->flows; f; f = f->next) {
+		uint64_t tag = f->start_tag;
+
+		for (struct fair_queue_item *i = f->head;
+		     i && n < FAIR_QUEUE_LIST_MAX; i = i->next) {
+			ranked[n++] = (struct ranked){ tag, i };
+			tag += VIRTUAL_UNIT / f->worth;
+		}
+	}
+	qsort(ranked, n, sizeof(ranked[0]), by_rank);
+	if (n > max)
+		n = max;
+	for (uint32_t i = 0; i < n; i++)
+		items[i] = ranked[i].item;
+	return n;
+}
+
+void fair_queue_take(struct fair_queue *q, struct fair_queue_item *item)
+{
+	struct fair_queue_flow *flow = item->flow;
+
+	if (flow == next_flow(q))
+		q->virtual_time = flow->start_tag;
+	flow->start_tag += VIRTUAL_UNIT / flow->worth;
+	unlink_item(flow, item);
+	q->count--;
+	if (!flow->head)
+		drop_flow(q, flow);
+}
+
 void fair_queue_remove(struct fair_queue *q, struct fair_queue_item *item)
 {
 	struct fair_queue_flow *flow = item->flow;
--- a/lib/admit/fair_queue.h
+++ b/lib/admit/fair_queue.h
@@ -16,6 +16,8 @@
  */
 
 #define FAIR_QUEUE_WORTH_MAX 1000
+/* Requests that fair_queue_list() looks at. */
+#define FAIR_QUEUE_LIST_MAX 64U
 
 struct fair_queue;
 struct fair_queue_flow;
@@ -54,7 +56,25 @@
 /** fair_queue_pop() - take the request that is next, NULL when empty */
 struct fair_queue_item *fair_queue_pop(struct fair_queue *q);
 
-/** fair_queue_remove() - take a request out of turn */
+/** fair_queue_peek_customer() - earliest deadline of one customer, or NULL */
+struct fair_queue_item *fair_queue_peek_customer(const struct fair_queue *q,
+						 uint64_t customer);
+
+/**
+ * fair_queue_list() - requests in the order in which they would be served
+ * @q: queue
+ * @items: result
+ * @max: room of @items
+ *
+ * Return: number of @items, at most @max.
+ */
+uint32_t fair_queue_list(const struct fair_queue *q,
+			 struct fair_queue_item **items, uint32_t max);
+
+/** fair_queue_take() - serve a request that is not next; it counts as served */
+void fair_queue_take(struct fair_queue *q, struct fair_queue_item *item);
+
+/** fair_queue_remove() - a request is not served any more */
 void fair_queue_remove(struct fair_queue *q, struct fair_queue_item *item);
 
 /** fair_queue_expired() - take one whose deadline has passed, NULL for none */
--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -381,12 +381,47 @@
 	return from->seq < known->seq;
 }
 
+static void remove_endpoint(struct fleet_group *group, uint32_t at)
+{
+	group->endpoint[at] = group->endpoint[--group->count];
+	memset(&group->endpoint[group->count], 0,
+	       sizeof(group->endpoint[group->count]));
+}
+
+/*
+ * Addresses are used again: whoever started later at one has it. False when
+ * the announcement is of the earlier one.
+ */
+static bool take_address(struct fleet *fleet, const struct fleet_endpoint *from)
+{
+	for (uint32_t g = 0; from->incarnation && g < fleet->groups_count;
+	     g++) {
+		struct fleet_group *group = &fleet->groups[g];
+
+		for (uint32_t i = 0; i < group->count; i++) {
+			const struct fleet_endpoint *other =
+				&group->endpoint[i];
+
+			if (strcmp(other->addr, from->addr) != 0 ||
+			    strcmp(other->id, from->id) == 0)
+				continue;
+			if (other->incarnation > from->incarnation)
+				return false;
+			remove_endpoint(group, i--);
+		}
+	}
+	return true;
+}
+
 static int apply_join(struct fleet *fleet, const struct fleet_command *command)
 {
 	const struct fleet_endpoint *from = &command->endpoint.endpoint;
-	struct fleet_group *group = make_group(fleet, command->endpoint.group);
+	struct fleet_group *group;
 	struct fleet_endpoint *endpoint;
 
+	if (!take_address(fleet, from))
+		return LWS_E_VERSION_CONFLICT;
+	group = make_group(fleet, command->endpoint.group);
 	if (!group)
 		return LWS_E_QUEUE_FULL;
 	endpoint = fleet_find_endpoint(group, from->id);
@@ -442,8 +477,7 @@
 		return LWS_E_NOT_FOUND;
 	if (announced_before(endpoint, &command->endpoint.endpoint))
 		return LWS_E_VERSION_CONFLICT;
-	*endpoint = group->endpoint[--group->count];
-	memset(&group->endpoint[group->count], 0, sizeof(*endpoint));
+	remove_endpoint(group, (uint32_t)(endpoint - group->endpoint));
 	return 0;
 }
 
--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -217,6 +217,11 @@
  */
 uint64_t fleet_catalog_version(const struct fleet *fleet);
 
+/**
+ * DOC: An address belongs to the endpoint that started last there. When
+ * another one joins at it with a later incarnation, the earlier one is gone.
+ */
+
 /** fleet_create() - an empty state */
 struct fleet *fleet_create(void *mem_ctx);
 
--- a/lib/control/succession.c
+++ b/lib/control/succession.c
@@ -62,6 +62,8 @@
 	uint64_t since_us;
 	uint64_t rested_us;
 	bool against_primary;
+	/* A promotion may be under way whose outcome nobody knows. */
+	bool open_call;
 	bool probe_missed;
 	uint64_t probe_us;
 	bool probing;
@@ -204,6 +206,9 @@
 	s->against_primary = strcmp(reason, "primary_suspect") == 0 ||
 			     strcmp(reason, "primary_leaving") == 0;
 	s->choice[0] = '\0';
+	/* An earlier leader may have asked the platform. */
+	s->open_call |=
+		s->group.term > s->group.primary_term && s->group.primary_term;
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		s->members[i].answered = false;
 		s->members[i].held = false;
@@ -279,6 +284,7 @@
 	struct succession_action *a;
 
 	LWS_STR_COPY(s->choice, m->id);
+	s->open_call = true;
 	enter(s, now_us, PHASE_PROMOTE);
 	a = push(s, SUCCESSION_PROMOTE);
 	if (a)
@@ -302,18 +308,23 @@
 		answered += m->answered ? 1 : 0;
 	}
 	lead = leading(s);
-	/* A promotion of before was carried out meanwhile. */
+	/*
+	 * A promotion of before was carried out meanwhile. To promote the one
+	 * that leads changes nothing but ends all calls with lower fences.
+	 */
 	if (lead && !is_primary(s, lead) &&
 	    lead->status.term >= newest_term(s)) {
-		commit(s, now_us, lead->id);
+		if (s->open_call)
+			promote(s, now_us, lead);
+		else
+			commit(s, now_us, lead->id);
 		return;
 	}
 	if (!s->group.primary_term || !replicas || answered < replicas)
 		return;
-	/* It leads, and nothing but an open attempt spoke against it. */
+	/* Nothing but an open attempt spoke against it. */
 	if (lead && is_primary(s, lead) && !s->against_primary) {
-		release_all(s, now_us);
-		commit(s, now_us, lead->id);
+		promote(s, now_us, lead);
 		return;
 	}
 	s->hold_term = newest_term(s) + 1;
@@ -450,13 +461,23 @@
 	start(s, now_us, reason);
 }
 
+/*
+ * While a call may still be carried out, the replicas stay held: the endpoint
+ * that it names must not be overtaken by commits.
+ */
+static void give_up(struct succession *s, uint64_t now_us)
+{
+	if (!s->open_call)
+		release_all(s, now_us);
+	s->rested_us = now_us;
+	enter(s, now_us, PHASE_REST);
+}
+
 void succession_tick(struct succession *s, uint64_t now_us)
 {
 	if (s->phase != PHASE_REST &&
 	    now_us - s->since_us > s->params.attempt_us) {
-		release_all(s, now_us);
-		s->rested_us = now_us;
-		enter(s, now_us, PHASE_REST);
+		give_up(s, now_us);
 	}
 	switch (s->phase) {
 	case PHASE_REST:
@@ -571,9 +592,11 @@
 
 void succession_answered(struct succession *s, uint64_t now_us,
 			 const char *endpoint, enum endpoint_order_kind kind,
-			 const struct endpoint_status *status)
+			 const struct endpoint_status *status,
+			 enum statement_error error)
 {
 	struct member *m = find(s, endpoint);
+	struct succession_action *a;
 
 	if (!m)
 		return;
@@ -582,7 +605,12 @@
 		s->probe_missed = !status;
 	}
 	if (!status) {
-		/* Asked again at the next tick after a pause. */
+		/* Otherwise it is asked again after a pause. */
+		if (error != STATEMENT_E_MISROUTED)
+			return;
+		a = push(s, SUCCESSION_COMMIT_GONE);
+		if (a)
+			LWS_STR_COPY(a->endpoint, m->id);
 		return;
 	}
 	m->answered = true;
@@ -598,11 +626,12 @@
 	if (s->phase != PHASE_PROMOTE || fence != s->fence)
 		return;
 	if (rc == LWS_E_NOT_FOUND) {
-		release_all(s, now_us);
-		s->rested_us = now_us;
-		enter(s, now_us, PHASE_REST);
+		give_up(s, now_us);
 		return;
 	}
+	/* From now on only higher fences count. */
+	if (!rc)
+		s->open_call = false;
 	/* Without an answer it may be carried out all the same. */
 	enter(s, now_us, PHASE_TAKE);
 	if (find(s, s->choice))
--- a/lib/control/succession.h
+++ b/lib/control/succession.h
@@ -22,8 +22,9 @@
  *   3. the platform is asked to let the one that received most lead;
  *   4. the new primary is committed.
  *
- * An attempt that is given up releases the replicas. One without an outcome
- * may still be carried out later; only a higher fence ends it, so the next
+ * An attempt that is given up before step 3 releases the replicas. A call
+ * without an outcome may still be carried out later; only an answered call
+ * with a higher fence ends it. Until then the replicas stay held, and the next
  * attempt starts at step 1, and first looks whether some endpoint leads.
  */
 
@@ -51,6 +52,7 @@
 	SUCCESSION_ORDER,
 	SUCCESSION_PROMOTE,
 	SUCCESSION_COMMIT_PRIMARY,
+	SUCCESSION_COMMIT_GONE,
 };
 
 /**
@@ -108,10 +110,13 @@
  * @endpoint: by whom
  * @order: the order
  * @status: what it says; NULL when it did not answer
+ * @error: without a status: why. STATEMENT_E_MISROUTED: another endpoint has
+ *         its address, so it is gone
  */
 void succession_answered(struct succession *s, uint64_t now_us,
 			 const char *endpoint, enum endpoint_order_kind order,
-			 const struct endpoint_status *status);
+			 const struct endpoint_status *status,
+			 enum statement_error error);
 
 /**
  * succession_promoted() - the platform answered
--- a/lib/daemon/control_succession.c
+++ b/lib/daemon/control_succession.c
@@ -83,7 +83,7 @@
 			     "error", statement_error_name(error));
 	if (gs) {
 		succession_answered(gs->succession, lws_time_now_us(),
-				    o->endpoint, o->kind, status);
+				    o->endpoint, o->kind, status, error);
 		pump(c, gs);
 	}
 	talloc_free(o);
@@ -135,6 +135,23 @@
 	control_propose(c, &command, NULL, NULL);
 }
 
+static void propose_gone(struct control *c, const struct group_succession *gs,
+			 const char *endpoint)
+{
+	struct fleet_command command = { .type = FLEET_ENDPOINT_GONE,
+					 .time_ms = control_wall_ms() };
+	const struct fleet_group *group = fleet_find_group(c->fleet, gs->name);
+	const struct fleet_endpoint *e =
+		group ? fleet_find_endpoint(group, endpoint) : NULL;
+
+	if (!e)
+		return;
+	LWS_STR_COPY(command.who, c->daemon->settings.name);
+	LWS_STR_COPY(command.endpoint.group, gs->name);
+	command.endpoint.endpoint = *e;
+	control_propose(c, &command, NULL, NULL);
+}
+
 static void perform(struct control *c, struct group_succession *gs,
 		    const struct succession_action *action)
 {
@@ -162,6 +179,9 @@
 	case SUCCESSION_COMMIT_PRIMARY:
 		propose(c, gs, FLEET_GROUP_PRIMARY, action);
 		return;
+	case SUCCESSION_COMMIT_GONE:
+		propose_gone(c, gs, action->endpoint);
+		return;
 	}
 }
 
--- a/lib/daemon/operator.c
+++ b/lib/daemon/operator.c
@@ -139,6 +139,7 @@
 	struct peer *peer = control_leader_peer(c);
 	struct fleet_command command = { .type = FLEET_ENDPOINT_LEAVE };
 	const struct fleet_group *group;
+	const struct fleet_endpoint *known;
 
 	if (!valid(a)) {
 		done(private_data, LWS_E_ARGUMENT);
@@ -154,8 +155,8 @@
 		return;
 	}
 	group = fleet_find_group(c->fleet, a->group);
-	if (!a->leaving || !group ||
-	    !fleet_find_endpoint(group, a->endpoint.id)) {
+	known = group ? fleet_find_endpoint(group, a->endpoint.id) : NULL;
+	if (!a->leaving || !known || known->leaving) {
 		done(private_data, 0);
 		return;
 	}
--- a/lib/io/http1.c
+++ b/lib/io/http1.c
@@ -207,7 +207,8 @@
 	if (parser->content_length != UINT64_MAX &&
 	    parser->content_length > conn->server->params.body_max) {
 		conn->refuse = 413;
-		return 1;
+		/* 1 would mean that no body follows. */
+		return -1;
 	}
 	return 0;
 }
--- a/lib/io/peer.c
+++ b/lib/io/peer.c
@@ -12,7 +12,13 @@
 #define READ_BYTES (64U * 1024U)
 #define OUT_MAX (2 * (size_t)WIRE_FRAME_MAX)
 #define REDIAL_MS 200
-#define HELLO_TIMEOUT_MS 3000
+/* A connection that does not stand by then is tried anew. */
+#define HELLO_TIMEOUT_MS 1000
+/*
+ * Instances speak several times a second; unacknowledged bytes end a
+ * connection that went silent, before the system would send them again.
+ */
+#define SILENT_MS 1500
 
 /* An address that is kept connected. */
 struct dial {
@@ -332,6 +338,7 @@
 	peer->fd = fd;
 	peer->connecting = connecting;
 	talloc_set_destructor(peer, destroy_peer);
+	sock_set_silence(fd, SILENT_MS);
 	peer->reap = tevent_create_immediate(peer);
 	/* tevent keeps errors from those who wait for writing only. */
 	peer->fde = tevent_add_fd(hub->ev, peer, fd,
--- a/lib/io/sock.c
+++ b/lib/io/sock.c
@@ -102,6 +102,13 @@
 	return fd;
 }
 
+void sock_set_silence(int fd, uint32_t ms)
+{
+	unsigned int value = ms;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
+}
+
 int sock_error(int fd)
 {
 	int error = 0;
--- a/lib/io/sock.h
+++ b/lib/io/sock.h
@@ -27,6 +27,13 @@
 /** sock_connect() - begin to connect; descriptor, ARGUMENT or IO */
 int sock_connect(const char *addr);
 
+/**
+ * sock_set_silence() - end the connection when bytes stay unacknowledged
+ * @fd: socket
+ * @ms: for this long
+ */
+void sock_set_silence(int fd, uint32_t ms);
+
 /** sock_error() - pending error of a socket, 0 for none */
 int sock_error(int fd);
 
--- a/lib/io/stream.c
+++ b/lib/io/stream.c
@@ -1,8 +1,6 @@
 #include "stream.h"
 
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <talloc.h>
@@ -285,7 +283,6 @@
 				  const struct stream_params *params)
 {
 	struct stream *s = talloc_zero(mem_ctx, struct stream);
-	unsigned int silent_ms = params->silent_ms;
 
 	if (!s) {
 		close(fd);
@@ -296,9 +293,8 @@
 	s->fd = fd;
 	s->connecting = connecting;
 	talloc_set_destructor(s, destroy_stream);
-	if (silent_ms)
-		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms,
-			   sizeof(silent_ms));
+	if (params->silent_ms)
+		sock_set_silence(fd, params->silent_ms);
 	s->later = tevent_create_immediate(s);
 	s->wake = tevent_create_immediate(s);
 	s->fde = tevent_add_fd(ev, s, fd,
--- a/lib/session/pool_conns.c
+++ b/lib/session/pool_conns.c
@@ -5,6 +5,7 @@
 
 #include "lws_str.h"
 #include "pooler_internal.h"
+#include "session_token.h"
 
 /* Samples of the primary's log */
 
@@ -176,8 +177,8 @@
 	return found;
 }
 
-/* Closes the connection that rested longest, to open one for another. */
-static void make_room(struct pool_endpoint *e, uint64_t now_us)
+/* The connection that rested longest makes room for another. */
+static struct pool_conn *oldest_idle(const struct pool_endpoint *e)
 {
 	struct pool_conn *oldest = NULL;
 
@@ -186,21 +187,37 @@
 		    (!oldest || c->idle_since_us < oldest->idle_since_us))
 			oldest = c;
 	}
+	return oldest;
+}
+
+static void make_room(struct pool_endpoint *e, uint64_t now_us)
+{
+	struct pool_conn *oldest = oldest_idle(e);
+
 	if (oldest)
 		pool_drop(oldest, now_us);
 }
 
+/* More would only wait at the endpoint. */
+static bool saturated(const struct pool_endpoint *e)
+{
+	return e->running + e->opening >= (uint32_t)e->limit;
+}
+
 /* Gets a connection, or makes sure that one is on its way. */
 static struct pool_conn *conn_for(struct pool_endpoint *e,
 				  struct pool_session *s, uint64_t now_us)
 {
-	struct pool_conn *conn =
-		idle_conn(e, s->customer, s->record.values_hash);
+	struct pool_conn *conn = NULL;
 
+	if (e->running < (uint32_t)e->limit)
+		conn = idle_conn(e, s->customer, s->record.values_hash);
 	if (conn || s->job.opening || now_us < e->fail_until_us ||
 	    now_us < e->full_until_us)
 		return conn;
-	if (e->conns_count >= share_of(e->group))
+	if (saturated(e))
+		return NULL;
+	if (e->conns_count >= share_of(e->group) + POOL_EXTRA_IDLE)
 		make_room(e, now_us);
 	if (!may_open(e, now_us))
 		return NULL;
@@ -227,12 +244,16 @@
 /* What is above the even share is for others, once nobody waits for it. */
 static void give_back_extra(struct pool_endpoint *e, uint64_t now_us)
 {
+	/* Where the endpoint had no room lately, others wait for it. */
+	bool scarce = now_us < e->full_until_us + POOL_SCARCE_US;
+	uint64_t linger_us = scarce ? 0 : POOL_EXTRA_LINGER_US;
+
 	while (e->conns_count > share_of(e->group)) {
-		uint32_t before = e->conns_count;
+		struct pool_conn *oldest = oldest_idle(e);
 
-		make_room(e, now_us);
-		if (e->conns_count == before)
+		if (!oldest || now_us - oldest->idle_since_us < linger_us)
 			return;
+		pool_drop(oldest, now_us);
 	}
 }
 
@@ -533,53 +554,152 @@
 				       offsetof(struct pool_session, job));
 }
 
-static bool start_one(struct pool_group *g, struct fair_queue *q,
+static void begin_on(struct fair_queue *q, struct pool_session *s,
+		     struct pool_conn *conn, uint64_t now_us)
+{
+	fair_queue_take(q, &s->job.item);
+	pool_run(s, conn, now_us);
+}
+
+/* False when nothing can be started for this one now. */
+static bool start_one(struct pool_group *g, struct fair_queue *q, bool anywhere,
 		      struct pool_session *s, uint64_t now_us)
 {
 	struct pool_conn *conn;
 
-	if (q == g->anywhere) {
-		if (!find_wait(s)) {
-			s->job.wait_reason = "age_unknown";
-			g->proof_wanted = true;
-			return false;
-		}
+	if (!anywhere) {
+		conn = conn_at_primary(g, s, now_us);
+	} else if (find_wait(s)) {
 		s->job.wait_reason = "replicas_busy";
 		conn = conn_anywhere(g, s, now_us);
 	} else {
-		conn = conn_at_primary(g, s, now_us);
+		s->job.wait_reason = "age_unknown";
+		g->proof_wanted = true;
+		conn = NULL;
 	}
 	if (!conn)
 		return false;
-	fair_queue_remove(q, &s->job.item);
-	pool_run(s, conn, now_us);
+	begin_on(q, s, conn, now_us);
 	return true;
 }
 
-/* Starts what can start; what waits for something else stands aside. */
-static void dispatch_queue(struct pool_group *g, struct fair_queue *q,
-			   uint64_t now_us)
+/* The primary has the writes besides: reads go elsewhere when they may. */
+static bool replica_serves(const struct pool_group *g,
+			   const struct pool_job *job, uint64_t now_us)
 {
-	struct fair_queue_item *aside[16];
-	uint32_t n = 0;
+	for (uint32_t i = 0; i < g->endpoints_count; i++) {
+		const struct pool_endpoint *e = g->endpoints[i];
+
+		if (e != g->primary && can_read(g, e, job, i, now_us) &&
+		    now_us >= e->lag_until_us)
+			return true;
+	}
+	return false;
+}
 
-	while (n < sizeof(aside) / sizeof(aside[0])) {
-		struct fair_queue_item *item = fair_queue_peek(q);
-		struct pool_session *s;
+/* One that waits for a connection of this customer, at this endpoint. */
+static struct pool_session *fitting(struct pool_group *g, struct fair_queue *q,
+				    bool anywhere, const struct pool_conn *c,
+				    uint64_t now_us)
+{
+	struct pool_endpoint *e = c->endpoint;
+	struct fair_queue_item *item =
+		fair_queue_peek_customer(q, session_name_hash(c->customer));
+	struct pool_session *s;
+	uint32_t index = 0;
 
-		if (!item)
-			break;
-		s = session_of(item);
-		if (start_one(g, q, s, now_us))
-			continue;
-		fair_queue_remove(q, item);
-		aside[n++] = item;
+	if (!item)
+		return NULL;
+	s = session_of(item);
+	if (!serves(c, s->customer))
+		return NULL;
+	if (!anywhere)
+		return e == g->primary && !e->suspect &&
+				       now_us >= e->read_only_until_us &&
+				       now_us >= e->busy_until_us
+			       ? s
+			       : NULL;
+	while (g->endpoints[index] != e)
+		index++;
+	if (!can_read(g, e, &s->job, index, now_us) ||
+	    now_us < e->lag_until_us ||
+	    (e == g->primary && replica_serves(g, &s->job, now_us)))
+		return NULL;
+	return find_wait(s) ? s : NULL;
+}
+
+static bool is_urgent(const struct pool_job *job, uint64_t now_us)
+{
+	uint64_t whole_us = job->deadline_us - job->arrived_us;
+
+	return now_us + whole_us * POOL_FIT_LEFT_PERCENT / 100 >
+	       job->deadline_us;
+}
+
+/*
+ * Connections that rest serve those of their customer first: a new connection
+ * costs the endpoint as much as a short statement. Not when somebody else
+ * has waited for long.
+ */
+static void start_fitting(struct pool_group *g, struct fair_queue *q,
+			  bool anywhere, uint64_t now_us)
+{
+	struct fair_queue_item *first = fair_queue_peek(q);
+
+	if (!first || is_urgent(&session_of(first)->job, now_us))
+		return;
+	for (uint32_t i = 0; i < g->endpoints_count; i++) {
+		struct pool_endpoint *e = g->endpoints[i];
+		struct pool_conn *next;
+
+		for (struct pool_conn *c = e->conns; c; c = next) {
+			struct pool_session *s;
+
+			next = c->next;
+			if (c->state != CONN_IDLE ||
+			    e->running >= (uint32_t)e->limit)
+				continue;
+			s = fitting(g, q, anywhere, c, now_us);
+			if (s)
+				begin_on(q, s, c, now_us);
+		}
 	}
-	while (n) {
-		struct pool_session *s = session_of(aside[--n]);
+}
+
+static void dispatch_queue(struct pool_group *g, struct fair_queue *q,
+			   bool anywhere, uint64_t now_us)
+{
+	struct fair_queue_item *items[FAIR_QUEUE_LIST_MAX];
+	uint32_t n;
 
-		(void)fair_queue_push(q, s->customer_hash, s->worth, aside[n]);
+	if (!fair_queue_count(q))
+		return;
+	start_fitting(g, q, anywhere, now_us);
+	n = fair_queue_list(q, items, FAIR_QUEUE_LIST_MAX);
+	for (uint32_t i = 0; i < n; i++)
+		(void)start_one(g, q, anywhere, session_of(items[i]), now_us);
+}
+
+uint64_t pool_expected_wait_us(const struct pool_session *s,
+			       const struct fair_queue *q)
+{
+	const struct pool_group *g = s->job.group;
+	uint64_t ahead = fair_queue_ahead(q, s->customer_hash, s->worth);
+	uint64_t service_us = 0;
+	double limits = 0;
+
+	for (uint32_t i = 0; i < g->endpoints_count; i++) {
+		const struct pool_endpoint *e = g->endpoints[i];
+
+		if (q == g->at_primary[s->urgency] ? e != g->primary
+						   : !e->present)
+			continue;
+		limits += e->limit;
+		if (e->service_us > service_us)
+			service_us = e->service_us;
 	}
+	return limits > 0 ? (uint64_t)((double)(ahead * service_us) / limits)
+			  : 0;
 }
 
 static void start_proof(struct pool_group *g, uint64_t now_us)
@@ -606,19 +726,40 @@
 
 void pool_dispatch(struct pool_group *g, uint64_t now_us)
 {
-	dispatch_queue(g, g->at_primary, now_us);
-	dispatch_queue(g, g->anywhere, now_us);
+	for (uint32_t u = 0; u < POOL_URGENCIES; u++) {
+		dispatch_queue(g, g->at_primary[u], false, now_us);
+		dispatch_queue(g, g->anywhere[u], true, now_us);
+	}
 	if (g->proof_wanted)
 		start_proof(g, now_us);
 }
 
 /* Answers of endpoints */
 
+static void lower_limit(struct pool_endpoint *e, uint64_t now_us)
+{
+	if (now_us - e->limit_fell_us < POOL_LIMIT_PAUSE_US)
+		return;
+	e->limit_fell_us = now_us;
+	e->limit *= POOL_LIMIT_FALL;
+	if (e->limit < POOL_LIMIT_MIN)
+		e->limit = POOL_LIMIT_MIN;
+}
+
 static void learn_service(struct pool_conn *conn, uint64_t now_us)
 {
 	struct pool_endpoint *e = conn->endpoint;
 	uint64_t took = now_us - conn->sent_us;
 
+	if (took > conn->session->objective_ms * LWS_US_PER_MS *
+			   POOL_SLOW_PERCENT / 100) {
+		lower_limit(e, now_us);
+	} else {
+		e->limit += POOL_LIMIT_RISE;
+		if (e->limit > POOL_LIMIT_MAX)
+			e->limit = POOL_LIMIT_MAX;
+	}
+
 	/* A moving average over about eight statements. */
 	e->service_us = e->service_us ? (e->service_us * 7 + took) / 8 : took;
 }
@@ -630,6 +771,7 @@
 
 	switch (error) {
 	case STATEMENT_E_BUSY:
+		lower_limit(e, now_us);
 		e->busy_pause_us = e->busy_pause_us ? e->busy_pause_us * 2
 						    : POOL_BUSY_PAUSE_US;
 		if (e->busy_pause_us > POOL_BUSY_PAUSE_MAX_US)
@@ -679,15 +821,35 @@
 	return conn->step == STEP_STATEMENT && s->job.writes;
 }
 
+/* A statement that waits may run at this endpoint now. */
+static bool may_use(struct pool_session *s, const struct pool_endpoint *e,
+		    uint64_t now_us)
+{
+	const struct pool_group *g = e->group;
+	uint32_t index = 0;
+
+	if (s->job.queue == g->at_primary[s->urgency])
+		return e == g->primary;
+	while (index < g->endpoints_count && g->endpoints[index] != e)
+		index++;
+	return can_read(g, e, &s->job, index, now_us) && find_wait(s);
+}
+
 static void opened(struct pooler *p, struct pool_conn *conn, uint64_t now_us,
 		   const struct endpoint_result *result)
 {
 	struct pool_endpoint *e = conn->endpoint;
 
 	if (!result->error) {
+		struct pool_session *opener = conn->opener;
+
 		e->failures = 0;
 		e->fail_pause_us = 0;
 		go_idle(conn, now_us);
+		/* Before somebody else closes it to open another. */
+		if (opener && opener->job.place == JOB_QUEUED && e->known &&
+		    may_use(opener, e, now_us))
+			begin_on(opener->job.queue, opener, conn, now_us);
 		return;
 	}
 	if (result->error == STATEMENT_E_CONNECTIONS ||
@@ -853,6 +1015,7 @@
 	if (!e)
 		return NULL;
 	e->group = g;
+	e->limit = POOL_LIMIT_FIRST;
 	LWS_STR_COPY(e->id, id);
 	g->endpoints[g->endpoints_count++] = e;
 	return e;
@@ -957,7 +1120,8 @@
 	uint64_t since = UINT64_MAX;
 
 	for (const struct pool_conn *c = e->conns; c; c = c->next) {
-		if (c->expected && c->sent_us < since)
+		if ((c->expected || c->state == CONN_OPENING) &&
+		    c->sent_us < since)
 			since = c->sent_us;
 	}
 	return since;
@@ -1023,7 +1187,5 @@
 	}
 	watch_primary(g, now_us);
 	forget_gone(g);
-	if (fair_queue_count(g->at_primary) || fair_queue_count(g->anywhere) ||
-	    g->proof_wanted)
-		pool_dispatch(g, now_us);
+	pool_dispatch(g, now_us);
 }
--- a/lib/session/pooler.c
+++ b/lib/session/pooler.c
@@ -118,29 +118,38 @@
 	return NULL;
 }
 
+/* What is not in the own copy does not exist. */
+static bool fresh(const struct pooler *p, uint64_t now_us)
+{
+	return p->confirmed_us &&
+	       (now_us <= p->confirmed_us ||
+		now_us - p->confirmed_us <= p->params.key_fresh_us);
+}
+
 static enum statement_error check_key(const struct pooler *p, uint64_t now_us,
 				      const uint8_t *key,
 				      const struct catalog_customer **customer,
 				      const char **reason)
 {
 	*customer = catalog_find_key(p->catalog, key);
-	if (!*customer) {
-		*reason = "key_unknown";
-		return STATEMENT_E_KEY;
-	}
-	if (!p->confirmed_us ||
-	    (now_us > p->confirmed_us &&
-	     now_us - p->confirmed_us > p->params.key_fresh_us)) {
+	if (!fresh(p, now_us)) {
 		*reason = "keys_unconfirmed";
 		return STATEMENT_E_BUSY;
 	}
-	return STATEMENT_E_NONE;
+	if (*customer)
+		return STATEMENT_E_NONE;
+	*reason = "key_unknown";
+	return STATEMENT_E_KEY;
 }
 
 static void take_database(struct pool_session *s,
 			  const struct catalog_database *d)
 {
 	s->reads = d->reads;
+	s->urgency =
+		d->priority < POOL_URGENCIES ? d->priority : POOL_URGENCIES - 1;
+	s->objective_ms = d->latency_objective_ms ? d->latency_objective_ms
+						  : d->statement_timeout_ms;
 	s->max_age_ms = d->max_age_ms;
 	s->timeout_ms = d->statement_timeout_ms;
 	s->attempts_max = d->attempts_max ? d->attempts_max : 1;
@@ -172,8 +181,11 @@
 	enum statement_error error = STATEMENT_E_NONE;
 
 	if (!d) {
-		*reason = "database_unknown";
-		return STATEMENT_E_NO_DATABASE;
+		/* It may have been added since. */
+		*reason = fresh(p, now_us) ? "database_unknown"
+					   : "configuration_unconfirmed";
+		return fresh(p, now_us) ? STATEMENT_E_NO_DATABASE
+					: STATEMENT_E_BUSY;
 	}
 	if (!d->open)
 		error = check_key(p, now_us, s->key, &customer, reason);
@@ -264,14 +276,7 @@
 	if (job->place == JOB_WAITS_TOKEN)
 		admission_remove(s->pooler->admission, &job->admission);
 	if (job->place == JOB_QUEUED)
-		fair_queue_remove(
-			job->kind == JOB_READ_ANYWHERE ||
-					(job->kind == JOB_FIRST &&
-					 s->read_only &&
-					 s->reads != CATALOG_READS_PRIMARY)
-				? job->group->anywhere
-				: job->group->at_primary,
-			&job->item);
+		fair_queue_remove(job->queue, &job->item);
 	job->place = JOB_NONE;
 }
 
@@ -338,17 +343,43 @@
 	}
 }
 
+static enum transaction_state state_after_error(const struct pool_session *s)
+{
+	return s->state == TRANSACTION_NONE ? TRANSACTION_NONE
+					    : TRANSACTION_FAILED;
+}
+
+/* Its turn would come too late: the caller hears it at once. */
+static void refuse_full(struct pool_session *s, uint64_t now_us,
+			uint64_t wait_us)
+{
+	char text[64];
+
+	snprintf(text, sizeof(text), "queue full, retry in %" PRIu64 " ms",
+		 (uint64_t)(wait_us / LWS_US_PER_MS));
+	pooler_refuse(s, now_us, STATEMENT_E_BUSY, state_after_error(s), text);
+}
+
 static void enqueue(struct pool_session *s, uint64_t now_us)
 {
 	struct pool_job *job = &s->job;
 	struct pool_group *g = job->group;
 
+	uint64_t wait_us;
+
+	job->queue = reads_anywhere(s) ? g->anywhere[s->urgency]
+				       : g->at_primary[s->urgency];
+	wait_us = pool_expected_wait_us(s, job->queue);
+	if (now_us + wait_us > job->deadline_us) {
+		refuse_full(s, now_us, wait_us);
+		return;
+	}
 	job->place = JOB_QUEUED;
 	job->item.deadline_us = job->deadline_us;
-	if (fair_queue_push(reads_anywhere(s) ? g->anywhere : g->at_primary,
-			    s->customer_hash, s->worth, &job->item)) {
+	if (fair_queue_push(job->queue, s->customer_hash, s->worth,
+			    &job->item)) {
 		job->place = JOB_NONE;
-		pooler_refuse(s, now_us, STATEMENT_E_BUSY, s->state,
+		pooler_refuse(s, now_us, STATEMENT_E_BUSY, state_after_error(s),
 			      "no memory");
 		return;
 	}
@@ -640,12 +671,6 @@
 	return now_us < send_by_us(s);
 }
 
-static enum transaction_state state_after_error(const struct pool_session *s)
-{
-	return s->state == TRANSACTION_NONE ? TRANSACTION_NONE
-					    : TRANSACTION_FAILED;
-}
-
 /* The statement has not run and holds no connection. */
 void pooler_not_started(struct pool_session *s, uint64_t now_us,
 			enum statement_error error,
@@ -962,14 +987,18 @@
 {
 	struct pool_group *g = talloc_zero(p, struct pool_group);
 	struct pool_group **grown;
+	bool whole = true;
 
 	if (!g)
 		return NULL;
 	grown = talloc_realloc(p, p->groups, struct pool_group *,
 			       p->groups_count + 1);
-	g->at_primary = fair_queue_create(g);
-	g->anywhere = fair_queue_create(g);
-	if (!grown || !g->at_primary || !g->anywhere) {
+	for (uint32_t u = 0; u < POOL_URGENCIES; u++) {
+		g->at_primary[u] = fair_queue_create(g);
+		g->anywhere[u] = fair_queue_create(g);
+		whole = whole && g->at_primary[u] && g->anywhere[u];
+	}
+	if (!grown || !whole) {
 		if (grown)
 			p->groups = grown;
 		talloc_free(g);
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -15,12 +15,35 @@
 #define POOL_SAMPLE_PAUSE_US (50 * LWS_US_PER_MS)
 /* Connections that are left to the control role and to restarts. */
 #define POOL_RESERVED_CONNS 2
-/* Connections above the even share, each only while it is in use. */
+/* Connections above the even share, and those of them that may rest. */
 #define POOL_EXTRA_CONNS 6
+#define POOL_EXTRA_IDLE 2
+/* An extra connection that rests this long is closed. */
+#define POOL_EXTRA_LINGER_US (150 * LWS_US_PER_MS)
+/* After a refused connection extras are closed at once for this long. */
+#define POOL_SCARCE_US (2000 * LWS_US_PER_MS)
 /* What an endpoint is taken to need for a new connection. */
 #define POOL_HANDSHAKE_US (12 * LWS_US_PER_MS)
 /* Tokens are fetched every 100 ms: who has none after two rounds is over. */
 #define POOL_TOKEN_WAIT_US (200 * LWS_US_PER_MS)
+/*
+ * Statements and openings of this instance at one endpoint: first, least and
+ * most. It falls when the endpoint has no room or answers slowly, and rises
+ * by a part of one with each statement that was answered in time.
+ */
+#define POOL_LIMIT_FIRST 4.0
+#define POOL_LIMIT_MIN 1.0
+#define POOL_LIMIT_MAX 12.0
+#define POOL_LIMIT_FALL 0.7
+#define POOL_LIMIT_RISE 0.2
+/* The limit falls once in this time at most: as long as a statement takes. */
+#define POOL_LIMIT_PAUSE_US (30 * LWS_US_PER_MS)
+/* A statement that takes this part of its objective was answered slowly. */
+#define POOL_SLOW_PERCENT 40
+/* Urgencies of databases that are told apart; the rest counts as the last. */
+#define POOL_URGENCIES 4
+/* Whoever has less of its wait left goes before a better fitting one. */
+#define POOL_FIT_LEFT_PERCENT 40
 /* Part of a statement's timeout that it may wait before it is sent. */
 #define POOL_WAIT_PERCENT 60
 /* After a refused connection for lack of room. */
@@ -107,6 +130,8 @@
 	uint32_t opening;
 	uint32_t running;
 	uint64_t service_us;
+	double limit;
+	uint64_t limit_fell_us;
 	uint64_t full_until_us;
 	uint64_t busy_until_us;
 	uint64_t busy_pause_us;
@@ -137,8 +162,9 @@
 	uint32_t samples_count;
 	uint32_t samples_next;
 	struct pool_sample samples[POOL_SAMPLES];
-	struct fair_queue *at_primary;
-	struct fair_queue *anywhere;
+	/* By urgency. */
+	struct fair_queue *at_primary[POOL_URGENCIES];
+	struct fair_queue *anywhere[POOL_URGENCIES];
 	bool proof_wanted;
 	struct pool_conn *proving;
 	bool report_due;
@@ -171,6 +197,7 @@
 	struct admission_item admission;
 	enum job_kind kind;
 	enum job_place place;
+	struct fair_queue *queue;
 	struct statement st;
 	void *mem;
 	/* EXECUTE: what it runs, and its name towards endpoints. */
@@ -211,6 +238,8 @@
 	uint64_t customer_hash;
 	uint32_t worth;
 	enum catalog_reads reads;
+	uint32_t urgency;
+	uint32_t objective_ms;
 	uint32_t max_age_ms;
 	uint32_t timeout_ms;
 	uint32_t attempts_max;
@@ -260,6 +289,8 @@
 		 uint64_t age_us);
 
 /* pool_conns.c */
+uint64_t pool_expected_wait_us(const struct pool_session *s,
+			       const struct fair_queue *q);
 void pool_dispatch(struct pool_group *g, uint64_t now_us);
 void pool_run(struct pool_session *s, struct pool_conn *conn, uint64_t now_us);
 void pool_release(struct pool_conn *conn, uint64_t now_us,
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -237,6 +237,125 @@
 	talloc_free(fleet);
 }
 
+struct join_case {
+	const char *id;
+	const char *addr;
+	uint64_t incarnation;
+	uint64_t seq;
+	enum fleet_command_type type;
+	int rc;
+	/* Endpoints of the group afterwards. */
+	const char *after;
+};
+
+/* Announcements that were overtaken, and addresses that are used again. */
+static const struct join_case join_cases[] = {
+	{ "a", "1.1.1.1:1", 10, 1, FLEET_ENDPOINT_JOIN, 0, "a" },
+	{ "a", "1.1.1.1:1", 10, 5, FLEET_ENDPOINT_LEAVE, 0, "(a)" },
+	{ "a", "1.1.1.1:1", 10, 4, FLEET_ENDPOINT_JOIN, LWS_E_VERSION_CONFLICT,
+	  "(a)" },
+	{ "a", "1.1.1.1:1", 9, 9, FLEET_ENDPOINT_JOIN, LWS_E_VERSION_CONFLICT,
+	  "(a)" },
+	{ "a", "1.1.1.1:1", 11, 1, FLEET_ENDPOINT_JOIN, 0, "a" },
+	{ "a", "1.1.1.1:1", 10, 9, FLEET_ENDPOINT_LEAVE, LWS_E_VERSION_CONFLICT,
+	  "a" },
+	{ "b", "2.2.2.2:2", 12, 1, FLEET_ENDPOINT_JOIN, 0, "a b" },
+	{ "c", "1.1.1.1:1", 20, 1, FLEET_ENDPOINT_JOIN, 0, "b c" },
+	{ "a", "1.1.1.1:1", 11, 2, FLEET_ENDPOINT_JOIN, LWS_E_VERSION_CONFLICT,
+	  "b c" },
+	{ "b", "2.2.2.2:2", 11, 9, FLEET_ENDPOINT_GONE, LWS_E_VERSION_CONFLICT,
+	  "b c" },
+	{ "b", "2.2.2.2:2", 12, 9, FLEET_ENDPOINT_GONE, 0, "c" },
+	{ "d", "1.1.1.1:1", 0, 0, FLEET_ENDPOINT_JOIN, 0, "c d" },
+};
+
+static gint by_text(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+static char *names_of(const struct fleet_group *g)
+{
+	g_autoptr(GPtrArray) names = g_ptr_array_new_with_free_func(g_free);
+
+	for (uint32_t i = 0; i < g->count; i++)
+		g_ptr_array_add(
+			names,
+			g_strdup_printf(g->endpoint[i].present ? "%s" : "(%s)",
+					g->endpoint[i].id));
+	g_ptr_array_sort(names, by_text);
+	g_ptr_array_add(names, NULL);
+	return g_strjoinv(" ", (char **)names->pdata);
+}
+
+static void test_announcements(void)
+{
+	struct fleet *fleet = fleet_create(NULL);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(join_cases); i++) {
+		const struct join_case *c = &join_cases[i];
+		struct fleet_command command = { .type = c->type };
+		struct fleet_endpoint *e = &command.endpoint.endpoint;
+		g_autofree char *names = NULL;
+
+		LWS_STR_COPY(command.endpoint.group, "g");
+		LWS_STR_COPY(e->id, c->id);
+		LWS_STR_COPY(e->addr, c->addr);
+		e->incarnation = c->incarnation;
+		e->seq = c->seq;
+		g_assert_cmpint(fleet_apply(fleet, i + 1, &command).rc, ==,
+				c->rc);
+		fleet = reload(fleet);
+		names = names_of(&fleet->groups[0]);
+		g_assert_cmpstr(names, ==, c->after);
+	}
+	talloc_free(fleet);
+}
+
+struct catalog_step {
+	uint64_t version;
+	const char *document;
+	uint64_t stands;
+	const char *read;
+};
+
+/* The highest version stands; nothing else is ever refused or taken. */
+static const struct catalog_step catalog_steps[] = {
+	{ 7, "seven", 7, "seven" },	{ 7, "other", 7, "seven" },
+	{ 3, "three", 7, "seven" },	{ 12, "twelve", 12, "twelve" },
+	{ 11, "eleven", 12, "twelve" },
+};
+
+static void test_catalog(void)
+{
+	struct fleet *fleet = fleet_create(NULL);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(catalog_steps); i++) {
+		const struct catalog_step *s = &catalog_steps[i];
+		struct catalog catalog = { .version = s->version };
+		struct fleet_command command = {
+			.type = FLEET_CATALOG_REPLACE
+		};
+		struct pack_writer w;
+
+		pack_writer_init(&w);
+		catalog_pack(&w, &catalog);
+		command.catalog.version = s->version;
+		command.catalog.document = (const uint8_t *)s->document;
+		command.catalog.document_len = (uint32_t)strlen(s->document);
+		command.catalog.packed = (const uint8_t *)w.buf.data;
+		command.catalog.packed_len = (uint32_t)w.buf.size;
+		g_assert_cmpint(fleet_apply(fleet, i + 1, &command).rc, ==, 0);
+		pack_writer_clear(&w);
+		fleet = reload(fleet);
+		g_assert_cmpuint(fleet_catalog_version(fleet), ==, s->stands);
+		g_assert_cmpuint(fleet->document_len, ==, strlen(s->read));
+		g_assert_true(
+			memcmp(fleet->document, s->read, strlen(s->read)) == 0);
+	}
+	talloc_free(fleet);
+}
+
 /* No key, only the start of its hash, is in the audit trail. */
 static void test_audit(void)
 {
@@ -270,5 +389,7 @@
 			test_withdrawn_key_in_file);
 	g_test_add_func("/fleet/terms", test_terms);
 	g_test_add_func("/fleet/audit", test_audit);
+	g_test_add_func("/fleet/announcements", test_announcements);
+	g_test_add_func("/fleet/catalog", test_catalog);
 	return g_test_run();
 }
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,644 @@
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "line_codec.h"
+#include "lws_error.h"
+#include "lws_rng.h"
+#include "platform_json.h"
+#include "platform_settings.h"
+
+/**
+ * DOC: The platform's formats: lines, JSON bodies and the settings file, good
+ * and bad, and bytes changed at random.
+ */
+
+#define MUTATIONS 20000
+
+/* Callers' lines */
+
+struct caller_case {
+	const char *bytes;
+	ssize_t used;
+	enum caller_message_kind kind;
+	enum statement_kind statement;
+	const char *name;
+	const char *value;
+};
+
+static const struct caller_case caller_cases[] = {
+	{ "STARTUP db key\r\n", 16, CALLER_OPEN, 0, "db", "key" },
+	{ "STARTUP db\r\n", 12, CALLER_OPEN, 0, "db", "" },
+	{ "STARTUP \r\n", 10, CALLER_MALFORMED, 0, "", "" },
+	{ "STARTUP db key", 0, 0, 0, "", "" },
+	{ "QUERY 1 BEGIN\r\n", 15, CALLER_STATEMENT, STATEMENT_BEGIN, "", "" },
+	{ "QUERY 1 BEGIN READ\r\n", 20, CALLER_STATEMENT, STATEMENT_BEGIN_READ,
+	  "", "" },
+	{ "QUERY 1 BEGIN IT\r\n", 18, CALLER_STATEMENT, STATEMENT_UNKNOWN, "",
+	  "" },
+	{ "QUERY 1 COMMIT\r\n", 16, CALLER_STATEMENT, STATEMENT_COMMIT, "",
+	  "" },
+	{ "QUERY 1 COMMIT now\r\n", 20, CALLER_STATEMENT, STATEMENT_UNKNOWN, "",
+	  "" },
+	{ "QUERY 1 ROLLBACK\r\n", 18, CALLER_STATEMENT, STATEMENT_ROLLBACK, "",
+	  "" },
+	{ "QUERY 1 READ 1a4\r\n", 18, CALLER_STATEMENT, STATEMENT_READ, "",
+	  "" },
+	{ "QUERY 1 READ\r\n", 14, CALLER_STATEMENT, STATEMENT_UNKNOWN, "", "" },
+	{ "QUERY 1 WRITE 1a4 some data\r\n", 29, CALLER_STATEMENT,
+	  STATEMENT_WRITE, "", "" },
+	{ "QUERY 1 SET zone addis ababa\r\n", 30, CALLER_STATEMENT,
+	  STATEMENT_SET, "zone", "addis ababa" },
+	{ "QUERY 1 SET\r\n", 13, CALLER_STATEMENT, STATEMENT_UNKNOWN, "", "" },
+	{ "QUERY 1 PARSE s1 READ q2c\r\n", 27, CALLER_STATEMENT,
+	  STATEMENT_PREPARE, "s1", "q2c" },
+	{ "QUERY 1 PARSE s1 DROP q2c\r\n", 27, CALLER_STATEMENT,
+	  STATEMENT_UNKNOWN, "", "" },
+	{ "QUERY 1 EXECUTE s1 1a4 data\r\n", 29, CALLER_STATEMENT,
+	  STATEMENT_EXECUTE, "s1", "1a4 data" },
+	{ "QUERY 1 CLOSE s1\r\n", 18, CALLER_STATEMENT, STATEMENT_DEALLOCATE,
+	  "s1", "" },
+	{ "QUERY 1 WAITPOS 3.1 READ 1\r\n", 28, CALLER_STATEMENT,
+	  STATEMENT_UNKNOWN, "", "" },
+	{ "QUERY 1\r\n", 9, CALLER_MALFORMED, 0, "", "" },
+	{ "QUERY\r\n", 7, CALLER_MALFORMED, 0, "", "" },
+	{ "TERMINATE\r\n", 11, CALLER_END, 0, "", "" },
+	{ "TERMINATE x\r\n", 13, CALLER_MALFORMED, 0, "", "" },
+	{ "HELLO\r\n", 7, CALLER_MALFORMED, 0, "", "" },
+	{ "QUERY 1 BEGIN\n", 14, CALLER_MALFORMED, 0, "", "" },
+	{ "QUERY 1 RE\rAD 1\r\n", 17, CALLER_MALFORMED, 0, "", "" },
+	{ "\r\n", 2, CALLER_MALFORMED, 0, "", "" },
+	{ "\n", 1, CALLER_MALFORMED, 0, "", "" },
+	{ "QUERY 1 READ \xc3\xa9\xff\r\n", 18, CALLER_STATEMENT, STATEMENT_READ,
+	  "", "" },
+};
+
+static void test_caller_line(gconstpointer data)
+{
+	const struct caller_case *c = data;
+	struct caller_message msg = { 0 };
+	ssize_t used = line_codec.decode_caller((const uint8_t *)c->bytes,
+						strlen(c->bytes), &msg);
+
+	g_assert_cmpint(used, ==, c->used);
+	if (!used)
+		return;
+	g_assert_cmpint(msg.kind, ==, c->kind);
+	if (msg.kind == CALLER_OPEN) {
+		g_assert_true(text_is(msg.open.database, c->name));
+		g_assert_true(text_is(msg.open.key, c->value));
+	}
+	if (msg.kind != CALLER_STATEMENT)
+		return;
+	g_assert_cmpint(msg.statement.kind, ==, c->statement);
+	if (c->statement == STATEMENT_UNKNOWN)
+		return;
+	g_assert_true(text_is(msg.statement.name, c->name));
+	g_assert_true(text_is(msg.statement.value, c->value));
+}
+
+static void test_line_with_zero(void)
+{
+	static const char bytes[] = "QUERY 1 READ a\0b\r\n";
+	struct caller_message msg;
+
+	g_assert_cmpint(line_codec.decode_caller((const uint8_t *)bytes,
+						 sizeof(bytes) - 1, &msg),
+			==, sizeof(bytes) - 1);
+	g_assert_cmpint(msg.kind, ==, CALLER_MALFORMED);
+}
+
+/* A line may have 1 MiB with its end; without an end it is refused there. */
+static void test_line_length(void)
+{
+	size_t max = line_codec.message_max;
+	g_autofree char *line = g_malloc(max + 2);
+	struct caller_message msg;
+
+	memset(line, 'x', max + 2);
+	memcpy(line, "QUERY 1 READ ", 13);
+	g_assert_cmpint(
+		line_codec.decode_caller((uint8_t *)line, max - 1, &msg), ==,
+		0);
+	g_assert_cmpint(line_codec.decode_caller((uint8_t *)line, max, &msg),
+			==, LWS_E_WIRE_TOO_BIG);
+	memcpy(line + max - 2, "\r\n", 2);
+	g_assert_cmpint(
+		line_codec.decode_caller((uint8_t *)line, max + 2, &msg), ==,
+		(ssize_t)max);
+	g_assert_cmpint(msg.kind, ==, CALLER_STATEMENT);
+	memcpy(line + max - 2, "xx\r\n", 4);
+	g_assert_cmpint(
+		line_codec.decode_caller((uint8_t *)line, max + 2, &msg), ==,
+		LWS_E_WIRE_TOO_BIG);
+}
+
+/* Endpoints' lines */
+
+struct endpoint_case {
+	const char *bytes;
+	enum endpoint_message_kind kind;
+	enum statement_error error;
+	enum transaction_state state;
+	uint64_t term;
+	uint64_t number;
+};
+
+static const struct endpoint_case endpoint_cases[] = {
+	{ "READY I 3.1207\r\n", ENDPOINT_READY, 0, TRANSACTION_NONE, 3, 1207 },
+	{ "READY T -\r\n", ENDPOINT_READY, 0, TRANSACTION_OPEN, 0, 0 },
+	{ "READY E 3.1\r\n", ENDPOINT_READY, 0, TRANSACTION_FAILED, 3, 1 },
+	{ "READY X 3.1\r\n", ENDPOINT_MALFORMED, 0, 0, 0, 0 },
+	{ "READY I 31\r\n", ENDPOINT_MALFORMED, 0, 0, 0, 0 },
+	{ "READY I 3.\r\n", ENDPOINT_MALFORMED, 0, 0, 0, 0 },
+	{ "READY I -3.1\r\n", ENDPOINT_MALFORMED, 0, 0, 0, 0 },
+	{ "READY I 3.99999999999999999999\r\n", ENDPOINT_MALFORMED, 0, 0, 0,
+	  0 },
+	{ "READY\r\n", ENDPOINT_MALFORMED, 0, 0, 0, 0 },
+	{ "DATAROW a b\r\n", ENDPOINT_ROW, 0, 0, 0, 0 },
+	{ "COMPLETE 7.1f\r\n", ENDPOINT_DONE, 0, 0, 0, 0 },
+	{ "ERROR BUSY no room\r\n", ENDPOINT_ERROR, STATEMENT_E_BUSY, 0, 0, 0 },
+	{ "ERROR READONLY i-7\r\n", ENDPOINT_ERROR, STATEMENT_E_READ_ONLY, 0, 0,
+	  0 },
+	{ "ERROR NOSTMT\r\n", ENDPOINT_ERROR, STATEMENT_E_NOT_PREPARED, 0, 0,
+	  0 },
+	{ "ERROR NEW x\r\n", ENDPOINT_ERROR, STATEMENT_E_OTHER, 0, 0, 0 },
+	{ "WHAT\r\n", ENDPOINT_MALFORMED, 0, 0, 0, 0 },
+};
+
+static void test_endpoint_line(gconstpointer data)
+{
+	const struct endpoint_case *c = data;
+	struct endpoint_message msg;
+
+	g_assert_cmpint(line_codec.decode_endpoint((const uint8_t *)c->bytes,
+						   strlen(c->bytes), &msg),
+			==, (ssize_t)strlen(c->bytes));
+	g_assert_cmpint(msg.kind, ==, c->kind);
+	if (msg.kind == ENDPOINT_ERROR)
+		g_assert_cmpint(msg.error, ==, c->error);
+	if (msg.kind != ENDPOINT_READY)
+		return;
+	g_assert_cmpint(msg.state, ==, c->state);
+	g_assert_cmpuint(msg.position.term, ==, c->term);
+	g_assert_cmpuint(msg.position.number, ==, c->number);
+}
+
+struct status_case {
+	const char *row;
+	int rc;
+};
+
+static const struct status_case status_cases[] = {
+	{ "replica 3 3.1209 0 12 2 17", 0 },
+	{ "primary 3 3.1209 0 0 2 17", 0 },
+	{ "leader 3 3.1209 0 0 2 17", LWS_E_WIRE_FORMAT },
+	{ "replica 3 3.1209 0 12 2", LWS_E_WIRE_FORMAT },
+	{ "replica x 3.1209 0 12 2 17", LWS_E_WIRE_FORMAT },
+	{ "", LWS_E_WIRE_FORMAT },
+};
+
+static void test_status(void)
+{
+	struct endpoint_status status;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(status_cases); i++)
+		g_assert_cmpint(line_codec.decode_status(
+					text_of(status_cases[i].row), &status),
+				==, status_cases[i].rc);
+	g_assert_cmpint(line_codec.decode_status(
+				text_of("replica 3 4.12 5 12 2 17"), &status),
+			==, 0);
+	g_assert_false(status.primary);
+	g_assert_cmpuint(status.term, ==, 3);
+	g_assert_cmpuint(status.received.term, ==, 4);
+	g_assert_cmpuint(status.received.number, ==, 12);
+	g_assert_cmpuint(status.held_term, ==, 5);
+	g_assert_cmpuint(status.lag_ms, ==, 12);
+	g_assert_cmpuint(status.connections, ==, 17);
+}
+
+/* Encoding */
+
+#define T(s)                                    \
+	{                                       \
+		.at = (s), .len = sizeof(s) - 1 \
+	}
+
+struct order_case {
+	struct endpoint_order order;
+	const char *line;
+};
+
+static const struct order_case order_cases[] = {
+	{ { .kind = ORDER_OPEN,
+	    .name = T("svc"),
+	    .value = T("cust"),
+	    .expect = T("i-7") },
+	  "STARTUP svc cust i-7\r\n" },
+	{ { .kind = ORDER_OPEN, .name = T("svc"), .expect = T("i-7") },
+	  "STARTUP svc - i-7\r\n" },
+	{ { .kind = ORDER_FORWARD,
+	    .id = T("5c"),
+	    .value = T("READ 1a4"),
+	    .wait = { 3, 1207 } },
+	  "QUERY 5c WAITPOS 3.1207 READ 1a4\r\n" },
+	{ { .kind = ORDER_FORWARD, .id = T("5c"), .value = T("COMMIT") },
+	  "QUERY 5c COMMIT\r\n" },
+	{ { .kind = ORDER_EXECUTE,
+	    .id = T("5c"),
+	    .name = T("p1"),
+	    .value = T("1a4 data") },
+	  "QUERY 5c EXECUTE p1 1a4 data\r\n" },
+	{ { .kind = ORDER_BEGIN }, "QUERY - BEGIN\r\n" },
+	{ { .kind = ORDER_BEGIN_READ, .wait = { 1, 2 } },
+	  "QUERY - WAITPOS 1.2 BEGIN READ\r\n" },
+	{ { .kind = ORDER_ROLLBACK }, "QUERY - ROLLBACK\r\n" },
+	{ { .kind = ORDER_SET, .name = T("a"), .value = T("b c") },
+	  "QUERY - SET a b c\r\n" },
+	{ { .kind = ORDER_PREPARE,
+	    .name = T("p1"),
+	    .value = T("q2c"),
+	    .writes = true },
+	  "QUERY - PARSE p1 WRITE q2c\r\n" },
+	{ { .kind = ORDER_RESET }, "QUERY - RESET\r\n" },
+	{ { .kind = ORDER_STATUS }, "QUERY - STATUS\r\n" },
+	{ { .kind = ORDER_HOLD, .term = 4 }, "QUERY - PAUSE 4\r\n" },
+	{ { .kind = ORDER_RELEASE }, "QUERY - RESUME\r\n" },
+	{ { .kind = ORDER_STEP_DOWN, .term = 4 }, "QUERY - STEPDOWN 4\r\n" },
+};
+
+static void test_orders(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(order_cases); i++) {
+		struct byte_buffer out = { 0 };
+		g_autofree char *line = NULL;
+
+		g_assert_cmpint(
+			line_codec.encode_order(&out, &order_cases[i].order),
+			==, 0);
+		line = g_strndup((char *)out.data, out.len);
+		g_assert_cmpstr(line, ==, order_cases[i].line);
+		talloc_free(out.data);
+	}
+}
+
+struct reply_case {
+	struct caller_reply reply;
+	const char *lines;
+};
+
+static const struct reply_case reply_cases[] = {
+	{ { .opened = true }, "READY I -\r\n" },
+	{ { .rows = T("DATAROW x\r\n"), .tag = T("7.1"), .position = { 3, 9 } },
+	  "DATAROW x\r\nCOMPLETE 7.1\r\nREADY I 3.9\r\n" },
+	{ { .state = TRANSACTION_OPEN }, "COMPLETE -\r\nREADY T -\r\n" },
+	{ { .error = STATEMENT_E_BUSY, .text = "retry in 20 ms" },
+	  "ERROR BUSY retry in 20 ms\r\nREADY I -\r\n" },
+	{ { .error = STATEMENT_E_ABORTED, .state = TRANSACTION_FAILED },
+	  "ERROR ABORTED\r\nREADY E -\r\n" },
+	{ { .error = STATEMENT_E_NO_DATABASE, .last = true },
+	  "ERROR NODB\r\n" },
+};
+
+static void test_replies(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(reply_cases); i++) {
+		struct byte_buffer out = { 0 };
+		g_autofree char *lines = NULL;
+
+		g_assert_cmpint(
+			line_codec.encode_reply(&out, &reply_cases[i].reply),
+			==, 0);
+		lines = g_strndup((char *)out.data, out.len);
+		g_assert_cmpstr(lines, ==, reply_cases[i].lines);
+		talloc_free(out.data);
+	}
+}
+
+/* JSON */
+
+#define SERVICES                                           \
+	"\"services\":[{\"name\":\"g1\",\"max_conns\":21," \
+	"\"sync_replicas\":1},{\"name\":\"g2\"}]"
+#define ROUTE(host, service)                                           \
+	"{\"name\":\"r\",\"host\":\"" host "\",\"path_prefix\":\"/\"," \
+	"\"type\":\"primary\",\"timeout_ms\":800,\"service\":\"" service "\"}"
+#define CATALOG(routes, tenants)                           \
+	"{\"version\":7,\"routes\":[" routes "]," SERVICES \
+	",\"limits\":{\"tx_idle_ms\":3000},\"tenants\":[" tenants "]}"
+#define TENANT(name, keys)                                \
+	"{\"name\":\"" name "\",\"api_keys\":[" keys "]," \
+	"\"rate_per_s\":119,\"burst\":119,\"priority\":1}"
+
+struct catalog_case {
+	const char *body;
+	int rc;
+};
+
+static const struct catalog_case catalog_cases[] = {
+	{ CATALOG(ROUTE("a", "g1"), TENANT("t", "\"k\"")), 0 },
+	{ CATALOG("", ""), 0 },
+	{ CATALOG(ROUTE("a", "g1") "," ROUTE("b", "g1"), ""), 0 },
+	{ CATALOG(ROUTE("a", "g1") "," ROUTE("a", "g2"), ""),
+	  LWS_E_CONFIG_VALUE },
+	{ CATALOG(ROUTE("a", "g3"), ""), LWS_E_CONFIG_VALUE },
+	{ CATALOG("{\"host\":\"a\",\"service\":\"g1\",\"type\":\"primary\","
+		  "\"timeout_ms\":0}",
+		  ""),
+	  LWS_E_CONFIG_VALUE },
+	{ CATALOG("{\"host\":\"a\",\"service\":\"g1\",\"type\":\"primary\"}",
+		  ""),
+	  LWS_E_CONFIG_VALUE },
+	{ CATALOG("{\"host\":\"a\",\"service\":\"g1\",\"type\":\"primary\","
+		  "\"timeout_ms\":\"1\"}",
+		  ""),
+	  LWS_E_CONFIG_VALUE },
+	{ CATALOG("{\"host\":\"a\",\"service\":\"g1\",\"type\":\"other\","
+		  "\"timeout_ms\":1}",
+		  ""),
+	  LWS_E_CONFIG_VALUE },
+	{ CATALOG("{\"host\":5,\"service\":\"g1\",\"type\":\"primary\","
+		  "\"timeout_ms\":1}",
+		  ""),
+	  LWS_E_CONFIG_VALUE },
+	{ CATALOG("7", ""), LWS_E_CONFIG_VALUE },
+	{ CATALOG("", TENANT("t", "\"k\"") "," TENANT("u", "\"k\"")),
+	  LWS_E_CONFIG_VALUE },
+	{ CATALOG("", TENANT("t", "\"k\",\"k\"")), 0 },
+	{ CATALOG("", TENANT("t", "7")), LWS_E_CONFIG_VALUE },
+	{ CATALOG("", TENANT("t", "") "," TENANT("t", "")),
+	  LWS_E_CONFIG_VALUE },
+	{ "{\"version\":7,\"routes\":[]," SERVICES "}", 0 },
+	{ "{\"version\":0,\"routes\":[]," SERVICES "}", LWS_E_CONFIG_VALUE },
+	{ "{\"version\":-1,\"routes\":[]," SERVICES "}", LWS_E_CONFIG_VALUE },
+	{ "{\"version\":\"7\",\"routes\":[]," SERVICES "}",
+	  LWS_E_CONFIG_VALUE },
+	{ "{\"routes\":[]," SERVICES "}", LWS_E_CONFIG_VALUE },
+	{ "{\"version\":7," SERVICES "}", LWS_E_CONFIG_VALUE },
+	{ "{\"version\":7,\"routes\":[]}", LWS_E_CONFIG_VALUE },
+	{ "{\"version\":7,\"routes\":{}," SERVICES "}", LWS_E_CONFIG_VALUE },
+	{ "{\"version\":7,\"routes\":[]," SERVICES ",\"new\":1}", 0 },
+	{ "{\"version\":7,\"version\":8,\"routes\":[]," SERVICES "}",
+	  LWS_E_CONFIG_SYNTAX },
+	{ "{\"version\":7,\"routes\":[", LWS_E_CONFIG_SYNTAX },
+	{ "[]", LWS_E_CONFIG_SYNTAX },
+	{ "", LWS_E_CONFIG_SYNTAX },
+};
+
+static void test_catalog(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(catalog_cases); i++) {
+		const struct catalog_case *c = &catalog_cases[i];
+		struct catalog *catalog = NULL;
+		const char *why = NULL;
+		int rc = platform_decode_catalog(NULL, (const uint8_t *)c->body,
+						 strlen(c->body), &catalog,
+						 &why);
+
+		if (rc != c->rc)
+			g_printerr("case %zu: %s\n", i, c->body);
+		g_assert_cmpint(rc, ==, c->rc);
+		g_assert_true((rc != 0) == (why != NULL));
+		talloc_free(catalog);
+	}
+}
+
+static void test_catalog_values(void)
+{
+	static const char body[] =
+		CATALOG(ROUTE("b", "g2") "," ROUTE("a", "g1"),
+			TENANT("t", "\"k1\",\"k2\""));
+	struct catalog *catalog;
+	struct catalog *copy;
+	struct pack_writer w;
+	const char *why;
+	uint8_t hash[CFG_HASH_BYTES];
+
+	g_assert_cmpint(platform_decode_catalog(NULL, (const uint8_t *)body,
+						sizeof(body) - 1, &catalog,
+						&why),
+			==, 0);
+	pack_writer_init(&w);
+	catalog_pack(&w, catalog);
+	g_assert_cmpint(
+		catalog_unpack(NULL, (uint8_t *)w.buf.data, w.buf.size, &copy),
+		==, 0);
+	g_assert_cmpuint(copy->version, ==, 7);
+	g_assert_cmpuint(copy->transaction_idle_ms, ==, 3000);
+	g_assert_cmpuint(catalog_find_database(copy, "b")->group, ==, 1);
+	g_assert_cmpuint(catalog_find_database(copy, "a")->statement_timeout_ms,
+			 ==, 800);
+	g_assert_null(catalog_find_database(copy, "c"));
+	g_assert_cmpuint(copy->groups[0].connections_max, ==, 21);
+	crypto_generichash(hash, sizeof(hash), (const uint8_t *)"k2", 2, NULL,
+			   0);
+	g_assert_cmpstr(catalog_find_key(copy, hash)->name, ==, "t");
+	g_assert_cmpuint(catalog_find_key(copy, hash)->rate_per_s, ==, 119);
+	pack_writer_clear(&w);
+	talloc_free(copy);
+	talloc_free(catalog);
+}
+
+#define BEAT(more)                                                        \
+	"{\"service\":\"g1\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\"," \
+	"\"slots\":2,\"state\":\"ready\",\"db_role\":\"replica\","        \
+	"\"seq\":4" more "}"
+
+struct beat_case {
+	const char *body;
+	int rc;
+	uint64_t incarnation;
+};
+
+static const struct beat_case beat_cases[] = {
+	{ BEAT(""), 0, 0 },
+	{ BEAT(",\"born\":1700000000000"), 0, 1700000000000 },
+	{ BEAT(",\"cold_left_ms\":5,\"version\":\"v1\",\"new\":[]"), 0, 0 },
+	{ BEAT(",\"born\":1.5"), LWS_E_BODY_FORMAT, 0 },
+	{ BEAT(",\"born\":\"1\""), LWS_E_BODY_FORMAT, 0 },
+	{ BEAT(",\"state\":\"asleep\""), LWS_E_BODY_FORMAT, 0 },
+	{ BEAT(",\"db_role\":\"x\""), LWS_E_BODY_FORMAT, 0 },
+	{ BEAT(",\"seq\":\"4\""), LWS_E_BODY_FORMAT, 0 },
+	{ BEAT(",\"address\":\"host:80\""), LWS_E_BODY_FORMAT, 0 },
+	{ BEAT(",\"zone\":7"), LWS_E_BODY_FORMAT, 0 },
+	{ BEAT(",\"slots\":-1"), LWS_E_BODY_FORMAT, 0 },
+	{ "{}", LWS_E_BODY_FORMAT, 0 },
+	{ "\xff\xfe", LWS_E_BODY_FORMAT, 0 },
+	{ "", LWS_E_BODY_FORMAT, 0 },
+};
+
+static void test_beats(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(beat_cases); i++) {
+		const struct beat_case *c = &beat_cases[i];
+		struct operator_announcement a;
+
+		g_assert_cmpint(platform_decode_announcement(
+					"i-7", (const uint8_t *)c->body,
+					strlen(c->body), &a),
+				==, c->rc);
+		if (c->rc)
+			continue;
+		g_assert_cmpstr(a.endpoint.id, ==, "i-7");
+		g_assert_cmpstr(a.group, ==, "g1");
+		g_assert_cmpuint(a.endpoint.incarnation, ==, c->incarnation);
+		g_assert_cmpuint(a.endpoint.seq, ==, 4);
+		g_assert_false(a.claims_primary);
+		g_assert_false(a.leaving);
+	}
+}
+
+/* Settings */
+
+#define SETTINGS                                      \
+	"node_name=edge-1\nzone=bole\nip=10.1.0.26\n" \
+	"internal_ports=7560,7575\n"                  \
+	"seeds=10.1.0.28:8462,10.2.0.26:8462,10.3.0.43:8462\n"
+
+struct settings_case {
+	const char *text;
+	int rc;
+	const char *why;
+};
+
+static const struct settings_case settings_cases[] = {
+	{ SETTINGS, 0, NULL },
+	{ SETTINGS "something.new=1\r\n\n", 0, NULL },
+	{ "zone=bole\n", LWS_E_CONFIG_VALUE, "node_name is missing" },
+	{ SETTINGS "what is this\n", LWS_E_CONFIG_VALUE, "has no =" },
+	{ SETTINGS "ip=10.1\n", LWS_E_CONFIG_VALUE, "ip: " },
+	{ SETTINGS "seeds=a,b\n", LWS_E_CONFIG_VALUE, "seeds: " },
+	{ SETTINGS "seeds=\n", LWS_E_CONFIG_VALUE, "seeds: " },
+	{ SETTINGS "internal_ports=\n", LWS_E_CONFIG_VALUE, "internal_ports" },
+	{ SETTINGS "listen.front=here\n", LWS_E_CONFIG_VALUE, "listen.front" },
+	{ SETTINGS "bootstrap=yes\n", LWS_E_CONFIG_VALUE, "bootstrap" },
+	{ SETTINGS "fault_tolerance.machines=x\n", LWS_E_CONFIG_VALUE,
+	  "fault_tolerance.machines" },
+	{ SETTINGS "bounds.grace_s=-1\n", LWS_E_CONFIG_VALUE,
+	  "bounds.grace_s" },
+	{ SETTINGS "zone=a b\n", LWS_E_CONFIG_VALUE, "zone: " },
+};
+
+static void test_settings(void)
+{
+	struct platform_settings s;
+	char why[256];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(settings_cases); i++) {
+		const struct settings_case *c = &settings_cases[i];
+
+		why[0] = '\0';
+		g_assert_cmpint(
+			platform_settings_parse(&s, c->text, why, sizeof(why)),
+			==, c->rc);
+		if (c->why)
+			g_assert_nonnull(strstr(why, c->why));
+	}
+	g_assert_cmpint(platform_settings_parse(&s,
+						SETTINGS
+						"data_dir=/d\nbootstrap=true\n"
+						"fault_tolerance.machines=2\n"
+						"bounds.revoke_ms=4000\n",
+						why, sizeof(why)),
+			==, 0);
+	g_assert_cmpstr(s.core.control, ==,
+			"10.1.0.28:7560,10.2.0.26:7560,10.3.0.43:7560");
+	g_assert_cmpstr(s.core.peer_listen, ==, "10.1.0.26:7560");
+	g_assert_cmpuint(s.core.voters, ==, 5);
+	g_assert_true(s.core.seeds_form);
+	g_assert_cmpuint(s.core.key_fresh_ms, <, 4000);
+	g_assert_null(s.core.statement_listen);
+}
+
+/* Bytes changed at random: nothing may be read outside, no result is huge. */
+static void mutate(struct lws_rng *rng, char *bytes, size_t len)
+{
+	uint64_t changes = 1 + lws_rng_below(rng, 4);
+
+	for (uint64_t i = 0; i < changes && len; i++)
+		bytes[lws_rng_below(rng, len)] = (char)lws_rng_next(rng);
+}
+
+static void test_mutations(void)
+{
+	struct lws_rng rng = { .seed = 7 };
+
+	for (int i = 0; i < MUTATIONS; i++) {
+		const char *from =
+			caller_cases[lws_rng_below(&rng,
+						   G_N_ELEMENTS(caller_cases))]
+				.bytes;
+		size_t len = strlen(from);
+		g_autofree char *bytes = g_memdup2(from, len + 1);
+		struct caller_message caller;
+		struct endpoint_message endpoint;
+
+		mutate(&rng, bytes, len);
+		g_assert_cmpint(line_codec.decode_caller((uint8_t *)bytes, len,
+							 &caller),
+				<=, (ssize_t)len);
+		g_assert_cmpint(line_codec.decode_endpoint((uint8_t *)bytes,
+							   len, &endpoint),
+				<=, (ssize_t)len);
+	}
+}
+
+static void test_json_mutations(void)
+{
+	struct lws_rng rng = { .seed = 8 };
+
+	for (int i = 0; i < MUTATIONS / 4; i++) {
+		const char *from =
+			catalog_cases[lws_rng_below(
+					      &rng,
+					      G_N_ELEMENTS(catalog_cases))]
+				.body;
+		size_t len = strlen(from);
+		g_autofree char *bytes = g_memdup2(from, len + 1);
+		struct catalog *catalog = NULL;
+		struct operator_announcement a;
+		const char *why;
+
+		mutate(&rng, bytes, len);
+		if (platform_decode_catalog(NULL, (uint8_t *)bytes, len,
+					    &catalog, &why) == 0)
+			g_assert_nonnull(catalog);
+		talloc_free(catalog);
+		(void)platform_decode_announcement("i", (uint8_t *)bytes, len,
+						   &a);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	if (sodium_init() < 0)
+		return 1;
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(caller_cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/platform/caller-line/%zu", i);
+
+		g_test_add_data_func(path, &caller_cases[i], test_caller_line);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(endpoint_cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/platform/endpoint-line/%zu", i);
+
+		g_test_add_data_func(path, &endpoint_cases[i],
+				     test_endpoint_line);
+	}
+	g_test_add_func("/platform/line-with-zero", test_line_with_zero);
+	g_test_add_func("/platform/line-length", test_line_length);
+	g_test_add_func("/platform/status", test_status);
+	g_test_add_func("/platform/orders", test_orders);
+	g_test_add_func("/platform/replies", test_replies);
+	g_test_add_func("/platform/catalog", test_catalog);
+	g_test_add_func("/platform/catalog-values", test_catalog_values);
+	g_test_add_func("/platform/announcements", test_beats);
+	g_test_add_func("/platform/settings", test_settings);
+	g_test_add_func("/platform/mutations", test_mutations);
+	g_test_add_func("/platform/json-mutations", test_json_mutations);
+	return g_test_run();
+}
