--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -79,6 +79,7 @@
 	struct group_failover *failovers;
 	struct group_succession *successions;
 	uint64_t voters_changed_us;
+	uint64_t voters_counted_us;
 	/* When each voter was connected last, in the order of their list. */
 	uint64_t voter_ids[RAFT_VOTERS_MAX];
 	uint64_t voter_seen_us[RAFT_VOTERS_MAX];
--- a/lib/daemon/control_form.c
+++ b/lib/daemon/control_form.c
@@ -261,9 +261,9 @@
 	const struct wire_hello *hello;
 	int32_t lost;
 
-	if (!wanted || now_us - c->leader->voters_changed_us < VOTERS_PAUSE_US)
+	if (!wanted || now_us - c->leader->voters_counted_us < VOTERS_PAUSE_US)
 		return;
-	c->leader->voters_changed_us = now_us;
+	c->leader->voters_counted_us = now_us;
 	lost = lost_voter(c, now_us);
 	if (voters->count > wanted) {
 		if (lost >= 0)
