Send entries patches of the configuration; suspect by questions only

Ruled out: processor time (0.02 cores at most), the rates.

A primary is suspect when a question that needs no slot, or a new connection, stays without answer; one accepted but not opened for three times as long hangs.

--- a/lib/config/catalog.c
+++ b/lib/config/catalog.c
@@ -152,11 +152,8 @@
 
 /* Encoding */
 
-void catalog_pack(struct pack_writer *w, const struct catalog *catalog)
+static void groups_pack(struct pack_writer *w, const struct catalog *catalog)
 {
-	pack_array(w, 6);
-	pack_u64(w, catalog->version);
-	pack_u64(w, catalog->transaction_idle_ms);
 	pack_array(w, catalog->groups_count * GROUP_FIELDS);
 	for (uint32_t i = 0; i < catalog->groups_count; i++) {
 		const struct catalog_group *g = &catalog->groups[i];
@@ -165,20 +162,24 @@
 		pack_u64(w, g->connections_max);
 		pack_u64(w, g->sync_replicas);
 	}
-	pack_array(w, catalog->databases_count * DATABASE_FIELDS);
-	for (uint32_t i = 0; i < catalog->databases_count; i++) {
-		const struct catalog_database *d = &catalog->databases[i];
-
-		pack_str(w, d->name);
-		pack_u64(w, d->group);
-		pack_u64(w, d->reads);
-		pack_u64(w, d->statement_timeout_ms);
-		pack_u64(w, d->latency_objective_ms);
-		pack_u64(w, d->max_age_ms);
-		pack_u64(w, d->attempts_max);
-		pack_u64(w, d->priority);
-		pack_bool(w, d->open);
-	}
+}
+
+static void database_pack(struct pack_writer *w,
+			  const struct catalog_database *d)
+{
+	pack_str(w, d->name);
+	pack_u64(w, d->group);
+	pack_u64(w, d->reads);
+	pack_u64(w, d->statement_timeout_ms);
+	pack_u64(w, d->latency_objective_ms);
+	pack_u64(w, d->max_age_ms);
+	pack_u64(w, d->attempts_max);
+	pack_u64(w, d->priority);
+	pack_bool(w, d->open);
+}
+
+static void customers_pack(struct pack_writer *w, const struct catalog *catalog)
+{
 	pack_array(w, catalog->customers_count * CUSTOMER_FIELDS);
 	for (uint32_t i = 0; i < catalog->customers_count; i++) {
 		const struct catalog_customer *c = &catalog->customers[i];
@@ -188,6 +189,10 @@
 		pack_u64(w, c->burst);
 		pack_u64(w, c->priority);
 	}
+}
+
+static void keys_pack(struct pack_writer *w, const struct catalog *catalog)
+{
 	pack_array(w, catalog->keys_count * 2);
 	for (uint32_t i = 0; i < catalog->keys_count; i++) {
 		pack_bin(w, catalog->keys[i].hash, CFG_HASH_BYTES);
@@ -195,6 +200,18 @@
 	}
 }
 
+void catalog_pack(struct pack_writer *w, const struct catalog *catalog)
+{
+	pack_array(w, 6);
+	pack_u64(w, catalog->version);
+	pack_u64(w, catalog->transaction_idle_ms);
+	groups_pack(w, catalog);
+	pack_array(w, catalog->databases_count * DATABASE_FIELDS);
+	for (uint32_t i = 0; i < catalog->databases_count; i++)
+		database_pack(w, &catalog->databases[i]);
+	customers_pack(w, catalog);
+	keys_pack(w, catalog);
+}
 /* Enters a list of records; false when its length cannot be right. */
 static bool enter_records(struct pack_reader *r, struct pack_reader *in,
 			  uint32_t fields, uint32_t max, uint32_t *count)
@@ -320,3 +337,222 @@
 	*out = c;
 	return 0;
 }
+
+/* Patches */
+
+#define PATCH_FIELDS 9
+
+static bool database_same(const struct catalog_database *a,
+			  const struct catalog_database *b)
+{
+	return strcmp(a->name, b->name) == 0 && a->group == b->group &&
+	       a->reads == b->reads &&
+	       a->statement_timeout_ms == b->statement_timeout_ms &&
+	       a->latency_objective_ms == b->latency_objective_ms &&
+	       a->max_age_ms == b->max_age_ms &&
+	       a->attempts_max == b->attempts_max &&
+	       a->priority == b->priority && a->open == b->open;
+}
+
+/* Groups, customers or keys differ. */
+static bool frame_same(const struct catalog *a, const struct catalog *b)
+{
+	struct pack_writer x;
+	struct pack_writer y;
+	bool same;
+
+	pack_writer_init(&x);
+	pack_writer_init(&y);
+	groups_pack(&x, a);
+	customers_pack(&x, a);
+	keys_pack(&x, a);
+	groups_pack(&y, b);
+	customers_pack(&y, b);
+	keys_pack(&y, b);
+	same = x.buf.size == y.buf.size &&
+	       memcmp(x.buf.data, y.buf.data, x.buf.size) == 0;
+	pack_writer_clear(&x);
+	pack_writer_clear(&y);
+	return same;
+}
+
+static void removed_pack(struct pack_writer *w, const struct catalog *from,
+			 const struct catalog *to)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < from->databases_count; i++)
+		n += !catalog_find_database(to, from->databases[i].name);
+	pack_array(w, n);
+	for (uint32_t i = 0; i < from->databases_count; i++) {
+		if (!catalog_find_database(to, from->databases[i].name))
+			pack_str(w, from->databases[i].name);
+	}
+}
+
+static bool is_news(const struct catalog *from,
+		    const struct catalog_database *d)
+{
+	const struct catalog_database *old =
+		catalog_find_database(from, d->name);
+
+	return !old || !database_same(old, d);
+}
+
+static void changed_pack(struct pack_writer *w, const struct catalog *from,
+			 const struct catalog *to)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < to->databases_count; i++)
+		n += is_news(from, &to->databases[i]);
+	pack_array(w, n * DATABASE_FIELDS);
+	for (uint32_t i = 0; i < to->databases_count; i++) {
+		if (is_news(from, &to->databases[i]))
+			database_pack(w, &to->databases[i]);
+	}
+}
+
+void catalog_patch_pack(struct pack_writer *w, const struct catalog *from,
+			const struct catalog *to)
+{
+	static const struct catalog nothing;
+	bool same = frame_same(from, to);
+
+	pack_array(w, PATCH_FIELDS);
+	pack_u64(w, from->version);
+	pack_u64(w, to->version);
+	pack_u64(w, to->transaction_idle_ms);
+	pack_bool(w, same);
+	groups_pack(w, same ? &nothing : to);
+	customers_pack(w, same ? &nothing : to);
+	keys_pack(w, same ? &nothing : to);
+	removed_pack(w, from, to);
+	changed_pack(w, from, to);
+}
+
+static void copy_frame(struct catalog *to, const struct catalog *from)
+{
+	to->groups_count = from->groups_count;
+	to->groups =
+		talloc_memdup(to, from->groups,
+			      (from->groups_count + 1) * sizeof(*from->groups));
+	to->customers_count = from->customers_count;
+	to->customers = talloc_memdup(to, from->customers,
+				      (from->customers_count + 1) *
+					      sizeof(*from->customers));
+	to->keys_count = from->keys_count;
+	to->keys = talloc_memdup(to, from->keys,
+				 (from->keys_count + 1) * sizeof(*from->keys));
+}
+
+static void removed_unpack(struct pack_reader *r, struct catalog *c)
+{
+	struct pack_reader in;
+	char name[CATALOG_NAME_MAX];
+
+	if (pack_reader_enter(r, &in)) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	for (uint32_t i = 0; i < in.count; i++) {
+		struct catalog_database *d;
+
+		pack_read_str(&in, name, sizeof(name));
+		d = (struct catalog_database *)catalog_find_database(c, name);
+		if (!d)
+			continue;
+		c->databases_count--;
+		memmove(d, d + 1,
+			(size_t)(&c->databases[c->databases_count] - d) *
+				sizeof(*d));
+	}
+	leave_records(r, &in);
+}
+
+/* Both lists are sorted; the newer record of a name wins. */
+static void merge_databases(struct catalog *c, const struct catalog *old,
+			    const struct catalog *changed)
+{
+	uint32_t a = 0;
+	uint32_t b = 0;
+
+	c->databases = talloc_zero_array(c, struct catalog_database,
+					 old->databases_count +
+						 changed->databases_count + 1);
+	c->databases_count = 0;
+	while (a < old->databases_count || b < changed->databases_count) {
+		int order = a == old->databases_count ? 1
+			    : b == changed->databases_count
+				    ? -1
+				    : strcmp(old->databases[a].name,
+					     changed->databases[b].name);
+
+		c->databases[c->databases_count++] =
+			order < 0 ? old->databases[a] : changed->databases[b];
+		if (order <= 0)
+			a++;
+		if (order >= 0)
+			b++;
+	}
+}
+
+static void patch_databases(struct pack_reader *r, struct catalog *c,
+			    const struct catalog *from)
+{
+	struct catalog *old = talloc_zero(c, struct catalog);
+	struct catalog *changed = talloc_zero(c, struct catalog);
+
+	if (!old || !changed) {
+		r->rc = LWS_E_NOMEM;
+		return;
+	}
+	old->databases_count = from->databases_count;
+	old->databases = talloc_memdup(old, from->databases,
+				       (from->databases_count + 1) *
+					       sizeof(*from->databases));
+	removed_unpack(r, old);
+	databases_unpack(r, changed);
+	if (!r->rc)
+		merge_databases(c, old, changed);
+	talloc_free(old);
+	talloc_free(changed);
+}
+
+int catalog_patch_apply(void *mem_ctx, const struct catalog *from,
+			const uint8_t *data, size_t len, struct catalog **out)
+{
+	struct catalog *c = talloc_zero(mem_ctx, struct catalog);
+	struct pack_reader r;
+	uint64_t base;
+	const char *why;
+	bool same;
+	int rc;
+
+	if (!c)
+		return LWS_E_NOMEM;
+	pack_reader_init(&r, data, len);
+	base = pack_read_u64(&r);
+	c->version = pack_read_u64(&r);
+	c->transaction_idle_ms = (uint32_t)pack_read_u64(&r);
+	same = pack_read_bool(&r);
+	groups_unpack(&r, c);
+	customers_unpack(&r, c);
+	keys_unpack(&r, c);
+	if (!r.rc && (!from || from->version != base))
+		r.rc = LWS_E_VERSION_CONFLICT;
+	if (!r.rc && same)
+		copy_frame(c, from);
+	if (!r.rc)
+		patch_databases(&r, c, from);
+	rc = pack_reader_end(&r);
+	pack_reader_clear(&r);
+	if (!rc)
+		rc = catalog_finish(c, &why);
+	if (rc) {
+		talloc_free(c);
+		return rc;
+	}
+	*out = c;
+	return 0;
+}
--- a/lib/config/catalog.h
+++ b/lib/config/catalog.h
@@ -134,6 +134,29 @@
 /** catalog_pack() - append the encoded form, one msgpack array */
 void catalog_pack(struct pack_writer *w, const struct catalog *catalog);
 
+/**
+ * catalog_patch_pack() - append what makes @to of @from, one msgpack array
+ *
+ * Small when few databases changed; groups, customers and keys are written
+ * whole when one of them changed.
+ */
+void catalog_patch_pack(struct pack_writer *w, const struct catalog *from,
+			const struct catalog *to);
+
+/**
+ * catalog_patch_apply() - make the newer catalog
+ * @mem_ctx: talloc parent
+ * @from: the catalog that the patch was made for
+ * @data: patch
+ * @len: number of bytes
+ * @out: result, only set on success
+ *
+ * Return: 0, LWS_E_VERSION_CONFLICT when it was made for another version,
+ * LWS_E_WIRE_FORMAT, LWS_E_CONFIG_VALUE or LWS_E_NOMEM.
+ */
+int catalog_patch_apply(void *mem_ctx, const struct catalog *from,
+			const uint8_t *data, size_t len, struct catalog **out);
+
 /**
  * catalog_unpack() - decode
  * @mem_ctx: talloc parent
--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -272,6 +272,20 @@
 		command->catalog.packed, command->catalog.packed_len);
 }
 
+static int apply_patch(struct fleet *fleet, const struct fleet_command *command)
+{
+	struct catalog *catalog;
+	int rc = catalog_patch_apply(fleet, fleet->catalog,
+				     command->catalog.packed,
+				     command->catalog.packed_len, &catalog);
+
+	if (rc)
+		return rc;
+	talloc_unlink(fleet, fleet->catalog);
+	fleet->catalog = catalog;
+	return 0;
+}
+
 /* Keys */
 
 static int check_give(const struct fleet *fleet,
@@ -598,6 +612,7 @@
 								 : "gone");
 		return;
 	case FLEET_CATALOG_REPLACE:
+	case FLEET_CATALOG_PATCH:
 		snprintf(out, room, "catalog version %llu",
 			 (unsigned long long)command->catalog.version);
 		return;
@@ -669,6 +684,8 @@
 		return apply_instance_leave(fleet, command);
 	case FLEET_CATALOG_REPLACE:
 		return apply_catalog(fleet, command);
+	case FLEET_CATALOG_PATCH:
+		return apply_patch(fleet, command);
 	case FLEET_ENDPOINT_GONE:
 		return apply_gone(fleet, command);
 	case FLEET_COMMAND_TYPE_COUNT:
--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -155,6 +155,8 @@
 	FLEET_INSTANCE_LEAVE,
 	FLEET_CATALOG_REPLACE,
 	FLEET_ENDPOINT_GONE,
+	/** the same for instances that need no document */
+	FLEET_CATALOG_PATCH,
 	FLEET_COMMAND_TYPE_COUNT,
 };
 
@@ -261,6 +263,13 @@
 /** fleet_snapshot_pack() - encode the whole state */
 void fleet_snapshot_pack(struct pack_writer *w, const struct fleet *fleet);
 
+/**
+ * fleet_snapshot_pack_light() - encode what an instance without a data folder
+ * needs: no document, no answers to past requests, no audit trail
+ */
+void fleet_snapshot_pack_light(struct pack_writer *w,
+			       const struct fleet *fleet);
+
 /**
  * fleet_snapshot_unpack() - decode a whole state
  * @mem_ctx: talloc parent
--- a/lib/control/fleet_pack.c
+++ b/lib/control/fleet_pack.c
@@ -116,7 +116,7 @@
 		[FLEET_ENDPOINT_LEAVE] = 2, [FLEET_GROUP_TERM] = 4,
 		[FLEET_GROUP_PRIMARY] = 4,  [FLEET_INSTANCE_JOIN] = 4,
 		[FLEET_INSTANCE_LEAVE] = 4, [FLEET_CATALOG_REPLACE] = 3,
-		[FLEET_ENDPOINT_GONE] = 2,
+		[FLEET_ENDPOINT_GONE] = 2,  [FLEET_CATALOG_PATCH] = 3,
 	};
 
 	pack_array(w, 4 + fields[command->type]);
@@ -148,6 +148,7 @@
 		instance_pack(w, &command->instance);
 		return;
 	case FLEET_CATALOG_REPLACE:
+	case FLEET_CATALOG_PATCH:
 		pack_u64(w, command->catalog.version);
 		pack_bin(w, command->catalog.document,
 			 command->catalog.document_len);
@@ -195,6 +196,7 @@
 		instance_unpack(r, &command->instance);
 		return;
 	case FLEET_CATALOG_REPLACE:
+	case FLEET_CATALOG_PATCH:
 		command->catalog.version = pack_read_u64(r);
 		command->catalog.document =
 			copy_bin(r, mem_ctx, &command->catalog.document_len);
@@ -430,14 +432,15 @@
 		r->rc = LWS_E_WIRE_FORMAT;
 }
 
-static void catalog_state_pack(struct pack_writer *w, const struct fleet *fleet)
+static void catalog_state_pack(struct pack_writer *w, const struct fleet *fleet,
+			       bool light)
 {
 	struct pack_writer packed;
 
 	pack_writer_init(&packed);
 	if (fleet->catalog)
 		catalog_pack(&packed, fleet->catalog);
-	pack_bin(w, fleet->document, fleet->document_len);
+	pack_bin(w, fleet->document, light ? 0 : fleet->document_len);
 	pack_bin(w, packed.buf.data, (uint32_t)packed.buf.size);
 	pack_writer_clear(&packed);
 }
@@ -455,8 +458,11 @@
 				  packed_len);
 }
 
-void fleet_snapshot_pack(struct pack_writer *w, const struct fleet *fleet)
+static void snapshot_pack(struct pack_writer *w, const struct fleet *fleet,
+			  bool light)
 {
+	static const struct fleet nothing;
+
 	pack_array(w, 12);
 	pack_u64(w, fleet->applied_index);
 	pack_u64(w, fleet->config_version);
@@ -465,9 +471,19 @@
 	groups_pack(w, fleet);
 	instances_pack(w, fleet);
 	keys_pack(w, fleet);
-	requests_pack(w, fleet);
-	audit_pack(w, fleet);
-	catalog_state_pack(w, fleet);
+	requests_pack(w, light ? &nothing : fleet);
+	audit_pack(w, light ? &nothing : fleet);
+	catalog_state_pack(w, fleet, light);
+}
+
+void fleet_snapshot_pack(struct pack_writer *w, const struct fleet *fleet)
+{
+	snapshot_pack(w, fleet, false);
+}
+
+void fleet_snapshot_pack_light(struct pack_writer *w, const struct fleet *fleet)
+{
+	snapshot_pack(w, fleet, true);
 }
 
 int fleet_snapshot_unpack(void *mem_ctx, const uint8_t *data, size_t len,
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -5,6 +5,7 @@
 #include <time.h>
 
 #include "lws_error.h"
+#include "lws_str.h"
 #include "lws_time.h"
 
 #define SYNC_POLL_US (500 * LWS_US_PER_MS)
@@ -91,11 +92,46 @@
 	log_rates(c, old, now);
 }
 
+/* A patch is enough for those who do not keep the document. */
+static void push_entry(struct control *c, uint64_t index, const uint8_t *data,
+		       uint32_t len, const struct catalog *old,
+		       bool catalog_command)
+{
+	const struct catalog *now = c->fleet->catalog;
+	struct fleet_command patch = { .type = FLEET_CATALOG_PATCH };
+	struct pack_writer packed;
+	struct pack_writer w;
+
+	if (!catalog_command || !old) {
+		sync_log_push(c->sync_log, index, data, len, NULL, 0);
+		return;
+	}
+	if (old == now) {
+		sync_log_push(c->sync_log, index, data, len,
+			      (const uint8_t *)"", 0);
+		return;
+	}
+	pack_writer_init(&packed);
+	pack_writer_init(&w);
+	catalog_patch_pack(&packed, old, now);
+	patch.catalog.version = now->version;
+	patch.catalog.packed = (const uint8_t *)packed.buf.data;
+	patch.catalog.packed_len = (uint32_t)packed.buf.size;
+	LWS_STR_COPY(patch.who, c->daemon->settings.name);
+	fleet_command_pack(&w, &patch);
+	sync_log_push(c->sync_log, index, data, len,
+		      (const uint8_t *)w.buf.data, (uint32_t)w.buf.size);
+	pack_writer_clear(&packed);
+	pack_writer_clear(&w);
+}
+
 void control_apply(struct control *c, uint64_t index, const uint8_t *data,
 		   uint32_t len)
 {
 	struct fleet_result result = { .version = c->fleet->config_version };
 	struct fleet_command command;
+	struct catalog *old = NULL;
+	bool catalog_command = false;
 	void *scratch;
 
 	/* The log and a parent may both bring it. */
@@ -103,8 +139,8 @@
 		return;
 	scratch = talloc_new(NULL);
 	if (len && !fleet_command_unpack(scratch, data, len, &command)) {
-		struct catalog *old = c->fleet->catalog;
-
+		old = c->fleet->catalog;
+		catalog_command = command.type == FLEET_CATALOG_REPLACE;
 		/* Kept until the change has been told. */
 		if (old)
 			(void)talloc_reference(scratch, old);
@@ -116,9 +152,12 @@
 		if (c->fleet->catalog != old)
 			log_catalog(c, old);
 		log_change(c, index, result);
+		/* A copy that does not fit the patch is fetched whole. */
+		if (command.type == FLEET_CATALOG_PATCH && result.rc)
+			index = 0;
 	}
 	c->fleet->applied_index = index;
-	sync_log_push(c->sync_log, index, data, len);
+	push_entry(c, index, data, len, old, catalog_command);
 	talloc_free(scratch);
 	control_proposals_applied(c, index, result);
 }
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -25,6 +25,8 @@
 #define CONTROL_CHILDREN_MAX 2048
 #define CONTROL_PROPOSE_TIMEOUT_US 5000000ULL
 #define CONTROL_SNAPSHOT_ENTRIES 256
+/* Bounds memory and the file when commands are large. */
+#define CONTROL_SNAPSHOT_BYTES (4U * 1024U * 1024U)
 
 struct control;
 struct group_succession;
@@ -61,6 +63,7 @@
 struct child {
 	struct peer *peer;
 	uint64_t have_index;
+	bool light;
 };
 
 /** struct group_failover - a group at the leader */
@@ -97,6 +100,8 @@
 	struct raft *raft;
 	struct disk *disk;
 	uint64_t durable_seq;
+	/* Appended since the last snapshot. */
+	uint64_t log_bytes;
 	struct held_message *held_head;
 	struct held_message *held_tail;
 
--- a/lib/daemon/control_log.c
+++ b/lib/daemon/control_log.c
@@ -448,6 +448,7 @@
 	case RAFT_ACTION_APPEND:
 		record.type = STORE_ENTRY;
 		record.entry = action->entry;
+		c->log_bytes += action->entry.len;
 		append_record(c, action->seq, &record);
 		break;
 	case RAFT_ACTION_STORE_SNAPSHOT:
@@ -477,9 +478,12 @@
 	uint64_t commit = raft_commit_index(c->raft);
 	struct pack_writer w;
 
-	if (commit < raft_snapshot_index(c->raft) + CONTROL_SNAPSHOT_ENTRIES ||
+	if ((commit < raft_snapshot_index(c->raft) + CONTROL_SNAPSHOT_ENTRIES &&
+	     c->log_bytes < CONTROL_SNAPSHOT_BYTES) ||
+	    commit == raft_snapshot_index(c->raft) ||
 	    c->fleet->applied_index < commit)
 		return;
+	c->log_bytes = 0;
 	pack_writer_init(&w);
 	fleet_snapshot_pack(&w, c->fleet);
 	(void)raft_compact(c->raft, commit, (const uint8_t *)w.buf.data,
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -93,7 +93,8 @@
 				.sync_request = {
 					.have_index = c->fleet->applied_index,
 					.stamp_us = now_us,
-					.version = c->fleet->config_version } };
+					.version = c->fleet->config_version,
+					.light = !c->raft } };
 
 	c->parent = choose_parent(c);
 	if (!c->parent)
@@ -131,8 +132,8 @@
 	void *scratch = talloc_new(c);
 
 	LWS_STR_COPY(msg.sync_reply.leader, leader_name(c));
-	sync_log_fill(c->sync_log, c->fleet, child->have_index, scratch,
-		      &msg.sync_reply);
+	sync_log_fill(c->sync_log, c->fleet, child->have_index, child->light,
+		      scratch, &msg.sync_reply);
 	child->have_index = c->fleet->applied_index;
 	peer_send(child->peer, &msg);
 	talloc_free(scratch);
@@ -164,6 +165,7 @@
 	if (!child)
 		return;
 	child->have_index = request->have_index;
+	child->light = request->light;
 	(void)sync_questions_add(&c->questions, &question);
 }
 
--- a/lib/membership/sync.c
+++ b/lib/membership/sync.c
@@ -47,7 +47,11 @@
 struct sync_log_entry {
 	uint64_t index;
 	uint32_t len;
+	uint32_t light_len;
+	/* @data is kept; otherwise only @light is. */
+	bool whole;
 	uint8_t *data;
+	uint8_t *light;
 };
 
 /* A ring of neighbouring indices, the oldest at @first. */
@@ -68,15 +72,23 @@
 	return &log->entries[(log->first + nth) % SYNC_LOG_ENTRIES];
 }
 
+static void free_entry(struct sync_log_entry *e)
+{
+	if (e->light != e->data)
+		TALLOC_FREE(e->light);
+	TALLOC_FREE(e->data);
+	*e = (struct sync_log_entry){ 0 };
+}
+
 void sync_log_push(struct sync_log *log, uint64_t index, const uint8_t *data,
-		   uint32_t len)
+		   uint32_t len, const uint8_t *light, uint32_t light_len)
 {
 	struct sync_log_entry *e;
 
 	if (log->count && entry_at(log, log->count - 1)->index + 1 != index)
 		sync_log_clear(log);
 	if (log->count == SYNC_LOG_ENTRIES) {
-		talloc_free(log->entries[log->first].data);
+		free_entry(&log->entries[log->first]);
 		log->first = (log->first + 1) % SYNC_LOG_ENTRIES;
 		log->count--;
 	}
@@ -84,31 +96,43 @@
 	log->count++;
 	e->index = index;
 	e->len = len;
-	e->data = len ? talloc_memdup(log, data, len) : NULL;
+	e->whole = !light || len <= SYNC_KEPT_BYTES;
+	if (len && e->whole)
+		e->data = talloc_memdup(log, data, len);
+	e->light = e->data;
+	e->light_len = len;
+	if (light) {
+		e->light = talloc_memdup(log, light, light_len);
+		e->light_len = light_len;
+	}
 }
 
 void sync_log_clear(struct sync_log *log)
 {
 	for (uint32_t i = 0; i < log->count; i++)
-		talloc_free(entry_at(log, i)->data);
+		free_entry((struct sync_log_entry *)entry_at(log, i));
 	log->first = 0;
 	log->count = 0;
 }
 
-static void fill_snapshot(const struct fleet *fleet, void *mem_ctx,
+static void fill_snapshot(const struct fleet *fleet, bool light, void *mem_ctx,
 			  struct wire_sync_reply *reply)
 {
 	struct pack_writer w;
 
 	pack_writer_init(&w);
-	fleet_snapshot_pack(&w, fleet);
+	if (light)
+		fleet_snapshot_pack_light(&w, fleet);
+	else
+		fleet_snapshot_pack(&w, fleet);
 	reply->snapshot_len = (uint32_t)w.buf.size;
 	reply->snapshot = talloc_memdup(mem_ctx, w.buf.data, w.buf.size);
 	pack_writer_clear(&w);
 }
 
 static void fill_entries(const struct sync_log *log, uint64_t have_index,
-			 void *mem_ctx, struct wire_sync_reply *reply)
+			 bool light, void *mem_ctx,
+			 struct wire_sync_reply *reply)
 {
 	reply->entries = talloc_zero_array(mem_ctx, struct wire_sync_entry,
 					   log->count + 1);
@@ -118,46 +142,45 @@
 		if (e->index <= have_index)
 			continue;
 		reply->entries[reply->count++] = (struct wire_sync_entry){
-			.index = e->index, .len = e->len, .data = e->data
+			.index = e->index,
+			.len = light ? e->light_len : e->len,
+			.data = light ? e->light : e->data,
 		};
 	}
 }
 
-/* What a child would get as entries. */
-static uint64_t entries_bytes(const struct sync_log *log, uint64_t have_index)
-{
-	uint64_t bytes = 0;
-
-	for (uint32_t i = 0; i < log->count; i++) {
-		const struct sync_log_entry *e = entry_at(log, i);
-
-		bytes += e->index > have_index ? e->len : 0;
-	}
-	return bytes;
-}
-
 static bool entries_serve(const struct sync_log *log, const struct fleet *fleet,
-			  uint64_t have_index)
+			  uint64_t have_index, bool light)
 {
 	uint64_t state = fleet->config_text ? strlen(fleet->config_text) : 0;
+	uint64_t bytes = 0;
 
 	if (!have_index || !log->count ||
 	    entry_at(log, 0)->index > have_index + 1)
 		return false;
+	for (uint32_t i = 0; i < log->count; i++) {
+		const struct sync_log_entry *e = entry_at(log, i);
+
+		if (e->index <= have_index)
+			continue;
+		if (!light && !e->whole)
+			return false;
+		bytes += light ? e->light_len : e->len;
+	}
 	/* After a long cut the whole state is smaller than its history. */
-	return entries_bytes(log, have_index) <= 2 * state + SYNC_SMALL_BYTES;
+	return bytes <= 2 * state + SYNC_SMALL_BYTES;
 }
 
 void sync_log_fill(const struct sync_log *log, const struct fleet *fleet,
-		   uint64_t have_index, void *mem_ctx,
+		   uint64_t have_index, bool light, void *mem_ctx,
 		   struct wire_sync_reply *reply)
 {
 	if (have_index >= fleet->applied_index)
 		return;
-	if (entries_serve(log, fleet, have_index))
-		fill_entries(log, have_index, mem_ctx, reply);
+	if (entries_serve(log, fleet, have_index, light))
+		fill_entries(log, have_index, light, mem_ctx, reply);
 	else
-		fill_snapshot(fleet, mem_ctx, reply);
+		fill_snapshot(fleet, light, mem_ctx, reply);
 }
 
 /* Questions */
--- a/lib/membership/sync.h
+++ b/lib/membership/sync.h
@@ -22,6 +22,8 @@
 #define SYNC_LOG_ENTRIES 512
 #define SYNC_PENDING_MAX 2048
 #define SYNC_SMALL_BYTES (64U * 1024U)
+/* Commands above this are kept in their light form only. */
+#define SYNC_KEPT_BYTES (16U * 1024U)
 
 /* The asking side */
 
@@ -73,9 +75,19 @@
 /** sync_log_create() - an empty log; NULL without memory */
 struct sync_log *sync_log_create(void *mem_ctx);
 
-/** sync_log_push() - note an applied entry; @len 0: it held no command */
+/**
+ * sync_log_push() - note an applied entry
+ * @log: log
+ * @index: its index
+ * @data: the command
+ * @len: bytes of @data; 0: it held no command
+ * @light: what instances without a data folder get instead, NULL for the same
+ * @light_len: bytes of @light
+ *
+ * A large command is kept in its light form only; others get the whole state.
+ */
 void sync_log_push(struct sync_log *log, uint64_t index, const uint8_t *data,
-		   uint32_t len);
+		   uint32_t len, const uint8_t *light, uint32_t light_len);
 
 /** sync_log_clear() - the state was replaced by a snapshot */
 void sync_log_clear(struct sync_log *log);
@@ -85,11 +97,12 @@
  * @log: log
  * @fleet: own state, sent whole when the log does not reach back
  * @have_index: what the child has
+ * @light: the child has no data folder
  * @mem_ctx: talloc parent of what is put into the reply
  * @reply: entries or snapshot are set
  */
 void sync_log_fill(const struct sync_log *log, const struct fleet *fleet,
-		   uint64_t have_index, void *mem_ctx,
+		   uint64_t have_index, bool light, void *mem_ctx,
 		   struct wire_sync_reply *reply);
 
 /* The answering side: questions that wait for a confirmation */
--- a/lib/session/pool_conns.c
+++ b/lib/session/pool_conns.c
@@ -724,6 +724,18 @@
 		(void)open_conn(e, "", now_us);
 }
 
+/* A question on a connection that rests, or on a new one. */
+static void ask_primary(struct pool_group *g, uint64_t now_us)
+{
+	struct pool_endpoint *e = g->primary;
+
+	g->proof_wanted = true;
+	start_proof(g, now_us);
+	/* The connection itself is the question: beyond all shares. */
+	if (!g->proving && !e->opening && now_us >= e->fail_until_us)
+		(void)open_conn(e, "", now_us);
+}
+
 void pool_dispatch(struct pool_group *g, uint64_t now_us)
 {
 	for (uint32_t u = 0; u < POOL_URGENCIES; u++) {
@@ -932,13 +944,16 @@
 
 void pooler_conn_up(struct pooler *p, uint64_t now_us, struct pool_conn *conn)
 {
-	const struct pool_endpoint *e = conn->endpoint;
+	struct pool_endpoint *e = conn->endpoint;
 	struct endpoint_order open = { .kind = ORDER_OPEN,
 				       .name = text_of(e->group->name),
 				       .value = text_of(conn->customer),
 				       .expect = text_of(e->id) };
 
 	(void)p;
+	conn->up = true;
+	conn->endpoint->heard_us = now_us;
+	conn->endpoint->failures = 0;
 	send_orders(conn, now_us, &open, 1);
 }
 
@@ -1115,44 +1130,65 @@
 		      e->suspect);
 }
 
-static uint64_t asked_since_us(const struct pool_endpoint *e)
+/* What an endpoint that runs answers at once, whatever its load. */
+static bool is_question(const struct pool_conn *c)
+{
+	return c->state == CONN_PROVING || c->state == CONN_CLEANING ||
+	       (c->state == CONN_OPENING && !c->up);
+}
+
+/* When the oldest order without an answer was sent, UINT64_MAX for none. */
+static uint64_t asked_since_us(const struct pool_endpoint *e, bool questions)
 {
 	uint64_t since = UINT64_MAX;
 
 	for (const struct pool_conn *c = e->conns; c; c = c->next) {
-		if ((c->expected || c->state == CONN_OPENING) &&
+		if ((questions ? is_question(c)
+			       : c->expected || c->state == CONN_OPENING) &&
 		    c->sent_us < since)
 			since = c->sent_us;
 	}
 	return since;
 }
 
+/* How long an endpoint has said nothing since it was asked. */
+static uint64_t silence_us(const struct pool_endpoint *e, bool questions,
+			   uint64_t now_us)
+{
+	uint64_t since = asked_since_us(e, questions);
+
+	if (since != UINT64_MAX && since < e->heard_us)
+		since = e->heard_us;
+	return since < now_us ? now_us - since : 0;
+}
+
 /*
- * A question about the lead takes no slot, so it is answered at once also
- * when all statements are slow.
+ * Statements may take long; a question about the lead takes no slot, and a
+ * connection is accepted whatever the load. So only those that stay without
+ * an answer make a primary suspect.
  */
 static void watch_primary(struct pool_group *g, uint64_t now_us)
 {
 	struct pool_endpoint *e = g->primary;
 	uint64_t suspect_us = g->pooler->params.suspect_us;
-	uint64_t since;
 	bool suspect;
 
 	if (!e)
 		return;
-	since = asked_since_us(e);
-	if (since != UINT64_MAX && since < e->heard_us)
-		since = e->heard_us;
 	suspect = e->failures >= POOL_FAILURES_SUSPECT ||
-		  (since != UINT64_MAX && now_us > since &&
-		   now_us - since > suspect_us);
-	if (!suspect && since != UINT64_MAX && now_us > since &&
-	    now_us - since > suspect_us / 2)
-		g->proof_wanted = true;
-	if (suspect == e->suspect)
-		return;
-	e->suspect = suspect;
-	g->report_due = true;
+		  (silence_us(e, true, now_us) > suspect_us / 2 &&
+		   silence_us(e, false, now_us) > suspect_us) ||
+		  silence_us(e, false, now_us) > suspect_us * POOL_HANGS_TIMES;
+	if (!suspect && silence_us(e, false, now_us) > suspect_us / 2)
+		ask_primary(g, now_us);
+	if (suspect != e->suspect) {
+		e->suspect = suspect;
+		g->report_due = true;
+	}
+	if (suspect && now_us - g->reported_us > POOL_REPORT_PAUSE_US)
+		g->report_due = true;
+	if (g->report_due)
+		g->reported_us = now_us;
 	pool_report(g, false);
 }
 
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -63,6 +63,13 @@
 #define POOL_SERVICE_US (10 * LWS_US_PER_MS)
 /* What another failure domain costs when endpoints are compared. */
 #define POOL_FAR_US (1 * LWS_US_PER_MS)
+/*
+ * An endpoint that accepts a connection but does not open it within this
+ * many times the suspicion time hangs.
+ */
+#define POOL_HANGS_TIMES 3
+/* A suspicion is repeated to the leader this often. */
+#define POOL_REPORT_PAUSE_US (500 * LWS_US_PER_MS)
 /* Connections opened in a row that fail before a primary is suspect. */
 #define POOL_FAILURES_SUSPECT 2
 /* Orders of one write: reset, all values, a prepared name. */
@@ -111,6 +118,8 @@
 	void *record_mem;
 	/* Whose statement it was opened for. */
 	struct pool_session *opener;
+	/* The connection stands; the protocol may not be opened yet. */
+	bool up;
 	uint64_t sent_us;
 	uint64_t idle_since_us;
 };
@@ -168,6 +177,7 @@
 	bool proof_wanted;
 	struct pool_conn *proving;
 	bool report_due;
+	uint64_t reported_us;
 };
 
 enum job_kind {
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -334,7 +334,7 @@
 /* Whole messages */
 
 static const uint32_t field_count[WIRE_TYPE_COUNT] = {
-	[WIRE_HELLO] = 8,	  [WIRE_SYNC_REQUEST] = 3,
+	[WIRE_HELLO] = 8,	  [WIRE_SYNC_REQUEST] = 4,
 	[WIRE_SYNC_REPLY] = 6,	  [WIRE_PROPOSE] = 2,
 	[WIRE_PROPOSE_REPLY] = 4, [WIRE_RATE_REQUEST] = 3,
 	[WIRE_RATE_REPLY] = 3,	  [WIRE_REPORT] = 3,
@@ -361,6 +361,7 @@
 		pack_u64(w, msg->sync_request.have_index);
 		pack_u64(w, msg->sync_request.stamp_us);
 		pack_u64(w, msg->sync_request.version);
+		pack_bool(w, msg->sync_request.light);
 		return;
 	case WIRE_SYNC_REPLY:
 		sync_reply_pack(w, &msg->sync_reply);
@@ -405,6 +406,7 @@
 		msg->sync_request.have_index = pack_read_u64(r);
 		msg->sync_request.stamp_us = pack_read_u64(r);
 		msg->sync_request.version = pack_read_u64(r);
+		msg->sync_request.light = pack_read_bool(r);
 		return;
 	case WIRE_SYNC_REPLY:
 		sync_reply_unpack(r, msg, &msg->sync_reply);
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -62,11 +62,13 @@
  * @have_index: last log index applied here
  * @stamp_us: own time of sending, returned in the reply
  * @version: configuration version in force here
+ * @light: no data folder: nothing is needed that only operators read
  */
 struct wire_sync_request {
 	uint64_t have_index;
 	uint64_t stamp_us;
 	uint64_t version;
+	bool light;
 };
 
 /**
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -48,7 +48,7 @@
 		m.raft.append_reply.match_index = 77;
 		break;
 	case WIRE_SYNC_REQUEST:
-		m.sync_request = (struct wire_sync_request){ 1, 2, 3 };
+		m.sync_request = (struct wire_sync_request){ 1, 2, 3, true };
 		break;
 	case WIRE_SYNC_REPLY:
 		m.sync_reply = (struct wire_sync_reply){ .stamp_us = 9,
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -224,28 +224,29 @@
 	static const char big[4096];
 
 	for (uint64_t i = 1; i <= 600; i++)
-		sync_log_push(log, i, (const uint8_t *)"c", i % 2);
+		sync_log_push(log, i, (const uint8_t *)"c", i % 2, NULL, 0);
 	fleet->applied_index = 600;
-	sync_log_fill(log, fleet, 600, fleet, &r);
+	sync_log_fill(log, fleet, 600, false, fleet, &r);
 	g_assert_true(!r.count && !r.snapshot_len);
-	sync_log_fill(log, fleet, 590, fleet, &r);
+	sync_log_fill(log, fleet, 590, false, fleet, &r);
 	g_assert_cmpuint(r.count, ==, 10);
 	g_assert_cmpuint(r.entries[0].index, ==, 591);
 	memset(&r, 0, sizeof(r));
-	sync_log_fill(log, fleet, 50, fleet, &r);
+	sync_log_fill(log, fleet, 50, false, fleet, &r);
 	g_assert_true(!r.count && r.snapshot_len);
 	memset(&r, 0, sizeof(r));
-	sync_log_fill(log, fleet, 0, fleet, &r);
+	sync_log_fill(log, fleet, 0, false, fleet, &r);
 	g_assert_true(!r.count && r.snapshot_len);
 	/* Many large changes: the state is less than its history. */
 	memset(&r, 0, sizeof(r));
 	for (uint64_t i = 601; i <= 700; i++)
-		sync_log_push(log, i, (const uint8_t *)big, sizeof(big));
+		sync_log_push(log, i, (const uint8_t *)big, sizeof(big), NULL,
+			      0);
 	fleet->applied_index = 700;
-	sync_log_fill(log, fleet, 601, fleet, &r);
+	sync_log_fill(log, fleet, 601, false, fleet, &r);
 	g_assert_true(!r.count && r.snapshot_len);
 	memset(&r, 0, sizeof(r));
-	sync_log_fill(log, fleet, 695, fleet, &r);
+	sync_log_fill(log, fleet, 695, false, fleet, &r);
 	g_assert_cmpuint(r.count, ==, 5);
 	talloc_free(log);
 	talloc_free(fleet);
