Bound the log, never block on it; serve counters and histograms

Change: at most 100 lines a second of one event, the rest counted and told; what the reader does not take waits in 32 KB, then lines are dropped and told. Metrics address with counters, endpoints as this instance sees them, and histograms of answers and waits. Ruled out: libhdr, which the registry has for other languages only.

--- a/lib/common/lws_log.h
+++ b/lib/common/lws_log.h
@@ -1,15 +1,25 @@
 #ifndef LWS_LOG_H
 #define LWS_LOG_H
 
+#include <stddef.h>
 #include <stdint.h>
 
 /**
  * DOC: A small logger that writes one JSON object a line to a descriptor.
  *
- * Each line is written with one write(2), so lines of several threads do not
- * mix. Keys, session tokens and bodies are never passed to the logger.
+ * Lines of several threads do not mix. Keys, session tokens and bodies are
+ * never passed to the logger.
+ *
+ * Writing never blocks: what the reader does not take waits in a buffer, and
+ * lines beyond that are dropped, counted, and told as "log_dropped". Each event
+ * has a bound of lines a second; the rest is told as "log_suppressed".
  */
 
+/* Lines of one event a second; a process at full load writes about 1 MB/s. */
+#define LWS_LOG_LINES_PER_S 100U
+/* Bytes that wait for a slow reader: a pipe of the system holds as much. */
+#define LWS_LOG_WAITING_BYTES (32U * 1024U)
+
 struct lws_log;
 
 enum lws_log_level {
@@ -22,7 +32,7 @@
 /**
  * lws_log_create() - make a logger
  * @mem_ctx: talloc parent
- * @fd: descriptor to write to, not closed by the logger
+ * @fd: descriptor to write to, not closed by the logger; made non-blocking
  * @level: the most detailed level that is written
  * @instance: name put into each line
  *
--- a/lib/daemon/daemon.c
+++ b/lib/daemon/daemon.c
@@ -11,6 +11,7 @@
 #include "entry.h"
 #include "lws_error.h"
 #include "lws_rcu.h"
+#include "metrics.h"
 #include "sock.h"
 
 void daemon_publish(struct daemon *d, struct view *view)
@@ -79,6 +80,8 @@
 	if (!rc && d->settings.statement_listen)
 		rc = entry_create(c, d->adapter->codec,
 				  d->settings.statement_listen, &c->entry);
+	if (!rc && d->settings.metrics_listen)
+		rc = metrics_start(c, d->settings.metrics_listen);
 	if (!rc && d->adapter)
 		rc = d->adapter->start(d->adapter->private_data, c);
 	if (rc) {
--- a/lib/daemon/entry.c
+++ b/lib/daemon/entry.c
@@ -585,16 +585,64 @@
 static void put_counter(struct byte_buffer *out, const char *name,
 			uint64_t value)
 {
-	char line[128];
+	char line[256];
 	int n = snprintf(line, sizeof(line), "lws_%s %" PRIu64 "\n", name,
 			 value);
 
 	(void)byte_buffer_append(out, line, (size_t)n);
 }
 
+static void put_histogram(struct byte_buffer *out, const char *name,
+			  const char *labels, const struct lws_histogram *h)
+{
+	char line[256];
+	uint64_t below = 0;
+	int n;
+
+	if (!h->count)
+		return;
+	for (uint32_t i = 0; i < LWS_HISTOGRAM_BUCKETS; i++) {
+		if (!h->buckets[i])
+			continue;
+		below += h->buckets[i];
+		n = snprintf(line, sizeof(line),
+			     "lws_%s_bucket{%s,le=\"%" PRIu64 "\"} %" PRIu64
+			     "\n",
+			     name, labels, lws_histogram_bound_us(i), below);
+		(void)byte_buffer_append(out, line, (size_t)n);
+	}
+	n = snprintf(line, sizeof(line),
+		     "lws_%s_sum{%s} %" PRIu64 "\nlws_%s_count{%s} %" PRIu64
+		     "\n",
+		     name, labels, h->sum_us, name, labels, h->count);
+	(void)byte_buffer_append(out, line, (size_t)n);
+}
+
+static void put_endpoint(struct byte_buffer *out,
+			 const struct pooler_endpoint_stats *at)
+{
+	char labels[128];
+	char name[192];
+
+	snprintf(labels, sizeof(labels), "group=\"%s\",endpoint=\"%s\"",
+		 at->group, at->id);
+	snprintf(name, sizeof(name), "endpoint_primary{%s}", labels);
+	put_counter(out, name, at->primary);
+	snprintf(name, sizeof(name), "endpoint_suspect{%s}", labels);
+	put_counter(out, name, at->suspect);
+	snprintf(name, sizeof(name), "endpoint_connections{%s}", labels);
+	put_counter(out, name, at->connections);
+	snprintf(name, sizeof(name), "endpoint_running{%s}", labels);
+	put_counter(out, name, at->running);
+	snprintf(name, sizeof(name), "endpoint_limit{%s}", labels);
+	put_counter(out, name, (uint64_t)at->limit);
+	put_histogram(out, "endpoint_answered_us", labels, at->answered_us);
+}
+
 void entry_metrics(const struct entry *e, struct byte_buffer *out)
 {
 	const struct pooler_stats *stats = pooler_stats(e->pooler);
+	struct pooler_endpoint_stats at;
 	char name[64];
 
 	put_counter(out, "sessions", pooler_sessions(e->pooler));
@@ -611,6 +659,13 @@
 			 statement_error_name((enum statement_error)i));
 		put_counter(out, name, stats->refused[i]);
 	}
+	for (int u = 0; u < POOLER_URGENCIES; u++) {
+		snprintf(name, sizeof(name), "urgency=\"%d\"", u);
+		put_histogram(out, "answered_us", name, &stats->answered_us[u]);
+		put_histogram(out, "waited_us", name, &stats->waited_us[u]);
+	}
+	for (uint32_t i = 0; pooler_endpoint(e->pooler, i, &at); i++)
+		put_endpoint(out, &at);
 }
 
 int entry_create(struct control *c, const struct statement_codec *codec,
--- /dev/null
+++ b/lib/daemon/metrics.c
@@ -0,0 +1,98 @@
+#include "metrics.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "control.h"
+#include "entry.h"
+#include "http1.h"
+#include "lws_error.h"
+#include "lws_time.h"
+
+#define CONNECTIONS_MAX 16
+#define BODY_MAX 1024
+#define REQUEST_MS 2000
+
+static void put_value(struct byte_buffer *out, const char *name, uint64_t value)
+{
+	char line[160];
+	int n = snprintf(line, sizeof(line), "lws_%s %" PRIu64 "\n", name,
+			 value);
+
+	(void)byte_buffer_append(out, line, (size_t)n);
+}
+
+static void put_counters(struct byte_buffer *out, const struct lws_counters *c)
+{
+	char name[96];
+
+	for (int i = 0; i < LWS_COUNTER_COUNT; i++)
+		put_value(out, lws_counter_name((enum lws_counter)i),
+			  atomic_load(&c->value[i]));
+	for (int kind = 1; kind < -LWS_E_LAST; kind++) {
+		uint64_t n = atomic_load(&c->refused[kind]);
+
+		if (!n)
+			continue;
+		snprintf(name, sizeof(name), "errors{kind=\"%s\"}",
+			 lws_error_name(-kind));
+		put_value(out, name, n);
+	}
+}
+
+static void put_control(struct byte_buffer *out, struct control *c)
+{
+	uint64_t now_us = lws_time_now_us();
+	uint64_t confirmed_us = atomic_load(&c->daemon->confirmed_us);
+	uint64_t peers = 0;
+
+	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p))
+		peers++;
+	put_value(out, "peers", peers);
+	put_value(out, "applied_index", c->fleet->applied_index);
+	put_value(out, "catalog_version", fleet_catalog_version(c->fleet));
+	put_value(out, "confirmed_age_us",
+		  confirmed_us ? now_us - confirmed_us : UINT64_MAX);
+	put_value(out, "leads", c->leader != NULL);
+	put_value(out, "proposals_waiting", c->proposals != NULL);
+	if (!c->raft)
+		return;
+	put_value(out, "log_term", raft_term(c->raft));
+	put_value(out, "log_last_index", raft_last_index(c->raft));
+	put_value(out, "log_commit_index", raft_commit_index(c->raft));
+	put_value(out, "voters", raft_voters(c->raft)->count);
+}
+
+static void on_request(void *private_data, struct http1_request *r)
+{
+	struct control *c = private_data;
+	struct byte_buffer out = { 0 };
+
+	if (strcmp(http1_path(r), "/metrics") != 0) {
+		http1_answer(r, 404, NULL, NULL, 0);
+		return;
+	}
+	put_counters(&out, &c->daemon->counters);
+	put_control(&out, c);
+	if (c->entry)
+		entry_metrics(c->entry, &out);
+	http1_answer(r, 200, "text/plain; version=0.0.4", out.data, out.len);
+	talloc_free(out.data);
+}
+
+int metrics_start(struct control *c, const char *listen)
+{
+	struct http1_server_params params = {
+		.addr = listen,
+		.body_max = BODY_MAX,
+		.connections_max = CONNECTIONS_MAX,
+		.request_ms = REQUEST_MS,
+		.private_data = c,
+		.on_request = on_request,
+	};
+	struct http1_server *server;
+
+	return http1_server_create(c, c->ev, &params, &server);
+}
--- a/lib/daemon/settings.c
+++ b/lib/daemon/settings.c
@@ -46,6 +46,8 @@
 	  AT(admin_listen), 0, 0 },
 	{ "peer-listen", "IP:PORT", "Address for other instances",
 	  SETTING_ADDRESS, AT(peer_listen), 0, 0 },
+	{ "metrics-listen", "IP:PORT", "Address of the metrics, as text",
+	  SETTING_ADDRESS, AT(metrics_listen), 0, 0 },
 	{ "control", "LIST",
 	  "Peer addresses of the control instances, separated by commas",
 	  SETTING_TEXT, AT(control), 0, 0 },
--- a/lib/daemon/settings.h
+++ b/lib/daemon/settings.h
@@ -35,6 +35,7 @@
  * @log_level: most detailed level that is logged
  * @statement_listen: address for callers of a statement protocol; NULL
  *                    without
+ * @metrics_listen: address of the metrics; NULL without
  * @seeds_form: the instances of @control form a new fleet by themselves when
  *              all of them have empty data folders
  * @voters: control instances that vote, 0: those of the bootstrap
@@ -61,6 +62,7 @@
 	uint32_t drain_ms;
 	enum lws_log_level log_level;
 	const char *statement_listen;
+	const char *metrics_listen;
 	bool seeds_form;
 	uint32_t voters;
 };
--- a/lib/session/pool_conns.c
+++ b/lib/session/pool_conns.c
@@ -388,6 +388,9 @@
 		order.wait = job->wait;
 	conn->step = STEP_STATEMENT;
 	job->deadline_us = now_us + s->timeout_ms * LWS_US_PER_MS;
+	if (!job->attempts)
+		lws_histogram_add(&s->pooler->stats.waited_us[s->urgency],
+				  now_us - job->arrived_us);
 	job->attempts++;
 	s->wrote |= job->writes && s->state != TRANSACTION_NONE;
 	s->pooler->stats.statements++;
@@ -772,6 +775,7 @@
 			e->limit = POOL_LIMIT_MAX;
 	}
 
+	lws_histogram_add(&e->answered_us, took);
 	/* A moving average over about eight statements. */
 	e->service_us = e->service_us ? (e->service_us * 7 + took) / 8 : took;
 }
--- a/lib/session/pooler.c
+++ b/lib/session/pooler.c
@@ -761,6 +761,8 @@
 		else
 			s->pooler->stats.replica_reads++;
 	}
+	lws_histogram_add(&s->pooler->stats.answered_us[s->urgency],
+			  now_us - job->arrived_us);
 	if (s->state != TRANSACTION_NONE && !commit) {
 		reply.state = TRANSACTION_OPEN;
 		pool_hold(conn);
@@ -1068,3 +1070,31 @@
 {
 	return &p->stats;
 }
+
+bool pooler_endpoint(const struct pooler *p, uint32_t nth,
+		     struct pooler_endpoint_stats *out)
+{
+	for (uint32_t i = 0; i < p->groups_count; i++) {
+		const struct pool_group *g = p->groups[i];
+		const struct pool_endpoint *e;
+
+		if (nth >= g->endpoints_count) {
+			nth -= g->endpoints_count;
+			continue;
+		}
+		e = g->endpoints[nth];
+		*out = (struct pooler_endpoint_stats){
+			.group = g->name,
+			.id = e->id,
+			.primary = e == g->primary,
+			.suspect = e->suspect,
+			.connections = e->conns_count,
+			.running = e->running,
+			.limit = e->limit,
+			.service_us = e->service_us,
+			.answered_us = &e->answered_us,
+		};
+		return true;
+	}
+	return false;
+}
--- a/lib/session/pooler.h
+++ b/lib/session/pooler.h
@@ -3,6 +3,7 @@
 
 #include "catalog.h"
 #include "fleet.h"
+#include "lws_histogram.h"
 #include "rate_holder.h"
 #include "statement.h"
 
@@ -22,6 +23,9 @@
  * One thread uses a pooler. None of the ops may call back into it.
  */
 
+/* Urgencies of databases that are told apart; the rest counts as the last. */
+#define POOLER_URGENCIES 4
+
 struct pooler;
 struct pool_session;
 struct pool_conn;
@@ -204,6 +208,8 @@
  * @connects: connections opened
  * @retries: statements sent once more
  * @refused: errors given to callers
+ * @answered_us: from a statement's arrival to its good answer, by urgency
+ * @waited_us: from a statement's arrival until it is sent, by urgency
  */
 struct pooler_stats {
 	uint64_t operations;
@@ -214,8 +220,36 @@
 	uint64_t connects;
 	uint64_t retries;
 	uint64_t refused[STATEMENT_E_COUNT];
+	struct lws_histogram answered_us[POOLER_URGENCIES];
+	struct lws_histogram waited_us[POOLER_URGENCIES];
 };
 
 const struct pooler_stats *pooler_stats(const struct pooler *p);
 
+/**
+ * struct pooler_endpoint_stats - one endpoint as this instance sees it
+ * @group, @id: names
+ * @primary: it is agreed to lead
+ * @suspect: it does not answer
+ * @connections, @running: now
+ * @limit: statements that may run at a time
+ * @service_us: moving average of a statement
+ * @answered_us: statements sent there
+ */
+struct pooler_endpoint_stats {
+	const char *group;
+	const char *id;
+	bool primary;
+	bool suspect;
+	uint32_t connections;
+	uint32_t running;
+	double limit;
+	uint64_t service_us;
+	const struct lws_histogram *answered_us;
+};
+
+/** pooler_endpoint() - the @nth endpoint; false past the last */
+bool pooler_endpoint(const struct pooler *p, uint32_t nth,
+		     struct pooler_endpoint_stats *out);
+
 #endif
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -40,8 +40,7 @@
 #define POOL_LIMIT_PAUSE_US (30 * LWS_US_PER_MS)
 /* A statement that takes this part of its objective was answered slowly. */
 #define POOL_SLOW_PERCENT 40
-/* Urgencies of databases that are told apart; the rest counts as the last. */
-#define POOL_URGENCIES 4
+#define POOL_URGENCIES POOLER_URGENCIES
 /* Whoever has less of its wait left goes before a better fitting one. */
 #define POOL_FIT_LEFT_PERCENT 40
 /* Part of a statement's timeout that it may wait before it is sent. */
@@ -139,6 +138,7 @@
 	uint32_t opening;
 	uint32_t running;
 	uint64_t service_us;
+	struct lws_histogram answered_us;
 	double limit;
 	uint64_t limit_fell_us;
 	uint64_t full_until_us;
