Let a new owner of rates start with half of what may be exceeded

Ruled out: the demand, which is 1/1.6 of the rates; lost messages. Change: a tolerance as a setting (window, percent, tokens); a new owner may grant half of it at once, so two changes fit into a window; only instances that serve callers count as holders. Test: /rates/takeover.

--- a/lib/admit/rate_owner.c
+++ b/lib/admit/rate_owner.c
@@ -36,6 +36,8 @@
 	uint32_t rate_per_s;
 	uint32_t burst;
 	uint64_t level_millionths;
+	/* What a new owner may grant beyond its level. */
+	uint64_t credit;
 	uint64_t filled_us;
 	uint64_t outstanding;
 	uint64_t wants;
@@ -313,15 +315,26 @@
 
 /* Customers */
 
+static uint64_t takeover_credit(const struct rate_owner *owner,
+				uint32_t rate_per_s, uint32_t burst)
+{
+	const struct rate_owner_params *p = &owner->params;
+	uint64_t allowed = (uint64_t)rate_per_s * p->window_s + burst;
+
+	return (allowed * p->over_percent / 100 + p->over_tokens) / 2;
+}
+
 int rate_owner_set(struct rate_owner *owner, uint64_t now_us, uint64_t customer,
 		   uint32_t rate_per_s, uint32_t burst)
 {
 	struct bucket *b = find_bucket(owner, customer);
 
-	if (!b)
+	if (!b) {
 		b = make_bucket(owner, customer, now_us);
-	if (!b)
-		return LWS_E_NOMEM;
+		if (!b)
+			return LWS_E_NOMEM;
+		b->credit = takeover_credit(owner, rate_per_s, burst);
+	}
 	fill(owner, b, now_us);
 	b->rate_per_s = rate_per_s;
 	b->burst = burst;
@@ -366,6 +379,19 @@
 	list_append(b, h);
 }
 
+/* Not outstanding: it lies beyond the burst that the level fills. */
+static uint32_t take_credit(struct bucket *b, const struct holding *h,
+			    uint32_t want)
+{
+	uint32_t room = room_of(b, h);
+	uint32_t part = want < room ? want : room;
+
+	if (part > b->credit)
+		part = (uint32_t)b->credit;
+	b->credit -= part;
+	return part;
+}
+
 uint32_t rate_owner_ask(struct rate_owner *owner, uint64_t now_us,
 			uint64_t instance, uint64_t incarnation, uint64_t seq,
 			const struct rate_ask *ask)
@@ -398,5 +424,7 @@
 		granted = room_of(b, h);
 	b->level_millionths -= granted * MILLIONTHS;
 	set_holding(b, h, h->outstanding + granted, h->want);
+	if (granted < ask->want)
+		granted += take_credit(b, h, ask->want - granted);
 	return granted;
 }
--- a/lib/admit/rate_owner.h
+++ b/lib/admit/rate_owner.h
@@ -30,10 +30,19 @@
  * struct rate_owner_params - settings
  * @ttl_us: how long a grant may be used, from the sending of its request
  * @drift_percent: how much clocks of two instances may differ in rate
+ * @window_s: any span of this length may exceed rate * window_s + burst
+ * @over_percent: by this part of it
+ * @over_tokens: and by this much
+ *
+ * A new owner may grant half of what is allowed to exceed before its level
+ * has grown: so two changes of owner fit into a window. 0 for strict rates.
  */
 struct rate_owner_params {
 	uint64_t ttl_us;
 	uint32_t drift_percent;
+	uint32_t window_s;
+	uint32_t over_percent;
+	uint32_t over_tokens;
 };
 
 /**
--- a/lib/daemon/control_leader.c
+++ b/lib/daemon/control_leader.c
@@ -16,6 +16,9 @@
 	struct rate_owner_params rates = {
 		.ttl_us = c->daemon->settings.rate_ttl_ms * LWS_US_PER_MS,
 		.drift_percent = DRIFT_PERCENT,
+		.window_s = c->daemon->settings.rate_window_s,
+		.over_percent = c->daemon->settings.rate_over_percent,
+		.over_tokens = c->daemon->settings.rate_over_tokens,
 	};
 	struct leader *leader = talloc_zero(c, struct leader);
 
--- a/lib/daemon/control_rates.c
+++ b/lib/daemon/control_rates.c
@@ -19,11 +19,17 @@
 {
 	const struct cfg *cfg = c->fleet->cfg;
 	const struct catalog *catalog = c->fleet->catalog;
-	uint32_t count = c->fleet->instances_count;
-	uint64_t *members = talloc_array(c, uint64_t, count + 1);
+	uint32_t count = 0;
+	uint64_t *members =
+		talloc_array(c, uint64_t, c->fleet->instances_count + 1);
 
-	for (uint32_t i = 0; members && i < count; i++)
-		members[i] = session_name_hash(c->fleet->instances[i].name);
+	for (uint32_t i = 0; members && i < c->fleet->instances_count; i++) {
+		const struct fleet_instance *in = &c->fleet->instances[i];
+
+		/* Others hold no tokens. */
+		if (in->entry)
+			members[count++] = session_name_hash(in->name);
+	}
 	if (members)
 		(void)rate_owner_set_members(c->leader->owner, now_us, members,
 					     count);
--- a/lib/daemon/settings.h
+++ b/lib/daemon/settings.h
@@ -28,6 +28,8 @@
  * @callers_max: connections of callers
  * @key_fresh_ms: keys count for this long after their last confirmation
  * @rate_ttl_ms: how long granted tokens may be used
+ * @rate_window_s, @rate_over_percent, @rate_over_tokens: what a change of the
+ *                  owner of rates may grant beyond them, see rate_owner.h
  * @election_ms: shortest silence before an election
  * @probe_ms: how often silent primaries are asked
  * @suspect_ms: silence that makes an endpoint suspect
@@ -56,6 +58,9 @@
 	uint32_t callers_max;
 	uint32_t key_fresh_ms;
 	uint32_t rate_ttl_ms;
+	uint32_t rate_window_s;
+	uint32_t rate_over_percent;
+	uint32_t rate_over_tokens;
 	uint32_t election_ms;
 	uint32_t probe_ms;
 	uint32_t suspect_ms;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -519,6 +519,9 @@
 	{ SETTINGS "bounds.grace_s=-1\n", LWS_E_CONFIG_VALUE,
 	  "bounds.grace_s" },
 	{ SETTINGS "zone=a b\n", LWS_E_CONFIG_VALUE, "zone: " },
+	{ SETTINGS "bounds.quota_excess=0.1\n", 0, NULL },
+	{ SETTINGS "bounds.quota_excess=2\n", LWS_E_CONFIG_VALUE,
+	  "bounds.quota_excess" },
 };
 
 static void test_settings(void)
--- a/tests/test_rates.c
+++ b/tests/test_rates.c
@@ -382,7 +382,8 @@
 	};
 
 	for (size_t k = 0; k < G_N_ELEMENTS(cases); k++) {
-		struct rate_owner_params params = { TTL, 10 };
+		struct rate_owner_params params = { .ttl_us = TTL,
+						    .drift_percent = 10 };
 		uint64_t now = 1000 * MS;
 		struct rate_owner *o = rate_owner_create(NULL, &params, now);
 		uint64_t members[] = { 1, 2, 3, 4, 5 };
@@ -512,6 +513,46 @@
 	talloc_free(q);
 }
 
+/*
+ * A new owner grants half of what may be exceeded at once, and no more however
+ * often it is asked; without a tolerance it grants nothing.
+ */
+static void test_takeover(void)
+{
+	static const struct {
+		uint32_t percent;
+		uint32_t tokens;
+		uint32_t granted;
+	} cases[] = { { 0, 0, 0 }, { 10, 20, 31 }, { 10, 0, 21 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct rate_owner_params params = {
+			.ttl_us = TTL,
+			.drift_percent = 10,
+			.window_s = 5,
+			.over_percent = cases[i].percent,
+			.over_tokens = cases[i].tokens,
+		};
+		struct rate_owner *owner = rate_owner_create(NULL, &params, 0);
+		uint64_t members[] = { 1, 2, 3, 4 };
+		uint32_t granted = 0;
+
+		g_assert_cmpint(rate_owner_set_members(owner, 0, members, 4),
+				==, 0);
+		g_assert_cmpint(rate_owner_set(owner, 0, CUSTOMER, 71, 71), ==,
+				0);
+		for (uint64_t n = 0; n < 40; n++) {
+			struct rate_ask ask = { .customer = CUSTOMER,
+						.want = 5 };
+
+			granted += rate_owner_ask(owner, 1 + n, members[n % 4],
+						  1, n + 1, &ask);
+		}
+		g_assert_cmpuint(granted, ==, cases[i].granted);
+		talloc_free(owner);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -528,5 +569,6 @@
 	g_test_add_func("/rates/admission", test_admission_waits);
 	g_test_add_func("/rates/shares", test_shares);
 	g_test_add_func("/rates/deadlines", test_queue_deadlines);
+	g_test_add_func("/rates/takeover", test_takeover);
 	return g_test_run();
 }
