Tell entries of a new control leader at once; refuse where others starved

Ruled out: the credit of a new owner, which was granted to the others. Change: every control instance tells connected entries of a new leader, the one of the higher term counts; a relay asks the leader as soon as it is asked; tokens for four ticks of demand; elections after 250 ms on the platform; whoever finds that others waited in vain is refused at once.

--- a/lib/admit/admission.c
+++ b/lib/admit/admission.c
@@ -51,6 +51,14 @@
 	return atomic_load(&item->account->waiting) >= most;
 }
 
+/* Others waited in vain a moment ago: so would this one. */
+static bool starved(const struct admission_item *item, uint64_t now_us)
+{
+	uint64_t since_us = atomic_load(&item->account->starved_us);
+
+	return since_us && now_us - since_us < ADMISSION_STARVED_US;
+}
+
 enum admission_verdict admission_enter(struct admission *a, uint64_t now_us,
 				       struct admission_item *item)
 {
@@ -65,13 +73,20 @@
 	if (!atomic_load(&item->account->waiting) &&
 	    rate_account_take(item->account, now_us))
 		return ADMISSION_PASS;
-	if (queue_full(item))
+	if (queue_full(item) || starved(item, now_us))
 		return ADMISSION_REFUSE;
 	item->wait_until_us = now_us + (half < most ? half : most);
 	link_last(a, item);
 	return ADMISSION_WAIT;
 }
 
+static enum admission_verdict refuse_starved(struct admission_item *item,
+					     uint64_t now_us)
+{
+	atomic_store(&item->account->starved_us, now_us);
+	return ADMISSION_REFUSE;
+}
+
 struct admission_item *admission_next(struct admission *a, uint64_t now_us,
 				      enum admission_verdict *verdict)
 {
@@ -79,7 +94,7 @@
 		if (rate_account_take(item->account, now_us))
 			*verdict = ADMISSION_PASS;
 		else if (now_us >= item->wait_until_us)
-			*verdict = ADMISSION_REFUSE;
+			*verdict = refuse_starved(item, now_us);
 		else
 			continue;
 		unlink_item(a, item);
--- a/lib/admit/admission.h
+++ b/lib/admit/admission.h
@@ -18,6 +18,8 @@
 #define ADMISSION_WAIT_US 1000000ULL
 #define ADMISSION_QUEUE_US 200000ULL
 #define ADMISSION_RETRY_MIN_MS 20U
+/* After a wait in vain nobody waits for this long: two rounds of grants. */
+#define ADMISSION_STARVED_US 200000ULL
 
 struct admission;
 
--- a/lib/admit/rate_holder.c
+++ b/lib/admit/rate_holder.c
@@ -2,8 +2,11 @@
 
 #include "lws_time.h"
 
-/* Tokens to hold for this many ticks of the demand seen. */
-#define DEMAND_TICKS 2
+/*
+ * Tokens to hold for this many ticks of the demand seen: they bridge the
+ * election of a new owner and are spent before they expire.
+ */
+#define DEMAND_TICKS 4
 /* An account without arrivals for this long asks no more. */
 #define IDLE_US (2 * LWS_US_PER_S)
 
--- a/lib/admit/rate_holder.h
+++ b/lib/admit/rate_holder.h
@@ -22,6 +22,8 @@
  * @arrivals: requests since the keeper looked last
  * @waiting: requests that wait for a token now
  * @expires_us: tokens may not be spent from then on
+ * @starved_us: a request waited in vain for a token at this time; for the
+ *              admissions of one thread
  *
  * The rest belongs to the keeper.
  */
@@ -31,6 +33,7 @@
 	_Atomic uint32_t arrivals;
 	_Atomic uint32_t waiting;
 	_Atomic uint64_t expires_us;
+	_Atomic uint64_t starved_us;
 
 	uint32_t demand_per_tick;
 	uint32_t returned;
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -8,10 +8,10 @@
 #include "lws_str.h"
 #include "lws_time.h"
 
-#define SYNC_POLL_US (500 * LWS_US_PER_MS)
+#define SYNC_POLL_US (400 * LWS_US_PER_MS)
 /* A planned stop ends resting sessions once new ones go elsewhere. */
 #define DRAIN_REST_MS 2300
-#define SYNC_TIMEOUT_US (400 * LWS_US_PER_MS)
+#define SYNC_TIMEOUT_US (250 * LWS_US_PER_MS)
 
 uint64_t control_wall_ms(void)
 {
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -115,6 +115,9 @@
 	struct peer *parent;
 	uint32_t parent_at;
 	char leader_name[FLEET_NAME_MAX];
+	uint64_t leader_term;
+	/* Told to the children last. */
+	char pushed_leader[FLEET_NAME_MAX];
 	/* When a configuration was applied here last. */
 	uint64_t config_applied_us;
 
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -55,6 +55,11 @@
 	return "";
 }
 
+static uint64_t leader_term(const struct control *c)
+{
+	return c->raft ? raft_term(c->raft) : c->leader_term;
+}
+
 /* Asking a parent */
 
 static bool same_domain(const struct control *c, const struct peer *peer)
@@ -132,6 +137,7 @@
 	void *scratch = talloc_new(c);
 
 	LWS_STR_COPY(msg.sync_reply.leader, leader_name(c));
+	msg.sync_reply.leader_term = leader_term(c);
 	sync_log_fill(c->sync_log, c->fleet, child->have_index, child->light,
 		      scratch, &msg.sync_reply);
 	child->have_index = c->fleet->applied_index;
@@ -139,14 +145,40 @@
 	talloc_free(scratch);
 }
 
+/*
+ * Whoever holds tokens must tell a new leader at once; its own parent may be
+ * the instance that was lost.
+ */
+static void push_leader(struct control *c)
+{
+	struct wire_msg msg = { .type = WIRE_SYNC_REPLY,
+				.sync_reply = { .cluster =
+							c->identity.cluster } };
+
+	if (!c->raft)
+		return;
+	LWS_STR_COPY(msg.sync_reply.leader, leader_name(c));
+	msg.sync_reply.leader_term = leader_term(c);
+	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p)) {
+		if (!peer_hello(p)->member)
+			peer_send(p, &msg);
+	}
+}
+
 void control_push_children(struct control *c)
 {
+	const char *leader = leader_name(c);
+
 	for (uint32_t i = 0; i < c->children_count; i++) {
 		struct child *child = &c->children[i];
 
 		if (child->have_index < c->fleet->applied_index)
 			send_changes(c, child, 0);
 	}
+	if (*leader && strcmp(leader, c->pushed_leader) != 0) {
+		LWS_STR_COPY(c->pushed_leader, leader);
+		push_leader(c);
+	}
 }
 
 static void on_sync_request(struct control *c, struct peer *peer,
@@ -167,6 +199,8 @@
 	child->have_index = request->have_index;
 	child->light = request->light;
 	(void)sync_questions_add(&c->questions, &question);
+	/* A relay is confirmed by its own question only. */
+	control_sync_now(c);
 }
 
 static void answer_children(struct control *c, uint64_t now_us)
@@ -201,7 +235,7 @@
 			      reply->entries[i].data, reply->entries[i].len);
 }
 
-static void on_sync_reply(struct control *c, const struct peer *peer,
+static void on_sync_reply(struct control *c,
 			  const struct wire_sync_reply *reply)
 {
 	uint64_t now_us = lws_time_now_us();
@@ -214,8 +248,10 @@
 	if (c->raft && raft_role(c->raft) == RAFT_LEADER)
 		return;
 	take_changes(c, reply);
-	if (peer == c->parent && *reply->leader)
+	if (*reply->leader && reply->leader_term >= c->leader_term) {
 		LWS_STR_COPY(c->leader_name, reply->leader);
+		c->leader_term = reply->leader_term;
+	}
 	sync_client_reply(&c->sync, now_us, reply->stamp_us, reply->confirmed);
 	control_publish(c);
 }
@@ -403,7 +439,7 @@
 		on_sync_request(c, peer, &msg->sync_request);
 		break;
 	case WIRE_SYNC_REPLY:
-		on_sync_reply(c, peer, &msg->sync_reply);
+		on_sync_reply(c, &msg->sync_reply);
 		break;
 	case WIRE_PROPOSE:
 		control_propose_remote(c, peer, &msg->propose);
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -176,6 +176,7 @@
 	pack_bool(w, reply->confirmed);
 	pack_u64(w, reply->cluster);
 	pack_str(w, reply->leader);
+	pack_u64(w, reply->leader_term);
 	pack_bin(w, reply->snapshot, reply->snapshot_len);
 	pack_array(w, reply->count * 2);
 	for (uint32_t i = 0; i < reply->count; i++) {
@@ -194,6 +195,7 @@
 	reply->confirmed = pack_read_bool(r);
 	reply->cluster = pack_read_u64(r);
 	pack_read_str(r, reply->leader, FLEET_NAME_MAX);
+	reply->leader_term = pack_read_u64(r);
 	data = pack_read_bin(r, &reply->snapshot_len);
 	reply->snapshot = copy_bytes(mem_ctx, data, reply->snapshot_len);
 	reply->count = enter_list(r, &in, 2);
@@ -335,7 +337,7 @@
 
 static const uint32_t field_count[WIRE_TYPE_COUNT] = {
 	[WIRE_HELLO] = 8,	  [WIRE_SYNC_REQUEST] = 4,
-	[WIRE_SYNC_REPLY] = 6,	  [WIRE_PROPOSE] = 2,
+	[WIRE_SYNC_REPLY] = 7,	  [WIRE_PROPOSE] = 2,
 	[WIRE_PROPOSE_REPLY] = 4, [WIRE_RATE_REQUEST] = 3,
 	[WIRE_RATE_REPLY] = 3,	  [WIRE_REPORT] = 3,
 	[WIRE_ANNOUNCE] = 1,
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -89,6 +89,7 @@
  * @confirmed: all that was committed before the request was sent is included
  * @cluster: identity of the fleet
  * @leader: name of the leader, "" when unknown
+ * @leader_term: its term; of two leaders the one of the higher term counts
  * @snapshot_len: bytes of @snapshot; 0: @entries continue from have_index
  * @snapshot: encoded fleet state that replaces the receiver's
  * @count: number of entries
@@ -99,6 +100,7 @@
 	bool confirmed;
 	uint64_t cluster;
 	char leader[FLEET_NAME_MAX];
+	uint64_t leader_term;
 	uint32_t snapshot_len;
 	const uint8_t *snapshot;
 	uint32_t count;
