--- a/Makefile
+++ b/Makefile
@@ -14,12 +14,13 @@
 CFLAGS = -std=gnu11 -D_GNU_SOURCE -g $(OPT) -Wall -Wextra -Werror \
 	 -Wstrict-prototypes -Wmissing-prototypes -Wno-format-truncation \
 	 $(SANITIZE)
-CPPFLAGS = $(LIB_DIRS:%=-Ilib/%) -Iplatform -Iprograms/standin -Itests -Ibench \
+CPPFLAGS = $(LIB_DIRS:%=-Ilib/%) -Iplatform -Iprograms/standin -Iprograms/platform_standin -Itests -Ibench \
 	   $(shell pkg-config --cflags $(PACKAGES)) -MMD -MP
 LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lurcu-memb -lhttp_parser -lpthread
 LDFLAGS = $(SANITIZE)
 
-PROGRAMS = $(BUILD)/lacewingspand $(BUILD)/lacewingspan $(BUILD)/standin
+PROGRAMS = $(BUILD)/lacewingspand $(BUILD)/lacewingspan $(BUILD)/standin \
+	   $(BUILD)/platform_standin
 TEST_SUPPORT = $(wildcard tests/support_*.c)
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
@@ -45,6 +46,7 @@
 $(BUILD)/lacewingspand: $(BUILD)/programs/lacewingspand/main.o
 $(BUILD)/lacewingspan: $(BUILD)/programs/lacewingspan/main.o
 $(BUILD)/standin: $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/standin/*.c))
+$(BUILD)/platform_standin: $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/platform_standin/*.c))
 $(PROGRAMS): $(BUILD)/liblacewingspan.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) $(filter %.o,$^) $(BUILD)/liblacewingspan.a $(LDLIBS) \
--- a/lib/admit/rate_holder.c
+++ b/lib/admit/rate_holder.c
@@ -77,5 +77,7 @@
 		return;
 	if (expires_us > account->expires_us)
 		account->expires_us = expires_us;
+	if (granted)
+		atomic_store(&account->starved_us, 0);
 	atomic_fetch_add(&account->tokens, granted);
 }
--- a/lib/admit/rate_holder.h
+++ b/lib/admit/rate_holder.h
@@ -22,8 +22,8 @@
  * @arrivals: requests since the keeper looked last
  * @waiting: requests that wait for a token now
  * @expires_us: tokens may not be spent from then on
- * @starved_us: a request waited in vain for a token at this time; for the
- *              admissions of one thread
+ * @starved_us: a request waited in vain for a token at this time, and none
+ *              was granted since; 0 otherwise
  *
  * The rest belongs to the keeper.
  */
--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -45,25 +45,40 @@
 	return NULL;
 }
 
-static bool domain_seen_before(const struct fleet *fleet, uint32_t i)
+static bool domain_seen_before(const struct fleet *fleet, uint32_t i,
+			       bool entries)
 {
 	for (uint32_t k = 0; k < i; k++) {
-		if (strcmp(fleet->instances[k].failure_domain,
+		if ((!entries || fleet->instances[k].entry) &&
+		    strcmp(fleet->instances[k].failure_domain,
 			   fleet->instances[i].failure_domain) == 0)
 			return true;
 	}
 	return false;
 }
 
-uint32_t fleet_domains(const struct fleet *fleet)
+static uint32_t count_domains(const struct fleet *fleet, bool entries)
 {
 	uint32_t n = 0;
 
-	for (uint32_t i = 0; i < fleet->instances_count; i++)
-		n += domain_seen_before(fleet, i) ? 0 : 1;
+	for (uint32_t i = 0; i < fleet->instances_count; i++) {
+		if (entries && !fleet->instances[i].entry)
+			continue;
+		n += domain_seen_before(fleet, i, entries) ? 0 : 1;
+	}
 	return n;
 }
 
+uint32_t fleet_domains(const struct fleet *fleet)
+{
+	return count_domains(fleet, false);
+}
+
+uint32_t fleet_entry_domains(const struct fleet *fleet)
+{
+	return count_domains(fleet, true);
+}
+
 static bool endpoint_same(const struct fleet_endpoint *a,
 			  const struct fleet_endpoint *b)
 {
--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -293,6 +293,9 @@
 /** fleet_domains() - number of failure domains that have instances alive */
 uint32_t fleet_domains(const struct fleet *fleet);
 
+/** fleet_entry_domains() - those of them that have instances for callers */
+uint32_t fleet_entry_domains(const struct fleet *fleet);
+
 /** fleet_group_same() - both hold the same agreed state */
 bool fleet_group_same(const struct fleet_group *a, const struct fleet_group *b);
 
--- a/lib/control/succession.h
+++ b/lib/control/succession.h
@@ -91,7 +91,7 @@
 			  const struct fleet_group *group,
 			  uint32_t sync_replicas);
 
-/** succession_set_domains() - failure domains that have live instances */
+/** succession_set_domains() - failure domains whose instances report */
 void succession_set_domains(struct succession *s, uint32_t domains);
 
 /** succession_report() - an instance says how it sees the primary */
--- a/lib/daemon/control_succession.c
+++ b/lib/daemon/control_succession.c
@@ -222,7 +222,8 @@
 
 void control_succession_tick(struct control *c, uint64_t now_us)
 {
-	uint32_t domains = fleet_domains(c->fleet);
+	/* Only entries report. */
+	uint32_t domains = fleet_entry_domains(c->fleet);
 	struct group_succession *next;
 
 	for (struct group_succession *gs = c->leader->successions; gs;
--- a/lib/session/pool_conns.c
+++ b/lib/session/pool_conns.c
@@ -957,7 +957,6 @@
 	(void)p;
 	conn->up = true;
 	conn->endpoint->heard_us = now_us;
-	conn->endpoint->failures = 0;
 	send_orders(conn, now_us, &open, 1);
 }
 
--- /dev/null
+++ b/programs/platform_standin/main.c
@@ -0,0 +1,107 @@
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <tevent.h>
+#include <unistd.h>
+
+#include "platform_standin.h"
+#include "sock.h"
+
+/**
+ * DOC: Stand-in of the platform: one group of three endpoints on neighbouring
+ * ports of one address, and the call for promotions. All in one process, so
+ * that a promotion is one step for all of them.
+ */
+
+const char *argp_program_version = "platform_standin 0.1.0";
+
+static const struct argp_option options[] = {
+	{ "group", 'g', "NAME", 0, "Group (g1)", 0 },
+	{ "listen", 'l', "IP:PORT", 0, "First endpoint; two more follow", 0 },
+	{ "promote", 'p', "IP:PORT", 0, "Where promotions are asked for", 0 },
+	{ "announce", 'a', "LIST", 0, "Control addresses", 0 },
+	{ "lag-ms", 'd', "N", 0, "Replicas apply this late (20)", 0 },
+	{ "work-ms", 'w', "N", 0, "Time of a statement (2)", 0 },
+	{ 0 },
+};
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct standin_params *p = state->input;
+
+	switch (key) {
+	case 'g':
+		p->group = arg;
+		return 0;
+	case 'l':
+		p->listen = arg;
+		return 0;
+	case 'p':
+		p->promote = arg;
+		return 0;
+	case 'a':
+		p->announce = arg;
+		return 0;
+	case 'd':
+		p->lag_ms = (uint32_t)strtoul(arg, NULL, 10);
+		return 0;
+	case 'w':
+		p->work_ms = (uint32_t)strtoul(arg, NULL, 10);
+		return 0;
+	case ARGP_KEY_END:
+		if (!p->listen || !sock_addr_valid(p->listen) || !p->promote ||
+		    !sock_addr_valid(p->promote) || !p->announce)
+			argp_error(state, "--listen, --promote and --announce "
+					  "are required");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static void on_signal(struct tevent_context *ev, struct tevent_signal *se,
+		      int signum, int count, void *siginfo, void *private_data)
+{
+	(void)ev;
+	(void)se;
+	(void)count;
+	(void)siginfo;
+	if (signum == SIGUSR1)
+		standin_crash_primary(private_data);
+	else if (signum == SIGUSR2)
+		standin_drain_primary(private_data);
+	else
+		exit(0);
+}
+
+int main(int argc, char **argv)
+{
+	struct argp argp = {
+		.options = options,
+		.parser = parse,
+		.doc = "Stand-in of the platform.\vSIGUSR1 crashes "
+		       "the primary, SIGUSR2 lets it announce "
+		       "that it leaves."
+	};
+	struct standin_params params = { .group = "g1",
+					 .lag_ms = 20,
+					 .work_ms = 2 };
+	struct tevent_context *ev;
+	struct standin *s;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &params);
+	signal(SIGPIPE, SIG_IGN);
+	ev = tevent_context_init(NULL);
+	s = ev ? standin_create(ev, ev, &params) : NULL;
+	if (!s) {
+		fprintf(stderr, "platform_standin: cannot listen\n");
+		return 1;
+	}
+	tevent_add_signal(ev, s, SIGUSR1, 0, on_signal, s);
+	tevent_add_signal(ev, s, SIGUSR2, 0, on_signal, s);
+	tevent_add_signal(ev, s, SIGTERM, 0, on_signal, s);
+	return tevent_loop_wait(ev);
+}
--- /dev/null
+++ b/programs/platform_standin/platform_standin.c
@@ -0,0 +1,687 @@
+#include "platform_standin.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "http1.h"
+#include "lws_error.h"
+#include "lws_str.h"
+#include "lws_time.h"
+#include "sock.h"
+#include "stream.h"
+
+#define LINE_MAX_BYTES 65536
+#define COMMITS_MAX 100000
+#define ITEM_MAX 64
+#define ITEMS_MAX 4096
+#define NAMES_MAX 32
+#define PROMOTE_MS 100
+#define HEARTBEAT_MS 300
+#define ADDRS_MAX 8
+
+/* One committed write; all endpoints share the list and a length each. */
+struct commit {
+	uint64_t at_us;
+	uint64_t term;
+	char item[ITEM_MAX];
+	char value[ITEM_MAX];
+};
+
+struct endpoint {
+	struct standin *standin;
+	char id[32];
+	char addr[SOCK_ADDR_MAX];
+	int fd;
+	bool down;
+	bool draining;
+	bool primary;
+	uint64_t term;
+	uint64_t held_term;
+	/* Commits received. */
+	uint64_t received;
+	uint64_t seq;
+	uint64_t born_ms;
+	uint32_t announce_at;
+	struct session *sessions;
+};
+
+struct pair {
+	char name[ITEM_MAX];
+	char value[ITEM_MAX];
+};
+
+struct session {
+	struct endpoint *endpoint;
+	struct session *prev;
+	struct session *next;
+	struct stream *stream;
+	bool open;
+	bool transaction;
+	bool read_only;
+	bool failed;
+	uint32_t pairs_count;
+	struct pair pairs[NAMES_MAX];
+	uint32_t writes_count;
+	struct pair writes[NAMES_MAX];
+};
+
+struct standin {
+	struct tevent_context *ev;
+	struct standin_params params;
+	struct http1_server *platform;
+	struct endpoint endpoints[STANDIN_ENDPOINTS];
+	uint64_t commits_count;
+	struct commit *commits;
+	char *announce[ADDRS_MAX];
+	uint32_t announce_count;
+};
+
+/* The log */
+
+static uint64_t applied(const struct endpoint *e)
+{
+	uint64_t lag_us =
+		e->primary ? 0 : e->standin->params.lag_ms * LWS_US_PER_MS;
+	uint64_t now_us = lws_time_now_us();
+	uint64_t n = e->received;
+
+	while (n && e->standin->commits[n - 1].at_us + lag_us > now_us)
+		n--;
+	return n;
+}
+
+static uint64_t term_at(const struct standin *s, uint64_t n)
+{
+	return n ? s->commits[n - 1].term : 1;
+}
+
+/* True when a replica has received it, so that it may be acknowledged. */
+static bool commit(struct endpoint *e, const struct pair *write)
+{
+	struct standin *s = e->standin;
+	struct commit *c;
+	bool replicated = false;
+
+	if (s->commits_count == COMMITS_MAX)
+		return false;
+	c = &s->commits[s->commits_count++];
+	c->at_us = lws_time_now_us();
+	c->term = e->term;
+	LWS_STR_COPY(c->item, write->name);
+	LWS_STR_COPY(c->value, write->value);
+	e->received = s->commits_count;
+	for (int i = 0; i < STANDIN_ENDPOINTS; i++) {
+		struct endpoint *r = &s->endpoints[i];
+
+		if (r == e || r->down || r->held_term > e->term)
+			continue;
+		r->received = e->received;
+		r->term = e->term;
+		replicated = true;
+	}
+	return replicated;
+}
+
+static const char *value_of(const struct endpoint *e, const char *item)
+{
+	const struct standin *s = e->standin;
+
+	for (uint64_t n = applied(e); n; n--) {
+		if (strcmp(s->commits[n - 1].item, item) == 0)
+			return s->commits[n - 1].value;
+	}
+	return "nothing";
+}
+
+/* Answers */
+
+static void say(struct session *c, const char *text)
+{
+	if (c->stream)
+		stream_write(c->stream, text, strlen(text));
+}
+
+static void ready(struct session *c)
+{
+	struct endpoint *e = c->endpoint;
+	uint64_t n = applied(e);
+	char line[96];
+
+	snprintf(line, sizeof(line), "READY %c %" PRIu64 ".%" PRIu64 "\r\n",
+		 !c->transaction ? 'I'
+		 : c->failed	 ? 'E'
+				 : 'T',
+		 term_at(e->standin, n), n);
+	say(c, line);
+}
+
+static void done(struct session *c, const char *row, const char *tag)
+{
+	char line[256];
+
+	if (row) {
+		snprintf(line, sizeof(line), "DATAROW %s\r\n", row);
+		say(c, line);
+	}
+	snprintf(line, sizeof(line), "COMPLETE %s\r\n", tag);
+	say(c, line);
+	ready(c);
+}
+
+static void fail(struct session *c, const char *code)
+{
+	char line[128];
+
+	if (c->transaction)
+		c->failed = true;
+	snprintf(line, sizeof(line), "ERROR %s %s\r\n", code, c->endpoint->id);
+	say(c, line);
+	ready(c);
+}
+
+static void status(struct session *c)
+{
+	const struct endpoint *e = c->endpoint;
+	char row[128];
+
+	snprintf(row, sizeof(row),
+		 "%s %" PRIu64 " %" PRIu64 ".%" PRIu64 " %" PRIu64 " 0 0 1",
+		 e->primary ? "primary" : "replica", e->term,
+		 term_at(e->standin, e->received), e->received, e->held_term);
+	done(c, row, "-");
+}
+
+/* Statements */
+
+static void set_pair(struct session *c, const char *name, const char *value)
+{
+	uint32_t i = 0;
+
+	while (i < c->pairs_count && strcmp(c->pairs[i].name, name) != 0)
+		i++;
+	if (i == NAMES_MAX)
+		return;
+	if (i == c->pairs_count)
+		c->pairs_count++;
+	snprintf(c->pairs[i].name, ITEM_MAX, "%s", name);
+	snprintf(c->pairs[i].value, ITEM_MAX, "%s", value);
+}
+
+static const char *pair_of(const struct session *c, const char *name)
+{
+	for (uint32_t i = 0; i < c->pairs_count; i++) {
+		if (strcmp(c->pairs[i].name, name) == 0)
+			return c->pairs[i].value;
+	}
+	return NULL;
+}
+
+/* The row of a read shows whose values were set, for the tests. */
+static void do_read(struct session *c, const char *item)
+{
+	const char *who = pair_of(c, "who");
+	char row[2 * ITEM_MAX + 2];
+
+	snprintf(row, sizeof(row), "%s:%s", value_of(c->endpoint, item),
+		 who ? who : "-");
+	done(c, row, "read-tag");
+}
+
+static void do_write(struct session *c, const char *item, const char *value)
+{
+	struct pair write;
+
+	if (!c->endpoint->primary || c->read_only) {
+		fail(c, "READONLY");
+		return;
+	}
+	snprintf(write.name, ITEM_MAX, "%s", item);
+	snprintf(write.value, ITEM_MAX, "%s", value);
+	if (c->transaction) {
+		if (c->writes_count < NAMES_MAX)
+			c->writes[c->writes_count++] = write;
+		done(c, NULL, "write-tag");
+	} else if (commit(c->endpoint, &write)) {
+		done(c, NULL, "write-tag");
+	} else {
+		fail(c, "INDOUBT");
+	}
+}
+
+static void end_transaction(struct session *c)
+{
+	c->transaction = false;
+	c->read_only = false;
+	c->failed = false;
+	c->writes_count = 0;
+}
+
+static void do_commit(struct session *c)
+{
+	bool replicated = true;
+
+	if (!c->transaction || c->failed ||
+	    (c->writes_count && !c->endpoint->primary)) {
+		end_transaction(c);
+		fail(c, c->failed ? "ABORTED" : "READONLY");
+		return;
+	}
+	for (uint32_t i = 0; i < c->writes_count; i++)
+		replicated = commit(c->endpoint, &c->writes[i]) && replicated;
+	end_transaction(c);
+	if (replicated)
+		done(c, NULL, "commit-tag");
+	else
+		fail(c, "INDOUBT");
+}
+
+static void do_begin(struct session *c, bool read_only)
+{
+	if (!read_only && !c->endpoint->primary) {
+		fail(c, "READONLY");
+		return;
+	}
+	end_transaction(c);
+	c->transaction = true;
+	c->read_only = read_only;
+	done(c, NULL, "-");
+}
+
+static void do_execute(struct session *c, char *rest)
+{
+	char *save;
+	char *name = strtok_r(rest, " ", &save);
+	char *item = strtok_r(NULL, " ", &save);
+	const char *shape = name ? pair_of(c, name) : NULL;
+
+	if (!shape || !item)
+		fail(c, "NOSTMT");
+	else if (strncmp(shape, "WRITE", 5) == 0)
+		do_write(c, item, save ? save : "");
+	else
+		do_read(c, item);
+}
+
+/* SET name value and PARSE name WHAT both store a pair. */
+static void do_pair(struct session *c, char *rest)
+{
+	char *blank = strchr(rest, ' ');
+
+	if (blank)
+		*blank = '\0';
+	set_pair(c, rest, blank ? blank + 1 : "");
+	done(c, NULL, "-");
+}
+
+static bool lags(const struct session *c, char **text)
+{
+	uint64_t term;
+	uint64_t number;
+	int used = 0;
+
+	if (sscanf(*text, "WAITPOS %" SCNu64 ".%" SCNu64 " %n", &term, &number,
+		   &used) < 2 ||
+	    !used)
+		return false;
+	*text += used;
+	return applied(c->endpoint) < number;
+}
+
+static void hold(struct session *c, uint64_t term)
+{
+	struct endpoint *e = c->endpoint;
+
+	if (!e->primary && term > e->term)
+		e->held_term = term;
+	status(c);
+}
+
+static void run(struct session *c, char *text)
+{
+	char *rest;
+
+	if (lags(c, &text)) {
+		fail(c, "LAGGING");
+		return;
+	}
+	rest = strchr(text, ' ');
+	rest = rest ? rest + 1 : text + strlen(text);
+	if (strcmp(text, "STATUS") == 0) {
+		status(c);
+	} else if (strncmp(text, "PAUSE ", 6) == 0) {
+		hold(c, strtoull(rest, NULL, 10));
+	} else if (strcmp(text, "RESUME") == 0) {
+		c->endpoint->held_term = 0;
+		status(c);
+	} else if (strcmp(text, "RESET") == 0) {
+		c->pairs_count = 0;
+		done(c, NULL, "-");
+	} else if (strcmp(text, "BEGIN") == 0) {
+		do_begin(c, false);
+	} else if (strcmp(text, "BEGIN READ") == 0) {
+		do_begin(c, true);
+	} else if (strcmp(text, "COMMIT") == 0) {
+		do_commit(c);
+	} else if (strcmp(text, "ROLLBACK") == 0) {
+		end_transaction(c);
+		done(c, NULL, "-");
+	} else if (strncmp(text, "SET ", 4) == 0 ||
+		   strncmp(text, "PARSE ", 6) == 0) {
+		do_pair(c, rest);
+	} else if (strncmp(text, "EXECUTE ", 8) == 0) {
+		do_execute(c, rest);
+	} else if (c->transaction && !c->read_only && !c->endpoint->primary) {
+		fail(c, "READONLY");
+	} else if (strncmp(text, "READ ", 5) == 0) {
+		do_read(c, rest);
+	} else if (strncmp(text, "WRITE ", 6) == 0) {
+		char *value = strchr(rest, ' ');
+
+		if (value)
+			*value++ = '\0';
+		do_write(c, rest, value ? value : "");
+	} else {
+		fail(c, "MALFORMED");
+	}
+}
+
+static void on_line(struct session *c, char *line)
+{
+	struct endpoint *e = c->endpoint;
+	char group[64];
+	char who[64];
+	char id[64] = "";
+
+	if (sscanf(line, "STARTUP %63s %63s %63s", group, who, id) >= 2) {
+		if (strcmp(group, e->standin->params.group) != 0 ||
+		    (*id && strcmp(id, e->id) != 0)) {
+			say(c, "ERROR MISROUTED\r\n");
+			stream_finish(c->stream);
+			return;
+		}
+		c->open = true;
+		ready(c);
+	} else if (c->open && strncmp(line, "QUERY ", 6) == 0 &&
+		   strchr(line + 6, ' ')) {
+		run(c, strchr(line + 6, ' ') + 1);
+	} else {
+		fail(c, "MALFORMED");
+	}
+}
+
+/* Connections */
+
+static void release(struct session *c)
+{
+	if (c->prev)
+		c->prev->next = c->next;
+	else
+		c->endpoint->sessions = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+	talloc_free(c);
+}
+
+static ssize_t on_data(void *private_data, const uint8_t *data, size_t len)
+{
+	struct session *c = private_data;
+	const char *lf = memchr(data, '\n', len);
+	char *line;
+	size_t bytes;
+
+	if (!lf)
+		return 0;
+	bytes = (size_t)(lf - (const char *)data) + 1;
+	line = talloc_strndup(c, (const char *)data, bytes - 1);
+	line[strcspn(line, "\r")] = '\0';
+	on_line(c, line);
+	talloc_free(line);
+	return (ssize_t)bytes;
+}
+
+static void on_down(void *private_data, int rc)
+{
+	(void)rc;
+	release(private_data);
+}
+
+static void on_acceptable(struct tevent_context *ev, struct tevent_fd *fde,
+			  uint16_t flags, void *private_data)
+{
+	struct endpoint *e = private_data;
+	int fd = sock_accept(e->fd);
+	struct session *c;
+	struct stream_params params = { .in_max = LINE_MAX_BYTES,
+					.out_max = LINE_MAX_BYTES * 16,
+					.on_data = on_data,
+					.on_down = on_down };
+
+	(void)fde;
+	(void)flags;
+	if (fd < 0)
+		return;
+	if (e->down) {
+		close(fd);
+		return;
+	}
+	c = talloc_zero(e->standin, struct session);
+	c->endpoint = e;
+	c->next = e->sessions;
+	if (e->sessions)
+		e->sessions->prev = c;
+	e->sessions = c;
+	params.private_data = c;
+	c->stream = stream_accept(e->standin, ev, fd, &params);
+	if (!c->stream)
+		release(c);
+}
+
+static struct endpoint *leading(struct standin *s)
+{
+	for (int i = 0; i < STANDIN_ENDPOINTS; i++) {
+		if (s->endpoints[i].primary)
+			return &s->endpoints[i];
+	}
+	return NULL;
+}
+
+void standin_crash_primary(struct standin *s)
+{
+	struct endpoint *e = leading(s);
+
+	if (!e)
+		return;
+	e->down = true;
+	while (e->sessions) {
+		struct session *c = e->sessions;
+
+		stream_close(c->stream);
+		release(c);
+	}
+}
+
+void standin_drain_primary(struct standin *s)
+{
+	struct endpoint *e = leading(s);
+
+	if (e)
+		e->draining = true;
+}
+
+/* Promotions */
+
+struct promotion {
+	struct endpoint *endpoint;
+};
+
+static void on_promote(struct tevent_context *ev, struct tevent_timer *te,
+		       struct timeval now, void *private_data)
+{
+	struct promotion *p = private_data;
+	struct endpoint *e = p->endpoint;
+	struct standin *s = e->standin;
+	uint64_t term = 0;
+
+	(void)ev;
+	(void)te;
+	(void)now;
+	for (int i = 0; i < STANDIN_ENDPOINTS; i++)
+		term = s->endpoints[i].term > term ? s->endpoints[i].term
+						   : term;
+	for (int i = 0; i < STANDIN_ENDPOINTS; i++) {
+		struct endpoint *other = &s->endpoints[i];
+
+		other->primary = other == e;
+		other->held_term = 0;
+		other->term = term + 1;
+		if (other->received > e->received)
+			other->received = e->received;
+	}
+	s->commits_count = e->received;
+	talloc_free(p);
+}
+
+static uint32_t promote(struct standin *s, const json_t *body)
+{
+	const char *id = json_string_value(json_object_get(body, "id"));
+	struct promotion *p;
+
+	for (int i = 0; id && i < STANDIN_ENDPOINTS; i++) {
+		struct endpoint *e = &s->endpoints[i];
+
+		if (strcmp(e->id, id) != 0)
+			continue;
+		if (e->down)
+			return 409;
+		if (e->primary)
+			return 200;
+		p = talloc_zero(s, struct promotion);
+		p->endpoint = e;
+		tevent_add_timer(
+			s->ev, p,
+			tevent_timeval_current_ofs(0, PROMOTE_MS * 1000),
+			on_promote, p);
+		return 200;
+	}
+	return 409;
+}
+
+static void on_request(void *private_data, struct http1_request *r)
+{
+	size_t len;
+	const uint8_t *bytes = http1_body(r, &len);
+	json_t *body = json_loadb((const char *)bytes, len, 0, NULL);
+
+	http1_answer(r, body ? promote(private_data, body) : 400, NULL, NULL,
+		     0);
+	json_decref(body);
+}
+
+/* Announcements */
+
+static void on_announced(void *private_data, int rc, uint32_t status)
+{
+	struct endpoint *e = private_data;
+
+	if (rc || status != 200)
+		e->announce_at++;
+}
+
+static void announce(struct endpoint *e)
+{
+	struct standin *s = e->standin;
+	char path[96];
+	char body[512];
+	struct http1_call call = {
+		.addr = s->announce[e->announce_at % s->announce_count],
+		.method = "POST",
+		.path = path,
+		.headers = "",
+		.body = body,
+		.timeout_ms = 1000,
+		.private_data = e,
+		.done = on_announced
+	};
+
+	if (e->down)
+		return;
+	snprintf(path, sizeof(path), "/v1/instances/%s/heartbeat", e->id);
+	snprintf(body, sizeof(body),
+		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z%d\","
+		 "\"version\":\"v1\",\"slots\":3,\"state\":\"%s\","
+		 "\"cold_left_ms\":0,\"db_role\":\"%s\",\"seq\":%" PRIu64
+		 ",\"born\":%" PRIu64 "}",
+		 s->params.group, e->addr, (int)(e - s->endpoints) + 1,
+		 e->draining ? "draining" : "ready",
+		 e->primary ? "primary" : "replica", ++e->seq, e->born_ms);
+	if (http1_call_start(s, s->ev, &call))
+		e->announce_at++;
+}
+
+static void on_heartbeat(struct tevent_context *ev, struct tevent_timer *te,
+			 struct timeval now, void *private_data)
+{
+	struct standin *s = private_data;
+
+	(void)te;
+	(void)now;
+	for (int i = 0; i < STANDIN_ENDPOINTS; i++)
+		announce(&s->endpoints[i]);
+	tevent_add_timer(ev, s,
+			 tevent_timeval_current_ofs(0, HEARTBEAT_MS * 1000),
+			 on_heartbeat, s);
+}
+
+static bool start_endpoint(struct standin *s, int i)
+{
+	struct endpoint *e = &s->endpoints[i];
+	const char *colon = strrchr(s->params.listen, ':');
+	char addr[SOCK_ADDR_MAX];
+
+	snprintf(addr, sizeof(addr), "%.*s:%d", (int)(colon - s->params.listen),
+		 s->params.listen, atoi(colon + 1) + i);
+	e->standin = s;
+	e->term = 1;
+	e->primary = i == 0;
+	e->born_ms = 1700000000000 + (uint64_t)i;
+	snprintf(e->id, sizeof(e->id), "e%d", i);
+	e->fd = sock_listen(addr, e->addr);
+	return e->fd >= 0 &&
+	       tevent_add_fd(s->ev, s, e->fd, TEVENT_FD_READ, on_acceptable, e);
+}
+
+struct standin *standin_create(void *mem_ctx, struct tevent_context *ev,
+			       const struct standin_params *params)
+{
+	struct standin *s = talloc_zero(mem_ctx, struct standin);
+	struct http1_server_params server = { .addr = params->promote,
+					      .body_max = 4096,
+					      .connections_max = 64,
+					      .request_ms = 2000,
+					      .private_data = s,
+					      .on_request = on_request };
+	char *list;
+	char *save;
+
+	s->ev = ev;
+	s->params = *params;
+	s->commits = talloc_zero_array(s, struct commit, COMMITS_MAX);
+	list = talloc_strdup(s, params->announce);
+	for (char *a = strtok_r(list, ",", &save);
+	     a && s->announce_count < ADDRS_MAX; a = strtok_r(NULL, ",", &save))
+		s->announce[s->announce_count++] = a;
+	for (int i = 0; i < STANDIN_ENDPOINTS; i++) {
+		if (!start_endpoint(s, i))
+			return NULL;
+	}
+	if (!s->announce_count ||
+	    http1_server_create(s, ev, &server, &s->platform))
+		return NULL;
+	tevent_add_timer(ev, s, tevent_timeval_current(), on_heartbeat, s);
+	return s;
+}
--- /dev/null
+++ b/tests/test_platform_daemon.c
@@ -0,0 +1,706 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+/**
+ * DOC: The whole path on the platform with real processes: control instances
+ * that form a fleet from their seeds, an entry, and the stand-in's endpoints.
+ */
+
+#define CONTROLS_MAX 5
+#define ENTRY 9
+#define STANDIN 8
+#define WAIT_MS 15000
+#define LINE_WAIT_MS 5000
+
+struct fleet {
+	char *dir;
+	char net[16];
+	uint32_t controls;
+	GPid pids[16];
+};
+
+struct line_conn {
+	int fd;
+	GString *in;
+};
+
+static int next_net = 1;
+
+/* Processes */
+
+static void write_settings(const struct fleet *f, int host)
+{
+	g_autofree char *path = g_strdup_printf("%s/%d.conf", f->dir, host);
+	g_autofree char *data = g_strdup_printf("%s/data-%d", f->dir, host);
+	GString *s = g_string_new(NULL);
+
+	g_string_append_printf(
+		s,
+		"node_name=n-%d\nzone=z%d\nip=%s.%d\n"
+		"internal_ports=7560,7575\n"
+		"seeds=%s.1:8462,%s.2:8462,%s.3:8462\nbootstrap=true\n"
+		"fault_tolerance.machines=%u\nbounds.grace_s=6\n"
+		"bounds.revoke_ms=5000\ncloud_api.address=%s.%d:8466\n",
+		host, (host - 1) % 3 + 1, f->net, host, f->net, f->net, f->net,
+		f->controls / 2, f->net, STANDIN);
+	if (host == ENTRY)
+		g_string_append_printf(
+			s, "listen.front=%s.%d:8465\nlisten.ready=%s.%d:8460\n",
+			f->net, host, f->net, host);
+	else
+		g_string_append_printf(
+			s, "listen.control=%s.%d:8462\ndata_dir=%s\n", f->net,
+			host, data);
+	g_assert_true(g_file_set_contents(path, s->str, -1, NULL));
+	g_string_free(s, TRUE);
+}
+
+static void spawn(struct fleet *f, int host, char **argv)
+{
+	g_autofree char *config =
+		g_strdup_printf("LACEWINGSPAN_CONFIG=%s/%d.conf", f->dir, host);
+	char *env[] = { config, NULL };
+	g_autofree char *log = g_strdup_printf("%s/%d.log", f->dir, host);
+	int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+	g_autoptr(GError) error = NULL;
+
+	g_assert_true(
+		g_spawn_async_with_fds(NULL, argv, host == STANDIN ? NULL : env,
+				       G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL,
+				       &f->pids[host], -1, fd, fd, &error));
+	close(fd);
+}
+
+static char *program(const char *name)
+{
+	return g_strdup_printf("%s/%s", g_getenv("LWS_BUILD"), name);
+}
+
+static void start_daemon(struct fleet *f, int host)
+{
+	g_autofree char *path = program("lacewingspand");
+	char *argv[] = { path, NULL };
+
+	spawn(f, host, argv);
+}
+
+static void start_standin(struct fleet *f)
+{
+	g_autofree char *path = program("platform_standin");
+	g_autofree char *listen =
+		g_strdup_printf("--listen=%s.%d:5001", f->net, STANDIN);
+	g_autofree char *promote =
+		g_strdup_printf("--promote=%s.%d:8466", f->net, STANDIN);
+	g_autofree char *announce =
+		g_strdup_printf("--announce=%s.1:8462,%s.2:8462,%s.3:8462",
+				f->net, f->net, f->net);
+	char *argv[] = { path, listen, promote, announce, NULL };
+
+	spawn(f, STANDIN, argv);
+}
+
+static void stop(struct fleet *f, int host, int signum)
+{
+	int status;
+
+	if (!f->pids[host])
+		return;
+	kill(f->pids[host], signum);
+	waitpid(f->pids[host], &status, 0);
+	f->pids[host] = 0;
+}
+
+/* Sockets */
+
+static int connect_to(const struct fleet *f, int host, int port)
+{
+	g_autofree char *ip = g_strdup_printf("%s.%d", f->net, host);
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+				   .sin_port = htons((uint16_t)port) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	inet_pton(AF_INET, ip, &sin.sin_addr);
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin))) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+static bool read_more(int fd, GString *in, int ms)
+{
+	struct pollfd p = { .fd = fd, .events = POLLIN };
+	char buf[65536];
+	ssize_t got;
+
+	if (poll(&p, 1, ms) <= 0)
+		return false;
+	got = read(fd, buf, sizeof(buf));
+	if (got <= 0)
+		return false;
+	g_string_append_len(in, buf, got);
+	return true;
+}
+
+/* Status and body of a request; 0 when the instance does not answer. */
+static int http(const struct fleet *f, int host, int port, const char *method,
+		const char *path, const char *body, char **answer)
+{
+	g_autofree char *request = g_strdup_printf(
+		"%s %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+		"Content-Length: %zu\r\n\r\n%s",
+		method, path, strlen(body), body);
+	g_autoptr(GString) in = g_string_new(NULL);
+	int fd = connect_to(f, host, port);
+	const char *blank;
+	int status = 0;
+
+	if (fd < 0)
+		return 0;
+	if (send(fd, request, strlen(request), MSG_NOSIGNAL) > 0) {
+		while (read_more(fd, in, LINE_WAIT_MS))
+			;
+	}
+	close(fd);
+	sscanf(in->str, "HTTP/1.1 %d", &status);
+	blank = strstr(in->str, "\r\n\r\n");
+	if (answer)
+		*answer = g_strdup(blank ? blank + 4 : "");
+	return status;
+}
+
+/* Callers */
+
+static struct line_conn *open_line(const struct fleet *f)
+{
+	struct line_conn *c = g_new0(struct line_conn, 1);
+
+	c->fd = connect_to(f, ENTRY, 8465);
+	c->in = g_string_new(NULL);
+	g_assert_cmpint(c->fd, >=, 0);
+	return c;
+}
+
+static void close_line(struct line_conn *c)
+{
+	close(c->fd);
+	g_string_free(c->in, TRUE);
+	g_free(c);
+}
+
+static void send_bytes(struct line_conn *c, const char *bytes, size_t len)
+{
+	while (len) {
+		ssize_t done = send(c->fd, bytes, len, MSG_NOSIGNAL);
+
+		if (done <= 0)
+			return;
+		bytes += done;
+		len -= (size_t)done;
+	}
+}
+
+/* The next line without its end; "" when the connection ended. */
+static char *next_line(struct line_conn *c)
+{
+	for (;;) {
+		char *end = strstr(c->in->str, "\r\n");
+		char *line;
+
+		if (end) {
+			line = g_strndup(c->in->str, (gsize)(end - c->in->str));
+			g_string_erase(c->in, 0,
+				       (gssize)(end - c->in->str) + 2);
+			return line;
+		}
+		if (!read_more(c->fd, c->in, LINE_WAIT_MS))
+			return g_strdup("");
+	}
+}
+
+/* All lines up to READY or the end, joined by '|', positions cut off. */
+static char *answer_of(struct line_conn *c)
+{
+	GString *out = g_string_new(NULL);
+
+	for (;;) {
+		g_autofree char *line = next_line(c);
+
+		if (g_str_has_prefix(line, "READY"))
+			line[7] = '\0';
+		if (g_str_has_prefix(line, "ERROR"))
+			line[6 + strcspn(line + 6, " ")] = '\0';
+		g_string_append(out, line);
+		if (!*line || g_str_has_prefix(line, "READY"))
+			return g_string_free(out, FALSE);
+		g_string_append_c(out, '|');
+	}
+}
+
+static char *ask(struct line_conn *c, const char *text)
+{
+	static int id;
+	g_autofree char *line =
+		g_strdup_printf("QUERY id%d %s\r\n", ++id, text);
+
+	send_bytes(c, line, strlen(line));
+	return answer_of(c);
+}
+
+static void expect(struct line_conn *c, const char *text, const char *answer)
+{
+	g_autofree char *got = ask(c, text);
+
+	if (strcmp(got, answer) != 0)
+		g_printerr("%s\n", text);
+	g_assert_cmpstr(got, ==, answer);
+}
+
+static struct line_conn *session(const struct fleet *f, const char *database,
+				 const char *key)
+{
+	struct line_conn *c = open_line(f);
+	g_autofree char *open =
+		g_strdup_printf("STARTUP %s %s\r\n", database, key);
+	g_autofree char *got = NULL;
+
+	send_bytes(c, open, strlen(open));
+	got = answer_of(c);
+	g_assert_cmpstr(got, ==, "READY I");
+	return c;
+}
+
+/* Asks until the answer comes, as a caller does after a promise. */
+static void insist(struct line_conn *c, const char *text, const char *answer)
+{
+	gint64 until = g_get_monotonic_time() + WAIT_MS * 1000;
+	g_autofree char *got = NULL;
+
+	do {
+		g_free(got);
+		got = ask(c, text);
+		if (strcmp(got, answer) == 0)
+			return;
+		g_usleep(50 * 1000);
+	} while (g_get_monotonic_time() < until);
+	g_assert_cmpstr(got, ==, answer);
+}
+
+/* The fleet */
+
+static char *config_of(int version, const char *keys)
+{
+	return g_strdup_printf(
+		"{\"version\":%d,\"routes\":["
+		"{\"name\":\"a\",\"host\":\"pay\",\"path_prefix\":\"/\","
+		"\"type\":\"primary\",\"timeout_ms\":1000,"
+		"\"target_latency_ms\":200,\"priority\":1,\"service\":\"g1\","
+		"\"max_attempts\":2,\"public\":false},"
+		"{\"name\":\"b\",\"host\":\"door\",\"path_prefix\":\"/\","
+		"\"type\":\"read_your_writes\",\"timeout_ms\":1000,"
+		"\"target_latency_ms\":400,\"priority\":2,\"service\":\"g1\","
+		"\"max_attempts\":2,\"max_stale_ms\":2500,\"public\":false}],"
+		"\"services\":[{\"name\":\"g1\",\"max_conns\":21,"
+		"\"sync_replicas\":1}],\"limits\":{\"tx_idle_ms\":3000},"
+		"\"tenants\":[{\"name\":\"t\",\"api_keys\":[%s],"
+		"\"rate_per_s\":500,\"burst\":500}]}",
+		version, keys);
+}
+
+static int replace(const struct fleet *f, const char *config)
+{
+	gint64 until = g_get_monotonic_time() + WAIT_MS * 1000;
+	int status = 0;
+
+	for (uint32_t i = 0; g_get_monotonic_time() < until; i++) {
+		status = http(f, (int)(i % 3) + 1, 8462, "POST",
+			      "/v1/config/replace", config, NULL);
+		if (status == 200 || status == 400)
+			return status;
+		g_usleep(50 * 1000);
+	}
+	return status;
+}
+
+static void await_ready(const struct fleet *f)
+{
+	gint64 until = g_get_monotonic_time() + WAIT_MS * 1000;
+
+	while (g_get_monotonic_time() < until) {
+		if (http(f, ENTRY, 8460, "GET", "/v1/readiness", "", NULL) ==
+		    200)
+			return;
+		g_usleep(50 * 1000);
+	}
+	g_assert_not_reached();
+}
+
+static struct fleet *fleet_start(uint32_t controls)
+{
+	struct fleet *f = g_new0(struct fleet, 1);
+	g_autofree char *config = config_of(5, "\"k1\",\"k2\"");
+	struct line_conn *c;
+
+	f->dir = g_dir_make_tmp("lws-XXXXXX", NULL);
+	snprintf(f->net, sizeof(f->net), "127.%d.%d", 1 + getpid() % 200,
+		 next_net++);
+	f->controls = controls;
+	for (uint32_t i = 1; i <= controls; i++) {
+		write_settings(f, (int)i);
+		start_daemon(f, (int)i);
+	}
+	write_settings(f, ENTRY);
+	start_daemon(f, ENTRY);
+	start_standin(f);
+	g_assert_cmpint(replace(f, config), ==, 200);
+	await_ready(f);
+	c = session(f, "pay", "k1");
+	insist(c, "WRITE warm up", "COMPLETE write-tag|READY I");
+	close_line(c);
+	return f;
+}
+
+static void fleet_stop(struct fleet *f)
+{
+	g_autofree char *rm = g_strdup_printf("%s", f->dir);
+
+	for (int i = 0; i < 16; i++)
+		stop(f, i, SIGKILL);
+	if (!g_test_failed()) {
+		for (int i = 1; i <= ENTRY; i++) {
+			g_autofree char *conf =
+				g_strdup_printf("%s/%d.conf", rm, i);
+			g_autofree char *log =
+				g_strdup_printf("%s/%d.log", rm, i);
+
+			g_unlink(conf);
+			g_unlink(log);
+		}
+	}
+	g_free(f->dir);
+	g_free(f);
+}
+
+/* Tests */
+
+struct statement_case {
+	/* Which of two sessions asks. */
+	int who;
+	const char *text;
+	const char *answer;
+};
+
+static const struct statement_case statement_cases[] = {
+	{ 0, "WRITE bed leila", "COMPLETE write-tag|READY I" },
+	{ 0, "READ bed", "DATAROW leila:-|COMPLETE read-tag|READY I" },
+	/* Values and prepared names belong to one session. */
+	{ 0, "SET who guide", "COMPLETE -|READY I" },
+	{ 0, "READ bed", "DATAROW leila:guide|COMPLETE read-tag|READY I" },
+	{ 1, "READ bed", "DATAROW leila:-|COMPLETE read-tag|READY I" },
+	{ 0, "PARSE s WRITE q1", "COMPLETE -|READY I" },
+	{ 1, "PARSE s READ q2", "COMPLETE -|READY I" },
+	{ 0, "EXECUTE s bed abel", "COMPLETE write-tag|READY I" },
+	{ 1, "EXECUTE s bed", "DATAROW abel:-|COMPLETE read-tag|READY I" },
+	{ 1, "CLOSE s", "COMPLETE -|READY I" },
+	{ 1, "EXECUTE s bed", "ERROR NOSTMT|READY I" },
+	/* A transaction that commits, and one that does not. */
+	{ 0, "BEGIN", "COMPLETE -|READY T" },
+	{ 0, "BEGIN", "ERROR MALFORMED|READY T" },
+	{ 0, "WRITE bed sara", "COMPLETE write-tag|READY T" },
+	{ 1, "READ bed", "DATAROW abel:-|COMPLETE read-tag|READY I" },
+	{ 0, "COMMIT", "COMPLETE commit-tag|READY I" },
+	{ 1, "READ bed", "DATAROW sara:-|COMPLETE read-tag|READY I" },
+	{ 0, "BEGIN", "COMPLETE -|READY T" },
+	{ 0, "WRITE bed nobody", "COMPLETE write-tag|READY T" },
+	{ 0, "ROLLBACK", "COMPLETE -|READY I" },
+	{ 1, "READ bed", "DATAROW sara:-|COMPLETE read-tag|READY I" },
+	{ 1, "BEGIN READ", "COMPLETE -|READY T" },
+	{ 1, "READ bed", "DATAROW sara:-|COMPLETE read-tag|READY T" },
+	{ 1, "COMMIT", "COMPLETE commit-tag|READY I" },
+	/* Out of place. */
+	{ 0, "COMMIT", "ERROR MALFORMED|READY I" },
+	{ 0, "ROLLBACK", "ERROR MALFORMED|READY I" },
+	{ 0, "DROP bed", "ERROR MALFORMED|READY I" },
+	{ 0, "WAITPOS 1.1 READ bed", "ERROR MALFORMED|READY I" },
+};
+
+static void test_sessions(void)
+{
+	struct fleet *f = fleet_start(3);
+	struct line_conn *sessions[] = { session(f, "pay", "k1"),
+					 session(f, "pay", "k2") };
+	struct line_conn *door = session(f, "door", "k1");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statement_cases); i++)
+		expect(sessions[statement_cases[i].who],
+		       statement_cases[i].text, statement_cases[i].answer);
+	/* A session sees its own writes at once, whoever answers. */
+	for (int i = 0; i < 20; i++) {
+		g_autofree char *write = g_strdup_printf("WRITE gate v%d", i);
+		g_autofree char *row = g_strdup_printf(
+			"DATAROW v%d:-|COMPLETE read-tag|READY I", i);
+
+		expect(door, write, "COMPLETE write-tag|READY I");
+		expect(door, "READ gate", row);
+	}
+	/* A caller that leaves inside a transaction leaves nothing. */
+	expect(sessions[0], "BEGIN", "COMPLETE -|READY T");
+	expect(sessions[0], "WRITE bed ghost", "COMPLETE write-tag|READY T");
+	close_line(sessions[0]);
+	expect(sessions[1], "READ bed",
+	       "DATAROW sara:-|COMPLETE read-tag|READY I");
+	close_line(sessions[1]);
+	close_line(door);
+	fleet_stop(f);
+}
+
+struct hostile_case {
+	const char *bytes;
+	size_t len;
+	const char *answer;
+};
+
+#define BYTES(s) (s), sizeof(s) - 1
+
+static const struct hostile_case hostile_cases[] = {
+	{ BYTES("QUERY 1 READ bed\r\n"), "ERROR MALFORMED|" },
+	{ BYTES("STARTUP pay wrong\r\n"), "ERROR AUTHFAIL|" },
+	{ BYTES("STARTUP nowhere k1\r\n"), "ERROR NODB|" },
+	{ BYTES("STARTUP\r\n"), "ERROR MALFORMED|" },
+	{ BYTES("STARTUP pay k1\n"), "ERROR MALFORMED|" },
+	{ BYTES("STARTUP pay k1\r\nSTARTUP pay k1\r\n"), "READY I" },
+	{ BYTES("STARTUP p\0y k1\r\n"), "ERROR MALFORMED|" },
+	{ BYTES("\xff\xfe\r\n"), "ERROR MALFORMED|" },
+	{ BYTES("GET / HTTP/1.1\r\n"), "ERROR MALFORMED|" },
+};
+
+static void test_hostile(void)
+{
+	struct fleet *f = fleet_start(3);
+	struct line_conn *good = session(f, "pay", "k1");
+	struct line_conn *idle[64];
+	g_autofree char *huge = g_strnfill((2 << 20), 'x');
+	struct line_conn *c;
+	g_autofree char *answer = NULL;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(hostile_cases); i++) {
+		g_autofree char *got = NULL;
+
+		c = open_line(f);
+		send_bytes(c, hostile_cases[i].bytes, hostile_cases[i].len);
+		got = answer_of(c);
+		g_assert_cmpstr(got, ==, hostile_cases[i].answer);
+		close_line(c);
+	}
+	/* A line without an end is cut off at 1 MiB. */
+	c = open_line(f);
+	send_bytes(c, huge, strlen(huge));
+	answer = answer_of(c);
+	g_assert_cmpstr(answer, ==, "");
+	close_line(c);
+	/* Two statements at once are answered one after the other. */
+	send_bytes(good, BYTES("QUERY a WRITE x 1\r\nQUERY b READ x\r\n"));
+	g_free(answer);
+	answer = answer_of(good);
+	g_assert_cmpstr(answer, ==, "COMPLETE write-tag|READY I");
+	g_free(answer);
+	answer = answer_of(good);
+	g_assert_cmpstr(answer, ==, "DATAROW 1:-|COMPLETE read-tag|READY I");
+	/* Half-open connections do not keep others out. */
+	for (int i = 0; i < 64; i++)
+		idle[i] = open_line(f);
+	expect(good, "READ x", "DATAROW 1:-|COMPLETE read-tag|READY I");
+	for (int i = 0; i < 64; i++)
+		close_line(idle[i]);
+	close_line(good);
+	fleet_stop(f);
+}
+
+/* Acknowledged writes survive the primary; @signum lets it crash or leave. */
+static void lose_primary(int signum)
+{
+	struct fleet *f = fleet_start(3);
+	struct line_conn *c = session(f, "pay", "k1");
+
+	for (int i = 0; i < 20; i++) {
+		g_autofree char *write = g_strdup_printf("WRITE i%d v%d", i, i);
+
+		expect(c, write, "COMPLETE write-tag|READY I");
+	}
+	kill(f->pids[STANDIN], signum);
+	insist(c, "WRITE after it", "COMPLETE write-tag|READY I");
+	for (int i = 0; i < 20; i++) {
+		g_autofree char *read = g_strdup_printf("READ i%d", i);
+		g_autofree char *row = g_strdup_printf(
+			"DATAROW v%d:-|COMPLETE read-tag|READY I", i);
+
+		insist(c, read, row);
+		if (g_test_failed())
+			break;
+	}
+	close_line(c);
+	fleet_stop(f);
+}
+
+static void test_crash(void)
+{
+	lose_primary(SIGUSR1);
+}
+
+static void test_leaving(void)
+{
+	lose_primary(SIGUSR2);
+}
+
+static void test_configuration(void)
+{
+	struct fleet *f = fleet_start(3);
+	struct line_conn *c = session(f, "pay", "k1");
+	g_autofree char *newer = config_of(9, "\"k2\"");
+	g_autofree char *older = config_of(7, "\"k1\"");
+	g_autofree char *other = config_of(9, "\"k3\"");
+	g_autofree char *bad = config_of(11, "\"k1\",7");
+	gint64 until = g_get_monotonic_time() + WAIT_MS * 1000;
+	bool withdrawn = false;
+
+	g_assert_cmpint(replace(f, newer), ==, 200);
+	g_assert_cmpint(replace(f, older), ==, 200);
+	g_assert_cmpint(replace(f, other), ==, 200);
+	g_assert_cmpint(replace(f, bad), ==, 400);
+	for (int i = 1; i <= 3; i++) {
+		g_autofree char *read = NULL;
+
+		g_assert_cmpint(
+			http(f, i, 8462, "GET", "/v1/config/read", "", &read),
+			==, 200);
+		g_assert_cmpstr(read, ==, newer);
+	}
+	/* The open session's key was withdrawn. */
+	while (!withdrawn && g_get_monotonic_time() < until) {
+		g_autofree char *got = ask(c, "READ x");
+
+		withdrawn = strcmp(got, "ERROR AUTHFAIL|READY I") == 0;
+	}
+	g_assert_true(withdrawn);
+	close_line(c);
+	c = session(f, "pay", "k2");
+	close_line(c);
+	fleet_stop(f);
+}
+
+/* Not ready at once; what rests is ended; what is open may finish. */
+static void test_stop(void)
+{
+	struct fleet *f = fleet_start(3);
+	struct line_conn *rests = session(f, "pay", "k1");
+	struct line_conn *open = session(f, "pay", "k1");
+	g_autofree char *end = NULL;
+	int status;
+
+	expect(open, "BEGIN", "COMPLETE -|READY T");
+	expect(open, "WRITE last one", "COMPLETE write-tag|READY T");
+	kill(f->pids[ENTRY], SIGTERM);
+	g_usleep(100 * 1000);
+	g_assert_cmpint(http(f, ENTRY, 8460, "GET", "/v1/readiness", "", NULL),
+			==, 503);
+	expect(rests, "READ last",
+	       "DATAROW nothing:-|COMPLETE read-tag|READY I");
+	expect(open, "COMMIT", "COMPLETE commit-tag|READY I");
+	end = next_line(rests);
+	g_assert_cmpstr(end, ==, "");
+	waitpid(f->pids[ENTRY], &status, 0);
+	f->pids[ENTRY] = 0;
+	g_assert_true(WIFEXITED(status));
+	g_assert_cmpint(WEXITSTATUS(status), ==, 0);
+	close_line(rests);
+	close_line(open);
+	fleet_stop(f);
+}
+
+static void await_metric(const struct fleet *f, const char *line)
+{
+	gint64 until = g_get_monotonic_time() + WAIT_MS * 1000;
+
+	while (g_get_monotonic_time() < until) {
+		for (uint32_t i = 1; i <= f->controls; i++) {
+			g_autofree char *text = NULL;
+
+			if (f->pids[i] &&
+			    http(f, (int)i, 9464, "GET", "/metrics", "",
+				 &text) == 200 &&
+			    strstr(text, line))
+				return;
+		}
+		g_usleep(100 * 1000);
+	}
+	g_error("no instance says %s", line);
+}
+
+/* Three seeds form the fleet; two losses at once need five voters. */
+static void test_voters(void)
+{
+	struct fleet *f = fleet_start(5);
+	g_autofree char *newer = config_of(9, "\"k1\"");
+
+	await_metric(f, "lws_voters 5\n");
+	stop(f, 1, SIGKILL);
+	stop(f, 2, SIGKILL);
+	g_assert_cmpint(replace(f, newer), ==, 200);
+	await_metric(f, "lws_catalog_version 9\n");
+	fleet_stop(f);
+}
+
+/* The id of a failed statement leads to its reason in the entry's log. */
+static void test_trail(void)
+{
+	struct fleet *f = fleet_start(3);
+	struct line_conn *c = session(f, "pay", "k1");
+	g_autofree char *path = g_strdup_printf("%s/%d.log", f->dir, ENTRY);
+	g_autofree char *log = NULL;
+	g_autofree char *got = NULL;
+	const char *line;
+
+	kill(f->pids[STANDIN], SIGSTOP);
+	send_bytes(c, BYTES("QUERY lost-1 WRITE x y\r\n"));
+	got = answer_of(c);
+	kill(f->pids[STANDIN], SIGCONT);
+	g_assert_true(g_str_has_prefix(got, "ERROR "));
+	g_usleep(100 * 1000);
+	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+	line = strstr(log, "\"id\":\"lost-1\"");
+	g_assert_nonnull(line);
+	g_assert_nonnull(strstr(line, "\"reason\":"));
+	close_line(c);
+	fleet_stop(f);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	/* Every test ends the processes that it started. */
+	g_test_set_nonfatal_assertions();
+	if (!g_getenv("LWS_BUILD"))
+		g_setenv("LWS_BUILD", "build", TRUE);
+	g_test_add_func("/platform-daemon/sessions", test_sessions);
+	g_test_add_func("/platform-daemon/hostile", test_hostile);
+	g_test_add_func("/platform-daemon/crash", test_crash);
+	g_test_add_func("/platform-daemon/leaving", test_leaving);
+	g_test_add_func("/platform-daemon/configuration", test_configuration);
+	g_test_add_func("/platform-daemon/stop", test_stop);
+	g_test_add_func("/platform-daemon/voters", test_voters);
+	g_test_add_func("/platform-daemon/trail", test_trail);
+	return g_test_run();
+}
