Give a leaving primary nothing more when nobody follows it in time

Test: /pooler/left-primary. Lint: one file a call, since clang-tidy's check of va_list reports a file that is right after another in the same call; two findings mended.

--- a/Makefile
+++ b/Makefile
@@ -83,7 +83,7 @@
 	clang-format --dry-run --Werror $(FORMATTED)
 
 lint:
-	@echo $(filter %.c,$(FORMATTED)) | xargs -n 2 -P $$(nproc) sh -c \
+	@echo $(filter %.c,$(FORMATTED)) | xargs -n 1 -P $$(nproc) sh -c \
 		'clang-tidy --quiet "$$@" -- -std=gnu11 -D_GNU_SOURCE \
 		$(filter-out -MMD -MP,$(CPPFLAGS)) 2>/dev/null' clang-tidy
 	cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr \
--- a/lib/admit/fair_queue.c
+++ b/lib/admit/fair_queue.c
@@ -1,5 +1,6 @@
 #include "fair_queue.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <talloc.h>
 
@@ -219,6 +220,8 @@
 {
 	struct fair_queue_flow *flow = item->flow;
 
+	/* An item that waits has a flow. */
+	assert(flow);
 	if (flow == next_flow(q))
 		q->virtual_time = flow->start_tag;
 	flow->start_tag += VIRTUAL_UNIT / flow->worth;
--- a/lib/common/lws_log.c
+++ b/lib/common/lws_log.c
@@ -169,8 +169,7 @@
 
 	if (line) {
 		json_object_set_new(line, "of", json_string(e->name));
-		json_object_set_new(line, "lines",
-				    json_integer(e->suppressed));
+		json_object_set_new(line, "lines", json_integer(e->suppressed));
 	}
 	write_line(log, line);
 	json_decref(line);
--- a/lib/daemon/entry.c
+++ b/lib/daemon/entry.c
@@ -676,6 +676,7 @@
 	struct pooler_params params = {
 		.key_fresh_us = s->key_fresh_ms * LWS_US_PER_MS,
 		.suspect_us = s->suspect_ms * LWS_US_PER_MS,
+		.leave_us = s->leave_ms * LWS_US_PER_MS,
 		.customer_bound = true,
 		.seed = c->daemon->incarnation,
 	};
--- a/lib/daemon/settings.h
+++ b/lib/daemon/settings.h
@@ -35,6 +35,8 @@
  * @suspect_ms: silence that makes an endpoint suspect
  * @drain_ms: longest graceful stop
  * @log_level: most detailed level that is logged
+ * @leave_ms: how long a leaving primary may still get statements, 0: until
+ *            another leads
  * @statement_listen: address for callers of a statement protocol; NULL
  *                    without
  * @metrics_listen: address of the metrics; NULL without
@@ -66,6 +68,7 @@
 	uint32_t suspect_ms;
 	uint32_t drain_ms;
 	enum lws_log_level log_level;
+	uint32_t leave_ms;
 	const char *statement_listen;
 	const char *metrics_listen;
 	bool seeds_form;
--- a/lib/session/pool_conns.c
+++ b/lib/session/pool_conns.c
@@ -461,11 +461,20 @@
 	return cost;
 }
 
+/* It was told to expect nothing new by now. */
+static bool has_left(const struct pool_endpoint *e, uint64_t now_us)
+{
+	uint64_t leave_us = e->group->pooler->params.leave_us;
+
+	return leave_us && e->leaving_us && now_us - e->leaving_us > leave_us;
+}
+
 static bool can_read(const struct pool_group *g, const struct pool_endpoint *e,
 		     const struct pool_job *job, uint32_t index,
 		     uint64_t now_us)
 {
-	if (!e->known || (!e->present && e != g->primary) || e->suspect)
+	if (!e->known || (!e->present && e != g->primary) || e->suspect ||
+	    has_left(e, now_us))
 		return false;
 	if ((job->lagging & (1U << index)) && now_us < e->lag_until_us)
 		return false;
@@ -537,6 +546,10 @@
 		s->job.wait_reason = "no_primary";
 		return NULL;
 	}
+	if (has_left(e, now_us)) {
+		s->job.wait_reason = "primary_left";
+		return NULL;
+	}
 	if (e->suspect || now_us < e->read_only_until_us) {
 		s->job.wait_reason = "primary_suspect";
 		return NULL;
@@ -617,7 +630,7 @@
 	if (!serves(c, s->customer))
 		return NULL;
 	if (!anywhere)
-		return e == g->primary && !e->suspect &&
+		return e == g->primary && !e->suspect && !has_left(e, now_us) &&
 				       now_us >= e->read_only_until_us &&
 				       now_us >= e->busy_until_us
 			       ? s
@@ -1055,6 +1068,10 @@
 	e->slots = from->slots;
 	e->known = true;
 	e->present = from->present;
+	if (!from->leaving)
+		e->leaving_us = 0;
+	else if (!e->leaving_us)
+		e->leaving_us = now_us;
 }
 
 /* The old primary will never commit what is open there. */
--- a/lib/session/pooler.h
+++ b/lib/session/pooler.h
@@ -36,6 +36,8 @@
  * @key_fresh_us: keys count this long after a confirmation
  * @suspect_us: silence of a primary that is being asked which makes it
  *              suspect
+ * @leave_us: a primary that asked for no new work gets none this long after
+ *            that was heard, even if no other was found
  * @customer_bound: a connection serves the customer it was opened for only
  * @seed: seed for jitter
  */
@@ -43,6 +45,7 @@
 	char failure_domain[FLEET_NAME_MAX];
 	uint64_t key_fresh_us;
 	uint64_t suspect_us;
+	uint64_t leave_us;
 	bool customer_bound;
 	uint64_t seed;
 };
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -151,6 +151,8 @@
 	uint64_t lag_pause_us;
 	uint64_t read_only_until_us;
 	uint64_t heard_us;
+	/* When it was heard that it leaves, 0 while it does not. */
+	uint64_t leaving_us;
 	bool suspect;
 };
 
--- a/tests/support_pool.c
+++ b/tests/support_pool.c
@@ -944,6 +944,7 @@
 	struct pool_world_entry *e = g_new0(struct pool_world_entry, 1);
 	struct pooler_params params = { .key_fresh_us = 3000 * MS,
 					.suspect_us = 400 * MS,
+					.leave_us = 1000 * MS,
 					.customer_bound = true,
 					.seed = w->params.seed + i };
 	struct pooler_ops ops = {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -113,22 +113,28 @@
 static void test_line_length(void)
 {
 	size_t max = line_codec.message_max;
-	g_autofree char *line = g_malloc(max + 2);
+	g_autoptr(GString) text = g_string_new("QUERY 1 READ ");
+	char *line;
 	struct caller_message msg;
 
-	memset(line, 'x', max + 2);
-	memcpy(line, "QUERY 1 READ ", 13);
+	while (text->len < max + 2)
+		g_string_append_c(text, 'x');
+	line = text->str;
 	g_assert_cmpint(
 		line_codec.decode_caller((uint8_t *)line, max - 1, &msg), ==,
 		0);
 	g_assert_cmpint(line_codec.decode_caller((uint8_t *)line, max, &msg),
 			==, LWS_E_WIRE_TOO_BIG);
-	memcpy(line + max - 2, "\r\n", 2);
+	line[max - 2] = '\r';
+	line[max - 1] = '\n';
 	g_assert_cmpint(
 		line_codec.decode_caller((uint8_t *)line, max + 2, &msg), ==,
 		(ssize_t)max);
 	g_assert_cmpint(msg.kind, ==, CALLER_STATEMENT);
-	memcpy(line + max - 2, "xx\r\n", 4);
+	line[max - 2] = 'x';
+	line[max - 1] = 'x';
+	line[max] = '\r';
+	line[max + 1] = '\n';
 	g_assert_cmpint(
 		line_codec.decode_caller((uint8_t *)line, max + 2, &msg), ==,
 		LWS_E_WIRE_TOO_BIG);
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -63,6 +63,20 @@
 	pool_world_lead(w, 2);
 }
 
+/* Nobody follows it: it gets nothing more, and callers hear so. */
+static void left_primary(struct pool_world *w)
+{
+	w->fleet->groups[0].endpoint[0].leaving = true;
+	w->fleet->groups[0].endpoint[0].present = false;
+	pool_world_fleet_changed(w);
+	/* Until then it serves; what was begun may still end. */
+	pool_world_run(w, 3000 * MS);
+	w->endpoints[0].statements = 0;
+	pool_world_run(w, 1000 * MS);
+	g_assert_cmpuint(w->endpoints[0].statements, ==, 0);
+	pool_world_lead(w, 1);
+}
+
 static void hot_customer(struct pool_world *w)
 {
 	w->hot = 4;
@@ -84,6 +98,7 @@
 	{ "gone-replica", gone_replica, 0.9 },
 	{ "new-primary", new_primary, 0.9 },
 	{ "dark-primary", dark_primary, 0.5 },
+	{ "left-primary", left_primary, 0 },
 	{ "hot-customer", hot_customer, 0 },
 };
 
