Split the pooler into files of one job each

Change: connections, steps of a statement, choosing, results, the group; sessions, statements, outcomes.

--- /dev/null
+++ b/lib/session/pool_group.c
@@ -0,0 +1,250 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "lws_str.h"
+#include "pooler_internal.h"
+
+/* The group */
+
+static struct pool_endpoint *find_endpoint(const struct pool_group *g,
+					   const char *id)
+{
+	for (uint32_t i = 0; i < g->endpoints_count; i++) {
+		if (strcmp(g->endpoints[i]->id, id) == 0)
+			return g->endpoints[i];
+	}
+	return NULL;
+}
+
+static void drop_idle(struct pool_endpoint *e, uint64_t now_us)
+{
+	struct pool_conn *next;
+
+	for (struct pool_conn *c = e->conns; c; c = next) {
+		next = c->next;
+		if (c->state == CONN_IDLE)
+			pool_drop(c, now_us);
+	}
+}
+
+/* Places of endpoints that are gone are filled by others. */
+static void forget_gone(struct pool_group *g)
+{
+	for (uint32_t i = 0; i < g->endpoints_count; i++) {
+		if (g->endpoints[i]->known || g->endpoints[i]->conns)
+			continue;
+		talloc_free(g->endpoints[i]);
+		g->endpoints[i--] = g->endpoints[--g->endpoints_count];
+		g->endpoints[g->endpoints_count] = NULL;
+	}
+}
+
+static struct pool_endpoint *add_endpoint(struct pool_group *g, const char *id)
+{
+	struct pool_endpoint *e;
+
+	if (g->endpoints_count == FLEET_ENDPOINTS_MAX)
+		return NULL;
+	e = talloc_zero(g, struct pool_endpoint);
+	if (!e)
+		return NULL;
+	e->group = g;
+	e->limit = POOL_LIMIT_FIRST;
+	LWS_STR_COPY(e->id, id);
+	g->endpoints[g->endpoints_count++] = e;
+	return e;
+}
+
+static void update_endpoint(struct pool_endpoint *e, uint64_t now_us,
+			    const struct fleet_endpoint *from)
+{
+	if (strcmp(e->addr, from->addr) != 0 ||
+	    e->incarnation != from->incarnation) {
+		LWS_STR_COPY(e->addr, from->addr);
+		e->incarnation = from->incarnation;
+		e->fail_until_us = 0;
+		e->failures = 0;
+		e->suspect = false;
+		drop_idle(e, now_us);
+	}
+	LWS_STR_COPY(e->failure_domain, from->failure_domain);
+	e->slots = from->slots;
+	e->known = true;
+	e->present = from->present;
+	if (!from->leaving)
+		e->leaving_us = 0;
+	else if (!e->leaving_us)
+		e->leaving_us = now_us;
+}
+
+/* The old primary will never commit what is open there. */
+static void lead_moved(struct pool_group *g, uint64_t now_us)
+{
+	struct pool_endpoint *old = g->primary;
+	struct pool_conn *next;
+
+	for (struct pool_conn *c = old ? old->conns : NULL; c; c = next) {
+		struct pool_session *s = c->session;
+
+		next = c->next;
+		if (!s || s->read_only || s->state == TRANSACTION_NONE)
+			continue;
+		if (c->state == CONN_HELD) {
+			s->lost = STATEMENT_E_ABORTED;
+			s->conn = NULL;
+			c->session = NULL;
+			pool_drop(c, now_us);
+		}
+	}
+}
+
+void pool_group_update(struct pool_group *g, uint64_t now_us,
+		       const struct fleet_group *state)
+{
+	struct pool_endpoint *primary = NULL;
+
+	for (uint32_t i = 0; i < g->endpoints_count; i++) {
+		g->endpoints[i]->known = false;
+		g->endpoints[i]->present = false;
+	}
+	for (uint32_t i = 0; state && i < state->count; i++) {
+		const struct fleet_endpoint *from = &state->endpoint[i];
+		struct pool_endpoint *e = find_endpoint(g, from->id);
+
+		if (!e)
+			e = add_endpoint(g, from->id);
+		if (!e)
+			continue;
+		update_endpoint(e, now_us, from);
+		if (state->primary_term &&
+		    strcmp(state->primary, from->id) == 0)
+			primary = e;
+	}
+	if (primary != g->primary ||
+	    (state && state->primary_term != g->primary_term)) {
+		if (primary != g->primary)
+			lead_moved(g, now_us);
+		g->primary = primary;
+		g->primary_term = state ? state->primary_term : 0;
+		if (primary) {
+			primary->suspect = false;
+			primary->read_only_until_us = 0;
+			primary->failures = 0;
+		}
+	}
+	for (uint32_t i = 0; i < g->endpoints_count; i++) {
+		if (!g->endpoints[i]->known)
+			drop_idle(g->endpoints[i], now_us);
+	}
+	forget_gone(g);
+}
+
+/* Watching the primary */
+
+void pool_report(struct pool_group *g, bool again)
+{
+	struct pooler *p = g->pooler;
+	const struct pool_endpoint *e = g->primary;
+
+	if (!e || (!again && !g->report_due) || (again && !e->suspect))
+		return;
+	g->report_due = false;
+	p->ops.report(p->ops.private_data, g->name, e->id, g->primary_term,
+		      e->suspect);
+}
+
+/* What an endpoint that runs answers at once, whatever its load. */
+static bool is_question(const struct pool_conn *c)
+{
+	return c->state == CONN_PROVING || c->state == CONN_CLEANING ||
+	       (c->state == CONN_OPENING && !c->up);
+}
+
+/* When the oldest order without an answer was sent, UINT64_MAX for none. */
+static uint64_t asked_since_us(const struct pool_endpoint *e, bool questions)
+{
+	uint64_t since = UINT64_MAX;
+
+	for (const struct pool_conn *c = e->conns; c; c = c->next) {
+		if ((questions ? is_question(c)
+			       : c->expected || c->state == CONN_OPENING) &&
+		    c->sent_us < since)
+			since = c->sent_us;
+	}
+	return since;
+}
+
+/* How long an endpoint has said nothing since it was asked. */
+static uint64_t silence_us(const struct pool_endpoint *e, bool questions,
+			   uint64_t now_us)
+{
+	uint64_t since = asked_since_us(e, questions);
+
+	if (since != UINT64_MAX && since < e->heard_us)
+		since = e->heard_us;
+	return since < now_us ? now_us - since : 0;
+}
+
+/*
+ * Statements may take long; a question about the lead takes no slot, and a
+ * connection is accepted whatever the load. So only those that stay without
+ * an answer make a primary suspect.
+ */
+static void watch_primary(struct pool_group *g, uint64_t now_us)
+{
+	struct pool_endpoint *e = g->primary;
+	uint64_t suspect_us = g->pooler->params.suspect_us;
+	bool suspect;
+
+	if (!e)
+		return;
+	suspect = e->failures >= POOL_FAILURES_SUSPECT ||
+		  (silence_us(e, true, now_us) > suspect_us / 2 &&
+		   silence_us(e, false, now_us) > suspect_us) ||
+		  silence_us(e, false, now_us) > suspect_us * POOL_HANGS_TIMES;
+	if (!suspect && silence_us(e, false, now_us) > suspect_us / 2)
+		pool_ask_primary(g, now_us);
+	if (suspect != e->suspect) {
+		e->suspect = suspect;
+		g->report_due = true;
+	}
+	if (suspect && now_us - g->reported_us > POOL_REPORT_PAUSE_US)
+		g->report_due = true;
+	if (g->report_due)
+		g->reported_us = now_us;
+	pool_report(g, false);
+}
+
+/* A rollback, opening or question that is never answered. */
+static struct pool_conn *silent_conn(const struct pool_endpoint *e,
+				     uint64_t now_us)
+{
+	uint64_t limit_us = 2 * e->group->pooler->params.suspect_us;
+
+	for (struct pool_conn *c = e->conns; c; c = c->next) {
+		if ((c->state == CONN_OPENING || c->state == CONN_PROVING ||
+		     c->state == CONN_CLEANING) &&
+		    now_us > c->sent_us && now_us - c->sent_us > limit_us)
+			return c;
+	}
+	return NULL;
+}
+
+static void close_silent(struct pool_endpoint *e, uint64_t now_us)
+{
+	struct pool_conn *conn;
+
+	while ((conn = silent_conn(e, now_us)))
+		pooler_conn_down(e->group->pooler, now_us, conn);
+}
+
+void pool_group_tick(struct pool_group *g, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < g->endpoints_count; i++) {
+		close_silent(g->endpoints[i], now_us);
+		pool_give_back(g->endpoints[i], now_us);
+	}
+	watch_primary(g, now_us);
+	forget_gone(g);
+	pool_dispatch(g, now_us);
+}
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -283,35 +283,81 @@
 	struct pooler_stats stats;
 };
 
-/* pooler.c */
+/* pooler.c: sessions, answers, time */
 void pooler_answer(struct pool_session *s, uint64_t now_us,
 		   const struct caller_reply *reply, const char *reason);
 void pooler_refuse(struct pool_session *s, uint64_t now_us,
 		   enum statement_error error, enum transaction_state state,
 		   const char *reason);
+void pooler_note(struct pool_session *s, uint64_t now_us, const char *event,
+		 enum statement_error error, const char *reason,
+		 uint64_t age_us);
+void pooler_leave_conn(struct pool_session *s, uint64_t now_us,
+		       enum transaction_state state);
+void pooler_answer_here(struct pool_session *s, uint64_t now_us,
+			enum transaction_state state);
+
+/* pooler_statement.c: what a statement needs before it waits */
+void pooler_requeue(struct pool_session *s, uint64_t now_us);
+struct pool_group *pooler_group_of(struct pooler *p, const char *name);
+enum statement_error pooler_check_access(struct pool_session *s,
+					 uint64_t now_us, const char **reason);
+enum transaction_state pooler_state_after_error(const struct pool_session *s);
+uint64_t pooler_send_by_us(const struct pool_session *s);
+void pooler_fail_transaction(struct pool_session *s, uint64_t now_us,
+			     enum statement_error error, const char *reason);
+void pooler_refuse_rate(struct pool_session *s, uint64_t now_us);
+void pooler_start_admitted(struct pool_session *s, uint64_t now_us);
+void pooler_note_lagging(struct pool_job *job, const struct pool_endpoint *e);
+
+/* pooler_outcome.c: what came of it */
 void pooler_job_lost(struct pool_session *s, uint64_t now_us, bool sent);
 void pooler_job_result(struct pool_session *s, uint64_t now_us,
 		       const struct endpoint_result *result);
 void pooler_not_started(struct pool_session *s, uint64_t now_us,
 			enum statement_error error,
 			const struct pool_endpoint *by);
-void pooler_requeue(struct pool_session *s, uint64_t now_us);
-void pooler_note(struct pool_session *s, uint64_t now_us, const char *event,
-		 enum statement_error error, const char *reason,
-		 uint64_t age_us);
 
-/* pool_conns.c */
-uint64_t pool_expected_wait_us(const struct pool_session *s,
-			       const struct fair_queue *q);
-void pool_dispatch(struct pool_group *g, uint64_t now_us);
-void pool_run(struct pool_session *s, struct pool_conn *conn, uint64_t now_us);
+/* pool_conns.c: connections to one endpoint */
 void pool_release(struct pool_conn *conn, uint64_t now_us,
 		  enum transaction_state state);
 void pool_forget_opening(struct pool_session *s);
 void pool_hold(struct pool_conn *conn);
 void pool_drop(struct pool_conn *conn, uint64_t now_us);
+void pool_forget_record(struct pool_conn *conn);
+struct pool_conn *pool_open(struct pool_endpoint *e, const char *customer,
+			    uint64_t now_us);
+bool pool_serves(const struct pool_conn *conn, const char *customer);
+struct pool_conn *pool_idle(const struct pool_endpoint *e, const char *customer,
+			    uint64_t values_hash);
+struct pool_conn *pool_conn_for(struct pool_endpoint *e, struct pool_session *s,
+				uint64_t now_us);
+void pool_go_idle(struct pool_conn *conn, uint64_t now_us);
+void pool_give_back(struct pool_endpoint *e, uint64_t now_us);
+void pool_set_state(struct pool_conn *conn, enum conn_state state);
+void pool_send(struct pool_conn *conn, uint64_t now_us,
+	       const struct endpoint_order *orders, uint32_t count);
+bool pool_may_open(const struct pool_endpoint *e, uint64_t now_us);
+
+/* pool_steps.c: what is sent for a statement */
+void pool_run(struct pool_session *s, struct pool_conn *conn, uint64_t now_us);
+void pool_next_step(struct pool_session *s, struct pool_conn *conn,
+		    uint64_t now_us);
+
+/* pool_choose.c: who is next, and where */
+uint64_t pool_expected_wait_us(const struct pool_session *s,
+			       const struct fair_queue *q);
+void pool_dispatch(struct pool_group *g, uint64_t now_us);
 void pool_sample(struct pool_group *g, uint64_t proved_us,
 		 struct log_position position);
+bool pool_can_read(const struct pool_group *g, const struct pool_endpoint *e,
+		   const struct pool_job *job, uint32_t index, uint64_t now_us);
+bool pool_find_wait(struct pool_session *s);
+void pool_begin_on(struct fair_queue *q, struct pool_session *s,
+		   struct pool_conn *conn, uint64_t now_us);
+void pool_ask_primary(struct pool_group *g, uint64_t now_us);
+
+/* pool_group.c: endpoints of a group, watching the primary */
 void pool_group_tick(struct pool_group *g, uint64_t now_us);
 void pool_group_update(struct pool_group *g, uint64_t now_us,
 		       const struct fleet_group *state);
--- /dev/null
+++ b/lib/session/pooler_outcome.c
@@ -0,0 +1,193 @@
+#include <string.h>
+
+#include "lws_str.h"
+#include "pooler_internal.h"
+
+/* Outcomes */
+
+static bool time_left(const struct pool_session *s, uint64_t now_us)
+{
+	return now_us < pooler_send_by_us(s);
+}
+
+/* The statement has not run and holds no connection. */
+void pooler_not_started(struct pool_session *s, uint64_t now_us,
+			enum statement_error error,
+			const struct pool_endpoint *by)
+{
+	struct pool_job *job = &s->job;
+
+	if (error == STATEMENT_E_LAGGING)
+		pooler_note_lagging(job, by);
+	if (job->kind == JOB_IN_TRANSACTION) {
+		pooler_refuse(s, now_us, STATEMENT_E_ABORTED,
+			      TRANSACTION_FAILED, "the connection was lost");
+		return;
+	}
+	if (time_left(s, now_us)) {
+		pooler_requeue(s, now_us);
+		return;
+	}
+	pooler_refuse(s, now_us, STATEMENT_E_BUSY, pooler_state_after_error(s),
+		      "no endpoint took it in time");
+}
+
+static void lost_commit(struct pool_session *s, uint64_t now_us, bool sent)
+{
+	if (sent && s->wrote)
+		pooler_refuse(s, now_us, STATEMENT_E_IN_DOUBT, TRANSACTION_NONE,
+			      "the connection was lost during the commit");
+	else
+		pooler_refuse(s, now_us, STATEMENT_E_ABORTED, TRANSACTION_NONE,
+			      "the connection was lost before the commit");
+}
+
+/* Its connection ended; @sent: the statement itself had been sent. */
+void pooler_job_lost(struct pool_session *s, uint64_t now_us, bool sent)
+{
+	struct pool_job *job = &s->job;
+
+	if (!sent) {
+		pooler_not_started(s, now_us, STATEMENT_E_NONE, NULL);
+		return;
+	}
+	if (job->st.kind == STATEMENT_COMMIT) {
+		lost_commit(s, now_us, sent);
+		return;
+	}
+	if (s->state != TRANSACTION_NONE) {
+		pooler_refuse(s, now_us, STATEMENT_E_ABORTED,
+			      TRANSACTION_FAILED, "the connection was lost");
+		return;
+	}
+	if (job->writes) {
+		pooler_refuse(s, now_us, STATEMENT_E_IN_DOUBT, TRANSACTION_NONE,
+			      "the connection was lost during the write");
+		return;
+	}
+	if (job->attempts < s->attempts_max && time_left(s, now_us))
+		pooler_requeue(s, now_us);
+	else
+		pooler_refuse(s, now_us, STATEMENT_E_ABORTED, TRANSACTION_NONE,
+			      "the connection was lost");
+}
+
+static void note_commit(struct pool_session *s,
+			const struct endpoint_result *result)
+{
+	if (!result->position.term && !result->position.number)
+		return;
+	s->committed = result->position;
+	LWS_STR_COPY(s->committed_group, s->job.group->name);
+}
+
+static void succeeded(struct pool_session *s, uint64_t now_us,
+		      const struct endpoint_result *result)
+{
+	struct pool_job *job = &s->job;
+	struct pool_conn *conn = s->conn;
+	struct caller_reply reply = { .rows = result->rows,
+				      .tag = result->tag,
+				      .position = result->position };
+	bool commit = job->st.kind == STATEMENT_COMMIT;
+
+	if ((commit && s->wrote) ||
+	    (s->state == TRANSACTION_NONE && job->writes))
+		note_commit(s, result);
+	if (s->state == TRANSACTION_NONE && !job->writes) {
+		if (conn->endpoint == job->group->primary)
+			s->pooler->stats.primary_reads++;
+		else
+			s->pooler->stats.replica_reads++;
+	}
+	lws_histogram_add(&s->pooler->stats.answered_us[s->urgency],
+			  now_us - job->arrived_us);
+	if (s->state != TRANSACTION_NONE && !commit) {
+		reply.state = TRANSACTION_OPEN;
+		pool_hold(conn);
+	} else {
+		pool_release(conn, now_us, result->state);
+	}
+	pooler_answer(s, now_us, &reply, NULL);
+}
+
+static void lone_error(struct pool_session *s, uint64_t now_us,
+		       const struct endpoint_result *result)
+{
+	struct pool_job *job = &s->job;
+	enum statement_error error = result->error;
+
+	if (error == STATEMENT_E_LAGGING)
+		pooler_note_lagging(job, s->conn->endpoint);
+	pool_release(s->conn, now_us, result->state);
+	if (statement_error_not_run(error)) {
+		if (time_left(s, now_us))
+			pooler_requeue(s, now_us);
+		else
+			pooler_refuse(s, now_us, error, TRANSACTION_NONE,
+				      "no endpoint took it in time");
+		return;
+	}
+	if (!job->writes && job->attempts < s->attempts_max &&
+	    time_left(s, now_us)) {
+		pooler_requeue(s, now_us);
+		return;
+	}
+	pooler_refuse(s, now_us,
+		      error == STATEMENT_E_OTHER ? STATEMENT_E_FAILED : error,
+		      TRANSACTION_NONE, "answered by the endpoint");
+}
+
+static void commit_error(struct pool_session *s, uint64_t now_us,
+			 const struct endpoint_result *result)
+{
+	enum statement_error error = result->error;
+
+	pool_release(s->conn, now_us, result->state);
+	if (error == STATEMENT_E_OTHER || error == STATEMENT_E_MALFORMED)
+		error = STATEMENT_E_FAILED;
+	pooler_refuse(s, now_us, error, TRANSACTION_NONE,
+		      "the endpoint answered the commit");
+}
+
+static void transaction_error(struct pool_session *s, uint64_t now_us,
+			      const struct endpoint_result *result)
+{
+	struct pool_job *job = &s->job;
+	enum statement_error error = result->error;
+
+	if (error == STATEMENT_E_BUSY && result->state == TRANSACTION_OPEN &&
+	    time_left(s, now_us)) {
+		job->place = JOB_AGAIN;
+		/* The transaction has begun there. */
+		job->kind = JOB_IN_TRANSACTION;
+		job->again_us = s->conn->endpoint->busy_until_us;
+		return;
+	}
+	if (job->st.kind == STATEMENT_COMMIT) {
+		commit_error(s, now_us, result);
+		return;
+	}
+	if (job->kind == JOB_FIRST && statement_error_not_run(error) &&
+	    time_left(s, now_us)) {
+		s->wrote = false;
+		pool_release(s->conn, now_us, TRANSACTION_OPEN);
+		pooler_requeue(s, now_us);
+		return;
+	}
+	if (error == STATEMENT_E_OTHER || error == STATEMENT_E_MALFORMED ||
+	    error == STATEMENT_E_NOT_PREPARED)
+		error = STATEMENT_E_FAILED;
+	pooler_fail_transaction(s, now_us, error, "answered by the endpoint");
+}
+
+void pooler_job_result(struct pool_session *s, uint64_t now_us,
+		       const struct endpoint_result *result)
+{
+	if (!result->error)
+		succeeded(s, now_us, result);
+	else if (s->state == TRANSACTION_NONE)
+		lone_error(s, now_us, result);
+	else
+		transaction_error(s, now_us, result);
+}
