--- a/bench/bench_pooler.c
+++ b/bench/bench_pooler.c
@@ -101,7 +101,8 @@
 	       "\"unit\":\"share\",\"value\":%.4f,\"served\":%.4f,"
 	       "\"late\":%.4f,\"refused\":%.4f,\"failed\":%.4f,\"bound\":%.2f,"
 	       "\"seeds\":%d,\"ok\":%s}\n",
-	       deployment, load, who, worth, served, (double)t->late / (double)t->asked,
+	       deployment, load, who, worth, served,
+	       (double)t->late / (double)t->asked,
 	       (double)t->refused / (double)t->asked,
 	       (double)t->failed / (double)t->asked, bound, SEEDS,
 	       ok ? "true" : "false");
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -27,8 +27,7 @@
 {
 	uint32_t n = 0;
 
-	for (const char *at = strstr(text, what); at;
-	     at = strstr(at + 1, what))
+	for (const char *at = strstr(text, what); at; at = strstr(at + 1, what))
 		n++;
 	return n;
 }
