--- a/bench/bench_slopes.c
+++ b/bench/bench_slopes.c
@@ -90,7 +90,8 @@
 
 static double ask_us(uint32_t instances, uint32_t customers)
 {
-	struct rate_owner_params params = { 600 * LWS_US_PER_MS, 10 };
+	struct rate_owner_params params = { .ttl_us = 600 * LWS_US_PER_MS,
+					    .drift_percent = 10 };
 	struct rate_owner *owner = rate_owner_create(NULL, &params, 0);
 	uint64_t *members = g_new(uint64_t, instances);
 	uint64_t now = 10 * LWS_US_PER_S;
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -10,10 +10,13 @@
 
 /* Shared by the files of the pooler. */
 
-/* Positions of a primary that are remembered, and the pause between two. */
+/*
+ * Positions of a primary that are remembered, and the pause between two: 1.6 s
+ * of history. A read that accepts older data gets a newer position.
+ */
 #define POOL_SAMPLES 32
 #define POOL_SAMPLE_PAUSE_US (50 * LWS_US_PER_MS)
-/* Connections that are left to the control role and to restarts. */
+/* Connections left to the control role: a status and an order at a time. */
 #define POOL_RESERVED_CONNS 2
 /* Connections above the even share, and those of them that may rest. */
 #define POOL_EXTRA_CONNS 6
@@ -22,7 +25,7 @@
 #define POOL_EXTRA_LINGER_US (150 * LWS_US_PER_MS)
 /* After a refused connection extras are closed at once for this long. */
 #define POOL_SCARCE_US (2000 * LWS_US_PER_MS)
-/* What an endpoint is taken to need for a new connection. */
+/* What endpoints were seen to need for a new connection. */
 #define POOL_HANDSHAKE_US (12 * LWS_US_PER_MS)
 /* Tokens are fetched every 100 ms: who has none after two rounds is over. */
 #define POOL_TOKEN_WAIT_US (200 * LWS_US_PER_MS)
@@ -45,22 +48,28 @@
 #define POOL_FIT_LEFT_PERCENT 40
 /* Part of a statement's timeout that it may wait before it is sent. */
 #define POOL_WAIT_PERCENT 60
-/* After a refused connection for lack of room. */
+/* After a refused connection for lack of room: about ten statements long. */
 #define POOL_FULL_PAUSE_US (200 * LWS_US_PER_MS)
-/* After an answer that the endpoint has no room: first and longest pause. */
+/*
+ * After an answer that the endpoint has no room: first and longest pause, a
+ * part of a short statement and two of the usual ones.
+ */
 #define POOL_BUSY_PAUSE_US (4 * LWS_US_PER_MS)
 #define POOL_BUSY_PAUSE_MAX_US (32 * LWS_US_PER_MS)
-/* After a failed connection: first and longest pause. */
+/* After a failed connection: first and longest pause, below a promotion. */
 #define POOL_FAIL_PAUSE_US (50 * LWS_US_PER_MS)
 #define POOL_FAIL_PAUSE_MAX_US (800 * LWS_US_PER_MS)
-/* After a log that lacked a position: first and longest pause. */
+/* After a log that lacked a position: a usual lag, and the longest pause. */
 #define POOL_LAG_PAUSE_US (25 * LWS_US_PER_MS)
 #define POOL_LAG_PAUSE_MAX_US (800 * LWS_US_PER_MS)
-/* After the endpoint that should lead said that it does not. */
+/*
+ * After the endpoint that should lead said that it does not: a round trip to
+ * the control leader and back.
+ */
 #define POOL_READ_ONLY_PAUSE_US (20 * LWS_US_PER_MS)
 /* A statement of an endpoint that was never asked is expected to take. */
 #define POOL_SERVICE_US (10 * LWS_US_PER_MS)
-/* What another failure domain costs when endpoints are compared. */
+/* Another failure domain costs a round trip more. */
 #define POOL_FAR_US (1 * LWS_US_PER_MS)
 /*
  * An endpoint that accepts a connection but does not open it within this
@@ -75,7 +84,10 @@
 #define POOL_ORDERS_MAX (SESSION_VALUES_MAX + 2)
 /* Prepared names on one connection before it is reset. */
 #define POOL_PREPARED_MAX (SESSION_PREPARED_MAX - 1)
-/* Pause of the tick while statements are under way, and while none is. */
+/*
+ * Pause of the tick while statements are under way, as long as the shortest
+ * pause above; and while none is.
+ */
 #define POOL_TICK_US (4 * LWS_US_PER_MS)
 #define POOL_IDLE_TICK_US (100 * LWS_US_PER_MS)
 /* A planned stop ends a session that rested this long. */
--- a/lib/session/statement.c
+++ b/lib/session/statement.c
@@ -53,7 +53,7 @@
 bool text_is(struct text text, const char *string)
 {
 	return text.len == strlen(string) &&
-	       memcmp(text.at, string, text.len) == 0;
+	       (!text.len || memcmp(text.at, string, text.len) == 0);
 }
 
 bool text_copy(struct text text, char *out, size_t room)
