One test for a voter, one look-up for an endpoint that goes

Cause: control_form.c and control_leader.c each held a copy of the test for a voter that raft_log.c already has; apply_leave and apply_gone held the same look-up and the same test of age.

Error kinds and their order stay.

Ruled out here: one add_voter()/remove_voter() for control_form.c and control_leader.c. They log different fields and differ in the learner, so merging them is a change of behaviour; listed on the issue.

--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -473,19 +473,29 @@
 	return 0;
 }
 
-static int apply_leave(struct fleet *fleet, const struct fleet_command *command)
+/* The endpoint that @command takes away; an older report changes nothing. */
+static int find_announced(struct fleet *fleet,
+			  const struct fleet_command *command,
+			  struct fleet_group **group,
+			  struct fleet_endpoint **endpoint)
 {
-	struct fleet_group *group =
-		fleet_find_group(fleet, command->endpoint.group);
-	struct fleet_endpoint *endpoint =
-		group ? fleet_find_endpoint(group,
-					    command->endpoint.endpoint.id)
-		      : NULL;
+	const struct fleet_endpoint *from = &command->endpoint.endpoint;
 
-	if (!endpoint)
+	*group = fleet_find_group(fleet, command->endpoint.group);
+	*endpoint = *group ? fleet_find_endpoint(*group, from->id) : NULL;
+	if (!*endpoint)
 		return LWS_E_NOT_FOUND;
-	if (announced_before(endpoint, &command->endpoint.endpoint))
-		return LWS_E_VERSION_CONFLICT;
+	return announced_before(*endpoint, from) ? LWS_E_VERSION_CONFLICT : 0;
+}
+
+static int apply_leave(struct fleet *fleet, const struct fleet_command *command)
+{
+	struct fleet_group *group;
+	struct fleet_endpoint *endpoint;
+	int rc = find_announced(fleet, command, &group, &endpoint);
+
+	if (rc)
+		return rc;
 	endpoint->incarnation = command->endpoint.endpoint.incarnation;
 	endpoint->seq = command->endpoint.endpoint.seq;
 	endpoint->present = false;
@@ -495,17 +505,12 @@
 
 static int apply_gone(struct fleet *fleet, const struct fleet_command *command)
 {
-	struct fleet_group *group =
-		fleet_find_group(fleet, command->endpoint.group);
-	struct fleet_endpoint *endpoint =
-		group ? fleet_find_endpoint(group,
-					    command->endpoint.endpoint.id)
-		      : NULL;
+	struct fleet_group *group;
+	struct fleet_endpoint *endpoint;
+	int rc = find_announced(fleet, command, &group, &endpoint);
 
-	if (!endpoint)
-		return LWS_E_NOT_FOUND;
-	if (announced_before(endpoint, &command->endpoint.endpoint))
-		return LWS_E_VERSION_CONFLICT;
+	if (rc)
+		return rc;
 	remove_endpoint(group, (uint32_t)(endpoint - group->endpoint));
 	return 0;
 }
--- a/lib/control/raft_internal.h
+++ b/lib/control/raft_internal.h
@@ -83,7 +83,6 @@
 			       uint64_t to, uint64_t after_seq);
 void raft_push_hard(struct raft *r);
 void raft_set_role(struct raft *r, enum raft_role role);
-bool raft_is_voter(const struct raft_voters *v, uint64_t id);
 uint32_t raft_majority(const struct raft *r);
 struct progress *raft_progress_of(struct raft *r, uint64_t id);
 void raft_align_progress(struct raft *r);
--- a/lib/daemon/control_form.c
+++ b/lib/daemon/control_form.c
@@ -147,15 +147,6 @@
 
 /* Voters */
 
-static bool is_voter(const struct raft_voters *voters, uint64_t id)
-{
-	for (uint32_t i = 0; i < voters->count; i++) {
-		if (voters->member[i].id == id)
-			return true;
-	}
-	return false;
-}
-
 static const char *domain_of(const struct control *c, const char *name)
 {
 	const struct fleet_instance *i = fleet_find_instance(c->fleet, name);
@@ -182,7 +173,7 @@
 	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p)) {
 		const struct wire_hello *hello = peer_hello(p);
 
-		if (!hello->member || is_voter(voters, hello->member) ||
+		if (!hello->member || raft_is_voter(voters, hello->member) ||
 		    (hello->cluster && hello->cluster != c->identity.cluster))
 			continue;
 		if (!best || voters_in(c, hello->failure_domain) <
--- a/lib/daemon/control_leader.c
+++ b/lib/daemon/control_leader.c
@@ -264,15 +264,6 @@
 	return -1;
 }
 
-static bool is_voter_id(const struct raft_voters *voters, uint64_t id)
-{
-	for (uint32_t i = 0; i < voters->count; i++) {
-		if (voters->member[i].id == id)
-			return true;
-	}
-	return false;
-}
-
 static void remove_voter(struct control *c, uint32_t at, uint64_t now_us)
 {
 	struct raft_voters next = *raft_voters(c->raft);
@@ -317,7 +308,7 @@
 		old = voter_named(voters, hello->name, hello->member);
 		if (old < 0)
 			continue;
-		if (is_voter_id(voters, hello->member)) {
+		if (raft_is_voter(voters, hello->member)) {
 			remove_voter(c, (uint32_t)old, now_us);
 		} else if (voters->count < RAFT_VOTERS_MAX) {
 			raft_set_learner(c->raft, hello->member);
