Hold tokens for customers with a few requests a second

Cause: an instance learned its demand in whole requests a tick, and one request fell to none in the next tick. Change: demand in thousandths of a request, learned over about a second; a crowd is still believed at once.

--- a/lib/admit/rate_holder.c
+++ b/lib/admit/rate_holder.c
@@ -7,6 +7,15 @@
  * election of a new owner and are spent before they expire.
  */
 #define DEMAND_TICKS 4
+/* Demand counts thousandths of a request, so that slow customers show. */
+#define DEMAND_UNIT 1000U
+/* Part of the difference that is learned in a tick: about a second's mean. */
+#define DEMAND_LEARN 8U
+/*
+ * Below one request in two seconds nothing is held: over a large fleet the
+ * tokens held in vain would keep the burst from filling.
+ */
+#define DEMAND_LEAST (DEMAND_UNIT / 20)
 /* An account without arrivals for this long asks no more. */
 #define IDLE_US (2 * LWS_US_PER_S)
 
@@ -25,15 +34,20 @@
 static void learn_demand(struct rate_account *account, uint64_t now_us)
 {
 	uint32_t arrivals = atomic_exchange(&account->arrivals, 0);
+	uint32_t seen;
 
 	if (arrivals || atomic_load(&account->waiting))
 		account->idle_since_us = now_us;
-	/* Rises at once, falls by an eighth a tick. */
-	if (arrivals >= account->demand_per_tick)
-		account->demand_per_tick = arrivals;
+	/* A crowd is believed at once, a single request only in part. */
+	seen = arrivals * DEMAND_UNIT;
+	if (arrivals > 1 && seen > account->demand)
+		account->demand = seen;
+	else if (seen > account->demand)
+		account->demand += (seen - account->demand) / DEMAND_LEARN;
 	else
-		account->demand_per_tick -=
-			(account->demand_per_tick - arrivals + 7) / 8;
+		account->demand -= (account->demand - seen) / DEMAND_LEARN;
+	if (!seen && account->demand < DEMAND_LEAST)
+		account->demand = 0;
 }
 
 bool rate_account_tick(struct rate_account *account, uint64_t now_us,
@@ -50,7 +64,9 @@
 		account->returned = 0;
 	}
 	waiting = atomic_load(&account->waiting);
-	target = (int64_t)account->demand_per_tick * DEMAND_TICKS + waiting;
+	target = ((int64_t)account->demand * DEMAND_TICKS + DEMAND_UNIT - 1) /
+			 DEMAND_UNIT +
+		 waiting;
 	account->returned += drain(account, target * 2);
 	held = atomic_load(&account->tokens);
 	if (now_us - account->idle_since_us > IDLE_US && !held &&
--- a/lib/admit/rate_holder.h
+++ b/lib/admit/rate_holder.h
@@ -35,7 +35,8 @@
 	_Atomic uint64_t expires_us;
 	_Atomic uint64_t starved_us;
 
-	uint32_t demand_per_tick;
+	/* requests a keeper's tick, in thousandths */
+	uint32_t demand;
 	uint32_t returned;
 	uint64_t idle_since_us;
 };
--- a/lib/admit/rate_keeper.c
+++ b/lib/admit/rate_keeper.c
@@ -66,7 +66,7 @@
 void rate_keeper_give_back(struct rate_keeper *k)
 {
 	for (struct node *node = k->all; node; node = node->next_of_all)
-		node->account.demand_per_tick = 0;
+		node->account.demand = 0;
 	k->tick_us = 0;
 }
 
--- a/tests/test_rates.c
+++ b/tests/test_rates.c
@@ -44,6 +44,7 @@
 	struct message *messages;
 	uint64_t spent;
 	uint64_t refused;
+	uint64_t at_once;
 	uint64_t waiting[INSTANCES];
 	uint64_t wait_until[INSTANCES];
 	double level;
@@ -183,6 +184,7 @@
 	atomic_fetch_add(&a->arrivals, 1);
 	if (rate_account_take(a, local(f, i))) {
 		note_spent(f);
+		f->at_once++;
 		return;
 	}
 	f->waiting[i]++;
@@ -334,6 +336,42 @@
 	fleet_down(f);
 }
 
+struct steady_case {
+	const char *name;
+	uint32_t rate;
+	uint32_t load_per_s;
+};
+
+/*
+ * The usual load of the platform's customers: a few requests a second at each
+ * of nine instances, so most ticks of a keeper see no request. A round trip to
+ * the owner before each of them would be paid by every caller.
+ */
+static void test_steady_finds_tokens(void)
+{
+	static const struct steady_case cases[] = {
+		{ "two-a-second-each", 25, 18 },
+		{ "five-a-second-each", 60, 45 },
+		{ "twelve-a-second-each", 120, 108 },
+	};
+
+	for (size_t k = 0; k < G_N_ELEMENTS(cases); k++) {
+		struct fake_fleet *f =
+			fleet_up(k + 1, cases[k].rate, cases[k].rate);
+
+		run(f, 2 * LWS_US_PER_S, cases[k].load_per_s);
+		f->spent = 0;
+		f->at_once = 0;
+		run(f, 20 * LWS_US_PER_S, cases[k].load_per_s);
+		g_test_message("%s: %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
+			       " at once",
+			       cases[k].name, f->at_once, f->spent);
+		g_assert_cmpuint(f->refused, ==, 0);
+		g_assert_cmpuint(f->at_once * 5, >=, f->spent * 4);
+		fleet_down(f);
+	}
+}
+
 /* At ten times its rate it still gets its rate. */
 static void test_overload_gets_the_rate(void)
 {
@@ -563,6 +601,7 @@
 		g_test_add_data_func(path, &rate_cases[i], test_never_over);
 	}
 	g_test_add_func("/rates/calm", test_calm_serves_the_rate);
+	g_test_add_func("/rates/steady", test_steady_finds_tokens);
 	g_test_add_func("/rates/overload", test_overload_gets_the_rate);
 	g_test_add_func("/rates/new-owner", test_new_owner);
 	g_test_add_func("/rates/expired", test_expired_tokens);
