Cut a torn log only where nothing later proves it synced; add a fault soak

A loss of power keeps any part of the writes since the last sync, a later one without an earlier one too, so a record that cannot be read proves no damage. Ruled out: cutting at any record that cannot be read; synced records would be lost in silence. Change: each record names the bytes of the file that were synced before it was written. A record that cannot be read is damage if a readable one after it says that it was synced, and is cut otherwise. The header grows to 24 bytes; files of earlier versions are not read.

--- a/lib/control/store.c
+++ b/lib/control/store.c
@@ -180,6 +180,17 @@
 	}
 }
 
+/* Offsets in a header; the check covers all of it but itself. */
+#define HEADER_CHECK 0
+#define HEADER_SIZE 4
+#define HEADER_SYNCED 8
+#define HEADER_HASH 16
+
+static uint32_t header_check(const uint8_t *header)
+{
+	return XXH32(header + HEADER_SIZE, STORE_HEADER_BYTES - HEADER_SIZE, 0);
+}
+
 int store_encode(msgpack_sbuffer *out, const struct store_record *record)
 {
 	uint8_t header[STORE_HEADER_BYTES];
@@ -191,9 +202,10 @@
 		pack_writer_clear(&w);
 		return LWS_E_WIRE_TOO_BIG;
 	}
-	put_u32(header, (uint32_t)w.buf.size);
-	put_u32(header + 4, XXH32(header, 4, 0));
-	put_u64(header + 8, XXH64(w.buf.data, w.buf.size, 0));
+	put_u32(header + HEADER_SIZE, (uint32_t)w.buf.size);
+	put_u64(header + HEADER_SYNCED, 0);
+	put_u64(header + HEADER_HASH, XXH64(w.buf.data, w.buf.size, 0));
+	put_u32(header + HEADER_CHECK, header_check(header));
 	msgpack_sbuffer_write(out, (const char *)header, sizeof(header));
 	msgpack_sbuffer_write(out, w.buf.data, w.buf.size);
 	pack_writer_clear(&w);
@@ -249,15 +261,17 @@
 	*record = (struct store_record){ 0 };
 	if (len < STORE_HEADER_BYTES || all_zero(data, len))
 		return 0;
-	size = get_u32(data);
-	if (get_u32(data + 4) != XXH32(data, 4, 0))
+	size = get_u32(data + HEADER_SIZE);
+	if (get_u32(data + HEADER_CHECK) != header_check(data))
 		return LWS_E_STORE_CORRUPT;
 	if (!size || size > STORE_RECORD_MAX)
 		return LWS_E_STORE_CORRUPT;
 	if (size > len - STORE_HEADER_BYTES)
 		return 0;
-	if (XXH64(data + STORE_HEADER_BYTES, size, 0) != get_u64(data + 8))
+	if (XXH64(data + STORE_HEADER_BYTES, size, 0) !=
+	    get_u64(data + HEADER_HASH))
 		return LWS_E_STORE_CORRUPT;
+	record->synced = get_u64(data + HEADER_SYNCED);
 	rc = pack_reader_init(&r, data + STORE_HEADER_BYTES, size);
 	rc = rc ? LWS_E_STORE_CORRUPT : unpack_record(mem_ctx, &r, record);
 	pack_reader_clear(&r);
@@ -265,3 +279,34 @@
 		*used = STORE_HEADER_BYTES + size;
 	return rc;
 }
+
+void store_seal(uint8_t *bytes, size_t len, uint64_t synced)
+{
+	size_t at = 0;
+
+	while (at < len) {
+		put_u64(bytes + at + HEADER_SYNCED, synced);
+		put_u32(bytes + at + HEADER_CHECK, header_check(bytes + at));
+		at += STORE_HEADER_BYTES + get_u32(bytes + at + HEADER_SIZE);
+	}
+}
+
+uint64_t store_synced_after(const uint8_t *data, size_t len)
+{
+	uint64_t synced = 0;
+	size_t at = 0;
+
+	while (len - at >= STORE_HEADER_BYTES) {
+		void *scratch = talloc_new(NULL);
+		struct store_record record;
+		size_t used;
+		int rc = store_decode(scratch, data + at, len - at, &record,
+				      &used);
+
+		talloc_free(scratch);
+		if (!rc && used && record.synced > synced)
+			synced = record.synced;
+		at += !rc && used ? used : 1;
+	}
+	return synced;
+}
--- a/lib/control/store.h
+++ b/lib/control/store.h
@@ -12,17 +12,18 @@
  *
  * One file holds records in the order of writing: the identity of the data
  * folder, then hard states, snapshots and entries. A record is a header of
- * STORE_HEADER_BYTES (payload length, check of the length, xxHash64 of the
- * payload) and a msgpack payload. A later entry with an index at or below the
- * last cuts the log.
+ * STORE_HEADER_BYTES (payload length, check of the header, bytes of the file
+ * that were synced before, xxHash64 of the payload) and a msgpack payload. A
+ * later entry with an index at or below the last cuts the log.
  *
  * Reading: a record that the file ends inside of, or a tail of zeros, was
- * never synced and is cut. A complete record with a wrong checksum may have
- * been acknowledged: the file counts as damaged (LWS_E_STORE_CORRUPT) and the
- * caller treats the folder as lost.
+ * never synced and is cut. Of the writes since the last sync a loss of power
+ * keeps any part: a record that cannot be read was synced only if a later one
+ * says so. Then the file counts as damaged (LWS_E_STORE_CORRUPT) and the
+ * caller treats the folder as lost; otherwise it is cut there.
  */
 
-#define STORE_HEADER_BYTES 16
+#define STORE_HEADER_BYTES 24
 #define STORE_RECORD_MAX (64U * 1024U * 1024U)
 
 /**
@@ -43,8 +44,15 @@
 	STORE_RECORD_TYPE_COUNT,
 };
 
+/**
+ * struct store_record - one record
+ * @type: which member of the union counts
+ * @synced: bytes of the file that were synced before it was written; set by
+ *          store_seal() and store_decode()
+ */
 struct store_record {
 	enum store_record_type type;
+	uint64_t synced;
 	union {
 		struct store_identity identity;
 		struct {
@@ -65,6 +73,18 @@
  */
 int store_encode(msgpack_sbuffer *out, const struct store_record *record);
 
+/** store_seal() - note in whole records what was synced before their write */
+void store_seal(uint8_t *bytes, size_t len, uint64_t synced);
+
+/**
+ * store_synced_after() - what the readable records in a damaged rest say
+ * @data: bytes from the damage on
+ * @len: number of bytes
+ *
+ * Return: the largest number of synced bytes that one of them names.
+ */
+uint64_t store_synced_after(const uint8_t *data, size_t len);
+
 /**
  * store_decode() - read the record at the start of a buffer
  * @mem_ctx: talloc parent of what the record points to
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -513,6 +513,8 @@
 		params.listen_fd = sock_listen(s->peer_listen, c->peer_addr);
 		if (params.listen_fd < 0)
 			return params.listen_fd;
+		if (s->peer_advertise)
+			LWS_STR_COPY(c->peer_addr, s->peer_advertise);
 		LWS_STR_COPY(params.hello.addr, c->peer_addr);
 	}
 	rc = peer_hub_create(c, c->ev, &params, &c->hub);
--- a/lib/daemon/settings.c
+++ b/lib/daemon/settings.c
@@ -46,6 +46,9 @@
 	  AT(admin_listen), 0, 0 },
 	{ "peer-listen", "IP:PORT", "Address for other instances",
 	  SETTING_ADDRESS, AT(peer_listen), 0, 0 },
+	{ "peer-advertise", "IP:PORT",
+	  "Address that other instances are told (that of --peer-listen)",
+	  SETTING_ADDRESS, AT(peer_advertise), 0, 0 },
 	{ "metrics-listen", "IP:PORT", "Address of the metrics, as text",
 	  SETTING_ADDRESS, AT(metrics_listen), 0, 0 },
 	{ "control", "LIST",
@@ -161,7 +164,7 @@
 		*at = *at == '-' ? '_' : (char)toupper((unsigned char)*at);
 }
 
-static void read_environment(struct settings *s)
+void settings_environment(struct settings *s)
 {
 	for (size_t i = 0; i < SETTINGS_COUNT; i++) {
 		char variable[64];
@@ -224,6 +227,8 @@
 	if (s->data && !s->peer_listen)
 		fail("--data needs --peer-listen: other instances must reach "
 		     "a control instance");
+	if (s->peer_advertise && !s->peer_listen)
+		fail("--peer-advertise needs --peer-listen");
 	if (s->suspect_ms < 2 * s->probe_ms)
 		fail("--suspect-ms must be at least twice --probe-ms");
 	if (!*s->operator_key && strncmp(s->admin_listen, "127.", 4) != 0)
@@ -265,7 +270,7 @@
 						   .key = FIRST_KEY + (int)i,
 						   .arg = table[i].arg,
 						   .doc = table[i].doc };
-	read_environment(s);
+	settings_environment(s);
 	argp_parse(&argp, argc, argv, 0, NULL, s);
 	read_key(s->operator_key_file, s->operator_key);
 	read_key(s->endpoint_key_file, s->endpoint_key);
--- a/lib/daemon/settings.h
+++ b/lib/daemon/settings.h
@@ -20,6 +20,8 @@
  * @listen: address for callers
  * @admin_listen: address for operators and announcements of endpoints
  * @peer_listen: address for other instances; NULL without
+ * @peer_advertise: address that other instances are told, where they reach
+ *                  @peer_listen through something in between; NULL: the same
  * @control: peer addresses of the control instances, separated by commas
  * @data: data folder; NULL without a disk
  * @operator_key: operators must show it; "" for none
@@ -50,6 +52,7 @@
 	const char *listen;
 	const char *admin_listen;
 	const char *peer_listen;
+	const char *peer_advertise;
 	const char *control;
 	const char *data;
 	char operator_key[SETTINGS_KEY_MAX];
@@ -80,6 +83,12 @@
  */
 void settings_default(struct settings *s);
 
+/**
+ * settings_environment() - take the variables that are set; ends the process
+ * with a message on standard error when one of them is wrong
+ */
+void settings_environment(struct settings *s);
+
 /**
  * settings_parse() - read environment and flags; ends the process with a
  * message on standard error when one of them is wrong
--- a/lib/io/disk.c
+++ b/lib/io/disk.c
@@ -31,6 +31,8 @@
 	int lock_fd;
 	int fd;
 	off_t length;
+	/* Part of it that is known to be durable. */
+	off_t synced;
 
 	pthread_t thread;
 	pthread_mutex_t lock;
@@ -95,7 +97,11 @@
 
 static int append_job(struct disk *disk, const struct job *job)
 {
-	int rc = write_all(disk->fd, job->bytes.data, job->bytes.size);
+	int rc;
+
+	store_seal((uint8_t *)job->bytes.data, job->bytes.size,
+		   (uint64_t)disk->synced);
+	rc = write_all(disk->fd, job->bytes.data, job->bytes.size);
 
 	if (!rc) {
 		disk->length += (off_t)job->bytes.size;
@@ -129,6 +135,7 @@
 	close(disk->fd);
 	disk->fd = fd;
 	disk->length = (off_t)job->bytes.size;
+	disk->synced = disk->length;
 	return fsync(disk->folder_fd) ? LWS_E_IO : 0;
 }
 
@@ -183,10 +190,12 @@
 		job = next;
 	}
 	/* After a failed sync the pages may be lost: never report it. */
-	if (ok && fdatasync(disk->fd) == 0)
+	if (ok && fdatasync(disk->fd) == 0) {
+		disk->synced = disk->length;
 		tell(disk, seq, 0);
-	else if (ok)
+	} else if (ok) {
 		tell(disk, 0, LWS_E_IO);
+	}
 }
 
 static void *run(void *arg)
@@ -222,6 +231,10 @@
 		int rc = store_decode(scratch, data + at, len - at, &record,
 				      &used);
 
+		if (rc && store_synced_after(data + at, len - at) <= at) {
+			talloc_free(scratch);
+			break;
+		}
 		if (!rc && used)
 			rc = disk->params.on_record(disk->params.private_data,
 						    &record);
@@ -235,8 +248,9 @@
 	/* What follows was never synced. */
 	disk->length = (off_t)at;
 	if (ftruncate(disk->fd, disk->length) ||
-	    lseek(disk->fd, disk->length, SEEK_SET) < 0)
+	    lseek(disk->fd, disk->length, SEEK_SET) < 0 || fdatasync(disk->fd))
 		return LWS_E_IO;
+	disk->synced = disk->length;
 	return 0;
 }
 
--- a/programs/platform_standin/main.c
+++ b/programs/platform_standin/main.c
@@ -23,6 +23,10 @@
 	{ "listen", 'l', "IP:PORT", 0, "First endpoint; two more follow", 0 },
 	{ "promote", 'p', "IP:PORT", 0, "Where promotions are asked for", 0 },
 	{ "announce", 'a', "LIST", 0, "Control addresses", 0 },
+	{ "advertise", 'A', "IP:PORT", 0, "First endpoint as others are told",
+	  0 },
+	{ "return-ms", 'r', "N", 0, "A crashed endpoint returns then (never)",
+	  0 },
 	{ "lag-ms", 'd', "N", 0, "Replicas apply this late (20)", 0 },
 	{ "work-ms", 'w', "N", 0, "Time of a statement (2)", 0 },
 	{ 0 },
@@ -45,6 +49,14 @@
 	case 'a':
 		p->announce = arg;
 		return 0;
+	case 'A':
+		if (!sock_addr_valid(arg))
+			argp_error(state, "--advertise: not IP:PORT");
+		p->advertise = arg;
+		return 0;
+	case 'r':
+		p->return_ms = (uint32_t)strtoul(arg, NULL, 10);
+		return 0;
 	case 'd':
 		p->lag_ms = (uint32_t)strtoul(arg, NULL, 10);
 		return 0;
@@ -73,8 +85,10 @@
 		standin_crash_primary(private_data);
 	else if (signum == SIGUSR2)
 		standin_drain_primary(private_data);
-	else
+	else {
+		standin_print_log(private_data);
 		exit(0);
+	}
 }
 
 int main(int argc, char **argv)
@@ -84,7 +98,7 @@
 		.parser = parse,
 		.doc = "Stand-in of the platform.\vSIGUSR1 crashes "
 		       "the primary, SIGUSR2 lets it announce "
-		       "that it leaves."
+		       "that it leaves, SIGTERM prints the log and ends."
 	};
 	struct standin_params params = { .group = "g1",
 					 .lag_ms = 20,
--- a/programs/platform_standin/platform_standin.h
+++ b/programs/platform_standin/platform_standin.h
@@ -19,6 +19,10 @@
  * @listen: "ip:port" of the first endpoint
  * @promote: "ip:port" of the platform's call
  * @announce: control addresses, separated by commas
+ * @advertise: "ip:port" of the first endpoint as others are told, with the
+ *             same distance between ports; NULL: @listen
+ * @return_ms: a crashed endpoint comes back after this time with its log,
+ *             0: never
  * @lag_ms: replicas apply this late
  * @work_ms: time of a statement
  */
@@ -27,6 +31,8 @@
 	const char *listen;
 	const char *promote;
 	const char *announce;
+	const char *advertise;
+	uint32_t return_ms;
 	uint32_t lag_ms;
 	uint32_t work_ms;
 };
@@ -41,4 +47,7 @@
 /** standin_drain_primary() - the leading endpoint says that it leaves */
 void standin_drain_primary(struct standin *s);
 
+/** standin_print_log() - one line on standard output for each commit */
+void standin_print_log(const struct standin *s);
+
 #endif
--- /dev/null
+++ b/soak/fleet.c
@@ -0,0 +1,389 @@
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "soak.h"
+
+/* A killed stand-in would lose the log that the checks need. */
+#define STANDIN_RETURN_MS "1500"
+/* A process that ended is started again after this time. */
+#define RESTART_MS 300
+
+struct process {
+	GPid pid;
+	bool ordered;
+	bool paused;
+	int64_t resume_ms;
+	/* When it is to be started again, 0 while it runs. */
+	int64_t start_ms;
+	/* It must have ended by then, 0 without an order to stop. */
+	int64_t stop_by_ms;
+};
+
+struct soak_fleet {
+	const char *net;
+	const char *dir;
+	struct process processes[SOAK_HOSTS];
+	bool wiped[SOAK_HOSTS];
+	int64_t disturbed_ms;
+};
+
+static bool is_control(int host)
+{
+	return host <= SOAK_CONTROLS;
+}
+
+/* Starting */
+
+static char *folder_of(const struct soak_fleet *f, int host)
+{
+	return g_strdup_printf("%s/data-%d", f->dir, host);
+}
+
+static void write_settings(const struct soak_fleet *f, int host)
+{
+	g_autofree char *path = g_strdup_printf("%s/%d.conf", f->dir, host);
+	g_autofree char *folder = folder_of(f, host);
+	g_autoptr(GString) s = g_string_new(NULL);
+
+	g_string_append_printf(
+		s,
+		"node_name=n-%d\nzone=z%d\nip=%s.%d\n"
+		"internal_ports=%d,7575\nbootstrap=%s\n"
+		"fault_tolerance.machines=1\n"
+		"bounds.grace_s=%d\nbounds.revoke_ms=%d\n"
+		"cloud_api.address=%s.%d:%d\nseeds=",
+		host, (host - 1) % 3 + 1, f->net, host, SOAK_PORT_PEERS,
+		f->wiped[host] ? "false" : "true", SOAK_GRACE_MS / 1000,
+		SOAK_REVOKE_MS, f->net, SOAK_STANDIN + SOAK_PROXY_OFFSET,
+		SOAK_PORT_PROMOTE);
+	for (int i = 1; i <= SOAK_CONTROLS; i++)
+		g_string_append_printf(s, "%s%s.%d:%d", i > 1 ? "," : "",
+				       f->net, i + SOAK_PROXY_OFFSET,
+				       SOAK_PORT_CONTROL);
+	if (is_control(host))
+		g_string_append_printf(
+			s, "\nlisten.control=%s.%d:%d\ndata_dir=%s\n", f->net,
+			host, SOAK_PORT_CONTROL, folder);
+	else
+		g_string_append_printf(
+			s, "\nlisten.front=%s.%d:%d\nlisten.ready=%s.%d:%d\n",
+			f->net, host, SOAK_PORT_CALLERS, f->net, host,
+			SOAK_PORT_READY);
+	if (!g_file_set_contents(path, s->str, -1, NULL))
+		g_error("cannot write %s", path);
+}
+
+static char *program(const char *name)
+{
+	const char *build = g_getenv("LWS_BUILD");
+
+	return g_strdup_printf("%s/%s", build ? build : "build", name);
+}
+
+static void spawn(struct soak_fleet *f, int host, char **argv, char **env)
+{
+	g_autofree char *log = g_strdup_printf("%s/%d.log", f->dir, host);
+	int fd = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+	struct process *p = &f->processes[host];
+
+	*p = (struct process){ 0 };
+	if (fd < 0 ||
+	    !g_spawn_async_with_fds(NULL, argv, env, G_SPAWN_DO_NOT_REAP_CHILD,
+				    NULL, NULL, &p->pid, -1, fd, fd, NULL))
+		g_error("cannot start host %d", host);
+	close(fd);
+}
+
+static void start_daemon(struct soak_fleet *f, int host)
+{
+	g_autofree char *path = program("lacewingspand");
+	g_autofree char *config =
+		g_strdup_printf("LACEWINGSPAN_CONFIG=%s/%d.conf", f->dir, host);
+	g_autofree char *told =
+		g_strdup_printf("LACEWINGSPAN_PEER_ADVERTISE=%s.%d:%d", f->net,
+				host + SOAK_PROXY_OFFSET, SOAK_PORT_PEERS);
+	char *argv[] = { path, NULL };
+	char *env[] = { config, told, NULL };
+
+	write_settings(f, host);
+	spawn(f, host, argv, env);
+}
+
+static void start_standin(struct soak_fleet *f)
+{
+	g_autofree char *path = program("platform_standin");
+	g_autofree char *listen = g_strdup_printf(
+		"--listen=%s.%d:%d", f->net, SOAK_STANDIN, SOAK_PORT_ENDPOINT);
+	g_autofree char *told = g_strdup_printf(
+		"--advertise=%s.%d:%d", f->net,
+		SOAK_STANDIN + SOAK_PROXY_OFFSET, SOAK_PORT_ENDPOINT);
+	g_autofree char *promote = g_strdup_printf(
+		"--promote=%s.%d:%d", f->net, SOAK_STANDIN, SOAK_PORT_PROMOTE);
+	g_autoptr(GString) announce = g_string_new("--announce=");
+	char *argv[] = {
+		path, listen, told, promote, "--return-ms=" STANDIN_RETURN_MS,
+		NULL, NULL
+	};
+
+	for (int i = 1; i <= SOAK_CONTROLS; i++)
+		g_string_append_printf(announce, "%s%s.%d:%d", i > 1 ? "," : "",
+				       f->net, i + SOAK_PROXY_OFFSET,
+				       SOAK_PORT_CONTROL);
+	argv[5] = announce->str;
+	spawn(f, SOAK_STANDIN, argv, NULL);
+}
+
+static void start(struct soak_fleet *f, int host)
+{
+	if (host == SOAK_STANDIN)
+		start_standin(f);
+	else
+		start_daemon(f, host);
+}
+
+struct soak_fleet *soak_fleet_start(const char *net, const char *dir)
+{
+	struct soak_fleet *f = g_new0(struct soak_fleet, 1);
+
+	f->net = net;
+	f->dir = dir;
+	for (int i = 1; i <= SOAK_CONTROLS; i++)
+		start(f, i);
+	for (int i = 0; i < SOAK_ENTRIES; i++)
+		start(f, SOAK_FIRST_ENTRY + i);
+	start(f, SOAK_STANDIN);
+	return f;
+}
+
+/* Faults */
+
+static void disturb(struct soak_fleet *f)
+{
+	f->disturbed_ms = soak_now_ms();
+}
+
+bool soak_fleet_running(const struct soak_fleet *f, int host)
+{
+	const struct process *p = &f->processes[host];
+
+	return p->pid && !p->paused && !p->ordered;
+}
+
+void soak_fleet_signal(struct soak_fleet *f, int host, int signum)
+{
+	disturb(f);
+	if (f->processes[host].pid)
+		kill(f->processes[host].pid, signum);
+}
+
+static void reap_killed(struct process *p)
+{
+	kill(p->pid, SIGKILL);
+	waitpid(p->pid, NULL, 0);
+	p->pid = 0;
+}
+
+void soak_fleet_kill(struct soak_fleet *f, int host, int down_ms)
+{
+	struct process *p = &f->processes[host];
+
+	disturb(f);
+	if (!p->pid)
+		return;
+	reap_killed(p);
+	*p = (struct process){ .start_ms = soak_now_ms() + down_ms };
+}
+
+void soak_fleet_stop_one(struct soak_fleet *f, int host)
+{
+	struct process *p = &f->processes[host];
+
+	disturb(f);
+	if (!p->pid || p->ordered)
+		return;
+	p->ordered = true;
+	p->stop_by_ms = soak_now_ms() + SOAK_GRACE_MS;
+	kill(p->pid, SIGTERM);
+}
+
+void soak_fleet_pause(struct soak_fleet *f, int host, int ms)
+{
+	struct process *p = &f->processes[host];
+
+	disturb(f);
+	if (!p->pid || p->paused)
+		return;
+	kill(p->pid, SIGSTOP);
+	p->paused = true;
+	p->resume_ms = soak_now_ms() + ms;
+	/* The time to stop does not run meanwhile. */
+	if (p->stop_by_ms)
+		p->stop_by_ms += ms;
+}
+
+static void resume(struct process *p)
+{
+	if (p->pid && p->paused)
+		kill(p->pid, SIGCONT);
+	p->paused = false;
+}
+
+/* The largest file of a data folder is its log. */
+static char *log_of(const char *folder)
+{
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+	char *largest = NULL;
+	gint64 size = -1;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		g_autofree char *path = g_build_filename(folder, name, NULL);
+		GStatBuf st;
+
+		if (g_stat(path, &st) || st.st_size <= size)
+			continue;
+		size = st.st_size;
+		g_free(largest);
+		largest = g_strdup(path);
+	}
+	if (dir)
+		g_dir_close(dir);
+	return largest;
+}
+
+void soak_fleet_tear(struct soak_fleet *f, int host, struct lws_rng *rng)
+{
+	g_autofree char *folder = folder_of(f, host);
+	g_autofree char *path = log_of(folder);
+	uint64_t bytes[8];
+	size_t len = 1 + (size_t)lws_rng_below(rng, sizeof(bytes) - 1);
+	FILE *log = path && !f->processes[host].pid ? fopen(path, "ab") : NULL;
+
+	if (!log)
+		return;
+	for (size_t i = 0; i < G_N_ELEMENTS(bytes); i++)
+		bytes[i] = lws_rng_next(rng);
+	if (fwrite(bytes, 1, len, log) != len)
+		soak_note("tear: nothing written to host %d", host);
+	fclose(log);
+}
+
+static void remove_folder(const char *folder)
+{
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		g_autofree char *path = g_build_filename(folder, name, NULL);
+
+		g_unlink(path);
+	}
+	if (dir)
+		g_dir_close(dir);
+	g_rmdir(folder);
+}
+
+void soak_fleet_wipe(struct soak_fleet *f, int host)
+{
+	g_autofree char *folder = folder_of(f, host);
+
+	if (f->processes[host].pid)
+		return;
+	remove_folder(folder);
+	f->wiped[host] = true;
+}
+
+/* Time */
+
+static void check_ended(struct soak_fleet *f, int host)
+{
+	struct process *p = &f->processes[host];
+	int status;
+
+	if (!p->pid || waitpid(p->pid, &status, WNOHANG) != p->pid) {
+		if (p->stop_by_ms && soak_now_ms() > p->stop_by_ms) {
+			soak_fail("host %d was asked to stop and still runs",
+				  host);
+			p->stop_by_ms = 0;
+		}
+		return;
+	}
+	if (!p->ordered)
+		soak_fail("host %d ended by itself, status %d", host, status);
+	else if (!WIFEXITED(status) || WEXITSTATUS(status))
+		soak_fail("host %d was asked to stop and ended with %d", host,
+			  status);
+	*p = (struct process){ .start_ms = soak_now_ms() + RESTART_MS };
+}
+
+void soak_fleet_tick(struct soak_fleet *f)
+{
+	for (int i = 1; i < SOAK_HOSTS; i++) {
+		struct process *p = &f->processes[i];
+
+		check_ended(f, i);
+		if (p->paused && soak_now_ms() >= p->resume_ms) {
+			resume(p);
+			disturb(f);
+		}
+		if (!p->pid && p->start_ms && soak_now_ms() >= p->start_ms) {
+			start(f, i);
+			disturb(f);
+		}
+	}
+}
+
+int64_t soak_fleet_calm_ms(const struct soak_fleet *f)
+{
+	for (int i = 1; i < SOAK_HOSTS; i++) {
+		const struct process *p = &f->processes[i];
+
+		if (p->paused || p->ordered || (!p->pid && p->start_ms))
+			return 0;
+	}
+	return soak_now_ms() - f->disturbed_ms;
+}
+
+void soak_fleet_heal(struct soak_fleet *f)
+{
+	for (int i = 1; i < SOAK_HOSTS; i++) {
+		resume(&f->processes[i]);
+		if (f->processes[i].start_ms)
+			f->processes[i].start_ms = soak_now_ms();
+	}
+	soak_fleet_tick(f);
+}
+
+static void end_one(struct soak_fleet *f, int host)
+{
+	struct process *p = &f->processes[host];
+
+	if (p->pid)
+		reap_killed(p);
+}
+
+char *soak_fleet_end(struct soak_fleet *f)
+{
+	struct process *standin = &f->processes[SOAK_STANDIN];
+	g_autofree char *path =
+		g_strdup_printf("%s/%d.log", f->dir, SOAK_STANDIN);
+	char *log = NULL;
+
+	for (int i = 1; i < SOAK_HOSTS; i++) {
+		if (i != SOAK_STANDIN)
+			end_one(f, i);
+	}
+	if (standin->pid) {
+		kill(standin->pid, SIGTERM);
+		waitpid(standin->pid, NULL, 0);
+	}
+	if (!g_file_get_contents(path, &log, NULL, NULL))
+		log = g_strdup("");
+	g_free(f);
+	return log;
+}
--- /dev/null
+++ b/soak/main.c
@@ -0,0 +1,378 @@
+#include <argp.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "soak.h"
+
+/* Faults come this often, so that they overlap. */
+#define FAULT_PAUSE_MIN_MS 100
+#define FAULT_PAUSE_SPREAD_MS 700
+/* A cut or delay lasts up to this long: some times longer than a lease. */
+#define CUT_MAX_MS 3000
+#define DELAY_MAX_MS 120
+#define PAUSE_MAX_MS 2500
+#define DOWN_MAX_MS 1500
+/* A second data folder is lost only after the first was caught up. */
+#define WIPE_CALM_MS 4000
+/* A planned stop in turn: each has time to come back. */
+#define ROLL_CALM_MS 2000
+
+struct run {
+	struct lws_rng rng;
+	struct soak_proxy *proxy;
+	struct soak_fleet *fleet;
+	struct soak_ledger *ledger;
+	int routes;
+	int64_t heal_ms[64];
+	bool quiet;
+};
+
+static gint failures;
+static gint64 started_us;
+static bool verbose;
+
+void soak_fail(const char *format, ...)
+{
+	g_autofree char *text = NULL;
+	va_list args;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	g_atomic_int_inc(&failures);
+	fprintf(stderr, "%8.3f BROKEN %s\n", (double)soak_now_ms() / 1000,
+		text);
+}
+
+void soak_note(const char *format, ...)
+{
+	g_autofree char *text = NULL;
+	va_list args;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	if (verbose)
+		printf("%8.3f %s\n", (double)soak_now_ms() / 1000, text);
+}
+
+int64_t soak_now_ms(void)
+{
+	return (g_get_monotonic_time() - started_us) / 1000;
+}
+
+/* Faults */
+
+static int below(struct run *r, int bound)
+{
+	return (int)lws_rng_below(&r->rng, (uint64_t)bound);
+}
+
+static int any_daemon(struct run *r)
+{
+	int i = below(r, SOAK_CONTROLS + SOAK_ENTRIES);
+
+	return i < SOAK_CONTROLS ? i + 1 : SOAK_FIRST_ENTRY + i - SOAK_CONTROLS;
+}
+
+static void cut(struct run *r)
+{
+	static const char *const names[] = { "delays", "cuts forth",
+					     "cuts back", "cuts", "refuses" };
+	int route = below(r, r->routes);
+	enum soak_cut kind = (enum soak_cut)below(r, SOAK_REFUSE + 1);
+	int ms = 100 + below(r, CUT_MAX_MS);
+
+	soak_note("route %d %s for %d ms", route, names[kind], ms);
+	soak_proxy_set(r->proxy, route, kind, below(r, DELAY_MAX_MS));
+	r->heal_ms[route] = soak_now_ms() + ms;
+}
+
+static void heal_due(struct run *r)
+{
+	for (int i = 0; i < r->routes; i++) {
+		if (!r->heal_ms[i] || soak_now_ms() < r->heal_ms[i])
+			continue;
+		soak_proxy_set(r->proxy, i, SOAK_PASS, 0);
+		r->heal_ms[i] = 0;
+	}
+}
+
+static void kill_one(struct run *r)
+{
+	int host = any_daemon(r);
+	int ms = below(r, DOWN_MAX_MS);
+	bool wipe = host <= SOAK_CONTROLS && !below(r, 3) &&
+		    soak_fleet_calm_ms(r->fleet) > WIPE_CALM_MS;
+
+	soak_note("kill host %d for %d ms%s", host, ms, wipe ? ", wiped" : "");
+	soak_fleet_kill(r->fleet, host, ms);
+	if (wipe)
+		soak_fleet_wipe(r->fleet, host);
+	else if (host <= SOAK_CONTROLS && !below(r, 3))
+		soak_fleet_tear(r->fleet, host, &r->rng);
+}
+
+static void kill_all(struct run *r)
+{
+	soak_note("kill all control instances");
+	for (int i = 1; i <= SOAK_CONTROLS; i++)
+		soak_fleet_kill(r->fleet, i, below(r, 500));
+}
+
+static void strike(struct run *r)
+{
+	int host;
+	int route = below(r, r->routes);
+
+	switch (below(r, 16)) {
+	case 0:
+	case 1:
+		kill_one(r);
+		return;
+	case 2:
+	case 3:
+		host = any_daemon(r);
+		soak_note("pause host %d", host);
+		soak_fleet_pause(r->fleet, host, 50 + below(r, PAUSE_MAX_MS));
+		return;
+	case 4:
+		host = any_daemon(r);
+		soak_note("stop host %d", host);
+		soak_fleet_stop_one(r->fleet, host);
+		return;
+	case 5:
+		host = any_daemon(r);
+		soak_note("reload host %d", host);
+		soak_fleet_signal(r->fleet, host, SIGHUP);
+		return;
+	case 6:
+		soak_note("reset route %d", route);
+		soak_proxy_reset(r->proxy, route);
+		return;
+	case 7:
+		soak_note("silence route %d", route);
+		soak_proxy_silence(r->proxy, route);
+		return;
+	case 8:
+		soak_note("crash the primary");
+		soak_fleet_signal(r->fleet, SOAK_STANDIN, SIGUSR1);
+		return;
+	case 9:
+		soak_note("the primary leaves");
+		soak_fleet_signal(r->fleet, SOAK_STANDIN, SIGUSR2);
+		return;
+	case 10:
+		soak_note("pause all endpoints");
+		soak_fleet_pause(r->fleet, SOAK_STANDIN,
+				 50 + below(r, PAUSE_MAX_MS / 2));
+		return;
+	case 11:
+		if (!below(r, 3))
+			kill_all(r);
+		return;
+	default:
+		cut(r);
+		return;
+	}
+}
+
+/* Runs */
+
+static void let_pass(struct run *r, int64_t ms)
+{
+	int64_t until = soak_now_ms() + ms;
+
+	while (soak_now_ms() < until) {
+		soak_fleet_tick(r->fleet);
+		heal_due(r);
+		g_usleep(5000);
+	}
+}
+
+static void add_routes(struct run *r, const char *net)
+{
+	for (int i = 1; i <= SOAK_CONTROLS; i++) {
+		soak_proxy_add(r->proxy, net, i, SOAK_PORT_PEERS);
+		soak_proxy_add(r->proxy, net, i, SOAK_PORT_CONTROL);
+	}
+	for (int i = 0; i < SOAK_ENTRIES; i++)
+		soak_proxy_add(r->proxy, net, SOAK_FIRST_ENTRY + i,
+			       SOAK_PORT_CALLERS);
+	soak_proxy_add(r->proxy, net, SOAK_STANDIN, SOAK_PORT_PROMOTE);
+	for (int i = 0; i < SOAK_ENDPOINTS; i++)
+		r->routes = 1 + soak_proxy_add(r->proxy, net, SOAK_STANDIN,
+					       SOAK_PORT_ENDPOINT + i);
+}
+
+/* Instances are stopped in turn under load: every statement is answered. */
+static void roll(struct run *r)
+{
+	soak_callers_calm(r->ledger, true);
+	for (int i = 0; i < SOAK_ENTRIES + SOAK_CONTROLS; i++) {
+		int host = i < SOAK_ENTRIES ? SOAK_FIRST_ENTRY + i
+					    : 1 + i - SOAK_ENTRIES;
+
+		soak_note("roll host %d", host);
+		soak_fleet_stop_one(r->fleet, host);
+		while (soak_fleet_calm_ms(r->fleet) < ROLL_CALM_MS)
+			let_pass(r, 50);
+	}
+	soak_callers_calm(r->ledger, false);
+}
+
+static bool play(uint64_t seed, int seconds, int number, bool keep)
+{
+	struct run r = { .rng = { .seed = seed } };
+	g_autofree char *dir = g_dir_make_tmp("lws-soak-XXXXXX", NULL);
+	g_autofree char *net = g_strdup_printf(
+		"127.%d.%d", 100 + (int)getpid() % 100, 1 + number % 200);
+	g_autofree char *log = NULL;
+	int before = g_atomic_int_get(&failures);
+	uint64_t answered;
+
+	started_us = g_get_monotonic_time();
+	r.proxy = soak_proxy_start();
+	add_routes(&r, net);
+	r.fleet = soak_fleet_start(net, dir);
+	r.ledger = soak_ledger_create(net, seed);
+	soak_callers_start(r.ledger);
+	let_pass(&r, 1000);
+	while (soak_now_ms() < seconds * 1000) {
+		strike(&r);
+		let_pass(&r,
+			 FAULT_PAUSE_MIN_MS + below(&r, FAULT_PAUSE_SPREAD_MS));
+	}
+	soak_note("heal");
+	soak_proxy_heal(r.proxy);
+	memset(r.heal_ms, 0, sizeof(r.heal_ms));
+	soak_fleet_heal(r.fleet);
+	/* Some may still be asked to stop. */
+	while (!soak_fleet_calm_ms(r.fleet))
+		let_pass(&r, 20);
+	let_pass(&r, 1000);
+	soak_check_recovered(r.ledger);
+	roll(&r);
+	answered = soak_answered(r.ledger);
+	soak_callers_stop(r.ledger);
+	/* What was sent before has ended by now. */
+	g_usleep(300 * 1000);
+	log = soak_fleet_end(r.fleet);
+	soak_check_log(r.ledger, log);
+	soak_proxy_stop(r.proxy);
+	before = g_atomic_int_get(&failures) - before;
+	printf("seed %" G_GUINT64_FORMAT ": %s, %" G_GUINT64_FORMAT
+	       " answered%s%s\n",
+	       seed, before ? "BROKEN" : "kept", answered,
+	       before || keep ? ", logs in " : "", before || keep ? dir : "");
+	fflush(stdout);
+	if (!before && !keep) {
+		g_autofree char *rm = g_strdup_printf("rm -rf %s", dir);
+
+		if (system(rm))
+			soak_note("%s is left", dir);
+	}
+	return !before;
+}
+
+/* Flags */
+
+struct flags {
+	uint64_t seed;
+	int seeds;
+	int seconds;
+	const char *list;
+	bool keep;
+};
+
+static const struct argp_option options[] = {
+	{ "seed", 's', "N", 0, "First seed (1)", 0 },
+	{ "seeds", 'n', "N", 0, "How many seeds (1)", 0 },
+	{ "seconds", 't', "N", 0, "Seconds of faults a seed (20)", 0 },
+	{ "list", 'l', "FILE", 0, "Seeds from a file, one a line", 0 },
+	{ "keep", 'k', NULL, 0, "Keep the logs of all runs", 0 },
+	{ "verbose", 'v', NULL, 0, "Say what is done", 0 },
+	{ 0 },
+};
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct flags *f = state->input;
+
+	switch (key) {
+	case 's':
+		f->seed = strtoull(arg, NULL, 10);
+		return 0;
+	case 'n':
+		f->seeds = atoi(arg);
+		return 0;
+	case 't':
+		f->seconds = atoi(arg);
+		return 0;
+	case 'l':
+		f->list = arg;
+		return 0;
+	case 'k':
+		f->keep = true;
+		return 0;
+	case 'v':
+		verbose = true;
+		return 0;
+	case ARGP_KEY_END:
+		if (f->seeds < 0 || f->seconds < 1)
+			argp_error(state, "--seeds and --seconds must be "
+					  "numbers above 0");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+/* Seeds that failed once; what follows a number is a remark. */
+static int play_list(const struct flags *f, int *number)
+{
+	g_autofree char *text = NULL;
+	g_auto(GStrv) lines = NULL;
+	int broken = 0;
+
+	if (!g_file_get_contents(f->list, &text, NULL, NULL)) {
+		fprintf(stderr, "soak: cannot read %s\n", f->list);
+		return 1;
+	}
+	lines = g_strsplit(text, "\n", -1);
+	for (char **line = lines; *line; line++) {
+		uint64_t seed = strtoull(*line, NULL, 10);
+
+		if (seed)
+			broken += !play(seed, f->seconds, ++*number, f->keep);
+	}
+	return broken;
+}
+
+int main(int argc, char **argv)
+{
+	struct argp argp = { .options = options,
+			     .parser = parse,
+			     .doc = "Fault soak of lacewingspan: real "
+				    "processes, faults from outside, checks "
+				    "of what callers see. LWS_BUILD names the "
+				    "folder of the programs (build)." };
+	struct flags f = { .seed = 1, .seeds = 1, .seconds = 20 };
+	int number = 0;
+	int broken = 0;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &f);
+	signal(SIGPIPE, SIG_IGN);
+	if (f.list)
+		broken += play_list(&f, &number);
+	for (int i = 0; i < f.seeds; i++)
+		broken += !play(f.seed + (uint64_t)i, f.seconds, ++number,
+				f.keep);
+	printf("%d seeds, %d broken\n", number, broken);
+	return broken ? 1 : 0;
+}
