End connections between instances on which nothing comes

Ruled out: agreement and the log; the leader and its term stood all the time. Change: an instance that has nothing to say on a connection for 400 ms says so, and ends a connection on which nothing came for 1.5 s, unless it stood still itself. Each connection that comes up or is lost is logged with why. Tests: /peer/silent-ends, /peer/idle-stays.

--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -399,8 +399,10 @@
 		if (p != peer &&
 		    strcmp(peer_hello(p)->name, hello->name) == 0 &&
 		    peer_hello(p)->incarnation != hello->incarnation)
-			peer_close(p);
+			peer_close(p, "another process of that name came");
 	}
+	lws_log_info(c->daemon->log, "peer_up", "{s:s,s:b}", "peer",
+		     hello->name, "dialled", peer_dialled(peer));
 	return true;
 }
 
@@ -409,6 +411,9 @@
 	struct control *c = private_data;
 	struct child *child = find_child(c, peer);
 
+	lws_log_info(c->daemon->log, "peer_lost", "{s:s,s:s,s:b}", "peer",
+		     peer_hello(peer)->name, "why", peer_why(peer), "dialled",
+		     peer_dialled(peer));
 	if (child)
 		*child = c->children[--c->children_count];
 	sync_questions_drop(&c->questions, peer);
@@ -467,6 +472,7 @@
 			control_leader_announce(c, &msg->announce.items[i]);
 		break;
 	case WIRE_HELLO:
+	case WIRE_PING:
 	case WIRE_TYPE_COUNT:
 		break;
 	}
--- a/lib/io/peer.c
+++ b/lib/io/peer.c
@@ -7,6 +7,7 @@
 
 #include "lws_error.h"
 #include "lws_str.h"
+#include "lws_time.h"
 #include "sock.h"
 
 #define READ_BYTES (64U * 1024U)
@@ -19,6 +20,8 @@
  * connection that went silent, before the system would send them again.
  */
 #define SILENT_MS 1500
+/* Something is sent this often, so that three may be late. */
+#define PING_MS 400
 
 /* An address that is kept connected. */
 struct dial {
@@ -41,6 +44,9 @@
 	bool connecting;
 	bool up;
 	bool closed;
+	const char *why;
+	uint64_t heard_us;
+	uint64_t sent_us;
 	struct wire_hello hello;
 	uint8_t *in;
 	size_t in_len;
@@ -56,6 +62,8 @@
 	struct peer *peers;
 	struct dial *dials;
 	uint32_t count;
+	/* When the peers were looked at last. */
+	uint64_t watched_us;
 };
 
 static void start_dial(struct dial *dial);
@@ -88,13 +96,14 @@
 	talloc_free(private_data);
 }
 
-void peer_close(struct peer *peer)
+void peer_close(struct peer *peer, const char *why)
 {
 	struct peer_hub *hub = peer->hub;
 
 	if (peer->closed)
 		return;
 	peer->closed = true;
+	peer->why = why;
 	TALLOC_FREE(peer->fde);
 	TALLOC_FREE(peer->hello_timeout);
 	close(peer->fd);
@@ -128,12 +137,13 @@
 		return;
 	done = write(peer->fd, peer->out, peer->out_len);
 	if (done < 0 && errno != EAGAIN && errno != EINTR) {
-		peer_close(peer);
+		peer_close(peer, "broken");
 		return;
 	}
 	if (done > 0) {
 		lws_counter_add(peer->hub->params.counters,
 				LWS_COUNTER_PEER_BYTES_SENT, (uint64_t)done);
+		peer->sent_us = lws_time_now_us();
 		peer->out_len -= (size_t)done;
 		memmove(peer->out, peer->out + done, peer->out_len);
 	}
@@ -174,7 +184,7 @@
 		return;
 	if (append_out(peer, frame, len)) {
 		talloc_free(frame);
-		peer_close(peer);
+		peer_close(peer, "reads too slowly");
 		return;
 	}
 	talloc_free(frame);
@@ -221,7 +231,7 @@
 		return rc;
 	if (!peer->up)
 		rc = on_hello(peer, msg);
-	else
+	else if (msg->type != WIRE_PING)
 		hub->params.on_message(hub->params.private_data, peer, msg);
 	talloc_free(msg);
 	return rc;
@@ -263,7 +273,7 @@
 	if (got < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (got <= 0) {
-		peer_close(peer);
+		peer_close(peer, got ? "broken" : "ended");
 		return;
 	}
 	lws_counter_add(peer->hub->params.counters,
@@ -271,10 +281,11 @@
 	grown = talloc_realloc(peer, peer->in, uint8_t,
 			       peer->in_len + (size_t)got);
 	if (!grown) {
-		peer_close(peer);
+		peer_close(peer, "no memory");
 		return;
 	}
 	peer->in = grown;
+	peer->heard_us = lws_time_now_us();
 	memcpy(peer->in + peer->in_len, buf, (size_t)got);
 	peer->in_len += (size_t)got;
 	rc = take_frames(peer);
@@ -285,7 +296,7 @@
 				LWS_COUNTER_PEER_FRAMES_REFUSED, 1);
 		lws_counter_refuse(peer->hub->params.counters, rc);
 	}
-	peer_close(peer);
+	peer_close(peer, lws_error_name(rc));
 }
 
 static void on_event(struct tevent_context *ev, struct tevent_fd *fde,
@@ -298,7 +309,7 @@
 	if (peer->connecting) {
 		peer->connecting = false;
 		if (sock_error(peer->fd)) {
-			peer_close(peer);
+			peer_close(peer, "refused");
 			return;
 		}
 		flags = TEVENT_FD_WRITE;
@@ -318,7 +329,7 @@
 	(void)te;
 	(void)now;
 	peer->hello_timeout = NULL;
-	peer_close(peer);
+	peer_close(peer, "no hello");
 }
 
 static int destroy_peer(struct peer *peer)
@@ -336,6 +347,7 @@
 		return NULL;
 	peer->hub = hub;
 	peer->fd = fd;
+	peer->heard_us = lws_time_now_us();
 	peer->connecting = connecting;
 	talloc_set_destructor(peer, destroy_peer);
 	sock_set_silence(fd, SILENT_MS);
@@ -404,6 +416,49 @@
 	return 0;
 }
 
+/* Silence */
+
+static void watch_peer(struct peer *peer, uint64_t now_us)
+{
+	struct wire_msg ping = { .type = WIRE_PING };
+
+	if (now_us - peer->heard_us > SILENT_MS * LWS_US_PER_MS)
+		peer_close(peer, "silent");
+	else if (now_us - peer->sent_us >= PING_MS * LWS_US_PER_MS)
+		peer_send(peer, &ping);
+}
+
+static void watch_later(struct peer_hub *hub);
+
+static void on_watch(struct tevent_context *ev, struct tevent_timer *te,
+		     struct timeval now, void *private_data)
+{
+	struct peer_hub *hub = private_data;
+	uint64_t now_us = lws_time_now_us();
+	/* This process stood still: what it has not heard may wait for it. */
+	bool stood = now_us - hub->watched_us > SILENT_MS * LWS_US_PER_MS / 2;
+	struct peer *next;
+
+	(void)ev;
+	(void)te;
+	(void)now;
+	hub->watched_us = now_us;
+	for (struct peer *p = peer_hub_first(hub); p; p = next) {
+		next = peer_hub_next(p);
+		if (stood)
+			p->heard_us = now_us;
+		watch_peer(p, now_us);
+	}
+	watch_later(hub);
+}
+
+static void watch_later(struct peer_hub *hub)
+{
+	tevent_add_timer(hub->ev, hub,
+			 tevent_timeval_current_ofs(0, PING_MS * 1000 / 2),
+			 on_watch, hub);
+}
+
 static bool wanted(const struct dial *dial, const char *const *addrs,
 		   uint32_t count)
 {
@@ -431,7 +486,7 @@
 	if (peer) {
 		dial->peer = NULL;
 		peer->dial = NULL;
-		peer_close(peer);
+		peer_close(peer, "no longer wanted");
 	}
 	talloc_free(dial);
 }
@@ -470,6 +525,8 @@
 		hub->listen_fde =
 			tevent_add_fd(ev, hub, params->listen_fd,
 				      TEVENT_FD_READ, on_acceptable, hub);
+	hub->watched_us = lws_time_now_us();
+	watch_later(hub);
 	*out = hub;
 	return 0;
 }
@@ -501,6 +558,11 @@
 	return &peer->hello;
 }
 
+const char *peer_why(const struct peer *peer)
+{
+	return peer->why ? peer->why : "";
+}
+
 bool peer_dialled(const struct peer *peer)
 {
 	return peer->dial != NULL;
--- a/lib/io/peer.h
+++ b/lib/io/peer.h
@@ -12,7 +12,9 @@
  * DOC: Connections between instances: framed messages over TCP.
  *
  * Either side sends a hello first. A frame that cannot be read ends the
- * connection and is counted. One thread uses a hub and its peers.
+ * connection and is counted. Either side says something several times a
+ * second; a connection on which nothing comes ends, whatever the system
+ * thinks of it. One thread uses a hub and its peers.
  */
 
 #define PEER_CONNECTIONS_MAX 2048
@@ -70,7 +72,10 @@
 void peer_send(struct peer *peer, const struct wire_msg *msg);
 
 /** peer_close() - end a connection; a dialled one is tried again */
-void peer_close(struct peer *peer);
+void peer_close(struct peer *peer, const char *why);
+
+/** peer_why() - why a connection ended, in on_down() */
+const char *peer_why(const struct peer *peer);
 
 /** peer_hello() - what the other side said of itself */
 const struct wire_hello *peer_hello(const struct peer *peer);
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -32,6 +32,8 @@
 	WIRE_RATE_REPLY,
 	WIRE_REPORT,
 	WIRE_ANNOUNCE,
+	/** says only that the connection carries something */
+	WIRE_PING,
 	WIRE_TYPE_COUNT,
 };
 
--- a/soak/callers.c
+++ b/soak/callers.c
@@ -702,7 +702,8 @@
 	return served;
 }
 
-static bool config_stands(struct soak_ledger *l, int host)
+/* The newest configuration, as it was sent; @why: what came instead. */
+static bool config_stands(struct soak_ledger *l, int host, GString *why)
 {
 	g_autofree char *text = NULL;
 	int status = soak_http(l->net, host, SOAK_PORT_CONTROL, "GET",
@@ -711,6 +712,10 @@
 
 	g_mutex_lock(&l->lock);
 	same = status == 200 && strcmp(text, l->text) == 0;
+	if (!same)
+		g_string_append_printf(why, " host %d: %d %.16s, newest %u;",
+				       host, status, text ? text : "",
+				       l->version);
 	g_mutex_unlock(&l->lock);
 	return same;
 }
@@ -718,6 +723,7 @@
 void soak_check_recovered(struct soak_ledger *l)
 {
 	int64_t until = soak_now_ms() + SOAK_RECOVERY_MS;
+	g_autoptr(GString) why = g_string_new(NULL);
 	int served = 0;
 	int stands = 0;
 
@@ -725,10 +731,11 @@
 	       (served < SOAK_ENTRIES || stands < SOAK_CONTROLS)) {
 		served = 0;
 		stands = 0;
+		g_string_truncate(why, 0);
 		for (int i = 0; i < SOAK_ENTRIES; i++)
 			served += write_through(l, SOAK_FIRST_ENTRY + i);
 		for (int i = 1; i <= SOAK_CONTROLS; i++)
-			stands += config_stands(l, i);
+			stands += config_stands(l, i, why);
 		g_usleep(100 * 1000);
 	}
 	if (served < SOAK_ENTRIES)
@@ -736,8 +743,8 @@
 			  served, SOAK_ENTRIES, SOAK_RECOVERY_MS);
 	if (stands < SOAK_CONTROLS)
 		soak_fail("%d of %d control instances read the newest "
-			  "configuration back",
-			  stands, SOAK_CONTROLS);
+			  "configuration back:%s",
+			  stands, SOAK_CONTROLS, why->str);
 }
 
 struct log {
--- /dev/null
+++ b/tests/test_peer.c
@@ -0,0 +1,157 @@
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+#include <tevent.h>
+#include <unistd.h>
+
+#include "lws_str.h"
+#include "lws_time.h"
+#include "peer.h"
+#include "sock.h"
+
+/**
+ * DOC: Connections between instances that stay open and carry nothing, and
+ * those on which nobody has anything to say.
+ */
+
+/* Longer than a silent connection may stand. */
+#define QUIET_US (3 * LWS_US_PER_S)
+#define WAIT_US (20 * LWS_US_PER_S)
+
+struct side {
+	struct peer_hub *hub;
+	uint32_t ups;
+	uint32_t downs;
+	char why[64];
+};
+
+static bool on_up(void *private_data, struct peer *peer)
+{
+	struct side *s = private_data;
+
+	(void)peer;
+	s->ups++;
+	return true;
+}
+
+static void on_down(void *private_data, struct peer *peer)
+{
+	struct side *s = private_data;
+
+	s->downs++;
+	LWS_STR_COPY(s->why, peer_why(peer));
+}
+
+static void on_message(void *private_data, struct peer *peer,
+		       const struct wire_msg *msg)
+{
+	(void)private_data;
+	(void)peer;
+	(void)msg;
+}
+
+static struct wire_hello hello_of(const char *name)
+{
+	struct wire_hello hello = { .protocol = WIRE_PROTOCOL_VERSION };
+
+	LWS_STR_COPY(hello.name, name);
+	LWS_STR_COPY(hello.failure_domain, "z1");
+	hello.incarnation = g_str_hash(name);
+	return hello;
+}
+
+static void open_side(struct tevent_context *ev, struct side *s,
+		      const char *name, int listen_fd)
+{
+	static struct lws_counters counters;
+	struct peer_hub_params params = { .listen_fd = listen_fd,
+					  .hello = hello_of(name),
+					  .counters = &counters,
+					  .private_data = s,
+					  .on_up = on_up,
+					  .on_down = on_down,
+					  .on_message = on_message };
+
+	g_assert_cmpint(peer_hub_create(ev, ev, &params, &s->hub), ==, 0);
+}
+
+static void on_timer(struct tevent_context *ev, struct tevent_timer *te,
+		     struct timeval now, void *private_data)
+{
+	(void)ev;
+	(void)te;
+	(void)now;
+	*(bool *)private_data = true;
+}
+
+static void run_for(struct tevent_context *ev, uint64_t us)
+{
+	bool over = false;
+
+	tevent_add_timer(
+		ev, ev,
+		tevent_timeval_current_ofs((uint32_t)(us / LWS_US_PER_S),
+					   (uint32_t)(us % LWS_US_PER_S)),
+		on_timer, &over);
+	while (!over)
+		tevent_loop_once(ev);
+}
+
+/* Nobody sends anything of his own: the connection stands. */
+static void test_idle_stays(void)
+{
+	struct tevent_context *ev = tevent_context_init(NULL);
+	char addr[SOCK_ADDR_MAX];
+	int fd = sock_listen("127.0.0.1:0", addr);
+	struct side a = { 0 };
+	struct side b = { 0 };
+
+	open_side(ev, &a, "a", fd);
+	open_side(ev, &b, "b", -1);
+	g_assert_cmpint(peer_hub_dial(b.hub, addr), ==, 0);
+	run_for(ev, QUIET_US);
+	g_assert_cmpuint(a.ups, ==, 1);
+	g_assert_cmpuint(b.ups, ==, 1);
+	g_assert_cmpuint(a.downs + b.downs, ==, 0);
+	talloc_free(ev);
+}
+
+/* The other side accepts, says hello, and then nothing, without a reset. */
+static void test_silent_ends(void)
+{
+	struct tevent_context *ev = tevent_context_init(NULL);
+	char addr[SOCK_ADDR_MAX];
+	int fd = sock_listen("127.0.0.1:0", addr);
+	struct wire_msg msg = { .type = WIRE_HELLO, .hello = hello_of("mute") };
+	uint64_t until = lws_time_now_us() + WAIT_US;
+	struct side b = { 0 };
+	uint8_t *frame;
+	size_t len;
+	int conn = -1;
+
+	g_assert_cmpint(wire_encode(ev, &msg, &frame, &len), ==, 0);
+	open_side(ev, &b, "b", -1);
+	g_assert_cmpint(peer_hub_dial(b.hub, addr), ==, 0);
+	while (!b.downs && lws_time_now_us() < until) {
+		if (conn < 0)
+			conn = sock_accept(fd);
+		if (conn >= 0 && !b.ups)
+			g_assert_cmpint(write(conn, frame, len), ==,
+					(ssize_t)len);
+		run_for(ev, 20 * LWS_US_PER_MS);
+	}
+	g_assert_cmpuint(b.ups, ==, 1);
+	g_assert_cmpuint(b.downs, ==, 1);
+	g_assert_cmpstr(b.why, ==, "silent");
+	close(conn);
+	close(fd);
+	talloc_free(ev);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/peer/idle-stays", test_idle_stays);
+	g_test_add_func("/peer/silent-ends", test_silent_ends);
+	return g_test_run();
+}
