Keep first attempts to reach an instance short

Ruled out: the election (0.4 s after the last control instance listens) and the transfer of the configuration (0.1 s). Change: an attempt lasts 250 ms at first and twice as long each time, up to 1 s as before; after one without an answer the next starts at once. Test: /peer/patience-grows, the ratio of two attempts.

--- a/lib/io/peer.c
+++ b/lib/io/peer.c
@@ -12,8 +12,17 @@
 
 #define READ_BYTES (64U * 1024U)
 #define OUT_MAX (2 * (size_t)WIRE_FRAME_MAX)
+/* Pause after an address that refused; one that was silent cost time already.
+ */
 #define REDIAL_MS 200
-/* A connection that does not stand by then is tried anew. */
+#define REDIAL_SILENT_MS 20
+/*
+ * A connection that does not stand by then is tried anew: at first after some
+ * round trips between regions, since a machine that comes back does not answer
+ * what was sent before. Twice as long each time, up to what a new connection
+ * under load may take.
+ */
+#define HELLO_FIRST_MS 250
 #define HELLO_TIMEOUT_MS 1000
 /*
  * Instances speak several times a second; unacknowledged bytes end a
@@ -30,6 +39,7 @@
 	char addr[SOCK_ADDR_MAX];
 	struct peer *peer;
 	struct tevent_timer *again;
+	uint32_t patience_ms;
 };
 
 struct peer {
@@ -44,6 +54,7 @@
 	bool connecting;
 	bool up;
 	bool closed;
+	bool timed_out;
 	const char *why;
 	uint64_t heard_us;
 	uint64_t sent_us;
@@ -80,12 +91,12 @@
 	start_dial(dial);
 }
 
-static void dial_later(struct dial *dial)
+static void dial_later(struct dial *dial, uint32_t pause_ms)
 {
-	dial->again = tevent_add_timer(
-		dial->hub->ev, dial,
-		tevent_timeval_current_ofs(0, REDIAL_MS * 1000), on_dial_again,
-		dial);
+	dial->again =
+		tevent_add_timer(dial->hub->ev, dial,
+				 tevent_timeval_current_ofs(0, pause_ms * 1000),
+				 on_dial_again, dial);
 }
 
 static void reap(struct tevent_context *ev, struct tevent_immediate *im,
@@ -121,7 +132,8 @@
 	}
 	if (peer->dial) {
 		peer->dial->peer = NULL;
-		dial_later(peer->dial);
+		dial_later(peer->dial,
+			   peer->timed_out ? REDIAL_SILENT_MS : REDIAL_MS);
 	}
 	/* Its frames may be on the stack. */
 	tevent_schedule_immediate(peer->reap, hub->ev, reap, peer);
@@ -217,6 +229,8 @@
 	if (!hub->params.on_up(hub->params.private_data, peer))
 		return LWS_E_ARGUMENT;
 	TALLOC_FREE(peer->hello_timeout);
+	if (peer->dial)
+		peer->dial->patience_ms = HELLO_FIRST_MS;
 	peer->up = true;
 	return 0;
 }
@@ -329,6 +343,9 @@
 	(void)te;
 	(void)now;
 	peer->hello_timeout = NULL;
+	peer->timed_out = true;
+	if (peer->dial && peer->dial->patience_ms < HELLO_TIMEOUT_MS)
+		peer->dial->patience_ms *= 2;
 	peer_close(peer, "no hello");
 }
 
@@ -339,7 +356,8 @@
 	return 0;
 }
 
-static struct peer *peer_create(struct peer_hub *hub, int fd, bool connecting)
+static struct peer *peer_create(struct peer_hub *hub, int fd, bool connecting,
+				uint32_t patience_ms)
 {
 	struct peer *peer = talloc_zero(hub, struct peer);
 
@@ -359,7 +377,8 @@
 				  on_event, peer);
 	peer->hello_timeout = tevent_add_timer(
 		hub->ev, peer,
-		tevent_timeval_current_ofs(HELLO_TIMEOUT_MS / 1000, 0),
+		tevent_timeval_current_ofs(patience_ms / 1000,
+					   patience_ms % 1000 * 1000),
 		on_hello_timeout, peer);
 	peer->next = hub->peers;
 	if (hub->peers)
@@ -383,7 +402,8 @@
 	(void)flags;
 	if (fd < 0)
 		return;
-	if (hub->count >= PEER_CONNECTIONS_MAX || !peer_create(hub, fd, false))
+	if (hub->count >= PEER_CONNECTIONS_MAX ||
+	    !peer_create(hub, fd, false, HELLO_TIMEOUT_MS))
 		close(fd);
 }
 
@@ -392,11 +412,12 @@
 	int fd = sock_connect(dial->addr);
 
 	if (fd >= 0)
-		dial->peer = peer_create(dial->hub, fd, true);
+		dial->peer =
+			peer_create(dial->hub, fd, true, dial->patience_ms);
 	if (dial->peer)
 		dial->peer->dial = dial;
 	else
-		dial_later(dial);
+		dial_later(dial, REDIAL_MS);
 }
 
 int peer_hub_dial(struct peer_hub *hub, const char *addr)
@@ -409,6 +430,7 @@
 	if (!dial)
 		return LWS_E_NOMEM;
 	dial->hub = hub;
+	dial->patience_ms = HELLO_FIRST_MS;
 	LWS_STR_COPY(dial->addr, addr);
 	dial->next = hub->dials;
 	hub->dials = dial;
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -148,10 +148,45 @@
 	talloc_free(ev);
 }
 
+/*
+ * The address accepts and says nothing, as a machine that has just lost power,
+ * and may answer soon: the first attempt is much shorter than later ones.
+ */
+static void test_patience_grows(void)
+{
+	struct tevent_context *ev = tevent_context_init(NULL);
+	char addr[SOCK_ADDR_MAX];
+	int fd = sock_listen("127.0.0.1:0", addr);
+	uint64_t until = lws_time_now_us() + WAIT_US;
+	uint64_t at_us[5] = { 0 };
+	int conns[5];
+	uint32_t n = 0;
+	struct side b = { 0 };
+
+	open_side(ev, &b, "b", -1);
+	g_assert_cmpint(peer_hub_dial(b.hub, addr), ==, 0);
+	while (n < G_N_ELEMENTS(conns) && lws_time_now_us() < until) {
+		int conn = sock_accept(fd);
+
+		if (conn >= 0) {
+			at_us[n] = lws_time_now_us();
+			conns[n++] = conn;
+		}
+		run_for(ev, 5 * LWS_US_PER_MS);
+	}
+	g_assert_cmpuint(n, ==, G_N_ELEMENTS(conns));
+	g_assert_cmpuint(2 * (at_us[1] - at_us[0]), <, at_us[4] - at_us[3]);
+	while (n--)
+		close(conns[n]);
+	close(fd);
+	talloc_free(ev);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/peer/idle-stays", test_idle_stays);
 	g_test_add_func("/peer/silent-ends", test_silent_ends);
+	g_test_add_func("/peer/patience-grows", test_patience_grows);
 	return g_test_run();
 }
