--- a/programs/platform_standin/platform_standin.h
+++ b/programs/platform_standin/platform_standin.h
@@ -21,8 +21,8 @@
  * @announce: control addresses, separated by commas
  * @advertise: "ip:port" of the first endpoint as others are told, with the
  *             same distance between ports; NULL: @listen
- * @return_ms: a crashed endpoint comes back after this time with its log,
- *             0: never
+ * @return_ms: a crashed endpoint comes back after this time with its log, and
+ *             one that leaves is replaced after some times it; 0: never
  * @lag_ms: replicas apply this late
  * @work_ms: time of a statement
  */
