Let nobody wait for a token of an owner that is out of reach

Ruled out: a change of the owner, which takes less than 0.6 s; waiting bridges that. Change: after 0.6 s without an answer of the owner a statement without a token is refused at once, with that reason. Test: /rates/owner-silent.

--- a/lib/admit/admission.c
+++ b/lib/admit/admission.c
@@ -59,6 +59,12 @@
 	return since_us && now_us - since_us < ADMISSION_STARVED_US;
 }
 
+bool admission_owner_silent(const struct admission_item *item)
+{
+	return item->account->owner_silent &&
+	       atomic_load(item->account->owner_silent);
+}
+
 enum admission_verdict admission_enter(struct admission *a, uint64_t now_us,
 				       struct admission_item *item)
 {
@@ -73,7 +79,8 @@
 	if (!atomic_load(&item->account->waiting) &&
 	    rate_account_take(item->account, now_us))
 		return ADMISSION_PASS;
-	if (queue_full(item) || starved(item, now_us))
+	if (queue_full(item) || starved(item, now_us) ||
+	    admission_owner_silent(item))
 		return ADMISSION_REFUSE;
 	item->wait_until_us = now_us + (half < most ? half : most);
 	link_last(a, item);
--- a/lib/admit/admission.h
+++ b/lib/admit/admission.h
@@ -83,6 +83,9 @@
 /** admission_next_due_us() - when admission_next() is due at the latest */
 uint64_t admission_next_due_us(const struct admission *a);
 
+/** admission_owner_silent() - who grants its tokens does not answer */
+bool admission_owner_silent(const struct admission_item *item);
+
 /** admission_retry_ms() - when a refused caller may come back */
 uint32_t admission_retry_ms(const struct admission_item *item);
 
--- a/lib/admit/rate_holder.h
+++ b/lib/admit/rate_holder.h
@@ -22,6 +22,8 @@
  * @arrivals: requests since the keeper looked last
  * @waiting: requests that wait for a token now
  * @expires_us: tokens may not be spent from then on
+ * @owner_silent: the keeper's: the owner of the rates does not answer; NULL
+ *                without a keeper
  * @starved_us: a request waited in vain for a token at this time, and none
  *              was granted since; 0 otherwise
  *
@@ -34,6 +36,7 @@
 	_Atomic uint32_t waiting;
 	_Atomic uint64_t expires_us;
 	_Atomic uint64_t starved_us;
+	const atomic_bool *owner_silent;
 
 	/* requests a keeper's tick, in thousandths */
 	uint32_t demand;
--- a/lib/admit/rate_keeper.c
+++ b/lib/admit/rate_keeper.c
@@ -20,6 +20,9 @@
 	bool waiting;
 	bool wanted;
 	bool new_owner;
+	/* The oldest request without an answer since the last one, or 0. */
+	uint64_t unanswered_us;
+	atomic_bool silent;
 	struct rate_ask *asks;
 	uint32_t asks_room;
 };
@@ -43,6 +46,7 @@
 	if (!node)
 		return NULL;
 	node->account.customer = customer;
+	node->account.owner_silent = &k->silent;
 	node->next = *bucket;
 	*bucket = node;
 	node->next_of_all = k->all;
@@ -95,6 +99,9 @@
 {
 	uint32_t n = 0;
 
+	if (k->unanswered_us &&
+	    now_us - k->unanswered_us > RATE_KEEPER_SILENT_US)
+		atomic_store(&k->silent, true);
 	if (!is_due(k, now_us) || !make_room(k))
 		return NULL;
 	k->tick_us = now_us;
@@ -104,11 +111,17 @@
 		if (rate_account_tick(&node->account, now_us, &k->asks[n]))
 			n++;
 	}
-	if (!n && !k->new_owner)
+	if (!n && !k->new_owner) {
+		/* Nothing is asked, so no answer is missed. */
+		k->unanswered_us = 0;
+		atomic_store(&k->silent, false);
 		return NULL;
+	}
 	k->new_owner = false;
 	k->waiting = true;
 	k->sent_us = now_us;
+	if (!k->unanswered_us)
+		k->unanswered_us = now_us;
 	*seq = ++k->seq;
 	*count = n;
 	return k->asks;
@@ -123,6 +136,8 @@
 	if (!k->waiting || seq != k->seq)
 		return false;
 	k->waiting = false;
+	k->unanswered_us = 0;
+	atomic_store(&k->silent, false);
 	for (uint32_t i = 0; i < count; i++) {
 		struct rate_account *account =
 			rate_keeper_account(k, grants[i].customer);
--- a/lib/admit/rate_keeper.h
+++ b/lib/admit/rate_keeper.h
@@ -17,6 +17,8 @@
 #define RATE_KEEPER_TICK_US 100000ULL
 #define RATE_KEEPER_PAUSE_US 5000ULL
 #define RATE_KEEPER_TIMEOUT_US 250000ULL
+/* Longer than a change of the owner: it is out of reach, nobody waits. */
+#define RATE_KEEPER_SILENT_US 600000ULL
 
 struct rate_keeper;
 
--- a/lib/session/pooler_statement.c
+++ b/lib/session/pooler_statement.c
@@ -252,9 +252,12 @@
 
 void pooler_refuse_rate(struct pool_session *s, uint64_t now_us)
 {
-	char text[64];
+	char text[96];
 
-	snprintf(text, sizeof(text), "rate exceeded, retry in %" PRIu32 " ms",
+	snprintf(text, sizeof(text), "%s, retry in %" PRIu32 " ms",
+		 admission_owner_silent(&s->job.admission)
+			 ? "rate not granted, its owner does not answer"
+			 : "rate exceeded",
 		 admission_retry_ms(&s->job.admission));
 	pooler_refuse(s, now_us, STATEMENT_E_BUSY, TRANSACTION_NONE, text);
 }
--- a/tests/test_rates.c
+++ b/tests/test_rates.c
@@ -489,6 +489,57 @@
 	talloc_free(a);
 }
 
+struct silent_case {
+	const char *name;
+	uint64_t without_answer_us;
+	enum admission_verdict verdict;
+};
+
+/*
+ * An instance that is cut off from the owner: after a change of owner would
+ * have passed nobody waits for a token, since callers are served elsewhere.
+ */
+static void test_owner_silent(void)
+{
+	static const struct silent_case cases[] = {
+		{ "a change of owner", 500 * MS, ADMISSION_WAIT },
+		{ "cut off", 900 * MS, ADMISSION_REFUSE },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct rate_keeper *k = rate_keeper_create(NULL);
+		struct rate_account *a = rate_keeper_account(k, CUSTOMER);
+		struct admission *waiting = admission_create(NULL);
+		struct admission_item items[3] = { 0 };
+		struct rate_grant none = { .customer = CUSTOMER };
+		uint64_t now = 1000 * MS;
+		uint64_t until = now + cases[i].without_answer_us;
+		uint64_t seq = 0;
+		uint32_t count;
+
+		for (size_t n = 0; n < G_N_ELEMENTS(items); n++)
+			items[n] = (struct admission_item){
+				.account = a,
+				.rate_per_s = 20,
+				.deadline_us = until + 1000 * MS,
+			};
+		g_assert_cmpint(admission_enter(waiting, now, &items[0]), ==,
+				ADMISSION_WAIT);
+		rate_keeper_wanted(k);
+		for (; now < until; now += 10 * MS)
+			(void)rate_keeper_step(k, now, &seq, &count);
+		g_test_message("%s", cases[i].name);
+		g_assert_cmpint(admission_enter(waiting, now, &items[1]), ==,
+				cases[i].verdict);
+		/* It answers again. */
+		rate_keeper_reply(k, now, seq, TTL, &none, 1);
+		g_assert_cmpint(admission_enter(waiting, now, &items[2]), ==,
+				ADMISSION_WAIT);
+		talloc_free(waiting);
+		talloc_free(k);
+	}
+}
+
 /* Queue */
 
 struct share_case {
@@ -606,6 +657,7 @@
 	g_test_add_func("/rates/new-owner", test_new_owner);
 	g_test_add_func("/rates/expired", test_expired_tokens);
 	g_test_add_func("/rates/admission", test_admission_waits);
+	g_test_add_func("/rates/owner-silent", test_owner_silent);
 	g_test_add_func("/rates/shares", test_shares);
 	g_test_add_func("/rates/deadlines", test_queue_deadlines);
 	g_test_add_func("/rates/takeover", test_takeover);
