--- a/lib/admit/fair_queue.c
+++ b/lib/admit/fair_queue.c
@@ -149,6 +149,17 @@
 	return flow ? flow->head : NULL;
 }
 
+/* The flow has had a turn. */
+static void take_from(struct fair_queue *q, struct fair_queue_flow *flow,
+		      struct fair_queue_item *item)
+{
+	flow->start_tag += VIRTUAL_UNIT / flow->worth;
+	unlink_item(flow, item);
+	q->count--;
+	if (!flow->head)
+		drop_flow(q, flow);
+}
+
 struct fair_queue_item *fair_queue_pop(struct fair_queue *q)
 {
 	struct fair_queue_flow *flow = next_flow(q);
@@ -158,11 +169,7 @@
 		return NULL;
 	item = flow->head;
 	q->virtual_time = flow->start_tag;
-	flow->start_tag += VIRTUAL_UNIT / flow->worth;
-	unlink_item(flow, item);
-	q->count--;
-	if (!flow->head)
-		drop_flow(q, flow);
+	take_from(q, flow, item);
 	return item;
 }
 
@@ -224,11 +231,7 @@
 	assert(flow);
 	if (flow == next_flow(q))
 		q->virtual_time = flow->start_tag;
-	flow->start_tag += VIRTUAL_UNIT / flow->worth;
-	unlink_item(flow, item);
-	q->count--;
-	if (!flow->head)
-		drop_flow(q, flow);
+	take_from(q, flow, item);
 }
 
 void fair_queue_remove(struct fair_queue *q, struct fair_queue_item *item)
--- a/lib/control/succession.c
+++ b/lib/control/succession.c
@@ -55,7 +55,6 @@
 	uint32_t sync_replicas;
 	uint32_t domains;
 	enum phase phase;
-	const char *reason;
 	uint64_t fence;
 	uint64_t hold_term;
 	char choice[FLEET_NAME_MAX];
@@ -202,7 +201,6 @@
 	struct succession_action *a;
 
 	s->fence = s->group.term + 1;
-	s->reason = reason;
 	s->against_primary = strcmp(reason, "primary_suspect") == 0 ||
 			     strcmp(reason, "primary_leaving") == 0;
 	s->choice[0] = '\0';
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -210,6 +210,12 @@
 
 /* control_form.c: who votes */
 void control_form_tick(struct control *c, uint64_t now_us);
+/* Once it has caught up as a learner; until then it is made one. */
+void control_add_voter(struct control *c, const struct wire_hello *hello,
+		       uint64_t now_us);
+/* @missing_ms: for the log; 0 when another identity has its name */
+void control_remove_voter(struct control *c, uint32_t at, uint64_t now_us,
+			  uint64_t missing_ms);
 void control_voters_tick(struct control *c, uint64_t now_us);
 void control_dial_fleet(struct control *c);
 
--- a/lib/daemon/control_form.c
+++ b/lib/daemon/control_form.c
@@ -208,39 +208,6 @@
 	return lost;
 }
 
-static void add_voter(struct control *c, const struct wire_hello *hello,
-		      uint64_t now_us)
-{
-	struct raft_voters next = *raft_voters(c->raft);
-	struct raft_member *member = &next.member[next.count++];
-
-	raft_set_learner(c->raft, hello->member);
-	if (!raft_learner_ready(c->raft))
-		return;
-	member->id = hello->member;
-	LWS_STR_COPY(member->name, hello->name);
-	if (!raft_propose_voters(c->raft, now_us, &next))
-		lws_log_info(c->daemon->log, "voter_added", "{s:s,s:s}", "name",
-			     hello->name, "failure_domain",
-			     hello->failure_domain);
-}
-
-static void remove_voter(struct control *c, uint32_t at, uint64_t now_us)
-{
-	struct raft_voters next = *raft_voters(c->raft);
-	char name[RAFT_NAME_MAX];
-
-	LWS_STR_COPY(name, next.member[at].name);
-	next.member[at] = next.member[next.count - 1];
-	next.member[--next.count] = (struct raft_member){ 0 };
-	if (!raft_propose_voters(c->raft, now_us, &next))
-		lws_log_info(
-			c->daemon->log, "voter_removed", "{s:s,s:I}", "name",
-			name, "missing_ms",
-			(json_int_t)((now_us - c->leader->voter_seen_us[at]) /
-				     LWS_US_PER_MS));
-}
-
 /*
  * Keeps the wanted number of voters: a new one joins once it has caught up,
  * and only then a lost one is put out.
@@ -258,7 +225,10 @@
 	lost = lost_voter(c, now_us);
 	if (voters->count > wanted) {
 		if (lost >= 0)
-			remove_voter(c, (uint32_t)lost, now_us);
+			control_remove_voter(
+				c, (uint32_t)lost, now_us,
+				(now_us - c->leader->voter_seen_us[lost]) /
+					LWS_US_PER_MS);
 		control_log_pump(c);
 		return;
 	}
@@ -266,6 +236,6 @@
 		return;
 	hello = voters->count < RAFT_VOTERS_MAX ? candidate(c) : NULL;
 	if (hello)
-		add_voter(c, hello, now_us);
+		control_add_voter(c, hello, now_us);
 	control_log_pump(c);
 }
--- a/lib/daemon/control_leader.c
+++ b/lib/daemon/control_leader.c
@@ -264,28 +264,36 @@
 	return -1;
 }
 
-static void remove_voter(struct control *c, uint32_t at, uint64_t now_us)
+void control_remove_voter(struct control *c, uint32_t at, uint64_t now_us,
+			  uint64_t missing_ms)
 {
 	struct raft_voters next = *raft_voters(c->raft);
+	char name[RAFT_NAME_MAX];
 
-	lws_log_info(c->daemon->log, "voter_removed", "{s:s}", "name",
-		     next.member[at].name);
+	LWS_STR_COPY(name, next.member[at].name);
 	next.member[at] = next.member[next.count - 1];
 	next.member[--next.count] = (struct raft_member){ 0 };
-	(void)raft_propose_voters(c->raft, now_us, &next);
+	if (!raft_propose_voters(c->raft, now_us, &next))
+		lws_log_info(c->daemon->log, "voter_removed", "{s:s,s:I}",
+			     "name", name, "missing_ms",
+			     (json_int_t)missing_ms);
 }
 
-static void add_voter(struct control *c, const struct wire_hello *hello,
-		      uint64_t now_us)
+void control_add_voter(struct control *c, const struct wire_hello *hello,
+		       uint64_t now_us)
 {
 	struct raft_voters next = *raft_voters(c->raft);
 	struct raft_member *member = &next.member[next.count++];
 
+	raft_set_learner(c->raft, hello->member);
+	if (!raft_learner_ready(c->raft))
+		return;
 	member->id = hello->member;
 	LWS_STR_COPY(member->name, hello->name);
 	if (!raft_propose_voters(c->raft, now_us, &next))
-		lws_log_info(c->daemon->log, "voter_added", "{s:s}", "name",
-			     hello->name);
+		lws_log_info(c->daemon->log, "voter_added", "{s:s,s:s}", "name",
+			     hello->name, "failure_domain",
+			     hello->failure_domain);
 }
 
 /*
@@ -309,11 +317,9 @@
 		if (old < 0)
 			continue;
 		if (raft_is_voter(voters, hello->member)) {
-			remove_voter(c, (uint32_t)old, now_us);
+			control_remove_voter(c, (uint32_t)old, now_us, 0);
 		} else if (voters->count < RAFT_VOTERS_MAX) {
-			raft_set_learner(c->raft, hello->member);
-			if (raft_learner_ready(c->raft))
-				add_voter(c, hello, now_us);
+			control_add_voter(c, hello, now_us);
 		}
 		control_log_pump(c);
 		return;
--- a/lib/session/pool_choose.c
+++ b/lib/session/pool_choose.c
@@ -104,7 +104,6 @@
 	if (!sample)
 		return false;
 	job->wait = sample->position;
-	job->wait_proved_us = sample->proved_us;
 	if (s->reads == CATALOG_READS_OWN_WRITES &&
 	    strcmp(s->committed_group, job->group->name) == 0 &&
 	    log_position_cmp(s->committed, job->wait) > 0)
--- a/lib/session/pool_group.c
+++ b/lib/session/pool_group.c
@@ -68,7 +68,6 @@
 		drop_idle(e, now_us);
 	}
 	LWS_STR_COPY(e->failure_domain, from->failure_domain);
-	e->slots = from->slots;
 	e->known = true;
 	e->present = from->present;
 	if (!from->leaving)
--- a/lib/session/pool_results.c
+++ b/lib/session/pool_results.c
@@ -31,6 +31,15 @@
 	e->service_us = e->service_us ? (e->service_us * 7 + took) / 8 : took;
 }
 
+/* Twice as long each time. */
+static uint64_t next_pause_us(uint64_t pause_us, uint64_t first_us,
+			      uint64_t most_us)
+{
+	if (!pause_us)
+		return first_us;
+	return pause_us * 2 < most_us ? pause_us * 2 : most_us;
+}
+
 static void note_error(struct pool_conn *conn, uint64_t now_us,
 		       enum statement_error error)
 {
@@ -39,17 +48,15 @@
 	switch (error) {
 	case STATEMENT_E_BUSY:
 		lower_limit(e, now_us);
-		e->busy_pause_us = e->busy_pause_us ? e->busy_pause_us * 2
-						    : POOL_BUSY_PAUSE_US;
-		if (e->busy_pause_us > POOL_BUSY_PAUSE_MAX_US)
-			e->busy_pause_us = POOL_BUSY_PAUSE_MAX_US;
+		e->busy_pause_us =
+			next_pause_us(e->busy_pause_us, POOL_BUSY_PAUSE_US,
+				      POOL_BUSY_PAUSE_MAX_US);
 		e->busy_until_us = now_us + e->busy_pause_us;
 		return;
 	case STATEMENT_E_LAGGING:
-		e->lag_pause_us = e->lag_pause_us ? e->lag_pause_us * 2
-						  : POOL_LAG_PAUSE_US;
-		if (e->lag_pause_us > POOL_LAG_PAUSE_MAX_US)
-			e->lag_pause_us = POOL_LAG_PAUSE_MAX_US;
+		e->lag_pause_us =
+			next_pause_us(e->lag_pause_us, POOL_LAG_PAUSE_US,
+				      POOL_LAG_PAUSE_MAX_US);
 		e->lag_until_us = now_us + e->lag_pause_us;
 		return;
 	case STATEMENT_E_READ_ONLY:
@@ -226,10 +233,9 @@
 	(void)p;
 	if (conn->state == CONN_OPENING) {
 		e->failures++;
-		e->fail_pause_us = e->fail_pause_us ? e->fail_pause_us * 2
-						    : POOL_FAIL_PAUSE_US;
-		if (e->fail_pause_us > POOL_FAIL_PAUSE_MAX_US)
-			e->fail_pause_us = POOL_FAIL_PAUSE_MAX_US;
+		e->fail_pause_us =
+			next_pause_us(e->fail_pause_us, POOL_FAIL_PAUSE_US,
+				      POOL_FAIL_PAUSE_MAX_US);
 		e->fail_until_us = now_us + e->fail_pause_us;
 	}
 	if (s)
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -143,7 +143,6 @@
 	char addr[FLEET_ADDR_MAX];
 	char failure_domain[FLEET_NAME_MAX];
 	uint64_t incarnation;
-	uint32_t slots;
 	/* In the agreed state; takes new reads. */
 	bool known;
 	bool present;
@@ -245,7 +244,6 @@
 	/* Being opened for it. */
 	struct pool_conn *opening;
 	struct log_position wait;
-	uint64_t wait_proved_us;
 	uint64_t arrived_us;
 	/* To be sent by; then the time by which it must be answered. */
 	uint64_t deadline_us;
@@ -274,6 +272,8 @@
 	char customer[CATALOG_NAME_MAX];
 	uint64_t customer_hash;
 	uint32_t worth;
+	/* 0 for no limit */
+	uint32_t rate_per_s;
 	enum catalog_reads reads;
 	uint32_t urgency;
 	uint32_t objective_ms;
--- a/lib/session/pooler_outcome.c
+++ b/lib/session/pooler_outcome.c
@@ -32,9 +32,9 @@
 		      "no endpoint took it in time");
 }
 
-static void lost_commit(struct pool_session *s, uint64_t now_us, bool sent)
+static void lost_commit(struct pool_session *s, uint64_t now_us)
 {
-	if (sent && s->wrote)
+	if (s->wrote)
 		pooler_refuse(s, now_us, STATEMENT_E_IN_DOUBT, TRANSACTION_NONE,
 			      "the connection was lost during the commit");
 	else
@@ -52,7 +52,7 @@
 		return;
 	}
 	if (job->st.kind == STATEMENT_COMMIT) {
-		lost_commit(s, now_us, sent);
+		lost_commit(s, now_us);
 		return;
 	}
 	if (s->state != TRANSACTION_NONE) {
--- a/lib/session/pooler_statement.c
+++ b/lib/session/pooler_statement.c
@@ -67,10 +67,12 @@
 		s->customer[0] = '\0';
 		s->customer_hash = 0;
 		s->worth = 1;
+		s->rate_per_s = 0;
 		return;
 	}
 	LWS_STR_COPY(s->customer, c->name);
 	s->customer_hash = session_name_hash(c->name);
+	s->rate_per_s = c->rate_per_s;
 	s->worth = c->priority < WORTH_MAX ? WORTH_MAX - c->priority : 1;
 }
 
@@ -268,20 +270,18 @@
 	struct pool_job *job = &s->job;
 	const char *reason = "";
 	enum statement_error error = pooler_check_access(s, now_us, &reason);
-	const struct catalog_customer *c;
 
 	if (error) {
 		pooler_refuse(s, now_us, error, TRANSACTION_NONE, reason);
 		return;
 	}
-	c = s->keyed ? catalog_find_key(p->catalog, s->key) : NULL;
-	if (!c || !c->rate_per_s) {
+	if (!s->rate_per_s) {
 		pooler_start_admitted(s, now_us);
 		return;
 	}
 	job->admission = (struct admission_item){
 		.account = p->ops.account(p->ops.private_data, s->customer),
-		.rate_per_s = c->rate_per_s,
+		.rate_per_s = s->rate_per_s,
 		.deadline_us = now_us + s->timeout_ms * LWS_US_PER_MS,
 		.wait_max_us = POOL_TOKEN_WAIT_US,
 	};
