--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -300,7 +300,7 @@
 
 /* The fleet */
 
-static char *config_of(int version, const char *keys)
+static char *config_with(int version, const char *keys, int rate)
 {
 	return g_strdup_printf(
 		"{\"version\":%d,\"routes\":["
@@ -315,8 +315,18 @@
 		"\"services\":[{\"name\":\"g1\",\"max_conns\":21,"
 		"\"sync_replicas\":1}],\"limits\":{\"tx_idle_ms\":3000},"
 		"\"tenants\":[{\"name\":\"t\",\"api_keys\":[%s],"
-		"\"rate_per_s\":500,\"burst\":500}]}",
-		version, keys);
+		"\"rate_per_s\":%d,\"burst\":%d}]}",
+		version, keys, rate, rate);
+}
+
+static char *config_of(int version, const char *keys)
+{
+	return config_with(version, keys, 500);
+}
+
+static char *config_at_rate(int version, int rate)
+{
+	return config_with(version, "\"k1\",\"k2\"", rate);
 }
 
 static int replace(const struct fleet *f, const char *config)
@@ -662,26 +672,106 @@
 	fleet_stop(f);
 }
 
-/* The id of a failed statement leads to its reason in the entry's log. */
+/* As in docs/OPERATIONS.md: the lines of a log that hold all these texts. */
+static char *grep(const struct fleet *f, int host, const char *first,
+		  const char *second)
+{
+	g_autofree char *path = g_strdup_printf("%s/%d.log", f->dir, host);
+	g_autofree char *log = NULL;
+	g_auto(GStrv) lines = NULL;
+
+	if (!g_file_get_contents(path, &log, NULL, NULL))
+		return NULL;
+	lines = g_strsplit(log, "\n", -1);
+	for (char **line = lines; *line; line++) {
+		if (strstr(*line, first) && strstr(*line, second))
+			return g_strdup(*line);
+	}
+	return NULL;
+}
+
+static void expect_line(const struct fleet *f, int host, const char *first,
+			const char *second)
+{
+	gint64 until = g_get_monotonic_time() + WAIT_MS * 1000;
+	g_autofree char *line = NULL;
+
+	while (!line && g_get_monotonic_time() < until) {
+		line = grep(f, host, first, second);
+		g_usleep(20 * 1000);
+	}
+	if (!line)
+		g_printerr("no line with %s and %s\n", first, second);
+	g_assert_nonnull(line);
+}
+
+/* In the log of whichever control instance led. */
+static void expect_control_line(const struct fleet *f, const char *first,
+				const char *second)
+{
+	gint64 until = g_get_monotonic_time() + WAIT_MS * 1000;
+	g_autofree char *line = NULL;
+
+	while (!line && g_get_monotonic_time() < until) {
+		for (int i = 1; !line && i <= (int)f->controls; i++)
+			line = grep(f, i, first, second);
+		g_usleep(20 * 1000);
+	}
+	g_assert_nonnull(line);
+}
+
+/* Sends a statement under this id; its answer. */
+static char *ask_as(struct line_conn *c, const char *id, const char *text)
+{
+	g_autofree char *line = g_strdup_printf("QUERY %s %s\r\n", id, text);
+
+	send_bytes(c, line, strlen(line));
+	return answer_of(c);
+}
+
+/* The ids of three failed statements lead to their causes. */
 static void test_trail(void)
 {
 	struct fleet *f = fleet_start(3);
 	struct line_conn *c = session(f, "pay", "k1");
-	g_autofree char *path = g_strdup_printf("%s/%d.log", f->dir, ENTRY);
-	g_autofree char *log = NULL;
+	g_autofree char *slow = config_at_rate(7, 1);
+	g_autofree char *fast = config_at_rate(9, 500);
 	g_autofree char *got = NULL;
-	const char *line;
 
+	/* Unknown outcome: the endpoints do not answer. */
 	kill(f->pids[STANDIN], SIGSTOP);
-	send_bytes(c, BYTES("QUERY lost-1 WRITE x y\r\n"));
-	got = answer_of(c);
+	got = ask_as(c, "lost-1", "WRITE x y");
 	kill(f->pids[STANDIN], SIGCONT);
 	g_assert_true(g_str_has_prefix(got, "ERROR "));
-	g_usleep(100 * 1000);
-	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
-	line = strstr(log, "\"id\":\"lost-1\"");
-	g_assert_nonnull(line);
-	g_assert_nonnull(strstr(line, "\"reason\":"));
+	expect_line(f, ENTRY, "\"id\":\"lost-1\"", "\"reason\":");
+	insist(c, "WRITE again yes", "COMPLETE write-tag|READY I");
+	/* Refused for its rate: who set it, and with which version. */
+	g_assert_cmpint(replace(f, slow), ==, 200);
+	expect_line(f, ENTRY, "rate_changed", "\"to_per_s\":1,");
+	for (int i = 0; i < 20; i++) {
+		g_free(got);
+		got = ask_as(c, "rate-1", "WRITE x y");
+		if (g_str_has_prefix(got, "ERROR BUSY"))
+			break;
+	}
+	g_assert_cmpstr(got, ==, "ERROR BUSY|READY I");
+	expect_line(f, ENTRY, "\"id\":\"rate-1\"", "rate exceeded");
+	g_assert_cmpint(replace(f, fast), ==, 200);
+	expect_line(f, ENTRY, "rate_changed", "\"to_per_s\":500,");
+	/* No primary: since when it was missed, and what was done about it. */
+	insist(c, "WRITE again yes", "COMPLETE write-tag|READY I");
+	kill(f->pids[STANDIN], SIGUSR1);
+	for (int i = 0; i < 200; i++) {
+		g_free(got);
+		got = ask_as(c, "gone-1", "WRITE x y");
+		if (g_str_has_prefix(got, "ERROR BUSY"))
+			break;
+		g_usleep(1000);
+	}
+	expect_line(f, ENTRY, "primary_seen", "\"suspect\":true");
+	expect_control_line(f, "succession_started", "primary_suspect");
+	expect_control_line(f, "promote_answered", "\"error\":\"ok\"");
+	insist(c, "WRITE after it", "COMPLETE write-tag|READY I");
 	close_line(c);
 	fleet_stop(f);
 }
