--- a/lib/io/peer.c
+++ b/lib/io/peer.c
@@ -12,8 +12,7 @@
 
 #define READ_BYTES (64U * 1024U)
 #define OUT_MAX (2 * (size_t)WIRE_FRAME_MAX)
-/* Pause after an address that refused; one that was silent cost time already.
- */
+/* After an address that refused, and after one that did not answer. */
 #define REDIAL_MS 200
 #define REDIAL_SILENT_MS 20
 /*
