Write again what a failed sync may have dropped

Found on reading the disk's thread: after a sync that failed, the next one that worked reported all earlier records as durable, although the system may have dropped what was written before the failure; those may have been acknowledged. Change: what was appended since the last sync is kept in memory and written again before the next one; nothing is reported meanwhile.

--- a/lib/io/disk.c
+++ b/lib/io/disk.c
@@ -33,6 +33,8 @@
 	off_t length;
 	/* Part of it that is known to be durable. */
 	off_t synced;
+	/* What was appended since. */
+	msgpack_sbuffer unsynced;
 
 	pthread_t thread;
 	pthread_mutex_t lock;
@@ -105,6 +107,8 @@
 
 	if (!rc) {
 		disk->length += (off_t)job->bytes.size;
+		msgpack_sbuffer_write(&disk->unsynced, job->bytes.data,
+				      job->bytes.size);
 		return 0;
 	}
 	/* Undo the part that was written. */
@@ -139,6 +143,7 @@
 	disk->fd = fd;
 	disk->length = (off_t)job->bytes.size;
 	disk->synced = disk->length;
+	msgpack_sbuffer_clear(&disk->unsynced);
 	return fsync(disk->folder_fd) ? LWS_E_IO : 0;
 }
 
@@ -179,6 +184,32 @@
 	talloc_free(job);
 }
 
+static int write_again(struct disk *disk)
+{
+	if (lseek(disk->fd, disk->synced, SEEK_SET) < 0)
+		return LWS_E_IO;
+	return write_all(disk->fd, disk->unsynced.data, disk->unsynced.size);
+}
+
+/* False when the disk is to stop before that worked. */
+static bool sync_appends(struct disk *disk)
+{
+	int rc = disk->params.sync(disk->fd) ? LWS_E_IO : 0;
+
+	while (rc) {
+		if (is_stopping(disk))
+			return false;
+		tell(disk, 0, rc);
+		pause_before_retry();
+		rc = write_again(disk);
+		if (!rc && disk->params.sync(disk->fd))
+			rc = LWS_E_IO;
+	}
+	disk->synced = disk->length;
+	msgpack_sbuffer_clear(&disk->unsynced);
+	return true;
+}
+
 static void do_batch(struct disk *disk, struct job *job)
 {
 	uint64_t seq = 0;
@@ -192,13 +223,8 @@
 		free_job(job);
 		job = next;
 	}
-	/* After a failed sync the pages may be lost: never report it. */
-	if (ok && fdatasync(disk->fd) == 0) {
-		disk->synced = disk->length;
+	if (ok && sync_appends(disk))
 		tell(disk, seq, 0);
-	} else if (ok) {
-		tell(disk, 0, LWS_E_IO);
-	}
 }
 
 static void *run(void *arg)
@@ -314,6 +340,7 @@
 		pthread_mutex_unlock(&disk->lock);
 		pthread_join(disk->thread, NULL);
 	}
+	msgpack_sbuffer_destroy(&disk->unsynced);
 	if (disk->fd >= 0)
 		close(disk->fd);
 	if (disk->lock_fd >= 0)
@@ -332,6 +359,9 @@
 	if (!disk)
 		return LWS_E_NOMEM;
 	disk->params = *params;
+	if (!params->sync)
+		disk->params.sync = fdatasync;
+	msgpack_sbuffer_init(&disk->unsynced);
 	disk->fd = -1;
 	disk->lock_fd = -1;
 	disk->folder_fd = -1;
--- a/lib/io/disk.h
+++ b/lib/io/disk.h
@@ -11,7 +11,9 @@
  *
  * A thread of its own writes and syncs, so that no loop waits for the disk.
  * Appends that pile up are synced together. A write that fails for lack of
- * space is undone and tried again; nothing counts as synced meanwhile.
+ * space is undone and tried again; nothing counts as synced meanwhile. After a
+ * sync that failed the system may have dropped what was written: it is written
+ * again from memory before the next sync.
  */
 
 struct disk;
@@ -25,6 +27,7 @@
  *             record points to is freed afterwards; an error ends the opening
  * @on_durable: called in the owner's thread: everything up to @seq is synced
  * @on_error: called in the owner's thread: writing fails at the moment
+ * @sync: how appends are synced; NULL for fdatasync()
  */
 struct disk_params {
 	const char *folder;
@@ -33,6 +36,7 @@
 	int (*on_record)(void *private_data, const struct store_record *record);
 	void (*on_durable)(void *private_data, uint64_t seq);
 	void (*on_error)(void *private_data, int rc);
+	int (*sync)(int fd);
 };
 
 /**
--- a/tests/test_disk.c
+++ b/tests/test_disk.c
@@ -1,9 +1,12 @@
+#include <errno.h>
 #include <glib.h>
 #include <glib/gstdio.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <talloc.h>
+#include <unistd.h>
 
 #include "disk.h"
 #include "lws_error.h"
@@ -22,6 +25,7 @@
 	uint32_t errors;
 	uint32_t records;
 	uint64_t last_term;
+	int (*sync)(int fd);
 };
 
 static int on_record(void *private_data, const struct store_record *record)
@@ -52,7 +56,8 @@
 				      .private_data = f,
 				      .on_record = on_record,
 				      .on_durable = on_durable,
-				      .on_error = on_error };
+				      .on_error = on_error,
+				      .sync = f->sync };
 
 	TALLOC_FREE(f->disk);
 	f->records = 0;
@@ -220,6 +225,49 @@
 	}
 }
 
+/* A sync that fails twice, and drops what was written since the last one. */
+static int syncs_to_fail;
+static off_t last_synced;
+
+static int drop_and_fail(int fd)
+{
+	struct stat st;
+
+	if (syncs_to_fail) {
+		syncs_to_fail--;
+		errno = EIO;
+		(void)!ftruncate(fd, last_synced);
+		return -1;
+	}
+	if (fstat(fd, &st))
+		return -1;
+	last_synced = st.st_size;
+	return fdatasync(fd);
+}
+
+static void test_failed_sync(void)
+{
+	struct fixture *f = set_up();
+
+	TALLOC_FREE(f->disk);
+	last_synced = 0;
+	f->sync = drop_and_fail;
+	g_assert_cmpint(reopen(f), ==, 0);
+	append(f, 1, 1);
+	wait_durable(f, 1);
+	syncs_to_fail = 2;
+	append(f, 2, 2);
+	append(f, 3, 3);
+	wait_durable(f, 3);
+	g_assert_cmpuint(f->errors, >=, 2);
+	append(f, 4, 4);
+	wait_durable(f, 4);
+	g_assert_cmpint(reopen(f), ==, 0);
+	g_assert_cmpuint(f->records, ==, 4);
+	g_assert_cmpuint(f->last_term, ==, 4);
+	tear_down(f);
+}
+
 /* All of a replaced file was synced before it got its name. */
 static void test_replaced_damage(void)
 {
@@ -299,6 +347,7 @@
 	g_test_add_func("/disk/append-and-replace", test_append_and_replace);
 	g_test_add_func("/disk/full", test_full_disk);
 	g_test_add_func("/disk/damage", test_damage);
+	g_test_add_func("/disk/failed-sync", test_failed_sync);
 	g_test_add_func("/disk/replaced-damage", test_replaced_damage);
 	g_test_add_func("/disk/hole", test_hole);
 	g_test_add_func("/disk/folder-in-use", test_folder_in_use);
