Let each run of the soak find a network that nobody uses

Two of six parallel soaks ended at their start: another one had the same network, which followed from the process's number alone. 36 seeds (318 to 353) of that round were kept, 300 to 317 were not run; they run now.

--- a/soak/main.c
+++ b/soak/main.c
@@ -21,6 +21,7 @@
 #define WIPE_CALM_MS 4000
 /* A planned stop in turn: each has time to come back. */
 #define ROLL_CALM_MS 2000
+#define NETS_TRIED 50
 
 struct run {
 	struct lws_rng rng;
@@ -225,12 +226,27 @@
 	soak_callers_calm(r->ledger, false);
 }
 
+/* Other runs on this machine use networks of their own. */
+static char *free_net(int number)
+{
+	char *net = NULL;
+
+	for (int i = 0; i < NETS_TRIED; i++) {
+		g_free(net);
+		net = g_strdup_printf("127.%d.%d",
+				      100 + ((int)getpid() + i) % 100,
+				      1 + number % 200);
+		if (soak_net_free(net))
+			break;
+	}
+	return net;
+}
+
 static bool play(uint64_t seed, int seconds, int number, bool keep)
 {
 	struct run r = { .rng = { .seed = seed } };
 	g_autofree char *dir = g_dir_make_tmp("lws-soak-XXXXXX", NULL);
-	g_autofree char *net = g_strdup_printf(
-		"127.%d.%d", 100 + (int)getpid() % 100, 1 + number % 200);
+	g_autofree char *net = free_net(number);
 	g_autofree char *log = NULL;
 	int before = g_atomic_int_get(&failures);
 	uint64_t answered;
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -272,6 +272,20 @@
 	return p;
 }
 
+bool soak_net_free(const char *net)
+{
+	struct sockaddr_in sin =
+		address_of(net, 1 + SOAK_PROXY_OFFSET, SOAK_PORT_PEERS);
+	int fd = nonblocking_socket();
+	int one = 1;
+	bool is_free;
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	is_free = !bind(fd, (struct sockaddr *)&sin, sizeof(sin));
+	close(fd);
+	return is_free;
+}
+
 int soak_proxy_add(struct soak_proxy *p, const char *net, int host, int port)
 {
 	struct sockaddr_in sin =
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -73,6 +73,9 @@
 /** soak_proxy_start() - a proxy with a thread of its own */
 struct soak_proxy *soak_proxy_start(void);
 
+/** soak_net_free() - nobody listens on a proxy's address of this network */
+bool soak_net_free(const char *net);
+
 /** soak_proxy_add() - one more route; returns its number */
 int soak_proxy_add(struct soak_proxy *p, const char *net, int host, int port);
 
