--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -4,6 +4,7 @@
 #include <talloc.h>
 #include <time.h>
 
+#include "io_time.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
@@ -256,9 +257,7 @@
 	control_publish(c);
 	if (c->draining)
 		drain_tick(c, now_us);
-	tevent_add_timer(ev, c,
-			 tevent_timeval_current_ofs(0, CONTROL_TICK_MS * 1000),
-			 on_tick, c);
+	tevent_add_timer(ev, c, io_in_ms(CONTROL_TICK_MS), on_tick, c);
 }
 
 struct control *control_create(struct daemon *d, struct tevent_context *ev)
--- a/lib/daemon/daemon.c
+++ b/lib/daemon/daemon.c
@@ -11,9 +11,18 @@
 #include "entry.h"
 #include "lws_error.h"
 #include "lws_rcu.h"
+#include "lws_time.h"
 #include "metrics.h"
 #include "sock.h"
 
+bool daemon_keys_fresh(struct daemon *d)
+{
+	uint64_t confirmed_us = atomic_load(&d->confirmed_us);
+
+	return confirmed_us && lws_time_now_us() - confirmed_us <
+				       d->settings.key_fresh_ms * LWS_US_PER_MS;
+}
+
 void daemon_publish(struct daemon *d, struct view *view)
 {
 	struct view *old = atomic_load(&d->view);
--- a/lib/daemon/daemon.h
+++ b/lib/daemon/daemon.h
@@ -84,6 +84,9 @@
 int daemon_run(const struct settings *settings,
 	       const struct daemon_adapter *adapter);
 
+/** daemon_keys_fresh() - keys were confirmed lately enough; any thread */
+bool daemon_keys_fresh(struct daemon *d);
+
 /** daemon_publish() - control thread: put a new view in force */
 void daemon_publish(struct daemon *d, struct view *view);
 
--- a/lib/daemon/endpoint_call.c
+++ b/lib/daemon/endpoint_call.c
@@ -99,22 +99,10 @@
 {
 	struct call *call = private_data;
 
-	(void)rc;
 	call->stream = NULL;
 	call->answered = false;
-	end(call);
-}
-
-static void on_timer(struct tevent_context *ev, struct tevent_timer *te,
-		     struct timeval now, void *private_data)
-{
-	struct call *call = private_data;
-
-	(void)ev;
-	(void)te;
-	(void)now;
-	call->answered = false;
-	call->error = STATEMENT_E_TIMEOUT;
+	if (rc == LWS_E_DEADLINE)
+		call->error = STATEMENT_E_TIMEOUT;
 	end(call);
 }
 
@@ -132,6 +120,7 @@
 		.in_max = BUFFER_MAX,
 		.out_max = BUFFER_MAX,
 		.silent_ms = from->timeout_ms,
+		.deadline_ms = from->timeout_ms,
 		.private_data = call,
 		.on_data = on_data,
 		.on_down = on_down,
@@ -153,11 +142,6 @@
 		talloc_free(call);
 		return LWS_E_IO;
 	}
-	tevent_add_timer(
-		ev, call,
-		tevent_timeval_current_ofs(from->timeout_ms / 1000,
-					   (from->timeout_ms % 1000) * 1000),
-		on_timer, call);
 	stream_write(call->stream, call->open.data, call->open.len);
 	return 0;
 }
--- a/lib/daemon/entry.c
+++ b/lib/daemon/entry.c
@@ -7,9 +7,11 @@
 #include <unistd.h>
 
 #include "control.h"
+#include "io_time.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
+#include "metrics.h"
 #include "pooler.h"
 #include "session_token.h"
 #include "sock.h"
@@ -264,11 +266,8 @@
 		return true;
 	}
 	e->unopened++;
-	c->open_timer = tevent_add_timer(
-		ev, c,
-		tevent_timeval_current_ofs(OPEN_TIMEOUT_MS / 1000,
-					   (OPEN_TIMEOUT_MS % 1000) * 1000),
-		on_open_timer, c);
+	c->open_timer = tevent_add_timer(ev, c, io_in_ms(OPEN_TIMEOUT_MS),
+					 on_open_timer, c);
 	return true;
 }
 
@@ -541,11 +540,8 @@
 		return;
 	TALLOC_FREE(e->timer);
 	e->timer_due_us = due_us;
-	e->timer = tevent_add_timer(
-		e->control->ev, e,
-		tevent_timeval_current_ofs((uint32_t)(wait_us / LWS_US_PER_S),
-					   (uint32_t)(wait_us % LWS_US_PER_S)),
-		on_timer, e);
+	e->timer = tevent_add_timer(e->control->ev, e, io_in_us(wait_us),
+				    on_timer, e);
 }
 
 /* The control thread */
@@ -582,42 +578,6 @@
 	return !e->callers;
 }
 
-static void put_counter(struct byte_buffer *out, const char *name,
-			uint64_t value)
-{
-	char line[256];
-	int n = snprintf(line, sizeof(line), "lws_%s %" PRIu64 "\n", name,
-			 value);
-
-	(void)byte_buffer_append(out, line, (size_t)n);
-}
-
-static void put_histogram(struct byte_buffer *out, const char *name,
-			  const char *labels, const struct lws_histogram *h)
-{
-	char line[256];
-	uint64_t below = 0;
-	int n;
-
-	if (!h->count)
-		return;
-	for (uint32_t i = 0; i < LWS_HISTOGRAM_BUCKETS; i++) {
-		if (!h->buckets[i])
-			continue;
-		below += h->buckets[i];
-		n = snprintf(line, sizeof(line),
-			     "lws_%s_bucket{%s,le=\"%" PRIu64 "\"} %" PRIu64
-			     "\n",
-			     name, labels, lws_histogram_bound_us(i), below);
-		(void)byte_buffer_append(out, line, (size_t)n);
-	}
-	n = snprintf(line, sizeof(line),
-		     "lws_%s_sum{%s} %" PRIu64 "\nlws_%s_count{%s} %" PRIu64
-		     "\n",
-		     name, labels, h->sum_us, name, labels, h->count);
-	(void)byte_buffer_append(out, line, (size_t)n);
-}
-
 static void put_endpoint(struct byte_buffer *out,
 			 const struct pooler_endpoint_stats *at)
 {
@@ -627,16 +587,17 @@
 	snprintf(labels, sizeof(labels), "group=\"%s\",endpoint=\"%s\"",
 		 at->group, at->id);
 	snprintf(name, sizeof(name), "endpoint_primary{%s}", labels);
-	put_counter(out, name, at->primary);
+	metrics_put(out, name, at->primary);
 	snprintf(name, sizeof(name), "endpoint_suspect{%s}", labels);
-	put_counter(out, name, at->suspect);
+	metrics_put(out, name, at->suspect);
 	snprintf(name, sizeof(name), "endpoint_connections{%s}", labels);
-	put_counter(out, name, at->connections);
+	metrics_put(out, name, at->connections);
 	snprintf(name, sizeof(name), "endpoint_running{%s}", labels);
-	put_counter(out, name, at->running);
+	metrics_put(out, name, at->running);
 	snprintf(name, sizeof(name), "endpoint_limit{%s}", labels);
-	put_counter(out, name, (uint64_t)at->limit);
-	put_histogram(out, "endpoint_answered_us", labels, at->answered_us);
+	metrics_put(out, name, (uint64_t)at->limit);
+	metrics_put_histogram(out, "endpoint_answered_us", labels,
+			      at->answered_us);
 }
 
 void entry_metrics(const struct entry *e, struct byte_buffer *out)
@@ -645,24 +606,26 @@
 	struct pooler_endpoint_stats at;
 	char name[64];
 
-	put_counter(out, "sessions", pooler_sessions(e->pooler));
-	put_counter(out, "operations", stats->operations);
-	put_counter(out, "statements", stats->statements);
-	put_counter(out, "replica_reads", stats->replica_reads);
-	put_counter(out, "primary_reads", stats->primary_reads);
-	put_counter(out, "proofs", stats->proofs);
-	put_counter(out, "endpoint_connects", stats->connects);
-	put_counter(out, "retries", stats->retries);
-	put_counter(out, "malformed", e->malformed);
+	metrics_put(out, "sessions", pooler_sessions(e->pooler));
+	metrics_put(out, "operations", stats->operations);
+	metrics_put(out, "statements", stats->statements);
+	metrics_put(out, "replica_reads", stats->replica_reads);
+	metrics_put(out, "primary_reads", stats->primary_reads);
+	metrics_put(out, "proofs", stats->proofs);
+	metrics_put(out, "endpoint_connects", stats->connects);
+	metrics_put(out, "retries", stats->retries);
+	metrics_put(out, "malformed", e->malformed);
 	for (int i = STATEMENT_E_NONE + 1; i < STATEMENT_E_COUNT; i++) {
 		snprintf(name, sizeof(name), "refused{error=\"%s\"}",
 			 statement_error_name((enum statement_error)i));
-		put_counter(out, name, stats->refused[i]);
+		metrics_put(out, name, stats->refused[i]);
 	}
 	for (int u = 0; u < POOLER_URGENCIES; u++) {
 		snprintf(name, sizeof(name), "urgency=\"%d\"", u);
-		put_histogram(out, "answered_us", name, &stats->answered_us[u]);
-		put_histogram(out, "waited_us", name, &stats->waited_us[u]);
+		metrics_put_histogram(out, "answered_us", name,
+				      &stats->answered_us[u]);
+		metrics_put_histogram(out, "waited_us", name,
+				      &stats->waited_us[u]);
 	}
 	for (uint32_t i = 0; pooler_endpoint(e->pooler, i, &at); i++)
 		put_endpoint(out, &at);
--- a/lib/daemon/front.c
+++ b/lib/daemon/front.c
@@ -1,3 +1,4 @@
+#include "io_time.h"
 #include "lws_time.h"
 #include "worker_internal.h"
 #include <stdio.h>
@@ -117,11 +118,8 @@
 	if (due_us == UINT64_MAX)
 		return;
 	in_us = due_us > now_us ? due_us - now_us : 0;
-	w->wait_timer = tevent_add_timer(
-		w->ev, w,
-		tevent_timeval_current_ofs((uint32_t)(in_us / LWS_US_PER_S),
-					   (uint32_t)(in_us % LWS_US_PER_S)),
-		on_wait_timer, w);
+	w->wait_timer =
+		tevent_add_timer(w->ev, w, io_in_us(in_us), on_wait_timer, w);
 }
 
 static void refuse_by_rate(struct front *front)
@@ -181,15 +179,9 @@
 /* The platform's balancer asks whether this instance takes requests. */
 static void answer_health(struct worker *w, struct h2_request *request)
 {
-	struct daemon *d = w->daemon;
-	uint64_t confirmed_us = atomic_load(&d->confirmed_us);
-	bool fresh = confirmed_us &&
-		     lws_time_now_us() - confirmed_us <=
-			     d->settings.key_fresh_ms * LWS_US_PER_MS;
-
 	if (w->draining)
 		refuse(w, request, LWS_E_DRAINING, 0);
-	else if (!fresh)
+	else if (!daemon_keys_fresh(w->daemon))
 		refuse(w, request, LWS_E_KEY_UNCONFIRMED, 0);
 	else
 		respond(request, 200, "{\"ready\":true}", NULL, 0);
--- a/lib/daemon/front_parse.c
+++ b/lib/daemon/front_parse.c
@@ -42,15 +42,12 @@
 		     uint32_t service, uint32_t *customer)
 {
 	const char *key = h2_request_header(front->request, "lws-key");
-	struct daemon *d = front->worker->daemon;
-	uint64_t confirmed_us = atomic_load(&d->confirmed_us);
 	const struct cfg_customer *c;
 
 	if (!key)
 		return LWS_E_KEY_MISSING;
 	/* A table that was not confirmed lately may hold withdrawn keys. */
-	if (!confirmed_us || lws_time_now_us() - confirmed_us >
-				     d->settings.key_fresh_ms * LWS_US_PER_MS)
+	if (!daemon_keys_fresh(front->worker->daemon))
 		return LWS_E_KEY_UNCONFIRMED;
 	*customer = key_table_find(view->keys, key);
 	if (*customer == KEY_NO_CUSTOMER)
--- a/lib/daemon/group_shell.c
+++ b/lib/daemon/group_shell.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "io_time.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
@@ -412,11 +413,8 @@
 	if (due_us == UINT64_MAX)
 		return;
 	in_us = due_us > now_us + TIMER_MIN_US ? due_us - now_us : TIMER_MIN_US;
-	gs->timer = tevent_add_timer(
-		gs->worker->ev, gs,
-		tevent_timeval_current_ofs((uint32_t)(in_us / LWS_US_PER_S),
-					   (uint32_t)(in_us % LWS_US_PER_S)),
-		on_timer, gs);
+	gs->timer = tevent_add_timer(gs->worker->ev, gs, io_in_us(in_us),
+				     on_timer, gs);
 }
 
 static void count_stats(struct group_shell *gs)
--- a/lib/daemon/metrics.c
+++ b/lib/daemon/metrics.c
@@ -9,28 +9,55 @@
 #include "entry.h"
 #include "http1.h"
 #include "lws_error.h"
+#include "lws_histogram.h"
 #include "lws_time.h"
 
 #define CONNECTIONS_MAX 16
 #define BODY_MAX 1024
 #define REQUEST_MS 2000
 
-static void put_value(struct byte_buffer *out, const char *name, uint64_t value)
+void metrics_put(struct byte_buffer *out, const char *name, uint64_t value)
 {
-	char line[160];
+	char line[256];
 	int n = snprintf(line, sizeof(line), "lws_%s %" PRIu64 "\n", name,
 			 value);
 
 	(void)byte_buffer_append(out, line, (size_t)n);
 }
 
+void metrics_put_histogram(struct byte_buffer *out, const char *name,
+			   const char *labels, const struct lws_histogram *h)
+{
+	char line[256];
+	uint64_t below = 0;
+	int n;
+
+	if (!h->count)
+		return;
+	for (uint32_t i = 0; i < LWS_HISTOGRAM_BUCKETS; i++) {
+		if (!h->buckets[i])
+			continue;
+		below += h->buckets[i];
+		n = snprintf(line, sizeof(line),
+			     "lws_%s_bucket{%s,le=\"%" PRIu64 "\"} %" PRIu64
+			     "\n",
+			     name, labels, lws_histogram_bound_us(i), below);
+		(void)byte_buffer_append(out, line, (size_t)n);
+	}
+	n = snprintf(line, sizeof(line),
+		     "lws_%s_sum{%s} %" PRIu64 "\nlws_%s_count{%s} %" PRIu64
+		     "\n",
+		     name, labels, h->sum_us, name, labels, h->count);
+	(void)byte_buffer_append(out, line, (size_t)n);
+}
+
 static void put_counters(struct byte_buffer *out, const struct lws_counters *c)
 {
 	char name[96];
 
 	for (int i = 0; i < LWS_COUNTER_COUNT; i++)
-		put_value(out, lws_counter_name((enum lws_counter)i),
-			  atomic_load(&c->value[i]));
+		metrics_put(out, lws_counter_name((enum lws_counter)i),
+			    atomic_load(&c->value[i]));
 	for (int kind = 1; kind < -LWS_E_LAST; kind++) {
 		uint64_t n = atomic_load(&c->refused[kind]);
 
@@ -38,7 +65,7 @@
 			continue;
 		snprintf(name, sizeof(name), "errors{kind=\"%s\"}",
 			 lws_error_name(-kind));
-		put_value(out, name, n);
+		metrics_put(out, name, n);
 	}
 }
 
@@ -50,19 +77,19 @@
 
 	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p))
 		peers++;
-	put_value(out, "peers", peers);
-	put_value(out, "applied_index", c->fleet->applied_index);
-	put_value(out, "catalog_version", fleet_catalog_version(c->fleet));
-	put_value(out, "confirmed_age_us",
-		  confirmed_us ? now_us - confirmed_us : UINT64_MAX);
-	put_value(out, "leads", c->leader != NULL);
-	put_value(out, "proposals_waiting", c->proposals != NULL);
+	metrics_put(out, "peers", peers);
+	metrics_put(out, "applied_index", c->fleet->applied_index);
+	metrics_put(out, "catalog_version", fleet_catalog_version(c->fleet));
+	metrics_put(out, "confirmed_age_us",
+		    confirmed_us ? now_us - confirmed_us : UINT64_MAX);
+	metrics_put(out, "leads", c->leader != NULL);
+	metrics_put(out, "proposals_waiting", c->proposals != NULL);
 	if (!c->raft)
 		return;
-	put_value(out, "log_term", raft_term(c->raft));
-	put_value(out, "log_last_index", raft_last_index(c->raft));
-	put_value(out, "log_commit_index", raft_commit_index(c->raft));
-	put_value(out, "voters", raft_voters(c->raft)->count);
+	metrics_put(out, "log_term", raft_term(c->raft));
+	metrics_put(out, "log_last_index", raft_last_index(c->raft));
+	metrics_put(out, "log_commit_index", raft_commit_index(c->raft));
+	metrics_put(out, "voters", raft_voters(c->raft)->count);
 }
 
 static void on_request(void *private_data, struct http1_request *r)
--- a/lib/daemon/operator.c
+++ b/lib/daemon/operator.c
@@ -189,12 +189,8 @@
 
 bool operator_ready(const struct control *c)
 {
-	uint64_t now_us = lws_time_now_us();
-	uint64_t confirmed_us = atomic_load(&c->daemon->confirmed_us);
-	uint64_t fresh_us = c->daemon->settings.key_fresh_ms * LWS_US_PER_MS;
-
-	return !c->draining && c->fleet->catalog && confirmed_us &&
-	       now_us - confirmed_us < fresh_us;
+	return !c->draining && c->fleet->catalog &&
+	       daemon_keys_fresh(c->daemon);
 }
 
 void operator_promoted(struct control *c, const char *group,
--- a/lib/daemon/worker.c
+++ b/lib/daemon/worker.c
@@ -2,6 +2,7 @@
 #include <talloc.h>
 #include <unistd.h>
 
+#include "io_time.h"
 #include "lws_error.h"
 #include "lws_rcu.h"
 #include "lws_time.h"
@@ -89,9 +90,8 @@
 	if (!idle && w->told_idle)
 		atomic_fetch_sub(&w->daemon->workers_idle, 1);
 	w->told_idle = idle;
-	w->drain_timer = tevent_add_timer(
-		w->ev, w, tevent_timeval_current_ofs(0, DRAIN_CHECK_MS * 1000),
-		on_drain_timer, w);
+	w->drain_timer = tevent_add_timer(w->ev, w, io_in_ms(DRAIN_CHECK_MS),
+					  on_drain_timer, w);
 }
 
 static void begin_drain(struct worker *w)
--- a/lib/io/h2_client.c
+++ b/lib/io/h2_client.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "h2_internal.h"
+#include "io_time.h"
 #include "lws_error.h"
 #include "sock.h"
 
@@ -334,11 +335,8 @@
 		client->connecting = tevent_add_fd(
 			ev, client, fd, TEVENT_FD_READ | TEVENT_FD_WRITE,
 			on_connected, client);
-		client->connect_timeout =
-			tevent_add_timer(ev, client,
-					 tevent_timeval_current_ofs(
-						 ms / 1000, (ms % 1000) * 1000),
-					 on_connect_timeout, client);
+		client->connect_timeout = tevent_add_timer(
+			ev, client, io_in_ms(ms), on_connect_timeout, client);
 	}
 	*out = client;
 	return 0;
@@ -386,11 +384,9 @@
 		talloc_free(call);
 		return LWS_E_IO;
 	}
-	call->timeout = tevent_add_timer(
-		client->ev, call,
-		tevent_timeval_current_ofs(params->timeout_ms / 1000,
-					   (params->timeout_ms % 1000) * 1000),
-		on_call_timeout, call);
+	call->timeout =
+		tevent_add_timer(client->ev, call, io_in_ms(params->timeout_ms),
+				 on_call_timeout, call);
 	call->next = client->calls;
 	if (client->calls)
 		client->calls->prev = call;
--- a/lib/io/h2_server.c
+++ b/lib/io/h2_server.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "h2_internal.h"
+#include "io_time.h"
 #include "lws_error.h"
 #include "sock.h"
 
@@ -294,9 +295,7 @@
 static int conn_create(struct h2_server *server, int fd)
 {
 	struct conn *conn = talloc_zero(server, struct conn);
-	struct timeval due = tevent_timeval_current_ofs(
-		server->params.handshake_ms / 1000,
-		(server->params.handshake_ms % 1000) * 1000);
+	struct timeval due = io_in_ms(server->params.handshake_ms);
 
 	if (!conn)
 		goto fail;
--- a/lib/io/http1.c
+++ b/lib/io/http1.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 #include <unistd.h>
 
+#include "io_time.h"
 #include "lws_error.h"
 #include "sock.h"
 #include "stream.h"
@@ -167,10 +168,8 @@
 
 	if (conn->timer)
 		return;
-	conn->timer = tevent_add_timer(
-		conn->server->ev, conn,
-		tevent_timeval_current_ofs(ms / 1000, (ms % 1000) * 1000),
-		on_request_timer, conn);
+	conn->timer = tevent_add_timer(conn->server->ev, conn, io_in_ms(ms),
+				       on_request_timer, conn);
 }
 
 static int on_message_begin(http_parser *parser)
@@ -428,18 +427,8 @@
 {
 	struct call *call = private_data;
 
-	(void)rc;
 	call->stream = NULL;
-	end_call(call, LWS_E_IO);
-}
-
-static void on_call_timer(struct tevent_context *ev, struct tevent_timer *te,
-			  struct timeval now, void *private_data)
-{
-	(void)ev;
-	(void)te;
-	(void)now;
-	end_call(private_data, LWS_E_DEADLINE);
+	end_call(call, rc == LWS_E_DEADLINE ? rc : LWS_E_IO);
 }
 
 int http1_call_start(void *mem_ctx, struct tevent_context *ev,
@@ -450,6 +439,7 @@
 		.in_max = HEADERS_MAX,
 		.out_max = ANSWERS_MAX,
 		.silent_ms = from->timeout_ms,
+		.deadline_ms = from->timeout_ms,
 		.private_data = call,
 		.on_data = on_call_data,
 		.on_down = on_call_down,
@@ -475,11 +465,6 @@
 		talloc_free(call);
 		return LWS_E_IO;
 	}
-	tevent_add_timer(
-		ev, call,
-		tevent_timeval_current_ofs(from->timeout_ms / 1000,
-					   (from->timeout_ms % 1000) * 1000),
-		on_call_timer, call);
 	stream_write(call->stream, text, strlen(text));
 	return 0;
 }
--- /dev/null
+++ b/lib/io/io_time.h
@@ -0,0 +1,26 @@
+#ifndef IO_TIME_H
+#define IO_TIME_H
+
+#include <stdint.h>
+#include <tevent.h>
+
+#include "lws_time.h"
+
+/**
+ * DOC: Points in time for the timers of a tevent loop.
+ */
+
+/** io_in_us() - so many microseconds from now */
+static inline struct timeval io_in_us(uint64_t us)
+{
+	return tevent_timeval_current_ofs((uint32_t)(us / LWS_US_PER_S),
+					  (uint32_t)(us % LWS_US_PER_S));
+}
+
+/** io_in_ms() - so many milliseconds from now */
+static inline struct timeval io_in_ms(uint32_t ms)
+{
+	return io_in_us(ms * LWS_US_PER_MS);
+}
+
+#endif
--- a/lib/io/peer.c
+++ b/lib/io/peer.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 #include <unistd.h>
 
+#include "io_time.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
@@ -92,10 +93,8 @@
 
 static void dial_later(struct dial *dial, uint32_t pause_ms)
 {
-	dial->again =
-		tevent_add_timer(dial->hub->ev, dial,
-				 tevent_timeval_current_ofs(0, pause_ms * 1000),
-				 on_dial_again, dial);
+	dial->again = tevent_add_timer(dial->hub->ev, dial, io_in_ms(pause_ms),
+				       on_dial_again, dial);
 }
 
 static void reap(struct tevent_context *ev, struct tevent_immediate *im,
@@ -375,10 +374,7 @@
 					     : TEVENT_FD_READ,
 				  on_event, peer);
 	peer->hello_timeout = tevent_add_timer(
-		hub->ev, peer,
-		tevent_timeval_current_ofs(patience_ms / 1000,
-					   patience_ms % 1000 * 1000),
-		on_hello_timeout, peer);
+		hub->ev, peer, io_in_ms(patience_ms), on_hello_timeout, peer);
 	peer->next = hub->peers;
 	if (hub->peers)
 		hub->peers->prev = peer;
@@ -475,9 +471,7 @@
 
 static void watch_later(struct peer_hub *hub)
 {
-	tevent_add_timer(hub->ev, hub,
-			 tevent_timeval_current_ofs(0, PING_MS * 1000 / 2),
-			 on_watch, hub);
+	tevent_add_timer(hub->ev, hub, io_in_ms(PING_MS / 2), on_watch, hub);
 }
 
 static bool wanted(const struct dial *dial, const char *const *addrs,
--- a/lib/io/stream.c
+++ b/lib/io/stream.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 #include <unistd.h>
 
+#include "io_time.h"
 #include "lws_error.h"
 #include "sock.h"
 
@@ -21,6 +22,7 @@
 	struct tevent_immediate *later;
 	struct tevent_immediate *wake;
 	struct tevent_timer *finish_timer;
+	struct tevent_timer *deadline;
 	bool connecting;
 	bool paused;
 	bool in_callback;
@@ -57,6 +59,7 @@
 	s->closed = true;
 	TALLOC_FREE(s->fde);
 	TALLOC_FREE(s->finish_timer);
+	TALLOC_FREE(s->deadline);
 	TALLOC_FREE(s->wake);
 	close(s->fd);
 	s->fd = -1;
@@ -75,6 +78,18 @@
 		s->params.on_down(s->params.private_data, rc);
 }
 
+static void on_deadline(struct tevent_context *ev, struct tevent_timer *te,
+			struct timeval now, void *private_data)
+{
+	struct stream *s = private_data;
+
+	(void)ev;
+	(void)te;
+	(void)now;
+	s->deadline = NULL;
+	end(s, LWS_E_DEADLINE);
+}
+
 static void on_finish_timer(struct tevent_context *ev, struct tevent_timer *te,
 			    struct timeval now, void *private_data)
 {
@@ -301,7 +316,11 @@
 			       connecting ? TEVENT_FD_READ | TEVENT_FD_WRITE
 					  : TEVENT_FD_READ,
 			       on_event, s);
-	if (!s->later || !s->wake || !s->fde) {
+	if (params->deadline_ms)
+		s->deadline = tevent_add_timer(
+			ev, s, io_in_ms(params->deadline_ms), on_deadline, s);
+	if (!s->later || !s->wake || !s->fde ||
+	    (params->deadline_ms && !s->deadline)) {
 		talloc_free(s);
 		return NULL;
 	}
@@ -338,10 +357,7 @@
 	if (s->closed || s->finishing)
 		return;
 	s->finishing = true;
-	s->finish_timer = tevent_add_timer(
-		s->ev, s,
-		tevent_timeval_current_ofs(FINISH_MS / 1000,
-					   (FINISH_MS % 1000) * 1000),
-		on_finish_timer, s);
+	s->finish_timer = tevent_add_timer(s->ev, s, io_in_ms(FINISH_MS),
+					   on_finish_timer, s);
 	shut_when_sent(s);
 }
--- a/lib/io/stream.h
+++ b/lib/io/stream.h
@@ -21,17 +21,19 @@
  * @out_max: bytes that may wait for the other side; more end the connection
  * @silent_ms: unacknowledged bytes end the connection after this long, 0 for
  *             the system's own time
+ * @deadline_ms: the connection ends after this time, 0 for never
  * @private_data: passed to the callbacks
  * @on_up: a connection that was being opened stands; may be NULL
  * @on_data: bytes wait; returns how many were taken, or a negative error kind
  *           to end the connection. Called again with the rest when more come.
  * @on_down: the connection ended, for LWS_E_IO, LWS_E_QUEUE_FULL (a buffer
- *           ran over) or what @on_data returned
+ *           ran over), LWS_E_DEADLINE or what @on_data returned
  */
 struct stream_params {
 	size_t in_max;
 	size_t out_max;
 	uint32_t silent_ms;
+	uint32_t deadline_ms;
 	void *private_data;
 	void (*on_up)(void *private_data);
 	ssize_t (*on_data)(void *private_data, const uint8_t *data, size_t len);
--- a/programs/platform_standin/platform_standin.c
+++ b/programs/platform_standin/platform_standin.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "http1.h"
+#include "io_time.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
@@ -536,10 +537,7 @@
 	struct standin *s = e->standin;
 
 	if (s->params.return_ms)
-		tevent_add_timer(
-			s->ev, s,
-			tevent_timeval_current_ofs(ms / 1000, ms % 1000 * 1000),
-			fn, e);
+		tevent_add_timer(s->ev, s, io_in_ms(ms), fn, e);
 }
 
 void standin_crash_primary(struct standin *s)
@@ -631,10 +629,7 @@
 			return 200;
 		p = talloc_zero(s, struct promotion);
 		p->endpoint = e;
-		tevent_add_timer(
-			s->ev, p,
-			tevent_timeval_current_ofs(0, PROMOTE_MS * 1000),
-			on_promote, p);
+		tevent_add_timer(s->ev, p, io_in_ms(PROMOTE_MS), on_promote, p);
 		return 200;
 	}
 	return 409;
@@ -701,9 +696,7 @@
 	(void)now;
 	for (int i = 0; i < STANDIN_ENDPOINTS; i++)
 		announce(&s->endpoints[i]);
-	tevent_add_timer(ev, s,
-			 tevent_timeval_current_ofs(0, HEARTBEAT_MS * 1000),
-			 on_heartbeat, s);
+	tevent_add_timer(ev, s, io_in_ms(HEARTBEAT_MS), on_heartbeat, s);
 }
 
 /* The @i-th of neighbouring ports. */
--- a/programs/standin/announce.c
+++ b/programs/standin/announce.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "io_time.h"
 #include "standin.h"
 
 #define CALL_TIMEOUT_MS 1000
@@ -95,10 +96,7 @@
 
 static void schedule(struct announcer *a, uint32_t ms)
 {
-	tevent_add_timer(
-		a->s->ev, a,
-		tevent_timeval_current_ofs(ms / 1000, (ms % 1000) * 1000),
-		on_timer, a);
+	tevent_add_timer(a->s->ev, a, io_in_ms(ms), on_timer, a);
 }
 
 void announce_start(struct standin *s)
--- a/programs/standin/exec.c
+++ b/programs/standin/exec.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "io_time.h"
 #include "lws_time.h"
 
 #define TRANSACTIONS_MAX 64
@@ -264,11 +265,7 @@
 
 static void after_us(struct job *job, uint64_t us, tevent_timer_handler_t fn)
 {
-	tevent_add_timer(
-		job->s->ev, job,
-		tevent_timeval_current_ofs((uint32_t)(us / LWS_US_PER_S),
-					   (uint32_t)(us % LWS_US_PER_S)),
-		fn, job);
+	tevent_add_timer(job->s->ev, job, io_in_us(us), fn, job);
 }
 
 static void on_executed(struct tevent_context *ev, struct tevent_timer *te,
--- a/programs/standin/http.c
+++ b/programs/standin/http.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "io_time.h"
 #include "lws_error.h"
 #include "lws_time.h"
 #include "sock.h"
@@ -132,11 +133,7 @@
 		talloc_free(w);
 		return;
 	}
-	tevent_add_timer(
-		s->ev, w,
-		tevent_timeval_current_ofs((uint32_t)(ms / 1000),
-					   (uint32_t)(ms % 1000) * 1000),
-		on_wait_over, w);
+	tevent_add_timer(s->ev, w, io_in_ms((uint32_t)ms), on_wait_over, w);
 }
 
 /* Handlers */
--- a/programs/standin/replicate.c
+++ b/programs/standin/replicate.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "io_time.h"
 #include "lws_time.h"
 #include "standin.h"
 
@@ -38,10 +39,7 @@
 static void retry_later(struct replica *r, uint32_t ms)
 {
 	TALLOC_FREE(r->retry);
-	r->retry = tevent_add_timer(
-		r->s->ev, r,
-		tevent_timeval_current_ofs(ms / 1000, (ms % 1000) * 1000),
-		on_retry, r);
+	r->retry = tevent_add_timer(r->s->ev, r, io_in_ms(ms), on_retry, r);
 }
 
 static void apply_batch(struct replica *r, const json_t *reply)
@@ -96,11 +94,8 @@
 	}
 	if (ms && json_array_size(json_object_get(body, "entries"))) {
 		r->batch = body;
-		r->retry =
-			tevent_add_timer(s->ev, r,
-					 tevent_timeval_current_ofs(
-						 ms / 1000, (ms % 1000) * 1000),
-					 on_lag_over, r);
+		r->retry = tevent_add_timer(s->ev, r, io_in_ms(ms), on_lag_over,
+					    r);
 		return;
 	}
 	apply_batch(r, body);
--- a/tests/test_http1.c
+++ b/tests/test_http1.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "http1.h"
+#include "io_time.h"
 #include "lws_error.h"
 #include "sock.h"
 
@@ -91,10 +92,7 @@
 {
 	bool over = false;
 
-	tevent_add_timer(
-		f->ev, f->ev,
-		tevent_timeval_current_ofs(ms / 1000, (ms % 1000) * 1000),
-		on_timer, &over);
+	tevent_add_timer(f->ev, f->ev, io_in_ms(ms), on_timer, &over);
 	while (!over)
 		tevent_loop_once(f->ev);
 }
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -4,6 +4,7 @@
 #include <tevent.h>
 #include <unistd.h>
 
+#include "io_time.h"
 #include "lws_str.h"
 #include "lws_time.h"
 #include "peer.h"
@@ -88,11 +89,7 @@
 {
 	bool over = false;
 
-	tevent_add_timer(
-		ev, ev,
-		tevent_timeval_current_ofs((uint32_t)(us / LWS_US_PER_S),
-					   (uint32_t)(us % LWS_US_PER_S)),
-		on_timer, &over);
+	tevent_add_timer(ev, ev, io_in_us(us), on_timer, &over);
 	while (!over)
 		tevent_loop_once(ev);
 }
