--- a/bench/bench_pooler.c
+++ b/bench/bench_pooler.c
@@ -81,15 +81,6 @@
 	}
 }
 
-static void add(struct pool_tally *sum, const struct pool_tally *t)
-{
-	sum->asked += t->asked;
-	sum->in_objective += t->in_objective;
-	sum->late += t->late;
-	sum->refused += t->refused;
-	sum->failed += t->failed;
-}
-
 static void line(const char *deployment, const char *load, const char *who,
 		 const struct pool_tally *t, double bound)
 {
@@ -132,10 +123,10 @@
 		strike(w, load);
 		pool_world_run(w, RUN_US);
 		for (uint32_t i = 0; i < params.classes_count; i++)
-			add(&classes[i], &w->tallies[i]);
+			pool_tally_add(&classes[i], &w->tallies[i]);
 		for (uint32_t i = 0; i < POOL_CUSTOMERS; i++) {
 			if (i != w->hot_customer)
-				add(&others, &w->customers[i]);
+				pool_tally_add(&others, &w->customers[i]);
 		}
 		for (uint32_t i = 0; i < POOL_ENDPOINTS; i++) {
 			shakes += w->endpoints[i].shakes;
--- a/lib/session/pool_choose.c
+++ b/lib/session/pool_choose.c
@@ -75,16 +75,26 @@
 	return e->lag_pause_us && log_position_cmp(e->position, job->wait) < 0;
 }
 
+/* By its place in the group. */
+uint32_t pool_bit_of(const struct pool_endpoint *e)
+{
+	uint32_t index = 0;
+
+	while (e->group->endpoints[index] != e)
+		index++;
+	return 1U << index;
+}
+
 /* For a job whose position is known, see pool_find_wait(). */
-bool pool_can_read(const struct pool_group *g, const struct pool_endpoint *e,
-		   const struct pool_job *job, uint32_t index, uint64_t now_us)
+bool pool_can_read(const struct pool_endpoint *e, const struct pool_job *job,
+		   uint64_t now_us)
 {
-	if (!e->known || (!e->present && e != g->primary) || e->suspect ||
-	    has_left(e, now_us))
+	if (!e->known || (!e->present && e != e->group->primary) ||
+	    e->suspect || has_left(e, now_us))
 		return false;
 	/* After a pause one at a time finds out whether it still is. */
 	if (pool_is_behind(e, job) &&
-	    ((job->lagging & (1U << index)) || now_us < e->lag_until_us ||
+	    ((job->lagging & pool_bit_of(e)) || now_us < e->lag_until_us ||
 	     e->running || e->opening))
 		return false;
 	return now_us >= e->busy_until_us && now_us >= e->fail_until_us;
@@ -118,7 +128,6 @@
 	for (uint32_t round = 0; round < g->endpoints_count; round++) {
 		struct pool_endpoint *best = NULL;
 		bool best_behind = false;
-		uint32_t best_index = 0;
 		struct pool_conn *conn;
 
 		for (uint32_t i = 0; i < g->endpoints_count; i++) {
@@ -126,14 +135,13 @@
 			bool behind = pool_is_behind(e, &s->job);
 
 			if ((tried & (1U << i)) ||
-			    !pool_can_read(g, e, &s->job, i, now_us))
+			    !pool_can_read(e, &s->job, now_us))
 				continue;
 			if (!best || behind < best_behind ||
 			    (behind == best_behind &&
 			     cost_of(e, s) < cost_of(best, s))) {
 				best = e;
 				best_behind = behind;
-				best_index = i;
 			}
 		}
 		if (!best)
@@ -141,7 +149,7 @@
 		conn = pool_conn_for(best, s, now_us);
 		if (conn)
 			return conn;
-		tried |= 1U << best_index;
+		tried |= pool_bit_of(best);
 	}
 	return NULL;
 }
@@ -206,7 +214,7 @@
 	for (uint32_t i = 0; i < g->endpoints_count; i++) {
 		const struct pool_endpoint *e = g->endpoints[i];
 
-		if (e != g->primary && pool_can_read(g, e, job, i, now_us))
+		if (e != g->primary && pool_can_read(e, job, now_us))
 			return true;
 	}
 	return false;
@@ -221,7 +229,6 @@
 	struct fair_queue_item *item =
 		fair_queue_peek_customer(q, session_name_hash(c->customer));
 	struct pool_session *s;
-	uint32_t index = 0;
 
 	if (!item)
 		return NULL;
@@ -234,10 +241,7 @@
 				       now_us >= e->busy_until_us
 			       ? s
 			       : NULL;
-	while (g->endpoints[index] != e)
-		index++;
-	if (!pool_find_wait(s) ||
-	    !pool_can_read(g, e, &s->job, index, now_us) ||
+	if (!pool_find_wait(s) || !pool_can_read(e, &s->job, now_us) ||
 	    (e == g->primary && replica_serves(g, &s->job, now_us)))
 		return NULL;
 	return s;
--- a/lib/session/pool_results.c
+++ b/lib/session/pool_results.c
@@ -102,13 +102,10 @@
 		    uint64_t now_us)
 {
 	const struct pool_group *g = e->group;
-	uint32_t index = 0;
 
 	if (!s->job.anywhere)
 		return e == g->primary;
-	while (index < g->endpoints_count && g->endpoints[index] != e)
-		index++;
-	return pool_find_wait(s) && pool_can_read(g, e, &s->job, index, now_us);
+	return pool_find_wait(s) && pool_can_read(e, &s->job, now_us);
 }
 
 static void opened(struct pooler *p, struct pool_conn *conn, uint64_t now_us,
--- a/lib/session/pool_wait.c
+++ b/lib/session/pool_wait.c
@@ -1,3 +1,4 @@
+#include "lws_error.h"
 #include "pooler_internal.h"
 
 /* How statements wait, and which of them are not worth the wait */
@@ -43,10 +44,8 @@
 	return sum;
 }
 
-static uint64_t wait_us(const struct pool_session *s, uint64_t ahead)
+static uint64_t wait_us(struct capacity c, uint64_t ahead)
 {
-	struct capacity c = capacity_for(s);
-
 	return c.limit > 0
 		       ? (uint64_t)((double)(ahead * c.service_us) / c.limit)
 		       : 0;
@@ -71,43 +70,48 @@
 	return ahead;
 }
 
-uint64_t pool_expected_wait_us(struct pool_session *s)
-{
-	const struct pool_group *g = s->job.group;
-	const struct pool_queues *queues = &g->in_time;
-
-	if (s->job.anywhere)
-		(void)pool_find_wait(s);
-	return wait_us(s,
-		       ahead_of(s, s->job.anywhere
-					   ? queues->anywhere[s->urgency]
-					   : queues->at_primary[s->urgency]));
-}
-
 /* Those that are not late yet go before those that are. */
 static uint64_t expected_late_us(const struct pool_session *s,
 				 const struct fair_queue *late)
 {
-	return wait_us(s,
+	return wait_us(capacity_for(s),
 		       ahead_of(s, late) + count_queues(&s->job.group->in_time,
 							s->urgency));
 }
 
-int pool_queue(struct pool_session *s, uint64_t now_us)
+static struct fair_queue *queue_in(struct pool_queues *queues,
+				   const struct pool_session *s)
+{
+	return s->job.anywhere ? queues->anywhere[s->urgency]
+			       : queues->at_primary[s->urgency];
+}
+
+/* The latest start that meets the objective. */
+static uint64_t start_by_us(const struct pool_session *s, uint64_t service_us)
 {
-	struct pool_job *job = &s->job;
 	uint64_t objective_us = s->objective_ms * LWS_US_PER_MS;
-	uint64_t service_us = capacity_for(s).service_us;
-	/* The latest start that meets the objective. */
-	uint64_t start_us =
-		job->arrived_us +
-		(objective_us > service_us ? objective_us - service_us : 0);
-	bool late = now_us >= start_us || start_us >= job->deadline_us;
-	struct pool_queues *queues =
-		late ? &job->group->late : &job->group->in_time;
-
-	job->queue = job->anywhere ? queues->anywhere[s->urgency]
-				   : queues->at_primary[s->urgency];
+
+	return s->job.arrived_us +
+	       (objective_us > service_us ? objective_us - service_us : 0);
+}
+
+int pool_queue(struct pool_session *s, uint64_t now_us, uint64_t *expected_us)
+{
+	struct pool_job *job = &s->job;
+	struct pool_group *g = job->group;
+	struct capacity capacity;
+	uint64_t start_us;
+	bool late;
+
+	if (job->anywhere)
+		(void)pool_find_wait(s);
+	capacity = capacity_for(s);
+	*expected_us = wait_us(capacity, ahead_of(s, queue_in(&g->in_time, s)));
+	if (now_us + *expected_us > job->deadline_us)
+		return LWS_E_QUEUE_FULL;
+	start_us = start_by_us(s, capacity.service_us);
+	late = now_us >= start_us || start_us >= job->deadline_us;
+	job->queue = queue_in(late ? &g->late : &g->in_time, s);
 	job->item.deadline_us = late ? job->deadline_us : start_us;
 	return fair_queue_push(job->queue, s->customer_hash, s->worth,
 			       &job->item);
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -249,7 +249,7 @@
 	uint64_t deadline_us;
 	uint64_t again_us;
 	uint32_t attempts;
-	/* Endpoints whose log lacked the position, by index. */
+	/* Endpoints whose log lacked the position, see pool_bit_of(). */
 	uint32_t lagging;
 	const char *wait_reason;
 };
@@ -373,8 +373,8 @@
 
 /* pool_wait.c: how statements wait */
 struct pool_session *pool_session_of(struct fair_queue_item *item);
-uint64_t pool_expected_wait_us(struct pool_session *s);
-int pool_queue(struct pool_session *s, uint64_t now_us);
+/* 0, LWS_E_QUEUE_FULL when its turn would come too late, or LWS_E_NOMEM */
+int pool_queue(struct pool_session *s, uint64_t now_us, uint64_t *expected_us);
 void pool_move_late(struct pool_group *g, uint64_t now_us);
 
 /* pool_choose.c: who is next, and where */
@@ -382,8 +382,9 @@
 void pool_dispatch(struct pool_group *g, uint64_t now_us);
 void pool_sample(struct pool_group *g, uint64_t proved_us,
 		 struct log_position position);
-bool pool_can_read(const struct pool_group *g, const struct pool_endpoint *e,
-		   const struct pool_job *job, uint32_t index, uint64_t now_us);
+uint32_t pool_bit_of(const struct pool_endpoint *e);
+bool pool_can_read(const struct pool_endpoint *e, const struct pool_job *job,
+		   uint64_t now_us);
 bool pool_find_wait(struct pool_session *s);
 void pool_begin_on(struct fair_queue *q, struct pool_session *s,
 		   struct pool_conn *conn, uint64_t now_us);
--- a/lib/session/pooler_statement.c
+++ b/lib/session/pooler_statement.c
@@ -4,6 +4,7 @@
 #include <talloc.h>
 #include <xxhash.h>
 
+#include "lws_error.h"
 #include "lws_str.h"
 #include "pooler_internal.h"
 #include "session_token.h"
@@ -157,13 +158,8 @@
 /* Another endpoint may hold the position; this one is not asked soon. */
 void pooler_note_lagging(struct pool_job *job, const struct pool_endpoint *e)
 {
-	const struct pool_group *g = job->group;
-
 	job->wait_reason = "replicas_lag";
-	for (uint32_t i = 0; i < g->endpoints_count; i++) {
-		if (g->endpoints[i] == e)
-			job->lagging |= 1U << i;
-	}
+	job->lagging |= pool_bit_of(e);
 }
 
 enum transaction_state pooler_state_after_error(const struct pool_session *s)
@@ -191,19 +187,21 @@
 	uint64_t wait_us;
 
 	job->anywhere = reads_anywhere(s);
-	wait_us = pool_expected_wait_us(s);
-	if (now_us + wait_us > job->deadline_us) {
+	job->place = JOB_QUEUED;
+	switch (pool_queue(s, now_us, &wait_us)) {
+	case 0:
+		pool_dispatch(g, now_us);
+		return;
+	case LWS_E_QUEUE_FULL:
+		job->place = JOB_NONE;
 		pooler_refuse_full(s, now_us, wait_us);
 		return;
-	}
-	job->place = JOB_QUEUED;
-	if (pool_queue(s, now_us)) {
+	default:
 		job->place = JOB_NONE;
 		pooler_refuse(s, now_us, STATEMENT_E_BUSY,
 			      pooler_state_after_error(s), "no memory");
 		return;
 	}
-	pool_dispatch(g, now_us);
 }
 
 /* Later it would be answered too late; it may be tried elsewhere by then. */
--- a/soak/main.c
+++ b/soak/main.c
@@ -36,29 +36,33 @@
 static gint64 started_us;
 static bool verbose;
 
+static void say(FILE *out, const char *prefix, const char *format, va_list args)
+{
+	g_autofree char *text = g_strdup_vprintf(format, args);
+
+	fprintf(out, "%8.3f %s%s\n", (double)soak_now_ms() / 1000, prefix,
+		text);
+}
+
 void soak_fail(const char *format, ...)
 {
-	g_autofree char *text = NULL;
 	va_list args;
 
+	g_atomic_int_inc(&failures);
 	va_start(args, format);
-	text = g_strdup_vprintf(format, args);
+	say(stderr, "BROKEN ", format, args);
 	va_end(args);
-	g_atomic_int_inc(&failures);
-	fprintf(stderr, "%8.3f BROKEN %s\n", (double)soak_now_ms() / 1000,
-		text);
 }
 
 void soak_note(const char *format, ...)
 {
-	g_autofree char *text = NULL;
 	va_list args;
 
+	if (!verbose)
+		return;
 	va_start(args, format);
-	text = g_strdup_vprintf(format, args);
+	say(stdout, "", format, args);
 	va_end(args);
-	if (verbose)
-		printf("%8.3f %s\n", (double)soak_now_ms() / 1000, text);
 }
 
 int64_t soak_now_ms(void)
--- a/tests/support_pool.c
+++ b/tests/support_pool.c
@@ -1042,6 +1042,15 @@
 	g_free(w);
 }
 
+void pool_tally_add(struct pool_tally *sum, const struct pool_tally *t)
+{
+	sum->asked += t->asked;
+	sum->in_objective += t->in_objective;
+	sum->late += t->late;
+	sum->refused += t->refused;
+	sum->failed += t->failed;
+}
+
 double pool_world_worth(const struct pool_tally *t)
 {
 	return t->asked ? ((double)t->in_objective + 0.5 * (double)t->late) /
--- a/tests/support_pool.h
+++ b/tests/support_pool.h
@@ -118,6 +118,9 @@
 /** pool_world_fleet_changed() - tell all entries of the agreed state */
 void pool_world_fleet_changed(struct pool_world *w);
 
+/** pool_tally_add() - add one tally to another */
+void pool_tally_add(struct pool_tally *sum, const struct pool_tally *t);
+
 /** pool_world_worth() - share of operations served, late ones count half */
 double pool_world_worth(const struct pool_tally *t);
 
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -107,15 +107,6 @@
 	{ "hot-customer", hot_customer, 0 },
 };
 
-static void add(struct pool_tally *sum, const struct pool_tally *t)
-{
-	sum->asked += t->asked;
-	sum->in_objective += t->in_objective;
-	sum->late += t->late;
-	sum->refused += t->refused;
-	sum->failed += t->failed;
-}
-
 static void play(const struct pool_world_params *params,
 		 const struct world_case *c, struct pool_tally *sums)
 {
@@ -140,7 +131,7 @@
 		g_assert_cmpuint(w->tallies[i].asked, >, 20);
 		g_assert_cmpfloat(pool_world_worth(&w->tallies[i]), >=,
 				  c->worth - SEED_SPREAD);
-		add(&sums[i], &w->tallies[i]);
+		pool_tally_add(&sums[i], &w->tallies[i]);
 	}
 	pool_world_free(w);
 }
@@ -204,7 +195,7 @@
 		lagging_replicas(w);
 		memset(w->tallies, 0, sizeof(w->tallies));
 		pool_world_run(w, 8 * S);
-		add(&listing, &w->tallies[1]);
+		pool_tally_add(&listing, &w->tallies[1]);
 		pool_world_free(w);
 	}
 	g_assert_cmpuint(listing.late, >, 0);
