Let the soak and the platform's tests share what they had each

Settings files, configurations, connections and HTTP requests to the processes stood in tests/test_platform_daemon.c and once more in soak/; tests/support_platform serves both. The checks are the same. Bounds that the settings state and the soak checks (grace, revocation, age) are one constant each now.

--- a/Makefile
+++ b/Makefile
@@ -65,7 +65,7 @@
 	@$(CC) $(LDFLAGS) $(filter %.o,$^) $(BUILD)/liblacewingspan.a $(LDLIBS) \
 		-o $@
 
-$(SOAK): $(patsubst %.c,$(BUILD)/%.o,$(wildcard soak/*.c))
+$(SOAK): $(patsubst %.c,$(BUILD)/%.o,$(wildcard soak/*.c) tests/support_platform.c)
 	@echo LD $@
 	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
 
--- a/soak/callers.c
+++ b/soak/callers.c
@@ -1,7 +1,3 @@
-#include <arpa/inet.h>
-#include <errno.h>
-#include <fcntl.h>
-#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,12 +5,15 @@
 #include <unistd.h>
 
 #include "soak.h"
+#include "support_platform.h"
 
 #define ANSWER_MS 3000
 #define OPEN_MS 2000
 #define CONNECT_MS 500
-/* How old a read of the database "door" may be. */
-#define DOOR_AGE_MS 2500
+#define HTTP_MS 1000
+/* More than the callers ask for, and than the instances open. */
+#define RATE 5000
+#define CONNECTIONS 40
 /* Values of one item; then the caller takes another. */
 #define VALUES_MAX 200
 /* Sent so lately that the process may not have read it. */
@@ -77,76 +76,6 @@
 	return l;
 }
 
-/* Sockets */
-
-int soak_connect(const char *net, int host, int port, int ms)
-{
-	struct sockaddr_in sin = { .sin_family = AF_INET,
-				   .sin_port = htons((uint16_t)port) };
-	g_autofree char *ip = g_strdup_printf("%s.%d", net, host);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-	struct pollfd p = { .fd = fd, .events = POLLOUT };
-	int error = 0;
-	socklen_t len = sizeof(error);
-
-	inet_pton(AF_INET, ip, &sin.sin_addr);
-	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) &&
-	    errno != EINPROGRESS) {
-		close(fd);
-		return -1;
-	}
-	if (poll(&p, 1, ms) <= 0 ||
-	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) || error) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
-/* -1 when it ended, 0 when nothing came in time. */
-static int read_more(int fd, GString *in, int ms)
-{
-	struct pollfd p = { .fd = fd, .events = POLLIN };
-	char buf[16384];
-	ssize_t got;
-
-	if (ms <= 0 || poll(&p, 1, ms) <= 0)
-		return 0;
-	got = read(fd, buf, sizeof(buf));
-	if (got <= 0)
-		return -1;
-	g_string_append_len(in, buf, got);
-	return 1;
-}
-
-int soak_http(const char *net, int host, int port, const char *method,
-	      const char *path, const char *body, char **answer)
-{
-	g_autofree char *request = g_strdup_printf(
-		"%s %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
-		"Content-Length: %zu\r\n\r\n%s",
-		method, path, strlen(body), body);
-	g_autoptr(GString) in = g_string_new(NULL);
-	int fd = soak_connect(net, host, port, CONNECT_MS);
-	int64_t until = soak_now_ms() + 1000;
-	const char *blank;
-	int status = 0;
-
-	if (fd < 0)
-		return 0;
-	if (send(fd, request, strlen(request), MSG_NOSIGNAL) > 0) {
-		while (read_more(fd, in, (int)(until - soak_now_ms())) > 0)
-			;
-	}
-	close(fd);
-	blank = strstr(in->str, "\r\n\r\n");
-	if (blank)
-		sscanf(in->str, "HTTP/1.1 %d", &status);
-	if (answer)
-		*answer = g_strdup(blank ? blank + 4 : "");
-	return status;
-}
-
 /* Lines */
 
 static void close_line(struct caller *c)
@@ -223,7 +152,7 @@
 			g_string_erase(l->in, 0, end - l->in->str + 2);
 			continue;
 		}
-		got = read_more(l->fd, l->in, (int)(until - soak_now_ms()));
+		got = test_read(l->fd, l->in, (int)(until - soak_now_ms()));
 		if (got > 0)
 			continue;
 		a.ended = got < 0;
@@ -270,8 +199,8 @@
 {
 	int entry =
 		SOAK_FIRST_ENTRY + (int)lws_rng_below(&c->rng, SOAK_ENTRIES);
-	int fd = soak_connect(c->ledger->net, entry + SOAK_PROXY_OFFSET,
-			      SOAK_PORT_CALLERS, CONNECT_MS);
+	int fd = test_connect(c->ledger->net, entry + SOAK_PROXY_OFFSET,
+			      TEST_PORT_CALLERS, CONNECT_MS);
 	g_autofree char *open = NULL;
 	struct answer a;
 
@@ -352,7 +281,7 @@
 static uint32_t least_value(struct soak_ledger *l, const struct item *item,
 			    bool aged)
 {
-	int64_t since_ms = soak_now_ms() - (aged ? DOOR_AGE_MS : 0);
+	int64_t since_ms = soak_now_ms() - (aged ? TEST_DOOR_AGE_MS : 0);
 	uint32_t least;
 
 	g_mutex_lock(&l->lock);
@@ -478,7 +407,7 @@
 	g_mutex_lock(&l->lock);
 	withdrawn_ms = l->withdrawn_ms;
 	g_mutex_unlock(&l->lock);
-	if (withdrawn_ms && sent_ms > withdrawn_ms + SOAK_REVOKE_MS)
+	if (withdrawn_ms && sent_ms > withdrawn_ms + TEST_REVOKE_MS)
 		soak_fail("caller %d was served with a key withdrawn %d ms ago",
 			  c->number, (int)(sent_ms - withdrawn_ms));
 }
@@ -538,21 +467,9 @@
 
 static char *config_of(uint32_t version, bool both)
 {
-	return g_strdup_printf(
-		"{\"version\":%u,\"routes\":["
-		"{\"name\":\"a\",\"host\":\"pay\",\"path_prefix\":\"/\","
-		"\"type\":\"primary\",\"timeout_ms\":1000,"
-		"\"target_latency_ms\":200,\"priority\":1,\"service\":\"g1\","
-		"\"max_attempts\":2,\"public\":false},"
-		"{\"name\":\"b\",\"host\":\"door\",\"path_prefix\":\"/\","
-		"\"type\":\"read_your_writes\",\"timeout_ms\":1000,"
-		"\"target_latency_ms\":400,\"priority\":2,\"service\":\"g1\","
-		"\"max_attempts\":2,\"max_stale_ms\":%d,\"public\":false}],"
-		"\"services\":[{\"name\":\"g1\",\"max_conns\":40,"
-		"\"sync_replicas\":1}],\"limits\":{\"tx_idle_ms\":3000},"
-		"\"tenants\":[{\"name\":\"t\",\"api_keys\":[%s],"
-		"\"rate_per_s\":5000,\"burst\":5000}]}",
-		version, DOOR_AGE_MS, both ? "\"k1\",\"k2\"" : "\"k1\"");
+	return test_platform_config((int)version,
+				    both ? "\"k1\",\"k2\"" : "\"k1\"", RATE,
+				    CONNECTIONS);
 }
 
 static int any_control(struct lws_rng *rng)
@@ -573,8 +490,9 @@
 		g_mutex_unlock(&l->lock);
 	}
 	while (!l->stop && status != 200) {
-		status = soak_http(l->net, any_control(rng), SOAK_PORT_CONTROL,
-				   "POST", "/v1/config/replace", text, NULL);
+		status = test_http(l->net, any_control(rng), TEST_PORT_CONTROL,
+				   "POST", "/v1/config/replace", text, HTTP_MS,
+				   NULL);
 		if (status >= 400 && status < 500)
 			soak_fail("version %u was refused with %d", version,
 				  status);
@@ -601,8 +519,8 @@
 	g_autofree char *text = NULL;
 	const char *at;
 	uint32_t got = 0;
-	int status = soak_http(l->net, any_control(rng), SOAK_PORT_CONTROL,
-			       "GET", "/v1/config/read", "", &text);
+	int status = test_http(l->net, any_control(rng), TEST_PORT_CONTROL,
+			       "GET", "/v1/config/read", "", HTTP_MS, &text);
 
 	at = text ? strstr(text, "\"version\":") : NULL;
 	if (status != 200 || !at)
@@ -676,7 +594,7 @@
 static bool write_through(struct soak_ledger *l, int entry)
 {
 	struct soak_line line = {
-		.fd = soak_connect(l->net, entry, SOAK_PORT_CALLERS,
+		.fd = test_connect(l->net, entry, TEST_PORT_CALLERS,
 				   CONNECT_MS),
 		.in = g_string_new(NULL),
 	};
@@ -701,8 +619,8 @@
 static bool config_stands(struct soak_ledger *l, int host, GString *why)
 {
 	g_autofree char *text = NULL;
-	int status = soak_http(l->net, host, SOAK_PORT_CONTROL, "GET",
-			       "/v1/config/read", "", &text);
+	int status = test_http(l->net, host, TEST_PORT_CONTROL, "GET",
+			       "/v1/config/read", "", HTTP_MS, &text);
 	bool same;
 
 	g_mutex_lock(&l->lock);
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "soak.h"
+#include "support_platform.h"
 
 /* Crashed endpoints come back; all are one process, which is never killed. */
 #define STANDIN_RETURN "--return-ms=1500"
@@ -48,41 +49,19 @@
 {
 	g_autofree char *path = g_strdup_printf("%s/%d.conf", f->dir, host);
 	g_autofree char *folder = folder_of(f, host);
-	g_autoptr(GString) s = g_string_new(NULL);
-
-	g_string_append_printf(
-		s,
-		"node_name=n-%d\nzone=z%d\nip=%s.%d\n"
-		"internal_ports=%d,7575\nbootstrap=%s\n"
-		"fault_tolerance.machines=1\n"
-		"bounds.grace_s=%d\nbounds.revoke_ms=%d\n"
-		"cloud_api.address=%s.%d:%d\nseeds=",
-		host, (host - 1) % 3 + 1, f->net, host, SOAK_PORT_PEERS,
-		f->wiped[host] ? "false" : "true", SOAK_GRACE_MS / 1000,
-		SOAK_REVOKE_MS, f->net, SOAK_STANDIN + SOAK_PROXY_OFFSET,
-		SOAK_PORT_PROMOTE);
-	for (int i = 1; i <= SOAK_CONTROLS; i++)
-		g_string_append_printf(s, "%s%s.%d:%d", i > 1 ? "," : "",
-				       f->net, i + SOAK_PROXY_OFFSET,
-				       SOAK_PORT_CONTROL);
-	if (is_control(host))
-		g_string_append_printf(
-			s, "\nlisten.control=%s.%d:%d\ndata_dir=%s\n", f->net,
-			host, SOAK_PORT_CONTROL, folder);
-	else
-		g_string_append_printf(
-			s, "\nlisten.front=%s.%d:%d\nlisten.ready=%s.%d:%d\n",
-			f->net, host, SOAK_PORT_CALLERS, f->net, host,
-			SOAK_PORT_READY);
-	if (!g_file_set_contents(path, s->str, -1, NULL))
-		g_error("cannot write %s", path);
-}
-
-static char *program(const char *name)
-{
-	const char *build = g_getenv("LWS_BUILD");
+	struct test_place place = {
+		.net = f->net,
+		.host = host,
+		.seeds_offset = SOAK_PROXY_OFFSET,
+		.promote_host = SOAK_STANDIN + SOAK_PROXY_OFFSET,
+		.losses = SOAK_CONTROLS / 2,
+		.bootstrap = !f->wiped[host],
+		.folder = is_control(host) ? folder : NULL,
+	};
+	g_autofree char *text = test_platform_settings(&place);
 
-	return g_strdup_printf("%s/%s", build ? build : "build", name);
+	if (!g_file_set_contents(path, text, -1, NULL))
+		g_error("cannot write %s", path);
 }
 
 static void spawn(struct soak_fleet *f, int host, char **argv, char **env)
@@ -101,12 +80,12 @@
 
 static void start_daemon(struct soak_fleet *f, int host)
 {
-	g_autofree char *path = program("lacewingspand");
+	g_autofree char *path = test_program("lacewingspand");
 	g_autofree char *config =
 		g_strdup_printf("LACEWINGSPAN_CONFIG=%s/%d.conf", f->dir, host);
 	g_autofree char *told =
 		g_strdup_printf("LACEWINGSPAN_PEER_ADVERTISE=%s.%d:%d", f->net,
-				host + SOAK_PROXY_OFFSET, SOAK_PORT_PEERS);
+				host + SOAK_PROXY_OFFSET, TEST_PORT_PEERS);
 	char *argv[] = { path, NULL };
 	char *env[] = { config, told, NULL };
 
@@ -116,14 +95,14 @@
 
 static void start_standin(struct soak_fleet *f)
 {
-	g_autofree char *path = program("platform_standin");
+	g_autofree char *path = test_program("platform_standin");
 	g_autofree char *listen = g_strdup_printf(
 		"--listen=%s.%d:%d", f->net, SOAK_STANDIN, SOAK_PORT_ENDPOINT);
 	g_autofree char *told = g_strdup_printf(
 		"--advertise=%s.%d:%d", f->net,
 		SOAK_STANDIN + SOAK_PROXY_OFFSET, SOAK_PORT_ENDPOINT);
 	g_autofree char *promote = g_strdup_printf(
-		"--promote=%s.%d:%d", f->net, SOAK_STANDIN, SOAK_PORT_PROMOTE);
+		"--promote=%s.%d:%d", f->net, SOAK_STANDIN, TEST_PORT_PROMOTE);
 	g_autoptr(GString) announce = g_string_new("--announce=");
 	char *argv[] = {
 		path, listen, told, promote, STANDIN_RETURN, NULL, NULL
@@ -132,7 +111,7 @@
 	for (int i = 1; i <= SOAK_CONTROLS; i++)
 		g_string_append_printf(announce, "%s%s.%d:%d", i > 1 ? "," : "",
 				       f->net, i + SOAK_PROXY_OFFSET,
-				       SOAK_PORT_CONTROL);
+				       TEST_PORT_CONTROL);
 	argv[5] = announce->str;
 	spawn(f, SOAK_STANDIN, argv, NULL);
 }
@@ -206,7 +185,7 @@
 	if (!p->pid || p->ordered)
 		return;
 	p->ordered = true;
-	p->stop_by_ms = soak_now_ms() + SOAK_GRACE_MS;
+	p->stop_by_ms = soak_now_ms() + TEST_GRACE_MS;
 	kill(p->pid, SIGTERM);
 }
 
--- a/soak/main.c
+++ b/soak/main.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "soak.h"
+#include "support_platform.h"
 
 /* Faults come this often, so that they overlap. */
 #define FAULT_PAUSE_MIN_MS 100
@@ -202,13 +203,13 @@
 static void add_routes(struct run *r, const char *net)
 {
 	for (int i = 1; i <= SOAK_CONTROLS; i++) {
-		soak_proxy_add(r->proxy, net, i, SOAK_PORT_PEERS);
-		soak_proxy_add(r->proxy, net, i, SOAK_PORT_CONTROL);
+		soak_proxy_add(r->proxy, net, i, TEST_PORT_PEERS);
+		soak_proxy_add(r->proxy, net, i, TEST_PORT_CONTROL);
 	}
 	for (int i = 0; i < SOAK_ENTRIES; i++)
 		soak_proxy_add(r->proxy, net, SOAK_FIRST_ENTRY + i,
-			       SOAK_PORT_CALLERS);
-	soak_proxy_add(r->proxy, net, SOAK_STANDIN, SOAK_PORT_PROMOTE);
+			       TEST_PORT_CALLERS);
+	soak_proxy_add(r->proxy, net, SOAK_STANDIN, TEST_PORT_PROMOTE);
 	for (int i = 0; i < SOAK_ENDPOINTS; i++)
 		r->routes = 1 + soak_proxy_add(r->proxy, net, SOAK_STANDIN,
 					       SOAK_PORT_ENDPOINT + i);
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "soak.h"
+#include "support_platform.h"
 
 #define ROUTES_MAX 32
 /* How exact delays are. */
@@ -275,7 +276,7 @@
 bool soak_net_free(const char *net)
 {
 	struct sockaddr_in sin =
-		address_of(net, 1 + SOAK_PROXY_OFFSET, SOAK_PORT_PEERS);
+		address_of(net, 1 + SOAK_PROXY_OFFSET, TEST_PORT_PEERS);
 	int fd = nonblocking_socket();
 	int one = 1;
 	bool is_free;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -28,17 +28,8 @@
 #define SOAK_ENDPOINTS 3
 #define SOAK_CALLERS 10
 
-#define SOAK_PORT_CALLERS 8465
-#define SOAK_PORT_READY 8460
-#define SOAK_PORT_CONTROL 8462
-#define SOAK_PORT_PEERS 7560
-#define SOAK_PORT_PROMOTE 8466
 #define SOAK_PORT_ENDPOINT 5001
 
-/* A withdrawn key works no longer than this after the acknowledgement. */
-#define SOAK_REVOKE_MS 5000
-/* From the order to stop until the process must have ended. */
-#define SOAK_GRACE_MS 6000
 /* After the last fault everything is served again within this. */
 #define SOAK_RECOVERY_MS 15000
 
@@ -145,16 +136,6 @@
 	GString *in;
 };
 
-/** soak_connect() - 0 or more: a socket; -1 when refused or too late */
-int soak_connect(const char *net, int host, int port, int ms);
-
-/**
- * soak_http() - one request
- * Return: the status, 0 without an answer. @answer: body, to be freed.
- */
-int soak_http(const char *net, int host, int port, const char *method,
-	      const char *path, const char *body, char **answer);
-
 /* Callers and the operator */
 
 struct soak_ledger;
--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -1,10 +1,6 @@
-#include <arpa/inet.h>
-#include <errno.h>
 #include <fcntl.h>
 #include <glib.h>
 #include <glib/gstdio.h>
-#include <netinet/in.h>
-#include <poll.h>
 #include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -13,6 +9,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "support_platform.h"
+
 /**
  * DOC: The whole path on the platform with real processes: control instances
  * that form a fleet from their seeds, an entry, and the stand-in's endpoints.
@@ -23,6 +21,8 @@
 #define STANDIN 8
 #define WAIT_MS 15000
 #define LINE_WAIT_MS 5000
+/* Of each endpoint, as on the platform. */
+#define CONNECTIONS 21
 
 struct fleet {
 	char *dir;
@@ -43,28 +43,16 @@
 static void write_settings(const struct fleet *f, int host)
 {
 	g_autofree char *path = g_strdup_printf("%s/%d.conf", f->dir, host);
-	g_autofree char *data = g_strdup_printf("%s/data-%d", f->dir, host);
-	GString *s = g_string_new(NULL);
-
-	g_string_append_printf(
-		s,
-		"node_name=n-%d\nzone=z%d\nip=%s.%d\n"
-		"internal_ports=7560,7575\n"
-		"seeds=%s.1:8462,%s.2:8462,%s.3:8462\nbootstrap=true\n"
-		"fault_tolerance.machines=%u\nbounds.grace_s=6\n"
-		"bounds.revoke_ms=5000\ncloud_api.address=%s.%d:8466\n",
-		host, (host - 1) % 3 + 1, f->net, host, f->net, f->net, f->net,
-		f->controls / 2, f->net, STANDIN);
-	if (host == ENTRY)
-		g_string_append_printf(
-			s, "listen.front=%s.%d:8465\nlisten.ready=%s.%d:8460\n",
-			f->net, host, f->net, host);
-	else
-		g_string_append_printf(
-			s, "listen.control=%s.%d:8462\ndata_dir=%s\n", f->net,
-			host, data);
-	g_assert_true(g_file_set_contents(path, s->str, -1, NULL));
-	g_string_free(s, TRUE);
+	g_autofree char *folder = g_strdup_printf("%s/data-%d", f->dir, host);
+	struct test_place place = { .net = f->net,
+				    .host = host,
+				    .promote_host = STANDIN,
+				    .losses = f->controls / 2,
+				    .bootstrap = true,
+				    .folder = host == ENTRY ? NULL : folder };
+	g_autofree char *text = test_platform_settings(&place);
+
+	g_assert_true(g_file_set_contents(path, text, -1, NULL));
 }
 
 static void spawn(struct fleet *f, int host, char **argv)
@@ -83,14 +71,9 @@
 	close(fd);
 }
 
-static char *program(const char *name)
-{
-	return g_strdup_printf("%s/%s", g_getenv("LWS_BUILD"), name);
-}
-
 static void start_daemon(struct fleet *f, int host)
 {
-	g_autofree char *path = program("lacewingspand");
+	g_autofree char *path = test_program("lacewingspand");
 	char *argv[] = { path, NULL };
 
 	spawn(f, host, argv);
@@ -98,7 +81,7 @@
 
 static void start_standin(struct fleet *f)
 {
-	g_autofree char *path = program("platform_standin");
+	g_autofree char *path = test_program("platform_standin");
 	g_autofree char *listen =
 		g_strdup_printf("--listen=%s.%d:5001", f->net, STANDIN);
 	g_autofree char *promote =
@@ -124,61 +107,11 @@
 
 /* Sockets */
 
-static int connect_to(const struct fleet *f, int host, int port)
-{
-	g_autofree char *ip = g_strdup_printf("%s.%d", f->net, host);
-	struct sockaddr_in sin = { .sin_family = AF_INET,
-				   .sin_port = htons((uint16_t)port) };
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	inet_pton(AF_INET, ip, &sin.sin_addr);
-	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin))) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
-static bool read_more(int fd, GString *in, int ms)
-{
-	struct pollfd p = { .fd = fd, .events = POLLIN };
-	char buf[65536];
-	ssize_t got;
-
-	if (poll(&p, 1, ms) <= 0)
-		return false;
-	got = read(fd, buf, sizeof(buf));
-	if (got <= 0)
-		return false;
-	g_string_append_len(in, buf, got);
-	return true;
-}
-
-/* Status and body of a request; 0 when the instance does not answer. */
 static int http(const struct fleet *f, int host, int port, const char *method,
 		const char *path, const char *body, char **answer)
 {
-	g_autofree char *request = g_strdup_printf(
-		"%s %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
-		"Content-Length: %zu\r\n\r\n%s",
-		method, path, strlen(body), body);
-	g_autoptr(GString) in = g_string_new(NULL);
-	int fd = connect_to(f, host, port);
-	const char *blank;
-	int status = 0;
-
-	if (fd < 0)
-		return 0;
-	if (send(fd, request, strlen(request), MSG_NOSIGNAL) > 0) {
-		while (read_more(fd, in, LINE_WAIT_MS))
-			;
-	}
-	close(fd);
-	sscanf(in->str, "HTTP/1.1 %d", &status);
-	blank = strstr(in->str, "\r\n\r\n");
-	if (answer)
-		*answer = g_strdup(blank ? blank + 4 : "");
-	return status;
+	return test_http(f->net, host, port, method, path, body, LINE_WAIT_MS,
+			 answer);
 }
 
 /* Callers */
@@ -187,7 +120,7 @@
 {
 	struct line_conn *c = g_new0(struct line_conn, 1);
 
-	c->fd = connect_to(f, ENTRY, 8465);
+	c->fd = test_connect(f->net, ENTRY, TEST_PORT_CALLERS, LINE_WAIT_MS);
 	c->in = g_string_new(NULL);
 	g_assert_cmpint(c->fd, >=, 0);
 	return c;
@@ -225,7 +158,7 @@
 				       (gssize)(end - c->in->str) + 2);
 			return line;
 		}
-		if (!read_more(c->fd, c->in, LINE_WAIT_MS))
+		if (test_read(c->fd, c->in, LINE_WAIT_MS) <= 0)
 			return g_strdup("");
 	}
 }
@@ -300,33 +233,15 @@
 
 /* The fleet */
 
-static char *config_with(int version, const char *keys, int rate)
-{
-	return g_strdup_printf(
-		"{\"version\":%d,\"routes\":["
-		"{\"name\":\"a\",\"host\":\"pay\",\"path_prefix\":\"/\","
-		"\"type\":\"primary\",\"timeout_ms\":1000,"
-		"\"target_latency_ms\":200,\"priority\":1,\"service\":\"g1\","
-		"\"max_attempts\":2,\"public\":false},"
-		"{\"name\":\"b\",\"host\":\"door\",\"path_prefix\":\"/\","
-		"\"type\":\"read_your_writes\",\"timeout_ms\":1000,"
-		"\"target_latency_ms\":400,\"priority\":2,\"service\":\"g1\","
-		"\"max_attempts\":2,\"max_stale_ms\":2500,\"public\":false}],"
-		"\"services\":[{\"name\":\"g1\",\"max_conns\":21,"
-		"\"sync_replicas\":1}],\"limits\":{\"tx_idle_ms\":3000},"
-		"\"tenants\":[{\"name\":\"t\",\"api_keys\":[%s],"
-		"\"rate_per_s\":%d,\"burst\":%d}]}",
-		version, keys, rate, rate);
-}
-
 static char *config_of(int version, const char *keys)
 {
-	return config_with(version, keys, 500);
+	return test_platform_config(version, keys, 500, CONNECTIONS);
 }
 
 static char *config_at_rate(int version, int rate)
 {
-	return config_with(version, "\"k1\",\"k2\"", rate);
+	return test_platform_config(version, "\"k1\",\"k2\"", rate,
+				    CONNECTIONS);
 }
 
 static int replace(const struct fleet *f, const char *config)
