--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -472,7 +472,7 @@
 			control_leader_announce(c, &msg->announce.items[i]);
 		break;
 	case WIRE_HELLO:
-	case WIRE_PING:
+	case WIRE_KEEPALIVE:
 	case WIRE_TYPE_COUNT:
 		break;
 	}
--- a/lib/io/peer.c
+++ b/lib/io/peer.c
@@ -18,9 +18,9 @@
 #define REDIAL_SILENT_MS 20
 /*
  * A connection that does not stand by then is tried anew: at first after some
- * round trips between regions, since a machine that comes back does not answer
- * what was sent before. Twice as long each time, up to what a new connection
- * under load may take.
+ * round trips between regions, since an instance that comes back does not
+ * answer what was sent before. Twice as long each time, up to what a new
+ * connection under load may take.
  */
 #define HELLO_FIRST_MS 250
 #define HELLO_TIMEOUT_MS 1000
@@ -30,7 +30,7 @@
  */
 #define SILENT_MS 1500
 /* Something is sent this often, so that three may be late. */
-#define PING_MS 400
+#define KEEPALIVE_MS 400
 
 /* An address that is kept connected. */
 struct dial {
@@ -243,7 +243,7 @@
 		return rc;
 	if (!peer->up)
 		rc = on_hello(peer, msg);
-	else if (msg->type != WIRE_PING)
+	else if (msg->type != WIRE_KEEPALIVE)
 		hub->params.on_message(hub->params.private_data, peer, msg);
 	talloc_free(msg);
 	return rc;
@@ -437,12 +437,12 @@
 
 static void watch_peer(struct peer *peer, uint64_t now_us)
 {
-	struct wire_msg ping = { .type = WIRE_PING };
+	struct wire_msg keepalive = { .type = WIRE_KEEPALIVE };
 
 	if (now_us - peer->heard_us > SILENT_MS * LWS_US_PER_MS)
 		peer_close(peer, "silent");
-	else if (now_us - peer->sent_us >= PING_MS * LWS_US_PER_MS)
-		peer_send(peer, &ping);
+	else if (now_us - peer->sent_us >= KEEPALIVE_MS * LWS_US_PER_MS)
+		peer_send(peer, &keepalive);
 }
 
 static void watch_later(struct peer_hub *hub);
@@ -471,7 +471,8 @@
 
 static void watch_later(struct peer_hub *hub)
 {
-	tevent_add_timer(hub->ev, hub, io_in_ms(PING_MS / 2), on_watch, hub);
+	tevent_add_timer(hub->ev, hub, io_in_ms(KEEPALIVE_MS / 2), on_watch,
+			 hub);
 }
 
 static bool wanted(const struct dial *dial, const char *const *addrs,
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -340,7 +340,7 @@
 	[WIRE_SYNC_REPLY] = 7,	  [WIRE_PROPOSE] = 2,
 	[WIRE_PROPOSE_REPLY] = 4, [WIRE_RATE_REQUEST] = 3,
 	[WIRE_RATE_REPLY] = 3,	  [WIRE_REPORT] = 3,
-	[WIRE_ANNOUNCE] = 1,	  [WIRE_PING] = 0,
+	[WIRE_ANNOUNCE] = 1,	  [WIRE_KEEPALIVE] = 0,
 };
 
 static const uint32_t raft_field_count[RAFT_MSG_TYPE_COUNT] = {
@@ -388,7 +388,7 @@
 	case WIRE_ANNOUNCE:
 		announce_pack(w, &msg->announce);
 		return;
-	case WIRE_PING:
+	case WIRE_KEEPALIVE:
 	case WIRE_TYPE_COUNT:
 		return;
 	}
@@ -435,7 +435,7 @@
 	case WIRE_ANNOUNCE:
 		announce_unpack(r, msg, &msg->announce);
 		return;
-	case WIRE_PING:
+	case WIRE_KEEPALIVE:
 	case WIRE_TYPE_COUNT:
 		return;
 	}
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -33,7 +33,7 @@
 	WIRE_REPORT,
 	WIRE_ANNOUNCE,
 	/** says only that the connection carries something */
-	WIRE_PING,
+	WIRE_KEEPALIVE,
 	WIRE_TYPE_COUNT,
 };
 
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -75,7 +75,7 @@
 	case WIRE_ANNOUNCE:
 		m.announce = (struct wire_announce){ 1, announces };
 		break;
-	case WIRE_PING:
+	case WIRE_KEEPALIVE:
 	case WIRE_TYPE_COUNT:
 		break;
 	}
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -146,8 +146,9 @@
 }
 
 /*
- * The address accepts and says nothing, as a machine that has just lost power,
- * and may answer soon: the first attempt is much shorter than later ones.
+ * The address accepts and says nothing, as an instance that has just lost
+ * power, and may answer soon: the first attempt is much shorter than later
+ * ones.
  */
 static void test_patience_grows(void)
 {
