Check in the soak that a session sees its own writes at once

On reading it again: a read of the database "door" was held against the age alone, with a comment that claimed more. A field that nothing read and a declaration that only one file used are gone.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -19,6 +19,12 @@
 /* Sent so lately that the process may not have read it. */
 #define UNREAD_MS 1000
 
+/* A session's connection, and what came on it. */
+struct soak_line {
+	int fd;
+	GString *in;
+};
+
 /*
  * Values of an item are written by one caller, in order: 1, 2, 3. After one
  * whose outcome is not known, the caller takes a new item.
@@ -40,6 +46,8 @@
 	/* What the session was set to, 0 for nothing. */
 	uint32_t who;
 	bool door;
+	/* Newest value of the own item that this session has written. */
+	uint32_t wrote;
 	const char *key;
 	uint32_t generation;
 	uint32_t ids;
@@ -103,7 +111,6 @@
 	char code[16];
 	/* READY's state; 0 without READY. */
 	char state;
-	bool ended;
 };
 
 static bool is_promise(const char *code)
@@ -155,7 +162,6 @@
 		got = test_read(l->fd, l->in, (int)(until - soak_now_ms()));
 		if (got > 0)
 			continue;
-		a.ended = got < 0;
 		/* A success is one only with its READY; a promise stands. */
 		if (a.outcome == DONE)
 			a.outcome = DOUBTFUL;
@@ -178,7 +184,7 @@
 						c->number, c->ids++, text);
 	bool calm = c->ledger->calm;
 	int64_t sent_ms = soak_now_ms();
-	struct answer a = { .outcome = DOUBTFUL, .ended = true };
+	struct answer a = { .outcome = DOUBTFUL };
 
 	g_string_truncate(c->line->in, 0);
 	if (send(c->line->fd, line, strlen(line), MSG_NOSIGNAL) ==
@@ -210,6 +216,7 @@
 	c->line->fd = fd;
 	c->line->in = g_string_new(NULL);
 	c->who = 0;
+	c->wrote = 0;
 	c->door = lws_rng_below(&c->rng, 2);
 	c->key = lws_rng_below(&c->rng, 3) ? "k1" : "k2";
 	open = g_strdup_printf("STARTUP %s %s\r\n", c->door ? "door" : "pay",
@@ -235,6 +242,7 @@
 
 	snprintf(item->name, sizeof(item->name), "i%d.%u", caller, generation);
 	item->refused = g_hash_table_new(NULL, NULL);
+	l->callers[caller].wrote = 0;
 	g_mutex_lock(&l->lock);
 	g_ptr_array_add(l->items, item);
 	l->current[caller] = item;
@@ -264,6 +272,7 @@
 	g_mutex_lock(&l->lock);
 	switch (outcome) {
 	case DONE:
+		c->wrote = value;
 		item->acked = value;
 		item->acked_ms[value] = soak_now_ms();
 		break;
@@ -343,8 +352,10 @@
 
 	if (!item)
 		return;
-	/* Its own writes of this session it sees at once. */
 	least = least_value(l, item, c->door);
+	/* What its session has written it sees at once, whatever the age. */
+	if (of == c->number && c->wrote > least)
+		least = c->wrote;
 	text = g_strdup_printf("READ %s", item->name);
 	a = ask(c, text);
 	if (a.outcome == DONE)
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -129,13 +129,6 @@
  */
 char *soak_fleet_end(struct soak_fleet *f);
 
-/* Connections */
-
-struct soak_line {
-	int fd;
-	GString *in;
-};
-
 /* Callers and the operator */
 
 struct soak_ledger;
