--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -58,6 +58,13 @@
 	return false;
 }
 
+const char *fleet_forward_addr(const char *addr)
+{
+	size_t len = strlen(FLEET_FORWARD_ONLY);
+
+	return strncmp(addr, FLEET_FORWARD_ONLY, len) ? addr : addr + len;
+}
+
 static uint32_t count_domains(const struct fleet *fleet, bool caller_facing)
 {
 	uint32_t n = 0;
--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -75,11 +75,16 @@
 	struct fleet_endpoint endpoint[FLEET_ENDPOINTS_MAX];
 };
 
+/* Prefix of an address that accepts only forwarded operations. */
+#define FLEET_FORWARD_ONLY "@"
+
 /**
  * struct fleet_instance - an instance that is alive
  * @name: unique name
  * @failure_domain: where it runs
- * @addr: address for other instances, "" if they cannot connect to it
+ * @addr: address for other instances, "" if they cannot connect to it. After
+ *        FLEET_FORWARD_ONLY follows an address that accepts only forwarded
+ *        operations, to which no permanent connection is kept.
  * @accepts_callers: it accepts callers
  */
 struct fleet_instance {
@@ -340,6 +345,9 @@
 struct fleet_instance *fleet_find_instance(const struct fleet *fleet,
 					   const char *name);
 
+/** fleet_forward_addr() - "ip:port" for forwarded operations; may be empty */
+const char *fleet_forward_addr(const char *addr);
+
 /** fleet_count_domains() - count the failure domains with instances alive */
 uint32_t fleet_count_domains(const struct fleet *fleet);
 
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -1,10 +1,13 @@
+#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
+#include <unistd.h>
 
 #include "control.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
+#include "session_server.h"
 #include "session_token.h"
 #include "sock.h"
 
@@ -312,6 +315,15 @@
 	return !c->daemon->adapter || c->daemon->settings.statement_listen;
 }
 
+/*
+ * Only control instances need connections to each other. Without an adapter,
+ * instances dial only the addresses in their settings.
+ */
+static bool is_forward_only(const struct control *c)
+{
+	return c->daemon->adapter && !c->daemon->settings.data;
+}
+
 static void send_report(struct control *c, struct wire_report_item *items,
 			uint32_t count)
 {
@@ -326,7 +338,8 @@
 
 	LWS_STR_COPY(self.name, c->daemon->settings.name);
 	LWS_STR_COPY(self.failure_domain, c->daemon->settings.failure_domain);
-	LWS_STR_COPY(self.addr, c->peer_addr);
+	snprintf(self.addr, sizeof(self.addr), "%s%s",
+		 is_forward_only(c) ? FLEET_FORWARD_ONLY : "", c->peer_addr);
 	self.accepts_callers = serves_callers(c);
 	if (c->leader)
 		control_leader_report(c, &self, &msg.report);
@@ -493,12 +506,31 @@
 		break;
 	case WIRE_HELLO:
 	case WIRE_KEEPALIVE:
+	case WIRE_FORWARD_HELLO:
+	case WIRE_FORWARD_OPEN:
+	case WIRE_FORWARD_STATEMENT:
+	case WIRE_FORWARD_END:
+	case WIRE_FORWARD_REPLY:
+	case WIRE_FORWARD_REFUSED:
+	case WIRE_FORWARD_PING:
+	case WIRE_FORWARD_PONG:
+	case WIRE_FORWARD_DRAIN:
 	case WIRE_TYPE_COUNT:
 		break;
 	}
 	control_publish(c);
 }
 
+static void on_forward(void *private_data, int fd)
+{
+	struct control *c = private_data;
+
+	if (c->session_server)
+		session_server_accept_forward(c->session_server, fd);
+	else
+		close(fd);
+}
+
 static int dial_all(struct control *c)
 {
 	char *list = talloc_strdup(c, c->daemon->settings.control);
@@ -529,6 +561,7 @@
 		.on_up = on_up,
 		.on_down = on_down,
 		.on_message = on_message,
+		.on_forward = on_forward,
 	};
 	int rc;
 
@@ -541,7 +574,9 @@
 			return params.listen_fd;
 		if (s->peer_advertise)
 			LWS_STR_COPY(c->peer_addr, s->peer_advertise);
-		LWS_STR_COPY(params.hello.addr, c->peer_addr);
+		snprintf(params.hello.addr, sizeof(params.hello.addr), "%s%s",
+			 is_forward_only(c) ? FLEET_FORWARD_ONLY : "",
+			 c->peer_addr);
 	}
 	rc = peer_hub_create(c, c->ev, &params, &c->hub);
 	return rc ? rc : dial_all(c);
--- a/lib/daemon/control_voters.c
+++ b/lib/daemon/control_voters.c
@@ -64,7 +64,8 @@
 	for (uint32_t i = 0; i < c->fleet->instances_count; i++) {
 		const struct fleet_instance *other = &c->fleet->instances[i];
 
-		if (*other->addr && strcmp(other->addr, c->peer_addr) != 0)
+		if (*other->addr && sock_addr_valid(other->addr) &&
+		    strcmp(other->addr, c->peer_addr) != 0)
 			add_addr(list, &count, other->addr);
 	}
 	peer_hub_set_dials(c->hub, list, count);
--- a/lib/daemon/session_server.c
+++ b/lib/daemon/session_server.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "control.h"
+#include "forward_io.h"
 #include "io_time.h"
 #include "lws_error.h"
 #include "lws_str.h"
@@ -14,6 +15,7 @@
 #include "metrics.h"
 #include "pooler.h"
 #include "session_token.h"
+#include "session_user.h"
 #include "sock.h"
 #include "stream.h"
 
@@ -33,6 +35,7 @@
 	struct control *control;
 	const struct statement_codec *codec;
 	struct pooler *pooler;
+	struct forward_io *forward;
 	int listen_fd;
 	struct tevent_timer *timer;
 	uint64_t timer_due_us;
@@ -47,6 +50,7 @@
 
 /* A connection from a caller. */
 struct caller {
+	struct session_user user;
 	struct session_server *server;
 	struct stream *stream;
 	struct pool_session *session;
@@ -100,23 +104,42 @@
 	release_caller(c);
 }
 
+static void reply_to_caller(struct caller *c, const struct caller_reply *reply)
+{
+	send_reply(c, reply);
+	c->busy = false;
+	stream_pause(c->stream, false);
+}
+
 static void on_reply(void *private_data, void *user,
 		     const struct caller_reply *reply)
 {
-	struct caller *c = user;
+	const struct session_user *owner = user;
 
 	(void)private_data;
-	send_reply(c, reply);
-	c->busy = false;
-	stream_pause(c->stream, false);
+	switch (owner->kind) {
+	case SESSION_USER_CALLER:
+		reply_to_caller(user, reply);
+		return;
+	case SESSION_USER_INSTANCE:
+		forward_io_reply(user, reply);
+		return;
+	}
 }
 
+/* Operations of other instances have no idle sessions. */
 static void on_end_session(void *private_data, void *user)
 {
+	const struct session_user *owner = user;
 	struct caller *c = user;
-	struct stream *stream = c->stream;
+	struct stream *stream;
 
 	(void)private_data;
+	if (owner->kind == SESSION_USER_INSTANCE) {
+		forward_io_session_ended(user);
+		return;
+	}
+	stream = c->stream;
 	c->session = NULL;
 	c->stream = NULL;
 	stream_finish(stream);
@@ -529,6 +552,42 @@
 		     (json_int_t)event->version);
 }
 
+/* Operations that other instances run */
+
+static bool is_holder_usable(void *private_data, const char *addr)
+{
+	struct session_server *server = private_data;
+
+	return forward_io_usable(server->forward, addr);
+}
+
+static void *forward_operation(void *private_data, struct pool_session *s,
+			       const char *addr,
+			       const struct forwarded_operation *op)
+{
+	struct session_server *server = private_data;
+
+	return forward_io_open(server->forward, s, addr, op);
+}
+
+static void forward_statement(void *private_data, void *channel,
+			      const struct statement *st)
+{
+	(void)private_data;
+	forward_io_statement(channel, st);
+}
+
+static void end_channel(void *private_data, void *channel)
+{
+	(void)private_data;
+	forward_io_end(channel);
+}
+
+void session_server_accept_forward(struct session_server *server, int fd)
+{
+	forward_io_accept(server->forward, fd);
+}
+
 /* Timer */
 
 static void on_timer(struct tevent_context *ev, struct tevent_timer *te,
@@ -594,11 +653,12 @@
 	server->draining = true;
 	server->close_idle_us = close_idle_us;
 	server->open_until_us = open_until_us;
+	forward_io_drain(server->forward);
 }
 
 bool session_server_idle(const struct session_server *server)
 {
-	return !server->callers;
+	return !server->callers && forward_io_idle(server->forward);
 }
 
 static void put_endpoint(struct byte_buffer *out,
@@ -638,6 +698,10 @@
 	metrics_put(out, "proofs", stats->leadership_checks);
 	metrics_put(out, "endpoint_connects", stats->connects);
 	metrics_put(out, "retries", stats->retries);
+	metrics_put(out, "forwarded", stats->forwarded);
+	metrics_put(out, "forward_refused", stats->forward_refused);
+	metrics_put(out, "forward_lost", stats->forward_lost);
+	metrics_put(out, "held", stats->held);
 	metrics_put(out, "malformed", server->malformed);
 	for (int i = STATEMENT_E_NONE + 1; i < STATEMENT_E_COUNT; i++) {
 		snprintf(name, sizeof(name), "refused{error=\"%s\"}",
@@ -679,17 +743,28 @@
 		.tokens_wanted = on_tokens_wanted,
 		.report = on_report,
 		.event = on_event,
+		.holder_usable = is_holder_usable,
+		.forward = forward_operation,
+		.forward_statement = forward_statement,
+		.forward_end = end_channel,
 	};
+	struct forward_io_params forward = { .ev = c->ev,
+					     .log = c->daemon->log };
 	char bound[SOCK_ADDR_MAX];
 
 	if (!server)
 		return LWS_E_NOMEM;
 	server->control = c;
 	server->codec = codec;
+	LWS_STR_COPY(params.name, s->name);
 	LWS_STR_COPY(params.failure_domain, s->failure_domain);
 	server->pooler = pooler_create(server, &params, &ops);
 	if (!server->pooler)
 		return LWS_E_NOMEM;
+	forward.pooler = server->pooler;
+	server->forward = forward_io_create(server, &forward);
+	if (!server->forward)
+		return LWS_E_NOMEM;
 	server->listen_fd = sock_listen(listen, bound);
 	if (server->listen_fd < 0)
 		return server->listen_fd;
--- a/lib/daemon/session_server.h
+++ b/lib/daemon/session_server.h
@@ -59,7 +59,16 @@
 void session_server_drain(struct session_server *server, uint64_t close_idle_us,
 			  uint64_t open_until_us);
 
-/** session_server_idle() - true when no caller is connected */
+/**
+ * session_server_accept_forward() - take over a connection of another instance
+ * @fd: connection from which WIRE_FORWARD_HELLO was read; owned from now on
+ */
+void session_server_accept_forward(struct session_server *server, int fd);
+
+/**
+ * session_server_idle() - true when no caller is connected and no operation of
+ * another instance is in progress
+ */
 bool session_server_idle(const struct session_server *server);
 
 /** session_server_metrics() - append counters and histograms as text lines */
--- a/lib/io/peer.c
+++ b/lib/io/peer.c
@@ -118,7 +118,8 @@
 	peer->close_reason = reason;
 	TALLOC_FREE(peer->fde);
 	TALLOC_FREE(peer->hello_timeout);
-	close(peer->fd);
+	if (peer->fd >= 0)
+		close(peer->fd);
 	peer->fd = -1;
 	if (peer->prev)
 		peer->prev->next = peer->next;
@@ -238,6 +239,18 @@
 	return 0;
 }
 
+/* Hands a connection over to those who forward operations. */
+static void hand_over(struct peer *peer)
+{
+	struct peer_hub *hub = peer->hub;
+	int fd = peer->fd;
+
+	TALLOC_FREE(peer->fde);
+	peer->fd = -1;
+	peer_close(peer, "handed over");
+	hub->params.on_forward(hub->params.private_data, fd);
+}
+
 static int on_payload(struct peer *peer, const uint8_t *data, size_t len)
 {
 	struct peer_hub *hub = peer->hub;
@@ -246,7 +259,10 @@
 
 	if (rc)
 		return rc;
-	if (!peer->established)
+	if (!peer->established && msg->type == WIRE_FORWARD_HELLO &&
+	    !peer->dial && !peer->out_len && hub->params.on_forward)
+		hand_over(peer);
+	else if (!peer->established)
 		rc = on_hello(peer, msg);
 	else if (msg->type != WIRE_KEEPALIVE)
 		hub->params.on_message(hub->params.private_data, peer, msg);
--- a/lib/io/peer.h
+++ b/lib/io/peer.h
@@ -34,6 +34,8 @@
  * @on_up: a peer's hello was received; returns false to refuse the peer
  * @on_down: an established connection to a peer was closed
  * @on_message: a message was received
+ * @on_forward: an accepted connection began with WIRE_FORWARD_HELLO; the
+ *              callback owns its descriptor. NULL to refuse such connections.
  */
 struct peer_hub_params {
 	int listen_fd;
@@ -44,6 +46,7 @@
 	void (*on_down)(void *private_data, struct peer *peer);
 	void (*on_message)(void *private_data, struct peer *peer,
 			   const struct wire_msg *msg);
+	void (*on_forward)(void *private_data, int fd);
 };
 
 /**
--- a/lib/session/pooler.c
+++ b/lib/session/pooler.c
@@ -96,16 +96,29 @@
 	pooler_reply(s, now_us, &reply, NULL);
 }
 
-/* Releases the connection of a session whose transaction ends. */
+/* Releases the connection or channel of a session whose transaction ends. */
 void pooler_release_conn(struct pool_session *s, uint64_t now_us,
 			 enum transaction_state state)
 {
+	pooler_forward_end(s);
 	if (s->conn)
 		pool_release(s->conn, now_us, state);
 }
 
 /* Sessions */
 
+void pooler_link_session(struct pool_session *s, uint64_t now_us)
+{
+	struct pooler *p = s->pooler;
+
+	s->idle_since_us = now_us;
+	s->next = p->sessions;
+	if (p->sessions)
+		p->sessions->prev = s;
+	p->sessions = s;
+	p->sessions_count++;
+}
+
 struct pool_session *pooler_open_session(struct pooler *p, uint64_t now_us,
 					 struct text database, struct text key,
 					 void *user,
@@ -141,16 +154,11 @@
 		return NULL;
 	}
 	s->job = (struct pool_job){ 0 };
-	s->idle_since_us = now_us;
-	s->next = p->sessions;
-	if (p->sessions)
-		p->sessions->prev = s;
-	p->sessions = s;
-	p->sessions_count++;
+	pooler_link_session(s, now_us);
 	return s;
 }
 
-static void free_session(struct pool_session *s)
+void pooler_free_session(struct pool_session *s)
 {
 	struct pooler *p = s->pooler;
 
@@ -183,11 +191,12 @@
 		dequeue(s);
 		p->busy_count--;
 	}
+	pooler_forward_end(s);
 	if (s->conn && s->conn->state == CONN_PINNED)
 		pool_release(s->conn, now_us, TRANSACTION_OPEN);
 	else if (s->conn)
 		pool_close(s->conn, now_us);
-	free_session(s);
+	pooler_free_session(s);
 }
 
 /* Tokens and timeouts */
@@ -223,6 +232,10 @@
 	const char *reason = job->wait_reason ? job->wait_reason
 					      : "no endpoint took it in time";
 
+	if (job->place == JOB_FORWARDED) {
+		pooler_forward_expired(s, now_us);
+		return;
+	}
 	if (job->place == JOB_RETRY_ON_CONN &&
 	    job->st.kind == STATEMENT_COMMIT) {
 		pooler_release_conn(s, now_us, TRANSACTION_OPEN);
@@ -292,7 +305,7 @@
 	}
 	if (p->draining && now_us - s->idle_since_us >= POOL_DRAIN_IDLE_US) {
 		p->ops.end_session(p->ops.private_data, s->user);
-		free_session(s);
+		pooler_free_session(s);
 	}
 }
 
@@ -383,6 +396,8 @@
 		if (!g)
 			continue;
 		g->connections_max = from->connections_max;
+		pooler_forward_update(p, g,
+				      fleet_find_group(fleet, from->name));
 		pool_group_update(g, now_us,
 				  fleet_find_group(fleet, from->name));
 		pool_dispatch(g, now_us);
--- a/lib/session/pooler.h
+++ b/lib/session/pooler.h
@@ -3,6 +3,7 @@
 
 #include "catalog.h"
 #include "fleet.h"
+#include "forward.h"
 #include "lws_histogram.h"
 #include "rate_bucket.h"
 #include "statement.h"
@@ -37,6 +38,7 @@
 
 /**
  * struct pooler_params - settings
+ * @name: name of this instance
  * @failure_domain: failure domain of this instance
  * @key_fresh_us: how long keys stay valid after their last confirmation
  * @suspect_us: a primary becomes suspect if it answers nothing for this long
@@ -49,6 +51,7 @@
  * @seed: seed for jitter
  */
 struct pooler_params {
+	char name[FLEET_NAME_MAX];
 	char failure_domain[FLEET_NAME_MAX];
 	uint64_t key_fresh_us;
 	uint64_t suspect_us;
@@ -99,6 +102,13 @@
  * @tokens_wanted: is told that a statement waits for a token
  * @report: reports whether a primary is suspect
  * @event: logs a decision
+ * @holder_usable: whether operations may be forwarded to the instance at an
+ *                 address now; NULL if this instance never forwards
+ * @forward: sends an operation to the instance at an address and returns its
+ *           channel, NULL on immediate failure. pooler_forward_reply(),
+ *           pooler_forward_refused() or pooler_forward_lost() follows.
+ * @forward_statement: sends the next statement of a transaction
+ * @forward_end: ends a channel; no calls for it may follow
  */
 struct pooler_ops {
 	void *private_data;
@@ -116,6 +126,13 @@
 	void (*report)(void *private_data, const char *group,
 		       const char *endpoint, uint64_t term, bool suspect);
 	void (*event)(void *private_data, const struct pooler_event *event);
+	bool (*holder_usable)(void *private_data, const char *addr);
+	void *(*forward)(void *private_data, struct pool_session *s,
+			 const char *addr,
+			 const struct forwarded_operation *op);
+	void (*forward_statement)(void *private_data, void *channel,
+				  const struct statement *st);
+	void (*forward_end)(void *private_data, void *channel);
 };
 
 /**
@@ -174,6 +191,42 @@
 void pooler_statement(struct pooler *p, uint64_t now_us, struct pool_session *s,
 		      const struct statement *st);
 
+/**
+ * pooler_open_forwarded() - open a session for an operation of another instance
+ * @p: pooler
+ * @now_us: time
+ * @op: operation; pooler_statement() with its statement must follow
+ * @user: passed to the ops
+ * @reason: set to the reason if the operation is refused
+ *
+ * The session must be closed after the reply that leaves no transaction open.
+ *
+ * Return: the session, or NULL if this instance cannot take the operation.
+ */
+struct pool_session *pooler_open_forwarded(struct pooler *p, uint64_t now_us,
+					   const struct forwarded_operation *op,
+					   void *user, const char **reason);
+
+/**
+ * pooler_forward_reply() - handle a holder's reply to a forwarded statement
+ *
+ * The channel has ended unless the reply leaves a transaction open.
+ */
+void pooler_forward_reply(struct pooler *p, uint64_t now_us,
+			  struct pool_session *s,
+			  const struct caller_reply *reply);
+
+/** pooler_forward_refused() - a holder did not take an operation */
+void pooler_forward_refused(struct pooler *p, uint64_t now_us,
+			    struct pool_session *s, const char *reason);
+
+/**
+ * pooler_forward_lost() - handle a lost channel
+ * @sent: the holder may have received the last statement
+ */
+void pooler_forward_lost(struct pooler *p, uint64_t now_us,
+			 struct pool_session *s, bool sent);
+
 /** pooler_close_session() - free a session whose caller has disconnected */
 void pooler_close_session(struct pooler *p, uint64_t now_us,
 			  struct pool_session *s);
@@ -227,6 +280,10 @@
  * @leadership_checks: leadership checks sent to primaries
  * @connects: connection openings started
  * @retries: statements queued again
+ * @forwarded: operations sent to holders
+ * @forward_refused: operations that a holder did not take
+ * @forward_lost: channels lost with a statement in progress
+ * @held: operations of other instances that this instance took
  * @refused: errors returned to callers, by error
  * @answered_us: time from a statement's arrival to its successful answer, by
  *               priority class
@@ -241,6 +298,10 @@
 	uint64_t leadership_checks;
 	uint64_t connects;
 	uint64_t retries;
+	uint64_t forwarded;
+	uint64_t forward_refused;
+	uint64_t forward_lost;
+	uint64_t held;
 	uint64_t refused[STATEMENT_E_COUNT];
 	struct lws_histogram answered_us[POOLER_PRIORITY_CLASSES];
 	struct lws_histogram waited_us[POOLER_PRIORITY_CLASSES];
--- a/lib/session/pooler_conns.c
+++ b/lib/session/pooler_conns.c
@@ -67,25 +67,11 @@
 	talloc_free(conn);
 }
 
-static uint32_t conn_share(const struct pool_group *g)
-{
-	uint32_t instances = g->pooler->accepting_instances
-				     ? g->pooler->accepting_instances
-				     : 1;
-	uint32_t usable = g->connections_max > POOL_RESERVED_CONNS
-				  ? g->connections_max - POOL_RESERVED_CONNS
-				  : 1;
-
-	return usable / instances ? usable / instances : 1;
-}
-
 bool pool_may_open(const struct pool_endpoint *e, uint64_t now_us)
 {
-	uint32_t share = conn_share(e->group);
-
 	if (now_us < e->fail_until_us || now_us < e->full_until_us)
 		return false;
-	return e->conns_count < share + POOL_EXTRA_CONNS;
+	return e->conns_count < e->group->connections_share + POOL_EXTRA_CONNS;
 }
 
 struct pool_conn *pool_open(struct pool_endpoint *e, const char *customer,
@@ -182,7 +168,7 @@
 		return conn;
 	if (is_saturated(e))
 		return NULL;
-	if (e->conns_count >= conn_share(e->group) + POOL_EXTRA_IDLE)
+	if (e->conns_count >= e->group->connections_share + POOL_EXTRA_IDLE)
 		close_oldest_idle(e, now_us);
 	if (!pool_may_open(e, now_us))
 		return NULL;
@@ -219,7 +205,7 @@
 	bool scarce = now_us < e->full_until_us + POOL_SCARCE_AFTER_PAUSE_US;
 	uint64_t idle_max_us = scarce ? 0 : POOL_EXTRA_IDLE_MAX_US;
 
-	while (e->conns_count > conn_share(e->group)) {
+	while (e->conns_count > e->group->connections_share) {
 		struct pool_conn *oldest = oldest_idle(e);
 
 		if (!oldest || now_us - oldest->idle_since_us < idle_max_us)
--- /dev/null
+++ b/lib/session/pooler_forward.c
@@ -0,0 +1,406 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "lws_str.h"
+#include "pooler_internal.h"
+
+/* Operations that a holder runs */
+
+static uint32_t usable_connections(const struct pool_group *g)
+{
+	return g->connections_max > POOL_RESERVED_CONNS
+		       ? g->connections_max - POOL_RESERVED_CONNS
+		       : 1;
+}
+
+static uint32_t even_share(const struct pool_group *g, uint32_t instances)
+{
+	uint32_t share = usable_connections(g) / (instances ? instances : 1);
+
+	return share ? share : 1;
+}
+
+/* Share of the connections of an endpoint that this instance may keep. */
+static uint32_t share_of(const struct pooler *p, const struct pool_group *g)
+{
+	if (!g->forwards)
+		return even_share(g, p->accepting_instances);
+	if (holders_index(&g->holders, p->params.name) >= HOLDERS_PER_GROUP)
+		return 0;
+	return usable_connections(g) * POOL_HOLDERS_PERCENT / 100 /
+	       HOLDERS_PER_GROUP;
+}
+
+/* Applies the replicated state: who holds the connections of the group. */
+void pooler_forward_update(struct pooler *p, struct pool_group *g,
+			   const struct fleet_group *state)
+{
+	g->forwards =
+		state && p->ops.holder_usable && p->params.customer_bound &&
+		holders_needed(usable_connections(g), p->accepting_instances,
+			       p->catalog->customers_count);
+	if (g->forwards) {
+		holders_rank(&g->holders, p->fleet, state);
+		g->forwards = g->holders.count > 0;
+	}
+	g->connections_share = share_of(p, g);
+}
+
+/* Returns true if only the primary can run the operation. */
+static bool needs_primary(const struct pool_session *s,
+			  const struct statement *st, bool writes)
+{
+	return writes || st->kind == STATEMENT_BEGIN ||
+	       s->reads == CATALOG_READS_PRIMARY;
+}
+
+/*
+ * Returns true if this instance has not reached the primary of the group for so
+ * long that another holder should try.
+ */
+static bool primary_out_of_reach(const struct pool_group *g, uint64_t now_us)
+{
+	return g->primary && g->primary->suspect &&
+	       now_us - g->primary->suspect_since_us > POOL_SUSPECT_REFUSE_US;
+}
+
+/* At the accepting instance */
+
+/* Holders that cannot take the operation, as bits 1 << index. */
+static uint32_t excluded_holders(const struct pool_session *s, uint64_t now_us)
+{
+	const struct pooler *p = s->pooler;
+	const struct pool_group *g = s->job.group;
+	uint32_t excluded = s->job.excluded_holders;
+
+	for (uint32_t i = 0; i < g->holders.count; i++) {
+		const struct holder *h = &g->holders.ranked[i];
+		bool self = strcmp(h->name, p->params.name) == 0;
+		bool usable =
+			self ? !needs_primary(s, &s->job.st, s->job.writes) ||
+					!primary_out_of_reach(g, now_us)
+			     : p->ops.holder_usable(p->ops.private_data,
+						    h->addr);
+
+		if (!usable)
+			excluded |= 1U << i;
+	}
+	return excluded;
+}
+
+static struct log_position committed_in_group(const struct pool_session *s)
+{
+	if (strcmp(s->committed_group, s->job.group->name) == 0)
+		return s->committed;
+	return (struct log_position){ 0 };
+}
+
+/* Prepared statements that the operation may use. */
+static void add_prepared(const struct pool_session *s,
+			 struct forwarded_operation *op)
+{
+	switch (s->job.st.kind) {
+	case STATEMENT_EXECUTE:
+		op->prepared =
+			session_find_prepared(&s->record, s->job.st.name);
+		op->prepared_count = op->prepared ? 1 : 0;
+		return;
+	case STATEMENT_BEGIN:
+	case STATEMENT_BEGIN_READ:
+		op->prepared = s->record.prepared;
+		op->prepared_count = s->record.prepared_count;
+		return;
+	default:
+		return;
+	}
+}
+
+/* A copy of the statement with only those texts that run it. */
+static struct statement needed_texts(const struct statement *st)
+{
+	struct statement out = *st;
+
+	switch (st->kind) {
+	case STATEMENT_SET:
+	case STATEMENT_PREPARE:
+	case STATEMENT_EXECUTE:
+	case STATEMENT_DEALLOCATE:
+		out.raw = (struct text){ 0 };
+		break;
+	default:
+		out.name = (struct text){ 0 };
+		out.value = (struct text){ 0 };
+		break;
+	}
+	return out;
+}
+
+static void *open_channel(struct pool_session *s, uint64_t now_us,
+			  const char *addr)
+{
+	struct pooler *p = s->pooler;
+	struct forwarded_operation op = {
+		.database = text_of(s->database),
+		.version = p->catalog->version,
+		.committed = committed_in_group(s),
+		.values_count = s->record.values_count,
+		.values = s->record.values,
+		.statement = needed_texts(&s->job.st),
+	};
+
+	memcpy(op.key, s->key, sizeof(op.key));
+	add_prepared(s, &op);
+	op.statement.waited_us = now_us - s->job.arrived_us;
+	return p->ops.forward(p->ops.private_data, s, addr, &op);
+}
+
+static void mark_forwarded(struct pool_session *s, uint64_t now_us)
+{
+	s->job.place = JOB_FORWARDED;
+	s->job.deadline_us =
+		now_us + POOL_FORWARD_TIMEOUTS * s->timeout_ms * LWS_US_PER_MS;
+	s->job.attempts++;
+}
+
+bool pooler_forward_operation(struct pool_session *s, uint64_t now_us)
+{
+	struct pooler *p = s->pooler;
+	struct pool_job *job = &s->job;
+	struct pool_group *g = job->group;
+	uint32_t excluded;
+	uint32_t index;
+
+	if (s->held || !g->forwards)
+		return false;
+	excluded = excluded_holders(s, now_us);
+	while ((index = holders_choose(&g->holders, s->customer_hash,
+				       excluded)) != HOLDERS_RANKED) {
+		const struct holder *h = &g->holders.ranked[index];
+
+		if (strcmp(h->name, p->params.name) == 0)
+			return false;
+		s->channel = open_channel(s, now_us, h->addr);
+		if (s->channel) {
+			p->stats.forwarded++;
+			job->holder = index;
+			s->channel_group = g;
+			mark_forwarded(s, now_us);
+			return true;
+		}
+		excluded |= 1U << index;
+	}
+	/*
+	 * If no holder reaches the primary, it is being replaced. Connections
+	 * of all instances to its successor would keep that busy.
+	 */
+	if (job->primary_refused) {
+		pooler_refuse(s, now_us, STATEMENT_E_BUSY, TRANSACTION_NONE,
+			      "no holder reaches the primary");
+		return true;
+	}
+	return false;
+}
+
+void pooler_forward_statement(struct pool_session *s, uint64_t now_us)
+{
+	struct pooler *p = s->pooler;
+	struct statement st = needed_texts(&s->job.st);
+
+	s->job.group = s->channel_group;
+	mark_forwarded(s, now_us);
+	s->wrote |= s->job.writes;
+	p->ops.forward_statement(p->ops.private_data, s->channel, &st);
+}
+
+void pooler_forward_end(struct pool_session *s)
+{
+	struct pooler *p = s->pooler;
+
+	if (s->channel)
+		p->ops.forward_end(p->ops.private_data, s->channel);
+	s->channel = NULL;
+}
+
+/* Tries the next holder, or runs the operation here. It must not have run. */
+static void forward_again(struct pool_session *s, uint64_t now_us)
+{
+	s->job.place = JOB_NONE;
+	s->job.excluded_holders |= 1U << s->job.holder;
+	if (now_us >= pooler_send_by_us(s)) {
+		pooler_refuse(s, now_us, STATEMENT_E_BUSY, TRANSACTION_NONE,
+			      "no holder took it in time");
+		return;
+	}
+	s->pooler->stats.retries++;
+	if (!pooler_forward_operation(s, now_us))
+		pooler_admit(s, now_us);
+}
+
+static bool is_forwarded(const struct pool_session *s)
+{
+	return s->busy && s->job.place == JOB_FORWARDED;
+}
+
+static void begin_transaction(struct pool_session *s)
+{
+	s->read_only = s->job.st.kind == STATEMENT_BEGIN_READ;
+	s->wrote = false;
+	s->lost_error = STATEMENT_E_NONE;
+	s->began_us = s->job.arrived_us;
+}
+
+void pooler_forward_reply(struct pooler *p, uint64_t now_us,
+			  struct pool_session *s,
+			  const struct caller_reply *reply)
+{
+	struct caller_reply out = *reply;
+	const struct pool_job *job = &s->job;
+	bool begins = job->st.kind == STATEMENT_BEGIN ||
+		      job->st.kind == STATEMENT_BEGIN_READ;
+	bool commits = job->st.kind == STATEMENT_COMMIT;
+
+	if (!is_forwarded(s))
+		return;
+	if (out.state != TRANSACTION_OPEN)
+		s->channel = NULL;
+	/* Only a transaction may stay open. */
+	if (out.state == TRANSACTION_OPEN && s->state != TRANSACTION_OPEN &&
+	    (!begins || out.error)) {
+		pooler_forward_end(s);
+		out.state = TRANSACTION_NONE;
+	}
+	if (!out.error) {
+		if (begins)
+			begin_transaction(s);
+		if ((commits && s->wrote) ||
+		    (s->state == TRANSACTION_NONE && job->writes))
+			pooler_record_commit(s, out.position);
+		lws_histogram_add(&p->stats.answered_us[s->priority_class],
+				  now_us - job->arrived_us);
+	}
+	pooler_reply(s, now_us, &out, out.text);
+}
+
+void pooler_forward_refused(struct pooler *p, uint64_t now_us,
+			    struct pool_session *s, const char *reason)
+{
+	s->channel = NULL;
+	if (!is_forwarded(s))
+		return;
+	p->stats.forward_refused++;
+	if (strcmp(reason, POOL_REFUSED_PRIMARY) == 0)
+		s->job.primary_refused = true;
+	forward_again(s, now_us);
+}
+
+void pooler_forward_lost(struct pooler *p, uint64_t now_us,
+			 struct pool_session *s, bool sent)
+{
+	s->channel = NULL;
+	if (!is_forwarded(s)) {
+		if (s->state == TRANSACTION_OPEN && !s->lost_error)
+			s->lost_error = STATEMENT_E_ABORTED;
+		return;
+	}
+	p->stats.forward_lost++;
+	if (s->state == TRANSACTION_NONE && (!sent || !s->job.writes)) {
+		forward_again(s, now_us);
+		return;
+	}
+	s->job.place = JOB_NONE;
+	pooler_job_conn_lost(s, now_us, true);
+}
+
+/* The holder has not answered in time; the statement may have run. */
+void pooler_forward_expired(struct pool_session *s, uint64_t now_us)
+{
+	pooler_forward_end(s);
+	pooler_refuse(s, now_us, STATEMENT_E_TIMEOUT,
+		      s->job.st.kind == STATEMENT_COMMIT
+			      ? TRANSACTION_NONE
+			      : pooler_state_after_error(s),
+		      "the holder did not answer in time");
+}
+
+/* At the holder */
+
+static bool record_session(struct pool_session *s,
+			   const struct forwarded_operation *op)
+{
+	for (uint32_t i = 0; i < op->values_count; i++) {
+		if (session_set(s, &s->record, text_of(op->values[i].name),
+				text_of(op->values[i].value)))
+			return false;
+	}
+	for (uint32_t i = 0; i < op->prepared_count; i++) {
+		const struct session_prepared *from = &op->prepared[i];
+
+		if (session_prepare(s, &s->record, text_of(from->name),
+				    text_of(from->query), from->writes))
+			return false;
+	}
+	return true;
+}
+
+static bool writes(const struct pool_session *s, const struct statement *st)
+{
+	const struct session_prepared *prepared;
+
+	if (st->kind != STATEMENT_EXECUTE)
+		return st->kind == STATEMENT_WRITE;
+	prepared = session_find_prepared(&s->record, st->name);
+	return prepared && prepared->writes;
+}
+
+/* Returns why this instance cannot take the operation, NULL if it can. */
+static const char *refuse_operation(struct pool_session *s, uint64_t now_us,
+				    const struct forwarded_operation *op)
+{
+	struct pooler *p = s->pooler;
+	const char *reason = NULL;
+
+	if (p->draining)
+		return "stopping";
+	if (!p->catalog || p->catalog->version < op->version)
+		return "configuration_behind";
+	if (!record_session(s, op))
+		return "session_too_large";
+	/* pooler_statement() reports errors that are not this instance's. */
+	if (pooler_check_access(s, now_us, &reason) == STATEMENT_E_BUSY)
+		return reason;
+	if (s->job.group &&
+	    needs_primary(s, &op->statement, writes(s, &op->statement)) &&
+	    primary_out_of_reach(s->job.group, now_us))
+		return POOL_REFUSED_PRIMARY;
+	return NULL;
+}
+
+struct pool_session *pooler_open_forwarded(struct pooler *p, uint64_t now_us,
+					   const struct forwarded_operation *op,
+					   void *user, const char **reason)
+{
+	struct pool_session *s = talloc_zero(p, struct pool_session);
+
+	*reason = "no memory";
+	if (!s)
+		return NULL;
+	s->pooler = p;
+	s->user = user;
+	s->held = true;
+	if (!text_copy(op->database, s->database, sizeof(s->database)))
+		s->database[0] = '\0';
+	memcpy(s->key, op->key, sizeof(s->key));
+	*reason = refuse_operation(s, now_us, op);
+	if (*reason) {
+		talloc_free(s);
+		return NULL;
+	}
+	if (s->job.group) {
+		s->committed = op->committed;
+		LWS_STR_COPY(s->committed_group, s->job.group->name);
+	}
+	s->job = (struct pool_job){ 0 };
+	p->stats.held++;
+	pooler_link_session(s, now_us);
+	return s;
+}
--- a/lib/session/pooler_group.c
+++ b/lib/session/pooler_group.c
@@ -212,6 +212,7 @@
 		pool_check_primary(g, now_us);
 	if (suspect != e->suspect) {
 		e->suspect = suspect;
+		e->suspect_since_us = now_us;
 		g->report_due = true;
 	}
 	if (suspect && now_us - g->reported_us > POOL_REPORT_PAUSE_US)
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -3,6 +3,7 @@
 
 #include "admission.h"
 #include "fair_queue.h"
+#include "holders.h"
 #include "lws_rng.h"
 #include "lws_time.h"
 #include "pooler.h"
@@ -30,6 +31,24 @@
  */
 #define POOL_EXTRA_CONNS 6
 #define POOL_EXTRA_IDLE 2
+/*
+ * Part of an endpoint's connections that its holders share; the others are left
+ * for instances that reach no holder.
+ */
+#define POOL_HOLDERS_PERCENT 88
+/*
+ * A forwarded statement without a reply is given up after this many times its
+ * timeout: the holder may use one timeout to start it and one to run it.
+ */
+#define POOL_FORWARD_TIMEOUTS 2
+/*
+ * A holder refuses operations for a primary that has been suspect for this
+ * long: they cannot be sent before their deadline if it is being replaced, and
+ * another holder may still reach it if it is not.
+ */
+#define POOL_SUSPECT_REFUSE_US (700 * LWS_US_PER_MS)
+/* Reason that a holder gives for it. */
+#define POOL_REFUSED_PRIMARY "primary_suspect"
 /* A connection above the even share is closed after this idle time. */
 #define POOL_EXTRA_IDLE_MAX_US (150 * LWS_US_PER_MS)
 /*
@@ -198,6 +217,7 @@
  * @read_only_until_us: end of the pause after the endpoint answered that it is
  *                      read-only
  * @last_contact_us: time of the last answer or established connection
+ * @suspect_since_us: when it last became suspect
  * @leaving_since_us: when this instance learned that it leaves; 0 if it stays
  */
 struct pool_endpoint {
@@ -229,6 +249,7 @@
 	uint64_t last_contact_us;
 	uint64_t leaving_since_us;
 	bool suspect;
+	uint64_t suspect_since_us;
 };
 
 /** struct pool_position_sample - log position of the primary at some time */
@@ -252,6 +273,11 @@
 	struct pooler *pooler;
 	char name[CATALOG_NAME_MAX];
 	uint32_t connections_max;
+	/* This instance's share of the connections of each endpoint. */
+	uint32_t connections_share;
+	/* Operations go through the holders of the group. */
+	bool forwards;
+	struct holders holders;
 	uint32_t endpoints_count;
 	struct pool_endpoint *endpoints[FLEET_ENDPOINTS_MAX];
 	struct pool_endpoint *primary;
@@ -289,6 +315,8 @@
 	JOB_ON_CONN,
 	/** waits to be sent again on the transaction's connection */
 	JOB_RETRY_ON_CONN,
+	/** a holder runs the statement */
+	JOB_FORWARDED,
 };
 
 /** struct pool_job - the statement of a session that is in progress */
@@ -319,6 +347,12 @@
 	uint32_t attempts;
 	/* Endpoints behind min_position, as bits of pool_endpoint_bit(). */
 	uint32_t lagging_endpoints;
+	/* Holders that cannot take the operation, as bits 1 << index. */
+	uint32_t excluded_holders;
+	/* Index of the holder that was sent the operation. */
+	uint32_t holder;
+	/* A holder refused it because the primary does not answer. */
+	bool primary_refused;
 	const char *wait_reason;
 };
 
@@ -340,6 +374,11 @@
 	/* Why the open transaction was lost, not yet reported to the caller. */
 	enum statement_error lost_error;
 	struct pool_conn *conn;
+	/* Channel to the holder that runs the operation, NULL for none. */
+	void *channel;
+	struct pool_group *channel_group;
+	/* The session belongs to an operation of another instance. */
+	bool held;
 	char customer[CATALOG_NAME_MAX];
 	uint64_t customer_hash;
 	uint32_t weight;
@@ -387,6 +426,8 @@
 };
 
 /* pooler.c: sessions, replies, timeouts */
+void pooler_link_session(struct pool_session *s, uint64_t now_us);
+void pooler_free_session(struct pool_session *s);
 void pooler_reply(struct pool_session *s, uint64_t now_us,
 		  const struct caller_reply *reply, const char *reason);
 void pooler_refuse(struct pool_session *s, uint64_t now_us,
@@ -413,10 +454,22 @@
 			     enum statement_error error, const char *reason);
 void pooler_refuse_rate(struct pool_session *s, uint64_t now_us);
 void pooler_start_admitted(struct pool_session *s, uint64_t now_us);
+void pooler_admit(struct pool_session *s, uint64_t now_us);
+
 void pooler_mark_lagging(struct pool_job *job, const struct pool_endpoint *e);
 
+/* pooler_forward.c: operations sent to holders, and taken from others */
+void pooler_forward_update(struct pooler *p, struct pool_group *g,
+			   const struct fleet_group *state);
+/* Returns false if this instance has to run the operation itself. */
+bool pooler_forward_operation(struct pool_session *s, uint64_t now_us);
+void pooler_forward_statement(struct pool_session *s, uint64_t now_us);
+void pooler_forward_end(struct pool_session *s);
+void pooler_forward_expired(struct pool_session *s, uint64_t now_us);
+
 /* pooler_outcome.c: success, errors and retries of a statement */
 void pooler_job_conn_lost(struct pool_session *s, uint64_t now_us, bool sent);
+void pooler_record_commit(struct pool_session *s, struct log_position position);
 void pooler_job_result(struct pool_session *s, uint64_t now_us,
 		       const struct endpoint_result *result);
 void pooler_not_started(struct pool_session *s, uint64_t now_us,
--- a/lib/session/pooler_outcome.c
+++ b/lib/session/pooler_outcome.c
@@ -75,12 +75,11 @@
 			      "the connection was lost");
 }
 
-static void record_commit(struct pool_session *s,
-			  const struct endpoint_result *result)
+void pooler_record_commit(struct pool_session *s, struct log_position position)
 {
-	if (!result->position.term && !result->position.number)
+	if (!position.term && !position.number)
 		return;
-	s->committed = result->position;
+	s->committed = position;
 	LWS_STR_COPY(s->committed_group, s->job.group->name);
 }
 
@@ -96,7 +95,7 @@
 
 	if ((commit && s->wrote) ||
 	    (s->state == TRANSACTION_NONE && job->writes))
-		record_commit(s, result);
+		pooler_record_commit(s, result->position);
 	if (s->state == TRANSACTION_NONE && !job->writes) {
 		if (conn->endpoint == job->group->primary)
 			s->pooler->stats.primary_reads++;
--- a/lib/session/pooler_statement.c
+++ b/lib/session/pooler_statement.c
@@ -147,6 +147,8 @@
 	struct pool_job *job = &s->job;
 
 	*job = (struct pool_job){ .arrived_us = now_us };
+	if (st->waited_us < now_us)
+		job->arrived_us -= st->waited_us;
 	job->mem = talloc_new(s);
 	job->st = *st;
 	job->st.id = copy_text(job->mem, st->id);
@@ -280,17 +282,12 @@
 	pooler_refuse(s, now_us, STATEMENT_E_BUSY, TRANSACTION_NONE, text);
 }
 
-static void start_operation(struct pool_session *s, uint64_t now_us)
+/* Starts an operation here, as soon as there is a token for it. */
+void pooler_admit(struct pool_session *s, uint64_t now_us)
 {
 	struct pooler *p = s->pooler;
 	struct pool_job *job = &s->job;
-	const char *reason = "";
-	enum statement_error error = pooler_check_access(s, now_us, &reason);
 
-	if (error) {
-		pooler_refuse(s, now_us, error, TRANSACTION_NONE, reason);
-		return;
-	}
 	if (!s->rate_per_s) {
 		pooler_start_admitted(s, now_us);
 		return;
@@ -317,6 +314,17 @@
 	}
 }
 
+static void start_operation(struct pool_session *s, uint64_t now_us)
+{
+	const char *reason = "";
+	enum statement_error error = pooler_check_access(s, now_us, &reason);
+
+	if (error)
+		pooler_refuse(s, now_us, error, TRANSACTION_NONE, reason);
+	else if (!pooler_forward_operation(s, now_us))
+		pooler_admit(s, now_us);
+}
+
 /* Looks up the prepared statement of an EXECUTE; false if it cannot run. */
 static bool resolve_prepared(struct pool_session *s, uint64_t now_us)
 {
@@ -370,6 +378,8 @@
 	if (rc)
 		pooler_refuse(s, now_us, STATEMENT_E_MALFORMED, s->state,
 			      "the session holds too many values or names");
+	else if (s->channel)
+		pooler_forward_statement(s, now_us);
 	else
 		pooler_reply_success(s, now_us, s->state);
 	return true;
@@ -435,6 +445,10 @@
 	}
 	if (!resolve_prepared(s, now_us))
 		return;
+	if (s->channel) {
+		pooler_forward_statement(s, now_us);
+		return;
+	}
 	job->deadline_us = pooler_send_by_us(s);
 	if (s->conn) {
 		job->kind = JOB_IN_TRANSACTION;
--- a/lib/session/statement.h
+++ b/lib/session/statement.h
@@ -68,6 +68,8 @@
  *        the prepared statement
  * @value: SET: session value; PREPARE: query text; EXECUTE: arguments
  * @writes: PREPARE: executing the prepared statement writes
+ * @waited_us: how long it waited at the instance that forwarded it, 0 for a
+ *             statement of a caller of this instance
  */
 struct statement {
 	enum statement_kind kind;
@@ -76,6 +78,7 @@
 	struct text name;
 	struct text value;
 	bool writes;
+	uint64_t waited_us;
 };
 
 enum caller_message_kind {
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -6,6 +6,7 @@
 #include "lws_error.h"
 #include "pack.h"
 #include "store.h"
+#include "wire_internal.h"
 
 /* Helpers */
 
@@ -338,11 +339,20 @@
 
 /* Number of values that follow the message type. */
 static const uint32_t field_count[WIRE_TYPE_COUNT] = {
-	[WIRE_HELLO] = 8,	  [WIRE_SYNC_REQUEST] = 4,
-	[WIRE_SYNC_REPLY] = 7,	  [WIRE_PROPOSE] = 2,
-	[WIRE_PROPOSE_REPLY] = 4, [WIRE_RATE_REQUEST] = 3,
-	[WIRE_RATE_REPLY] = 3,	  [WIRE_REPORT] = 3,
-	[WIRE_ANNOUNCE] = 1,	  [WIRE_KEEPALIVE] = 0,
+	[WIRE_HELLO] = 8,
+	[WIRE_SYNC_REQUEST] = 4,
+	[WIRE_SYNC_REPLY] = 7,
+	[WIRE_PROPOSE] = 2,
+	[WIRE_PROPOSE_REPLY] = 4,
+	[WIRE_RATE_REQUEST] = 3,
+	[WIRE_RATE_REPLY] = 3,
+	[WIRE_REPORT] = 3,
+	[WIRE_ANNOUNCE] = 1,
+	[WIRE_FORWARD_OPEN] = 8,
+	[WIRE_FORWARD_STATEMENT] = 2,
+	[WIRE_FORWARD_END] = 1,
+	[WIRE_FORWARD_REPLY] = 8,
+	[WIRE_FORWARD_REFUSED] = 2,
 };
 
 /*
@@ -394,7 +404,18 @@
 	case WIRE_ANNOUNCE:
 		announce_pack(w, &msg->announce);
 		return;
+	case WIRE_FORWARD_OPEN:
+	case WIRE_FORWARD_STATEMENT:
+	case WIRE_FORWARD_END:
+	case WIRE_FORWARD_REPLY:
+	case WIRE_FORWARD_REFUSED:
+		wire_forward_pack(w, msg);
+		return;
 	case WIRE_KEEPALIVE:
+	case WIRE_FORWARD_HELLO:
+	case WIRE_FORWARD_PING:
+	case WIRE_FORWARD_PONG:
+	case WIRE_FORWARD_DRAIN:
 	case WIRE_TYPE_COUNT:
 		return;
 	}
@@ -441,7 +462,18 @@
 	case WIRE_ANNOUNCE:
 		announce_unpack(r, msg, &msg->announce);
 		return;
+	case WIRE_FORWARD_OPEN:
+	case WIRE_FORWARD_STATEMENT:
+	case WIRE_FORWARD_END:
+	case WIRE_FORWARD_REPLY:
+	case WIRE_FORWARD_REFUSED:
+		wire_forward_unpack(r, msg);
+		return;
 	case WIRE_KEEPALIVE:
+	case WIRE_FORWARD_HELLO:
+	case WIRE_FORWARD_PING:
+	case WIRE_FORWARD_PONG:
+	case WIRE_FORWARD_DRAIN:
 	case WIRE_TYPE_COUNT:
 		return;
 	}
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "fleet.h"
+#include "forward.h"
 #include "raft.h"
 
 /**
@@ -35,6 +36,24 @@
 	WIRE_ANNOUNCE,
 	/** has no content; shows that the connection works */
 	WIRE_KEEPALIVE,
+	/** first message of a connection that forwards operations; no content
+	 */
+	WIRE_FORWARD_HELLO,
+	/** an operation; its number names the channel in all later messages */
+	WIRE_FORWARD_OPEN,
+	/** the next statement of a transaction */
+	WIRE_FORWARD_STATEMENT,
+	/** the channel ends; an open transaction is rolled back */
+	WIRE_FORWARD_END,
+	/** reply to a statement */
+	WIRE_FORWARD_REPLY,
+	/** the holder did not run the operation; the channel has ended */
+	WIRE_FORWARD_REFUSED,
+	/** asks for WIRE_FORWARD_PONG; neither has content */
+	WIRE_FORWARD_PING,
+	WIRE_FORWARD_PONG,
+	/** the holder stops and takes no new operations; no content */
+	WIRE_FORWARD_DRAIN,
 	WIRE_TYPE_COUNT,
 };
 
@@ -227,6 +246,24 @@
 	struct wire_announce_item *items;
 };
 
+/**
+ * struct wire_forward - message of a forwarded operation
+ * @channel: number of the operation, chosen by the accepting instance
+ * @operation: FORWARD_OPEN
+ * @statement: FORWARD_STATEMENT
+ * @reply: FORWARD_REPLY; @opened and @last are not sent
+ * @reason: FORWARD_REFUSED: why the holder did not take the operation
+ */
+struct wire_forward {
+	uint64_t channel;
+	union {
+		struct forwarded_operation operation;
+		struct statement statement;
+		struct caller_reply reply;
+		const char *reason;
+	};
+};
+
 /**
  * struct wire_msg - one message
  * @type: selects the member of the union
@@ -243,6 +280,7 @@
 		struct wire_rate rate;
 		struct wire_report report;
 		struct wire_announce announce;
+		struct wire_forward forward;
 	};
 };
 
--- a/soak/main.c
+++ b/soak/main.c
@@ -218,9 +218,12 @@
 		soak_proxy_add(r->proxy, net, i, TEST_PORT_PEERS);
 		soak_proxy_add(r->proxy, net, i, TEST_PORT_CONTROL);
 	}
-	for (int i = 0; i < SOAK_SESSION_SERVERS; i++)
-		soak_proxy_add(r->proxy, net, SOAK_FIRST_SESSION_SERVER + i,
-			       TEST_PORT_CALLERS);
+	for (int i = 0; i < SOAK_SESSION_SERVERS; i++) {
+		int host = SOAK_FIRST_SESSION_SERVER + i;
+
+		soak_proxy_add(r->proxy, net, host, TEST_PORT_CALLERS);
+		soak_proxy_add(r->proxy, net, host, TEST_PORT_PEERS);
+	}
 	soak_proxy_add(r->proxy, net, SOAK_STANDIN, TEST_PORT_PROMOTE);
 	for (int i = 0; i < SOAK_ENDPOINTS; i++)
 		r->routes = 1 + soak_proxy_add(r->proxy, net, SOAK_STANDIN,
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -19,7 +19,8 @@
  */
 
 #define SOAK_CONTROLS 3
-#define SOAK_SESSION_SERVERS 2
+/* More than HOLDERS_PER_GROUP, so that some forward all operations. */
+#define SOAK_SESSION_SERVERS 5
 #define SOAK_FIRST_SESSION_SERVER 8
 #define SOAK_STANDIN 20
 #define SOAK_HOSTS 32
--- a/tests/support_platform.c
+++ b/tests/support_platform.c
@@ -49,6 +49,13 @@
 char *test_platform_config(int version, const char *keys, int rate,
 			   int connections)
 {
+	g_autoptr(GString) others = g_string_new(NULL);
+
+	for (int i = 0; i < TEST_OTHER_CUSTOMERS; i++)
+		g_string_append_printf(others,
+				       ",{\"name\":\"other-%d\","
+				       "\"api_keys\":[\"other-key-%d\"]}",
+				       i, i);
 	return g_strdup_printf(
 		"{\"version\":%d,\"routes\":["
 		"{\"name\":\"a\",\"host\":\"pay\",\"path_prefix\":\"/\","
@@ -62,8 +69,9 @@
 		"\"services\":[{\"name\":\"g1\",\"max_conns\":%d,"
 		"\"sync_replicas\":1}],\"limits\":{\"tx_idle_ms\":3000},"
 		"\"tenants\":[{\"name\":\"t\",\"api_keys\":[%s],"
-		"\"rate_per_s\":%d,\"burst\":%d}]}",
-		version, TEST_DOOR_STALENESS_MS, connections, keys, rate, rate);
+		"\"rate_per_s\":%d,\"burst\":%d}%s]}",
+		version, TEST_DOOR_STALENESS_MS, connections, keys, rate, rate,
+		others->str);
 }
 
 char *test_program(const char *name)
--- a/tests/support_platform.h
+++ b/tests/support_platform.h
@@ -23,6 +23,11 @@
 #define TEST_GRACE_MS 6000
 /* Longest time that a key is accepted after its withdrawal is acknowledged. */
 #define TEST_REVOKE_MS 5000
+/*
+ * Customers of a configuration that send nothing: an instance cannot keep a
+ * connection for each of them, so operations go through holders.
+ */
+#define TEST_OTHER_CUSTOMERS 10
 /* Largest staleness of reads of the database "door". */
 #define TEST_DOOR_STALENESS_MS 2500
 
--- a/tests/support_pool.c
+++ b/tests/support_pool.c
@@ -4,9 +4,11 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "holders.h"
 #include "key_table.h"
 #include "lws_error.h"
 #include "lws_str.h"
+#include "wire.h"
 
 #define MS LWS_US_PER_MS
 #define GROUP "g"
@@ -24,6 +26,9 @@
 struct pool_sim_instance {
 	struct pool_sim *sim;
 	struct pooler *pooler;
+	uint32_t number;
+	/* Until when each other instance counts as unusable. */
+	uint64_t lost_until_us[POOL_INSTANCES_MAX];
 	char failure_domain[FLEET_NAME_MAX];
 };
 
@@ -57,12 +62,18 @@
 	char *value;
 };
 
+enum user_kind {
+	USER_CALLER,
+	USER_CHANNEL,
+};
+
 enum caller_step {
 	CALLER_IDLE,
 	CALLER_WAITING,
 };
 
 struct caller {
+	enum user_kind kind;
 	struct pool_sim *sim;
 	struct pool_sim_instance *instance;
 	struct pool_session *session;
@@ -569,6 +580,8 @@
 			    enum statement_error error,
 			    enum transaction_state state);
 
+struct channel;
+
 struct reply {
 	struct caller *caller;
 	enum statement_error error;
@@ -585,13 +598,21 @@
 	g_free(r);
 }
 
+static void channel_reply(struct channel *ch, const struct caller_reply *reply);
+
 static void op_reply(void *private_data, void *user,
 		     const struct caller_reply *reply)
 {
 	struct pool_sim_instance *instance = private_data;
-	struct reply *r = g_new0(struct reply, 1);
+	struct reply *r;
 	struct caller *c = user;
 
+	if (c->kind == USER_CHANNEL) {
+		channel_reply(user, reply);
+		return;
+	}
+	r = g_new0(struct reply, 1);
+
 	r->caller = c;
 	r->error = reply->error;
 	r->state = reply->state;
@@ -606,7 +627,8 @@
 	struct caller *c = user;
 
 	(void)private_data;
-	c->session = NULL;
+	if (c->kind == USER_CALLER)
+		c->session = NULL;
 }
 
 static struct rate_bucket *op_token_bucket(void *private_data, const char *name)
@@ -643,6 +665,218 @@
 	(void)event;
 }
 
+/* Operations that instances forward to each other */
+
+/* Time without a reply after which a holder is given up, and then avoided. */
+#define SILENCE_US (500 * MS)
+#define LOST_US (1000 * MS)
+
+struct channel {
+	enum user_kind kind;
+	struct pool_sim_instance *from;
+	struct pool_sim_instance *to;
+	/* At the accepting instance; NULL once the channel has ended there. */
+	struct pool_session *session;
+	/* At the holder. */
+	struct pool_session *held;
+	uint64_t waiting_since_us;
+};
+
+/* A message in transit, as it is on the wire. */
+struct channel_message {
+	struct channel *channel;
+	bool to_holder;
+	uint8_t *frame;
+	size_t len;
+};
+
+static bool is_silent(const struct pool_sim_instance *instance)
+{
+	return instance->sim->faults[instance->number] == POOL_INSTANCE_SILENT;
+}
+
+static void on_channel_message(struct pool_sim *sim, void *arg);
+
+static void channel_send(struct channel *ch, bool to_holder,
+			 const struct wire_msg *msg)
+{
+	struct pool_sim *sim = ch->from->sim;
+	struct channel_message *m = g_new0(struct channel_message, 1);
+
+	m->channel = ch;
+	m->to_holder = to_holder;
+	g_assert_cmpint(wire_encode(NULL, msg, &m->frame, &m->len), ==, 0);
+	schedule(sim, sim->params.hop_us, on_channel_message, m);
+}
+
+static void channel_reply(struct channel *ch, const struct caller_reply *reply)
+{
+	struct wire_msg msg = { .type = WIRE_FORWARD_REPLY,
+				.forward.reply = *reply };
+
+	channel_send(ch, false, &msg);
+}
+
+static void end_held(struct pool_sim *sim, struct channel *ch)
+{
+	if (ch->held)
+		pooler_close_session(ch->to->pooler, sim->now_us, ch->held);
+	ch->held = NULL;
+}
+
+static void at_holder(struct pool_sim *sim, struct channel *ch,
+		      const struct wire_msg *msg)
+{
+	struct wire_msg refused = { .type = WIRE_FORWARD_REFUSED };
+	const struct forwarded_operation *op = &msg->forward.operation;
+
+	switch (msg->type) {
+	case WIRE_FORWARD_OPEN:
+		if (sim->faults[ch->to->number] == POOL_INSTANCE_STOPPING)
+			refused.forward.reason = "stopping";
+		else
+			ch->held = pooler_open_forwarded(
+				ch->to->pooler, sim->now_us, op, ch,
+				&refused.forward.reason);
+		if (ch->held)
+			pooler_statement(ch->to->pooler, sim->now_us, ch->held,
+					 &op->statement);
+		else
+			channel_send(ch, false, &refused);
+		return;
+	case WIRE_FORWARD_STATEMENT:
+		if (ch->held)
+			pooler_statement(ch->to->pooler, sim->now_us, ch->held,
+					 &msg->forward.statement);
+		return;
+	default:
+		end_held(sim, ch);
+		return;
+	}
+}
+
+static void at_accepting(struct pool_sim *sim, struct channel *ch,
+			 const struct wire_msg *msg)
+{
+	struct pool_session *s = ch->session;
+
+	if (!s)
+		return;
+	ch->waiting_since_us = 0;
+	if (msg->type == WIRE_FORWARD_REFUSED) {
+		ch->session = NULL;
+		pooler_forward_refused(ch->from->pooler, sim->now_us, s,
+				       msg->forward.reason);
+		return;
+	}
+	if (msg->forward.reply.state != TRANSACTION_OPEN)
+		ch->session = NULL;
+	pooler_forward_reply(ch->from->pooler, sim->now_us, s,
+			     &msg->forward.reply);
+}
+
+static void on_channel_message(struct pool_sim *sim, void *arg)
+{
+	struct channel_message *m = arg;
+	struct channel *ch = m->channel;
+	struct wire_msg *msg;
+
+	if (is_silent(ch->from) || is_silent(ch->to)) {
+		if (is_silent(ch->from))
+			end_held(sim, ch);
+	} else {
+		g_assert_cmpint(wire_decode(NULL, m->frame + WIRE_HEADER_BYTES,
+					    m->len - WIRE_HEADER_BYTES, &msg),
+				==, 0);
+		if (m->to_holder)
+			at_holder(sim, ch, msg);
+		else
+			at_accepting(sim, ch, msg);
+		/* The holder ends an operation with its last reply. */
+		if (!m->to_holder &&
+		    (msg->type == WIRE_FORWARD_REPLY &&
+		     msg->forward.reply.state != TRANSACTION_OPEN))
+			end_held(sim, ch);
+		talloc_free(msg);
+	}
+	talloc_free(m->frame);
+	g_free(m);
+}
+
+static void on_silence(struct pool_sim *sim, void *arg)
+{
+	struct channel *ch = arg;
+	struct pool_session *s = ch->session;
+
+	if (s && ch->waiting_since_us &&
+	    sim->now_us - ch->waiting_since_us >= SILENCE_US &&
+	    is_silent(ch->to)) {
+		ch->session = NULL;
+		ch->from->lost_until_us[ch->to->number] = sim->now_us + LOST_US;
+		pooler_forward_lost(ch->from->pooler, sim->now_us, s, true);
+	}
+}
+
+static void await_reply(struct channel *ch)
+{
+	struct pool_sim *sim = ch->from->sim;
+
+	ch->waiting_since_us = sim->now_us;
+	schedule(sim, SILENCE_US, on_silence, ch);
+}
+
+static struct pool_sim_instance *instance_at(struct pool_sim *sim,
+					     const char *addr)
+{
+	return sim->instances[atoi(strchr(addr, ':') + 1) - 1];
+}
+
+static bool op_holder_usable(void *private_data, const char *addr)
+{
+	struct pool_sim_instance *instance = private_data;
+	struct pool_sim_instance *to = instance_at(instance->sim, addr);
+
+	return instance->sim->now_us >= instance->lost_until_us[to->number];
+}
+
+static void *op_forward(void *private_data, struct pool_session *s,
+			const char *addr, const struct forwarded_operation *op)
+{
+	struct wire_msg msg = { .type = WIRE_FORWARD_OPEN,
+				.forward.operation = *op };
+	struct pool_sim_instance *instance = private_data;
+	struct channel *ch = g_new0(struct channel, 1);
+
+	ch->kind = USER_CHANNEL;
+	ch->from = instance;
+	ch->to = instance_at(instance->sim, addr);
+	ch->session = s;
+	await_reply(ch);
+	channel_send(ch, true, &msg);
+	return ch;
+}
+
+static void op_forward_statement(void *private_data, void *channel,
+				 const struct statement *st)
+{
+	struct wire_msg msg = { .type = WIRE_FORWARD_STATEMENT,
+				.forward.statement = *st };
+
+	(void)private_data;
+	await_reply(channel);
+	channel_send(channel, true, &msg);
+}
+
+static void op_forward_end(void *private_data, void *channel)
+{
+	struct wire_msg msg = { .type = WIRE_FORWARD_END };
+	struct channel *ch = channel;
+
+	(void)private_data;
+	ch->session = NULL;
+	channel_send(ch, true, &msg);
+}
+
 /* Callers */
 
 static void caller_attempt(struct pool_sim *sim, struct caller *c);
@@ -871,6 +1105,19 @@
 	schedule(sim, TICK_US, on_tick, instance);
 }
 
+static void make_fleet_instance(struct pool_sim *sim, uint32_t i)
+{
+	struct fleet_instance *instance = &sim->fleet->instances[i];
+
+	instance->accepts_callers = true;
+	snprintf(instance->name, sizeof(instance->name), "i%u", i);
+	snprintf(instance->failure_domain, sizeof(instance->failure_domain),
+		 "d%u", i % 4);
+	if (sim->params.forwards)
+		snprintf(instance->addr, sizeof(instance->addr),
+			 FLEET_FORWARD_ONLY "127.0.0.1:%u", i + 1);
+}
+
 static void make_fleet(struct pool_sim *sim)
 {
 	struct catalog *c;
@@ -935,7 +1182,7 @@
 	sim->fleet->instances = talloc_zero_array(
 		sim->fleet, struct fleet_instance, sim->params.instances);
 	for (uint32_t i = 0; i < sim->params.instances; i++)
-		sim->fleet->instances[i].accepts_callers = true;
+		make_fleet_instance(sim, i);
 }
 
 void pool_sim_fleet_changed(struct pool_sim *sim)
@@ -978,11 +1225,17 @@
 		.tokens_wanted = op_tokens_wanted,
 		.report = op_report,
 		.event = op_event,
+		.holder_usable = op_holder_usable,
+		.forward = op_forward,
+		.forward_statement = op_forward_statement,
+		.forward_end = op_forward_end,
 	};
 
+	snprintf(params.name, sizeof(params.name), "i%u", i);
 	snprintf(params.failure_domain, sizeof(params.failure_domain), "d%u",
 		 i % 4);
 	instance->sim = sim;
+	instance->number = i;
 	instance->pooler = pooler_create(NULL, &params, &ops);
 	pooler_set_confirmed(instance->pooler, sim->now_us);
 	sim->instances[i] = instance;
@@ -1054,12 +1307,40 @@
 
 void pool_sim_free(struct pool_sim *sim)
 {
-	/* Callers and links are not freed before the process exits. */
+	/* Callers, links and channels are not freed before the process exits.
+	 */
 	g_sequence_free(sim->events);
 	g_array_free(sim->commits, TRUE);
 	g_free(sim);
 }
 
+struct pooler_stats pool_sim_stats(const struct pool_sim *sim)
+{
+	struct pooler_stats sum = { 0 };
+
+	for (uint32_t i = 0; i < sim->params.instances; i++) {
+		const struct pooler_stats *s =
+			pooler_stats(sim->instances[i]->pooler);
+
+		sum.operations += s->operations;
+		sum.statements += s->statements;
+		sum.connects += s->connects;
+		sum.forwarded += s->forwarded;
+		sum.forward_refused += s->forward_refused;
+		sum.forward_lost += s->forward_lost;
+		sum.held += s->held;
+	}
+	return sum;
+}
+
+uint32_t pool_sim_holder(const struct pool_sim *sim, uint32_t nth)
+{
+	struct holders h;
+
+	holders_rank(&h, sim->fleet, &sim->fleet->groups[0]);
+	return (uint32_t)atoi(h.ranked[nth].name + 1);
+}
+
 void pool_tally_add(struct pool_tally *sum, const struct pool_tally *t)
 {
 	sum->total += t->total;
--- a/tests/support_pool.h
+++ b/tests/support_pool.h
@@ -15,7 +15,7 @@
  * Deterministic for a seed.
  */
 
-#define POOL_INSTANCES_MAX 16
+#define POOL_INSTANCES_MAX 64
 #define POOL_ENDPOINTS 3
 #define POOL_CUSTOMERS 8
 
@@ -59,6 +59,8 @@
 	struct pool_class classes[3];
 	/* Percentage of callers that are always assigned to customer 0. */
 	uint32_t large_percent;
+	/* Operations go through holders. */
+	bool forwards;
 };
 
 /**
@@ -93,6 +95,15 @@
 	GQueue *waiting;
 };
 
+/** enum pool_instance_fault - faults of an instance that tests set */
+enum pool_instance_fault {
+	POOL_INSTANCE_WORKS,
+	/** gets and sends nothing; its callers are not served */
+	POOL_INSTANCE_SILENT,
+	/** refuses operations of other instances */
+	POOL_INSTANCE_STOPPING,
+};
+
 struct pool_sim {
 	struct pool_sim_params params;
 	struct lws_rng rng;
@@ -100,6 +111,7 @@
 	GSequence *events;
 	struct fleet *fleet;
 	struct pool_sim_instance *instances[POOL_INSTANCES_MAX];
+	enum pool_instance_fault faults[POOL_INSTANCES_MAX];
 	struct pool_endpoint_model endpoints[POOL_ENDPOINTS];
 	struct rate_bucket *token_buckets[POOL_CUSTOMERS];
 	uint64_t term;
@@ -139,6 +151,12 @@
 /** pool_sim_fleet_changed() - pass the cluster state to all instances */
 void pool_sim_fleet_changed(struct pool_sim *sim);
 
+/** pool_sim_stats() - sum of the counters of all instances */
+struct pooler_stats pool_sim_stats(const struct pool_sim *sim);
+
+/** pool_sim_holder() - instance that the @nth holder of the group is */
+uint32_t pool_sim_holder(const struct pool_sim *sim, uint32_t nth);
+
 /** pool_tally_add() - add one tally to another */
 void pool_tally_add(struct pool_tally *sum, const struct pool_tally *t);
 
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -30,6 +30,14 @@
 	};
 	static struct wire_sync_entry entries[2] = { { 1, 0, NULL },
 						     { 2, 3, NULL } };
+	static struct session_value values[1] = { { "who", "guide" } };
+	static struct session_prepared prepared[1] = { { "s1", "q2c", true } };
+	struct statement statement = { .kind = STATEMENT_EXECUTE,
+				       .id = { "5c0e", 4 },
+				       .raw = { "EXECUTE s1 1a4 x", 16 },
+				       .name = { "s1", 2 },
+				       .value = { "1a4 x", 5 },
+				       .waited_us = 1500 };
 	struct wire_msg m = { .type = type };
 
 	entries[1].data = (const uint8_t *)"abc";
@@ -76,7 +84,46 @@
 	case WIRE_ANNOUNCE:
 		m.announce = (struct wire_announce){ 1, announces };
 		break;
+	case WIRE_FORWARD_OPEN:
+		m.forward.channel = 7;
+		m.forward.operation = (struct forwarded_operation){
+			.database = { "pay", 3 },
+			.version = 8,
+			.committed = { 3, 1209 },
+			.values_count = 1,
+			.values = values,
+			.prepared_count = 1,
+			.prepared = prepared,
+			.statement = statement,
+		};
+		break;
+	case WIRE_FORWARD_STATEMENT:
+		m.forward = (struct wire_forward){ .channel = 7,
+						   .statement = statement };
+		break;
+	case WIRE_FORWARD_END:
+		m.forward.channel = 7;
+		break;
+	case WIRE_FORWARD_REPLY:
+		m.forward.channel = 7;
+		m.forward.reply = (struct caller_reply){
+			.rows = { "DATAROW x\r\n", 11 },
+			.tag = { "7.1f3", 5 },
+			.error = STATEMENT_E_BUSY,
+			.text = "queue full",
+			.state = TRANSACTION_OPEN,
+			.position = { 3, 1210 },
+		};
+		break;
+	case WIRE_FORWARD_REFUSED:
+		m.forward.channel = 7;
+		m.forward.reason = "stopping";
+		break;
 	case WIRE_KEEPALIVE:
+	case WIRE_FORWARD_HELLO:
+	case WIRE_FORWARD_PING:
+	case WIRE_FORWARD_PONG:
+	case WIRE_FORWARD_DRAIN:
 	case WIRE_TYPE_COUNT:
 		break;
 	}
@@ -92,6 +139,46 @@
 	return frame;
 }
 
+/* A forwarded operation and its reply arrive as they were sent. */
+static void test_wire_forward(void)
+{
+	void *mem = talloc_new(NULL);
+	struct wire_msg *got;
+	size_t len;
+	uint8_t *frame = encode(mem, WIRE_FORWARD_OPEN, &len);
+	const struct forwarded_operation *op;
+	const struct caller_reply *reply;
+
+	g_assert_cmpint(wire_decode(mem, frame + WIRE_HEADER_BYTES,
+				    len - WIRE_HEADER_BYTES, &got),
+			==, 0);
+	op = &got->forward.operation;
+	g_assert_cmpuint(got->forward.channel, ==, 7);
+	g_assert_true(text_is(op->database, "pay"));
+	g_assert_cmpuint(op->version, ==, 8);
+	g_assert_cmpuint(op->committed.number, ==, 1209);
+	g_assert_cmpuint(op->values_count, ==, 1);
+	g_assert_cmpstr(op->values[0].value, ==, "guide");
+	g_assert_cmpuint(op->prepared_count, ==, 1);
+	g_assert_cmpstr(op->prepared[0].query, ==, "q2c");
+	g_assert_true(op->prepared[0].writes);
+	g_assert_cmpint(op->statement.kind, ==, STATEMENT_EXECUTE);
+	g_assert_true(text_is(op->statement.raw, "EXECUTE s1 1a4 x"));
+	g_assert_cmpuint(op->statement.waited_us, ==, 1500);
+	frame = encode(mem, WIRE_FORWARD_REPLY, &len);
+	g_assert_cmpint(wire_decode(mem, frame + WIRE_HEADER_BYTES,
+				    len - WIRE_HEADER_BYTES, &got),
+			==, 0);
+	reply = &got->forward.reply;
+	g_assert_true(text_is(reply->rows, "DATAROW x\r\n"));
+	g_assert_true(text_is(reply->tag, "7.1f3"));
+	g_assert_cmpint(reply->error, ==, STATEMENT_E_BUSY);
+	g_assert_cmpstr(reply->text, ==, "queue full");
+	g_assert_cmpint(reply->state, ==, TRANSACTION_OPEN);
+	g_assert_cmpuint(reply->position.number, ==, 1210);
+	talloc_free(mem);
+}
+
 static void test_wire_round_trip(void)
 {
 	void *mem = talloc_new(NULL);
@@ -367,6 +454,7 @@
 	if (sodium_init() < 0)
 		return 1;
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/codec/wire/forward", test_wire_forward);
 	g_test_add_func("/codec/wire/round-trip", test_wire_round_trip);
 	g_test_add_func("/codec/wire/frame-length", test_frame_length);
 	g_test_add_func("/codec/wire/truncated", test_wire_truncated);
--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "support_platform.h"
+#include "wire.h"
 
 /**
  * DOC: The whole path of a statement on the platform, with real processes:
@@ -29,11 +30,19 @@
 /* Connections that each endpoint takes, as on the platform. */
 #define CONNECTIONS_MAX 21
 
-struct fleet {
+/* More instances that accept callers than a group has holders. */
+#define SESSION_HOSTS_MAX 5
+#define HOSTS_MAX 16
+
+struct test_fleet {
 	char *dir;
 	char net[16];
 	uint32_t controls;
-	GPid pids[16];
+	/* Instances that accept callers, from SESSION_HOST on. */
+	uint32_t session_hosts;
+	/* The one that open_session() uses. */
+	int caller_host;
+	GPid pids[HOSTS_MAX];
 };
 
 struct line_conn {
@@ -45,7 +54,7 @@
 
 /* Processes */
 
-static void write_settings(const struct fleet *f, int host)
+static void write_settings(const struct test_fleet *f, int host)
 {
 	g_autofree char *path = g_strdup_printf("%s/%d.conf", f->dir, host);
 	g_autofree char *data = g_strdup_printf("%s/data-%d", f->dir, host);
@@ -54,7 +63,7 @@
 					  .promote_host = STANDIN_HOST,
 					  .data_losses_max = f->controls / 2,
 					  .bootstrap = true,
-					  .data_dir = host == SESSION_HOST
+					  .data_dir = host >= SESSION_HOST
 							      ? NULL
 							      : data };
 	g_autofree char *text = test_platform_settings(&instance);
@@ -62,7 +71,7 @@
 	g_assert_true(g_file_set_contents(path, text, -1, NULL));
 }
 
-static void spawn(struct fleet *f, int host, char **argv)
+static void spawn(struct test_fleet *f, int host, char **argv)
 {
 	g_autofree char *config =
 		g_strdup_printf("LACEWINGSPAN_CONFIG=%s/%d.conf", f->dir, host);
@@ -78,7 +87,7 @@
 	close(fd);
 }
 
-static void start_daemon(struct fleet *f, int host)
+static void start_daemon(struct test_fleet *f, int host)
 {
 	g_autofree char *path = test_program("lacewingspand");
 	char *argv[] = { path, NULL };
@@ -86,7 +95,7 @@
 	spawn(f, host, argv);
 }
 
-static void start_standin(struct fleet *f)
+static void start_standin(struct test_fleet *f)
 {
 	g_autofree char *path = test_program("platform_standin");
 	g_autofree char *listen =
@@ -101,7 +110,7 @@
 	spawn(f, STANDIN_HOST, argv);
 }
 
-static void stop(struct fleet *f, int host, int signum)
+static void stop(struct test_fleet *f, int host, int signum)
 {
 	int status;
 
@@ -114,8 +123,9 @@
 
 /* Sockets */
 
-static int http(const struct fleet *f, int host, int port, const char *method,
-		const char *path, const char *body, char **answer)
+static int http(const struct test_fleet *f, int host, int port,
+		const char *method, const char *path, const char *body,
+		char **answer)
 {
 	return test_http(f->net, host, port, method, path, body,
 			 ANSWER_TIMEOUT_MS, answer);
@@ -123,11 +133,11 @@
 
 /* Callers */
 
-static struct line_conn *open_line(const struct fleet *f)
+static struct line_conn *open_line(const struct test_fleet *f)
 {
 	struct line_conn *c = g_new0(struct line_conn, 1);
 
-	c->fd = test_connect(f->net, SESSION_HOST, TEST_PORT_CALLERS,
+	c->fd = test_connect(f->net, f->caller_host, TEST_PORT_CALLERS,
 			     ANSWER_TIMEOUT_MS);
 	c->in = g_string_new(NULL);
 	g_assert_cmpint(c->fd, >=, 0);
@@ -215,7 +225,7 @@
 	g_assert_cmpstr(got, ==, answer);
 }
 
-static struct line_conn *open_session(const struct fleet *f,
+static struct line_conn *open_session(const struct test_fleet *f,
 				      const char *database, const char *key)
 {
 	struct line_conn *c = open_line(f);
@@ -262,7 +272,7 @@
 				    CONNECTIONS_MAX);
 }
 
-static int replace_config(const struct fleet *f, const char *config)
+static int replace_config(const struct test_fleet *f, const char *config)
 {
 	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
 	int status = 0;
@@ -277,7 +287,7 @@
 	return status;
 }
 
-static void wait_until_ready(const struct fleet *f)
+static void wait_until_ready(const struct test_fleet *f)
 {
 	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
 
@@ -290,9 +300,10 @@
 	g_assert_not_reached();
 }
 
-static struct fleet *fleet_start(uint32_t controls)
+static struct test_fleet *fleet_start_many(uint32_t controls,
+					   uint32_t session_hosts)
 {
-	struct fleet *f = g_new0(struct fleet, 1);
+	struct test_fleet *f = g_new0(struct test_fleet, 1);
 	g_autofree char *config = config_of(5, "\"k1\",\"k2\"");
 	struct line_conn *c;
 
@@ -300,12 +311,16 @@
 	snprintf(f->net, sizeof(f->net), "127.%d.%d", 1 + getpid() % 200,
 		 next_net++);
 	f->controls = controls;
+	f->session_hosts = session_hosts;
+	f->caller_host = SESSION_HOST;
 	for (uint32_t i = 1; i <= controls; i++) {
 		write_settings(f, (int)i);
 		start_daemon(f, (int)i);
 	}
-	write_settings(f, SESSION_HOST);
-	start_daemon(f, SESSION_HOST);
+	for (uint32_t i = 0; i < session_hosts; i++) {
+		write_settings(f, SESSION_HOST + (int)i);
+		start_daemon(f, SESSION_HOST + (int)i);
+	}
 	start_standin(f);
 	g_assert_cmpint(replace_config(f, config), ==, 200);
 	wait_until_ready(f);
@@ -315,14 +330,19 @@
 	return f;
 }
 
-static void fleet_stop(struct fleet *f)
+static struct test_fleet *fleet_start(uint32_t controls)
+{
+	return fleet_start_many(controls, 1);
+}
+
+static void fleet_stop(struct test_fleet *f)
 {
 	g_autofree char *dir = g_strdup_printf("%s", f->dir);
 
-	for (int i = 0; i < 16; i++)
+	for (int i = 0; i < HOSTS_MAX; i++)
 		stop(f, i, SIGKILL);
 	if (!g_test_failed()) {
-		for (int i = 1; i <= SESSION_HOST; i++) {
+		for (int i = 1; i < HOSTS_MAX; i++) {
 			g_autofree char *conf =
 				g_strdup_printf("%s/%d.conf", dir, i);
 			g_autofree char *log =
@@ -381,7 +401,7 @@
 
 static void test_sessions(void)
 {
-	struct fleet *f = fleet_start(3);
+	struct test_fleet *f = fleet_start(3);
 	struct line_conn *sessions[] = { open_session(f, "pay", "k1"),
 					 open_session(f, "pay", "k2") };
 	struct line_conn *door = open_session(f, "door", "k1");
@@ -431,7 +451,7 @@
 
 static void test_malformed_input(void)
 {
-	struct fleet *f = fleet_start(3);
+	struct test_fleet *f = fleet_start(3);
 	struct line_conn *good = open_session(f, "pay", "k1");
 	struct line_conn *idle[64];
 	g_autofree char *huge = g_strnfill((2 << 20), 'x');
@@ -477,7 +497,7 @@
  */
 static void check_primary_loss(int signum)
 {
-	struct fleet *f = fleet_start(3);
+	struct test_fleet *f = fleet_start(3);
 	struct line_conn *c = open_session(f, "pay", "k1");
 
 	for (int i = 0; i < 20; i++) {
@@ -512,7 +532,7 @@
 
 static void test_configuration(void)
 {
-	struct fleet *f = fleet_start(3);
+	struct test_fleet *f = fleet_start(3);
 	struct line_conn *c = open_session(f, "pay", "k1");
 	g_autofree char *newer = config_of(9, "\"k2\"");
 	g_autofree char *older = config_of(7, "\"k1\"");
@@ -552,7 +572,7 @@
  */
 static void test_stop(void)
 {
-	struct fleet *f = fleet_start(3);
+	struct test_fleet *f = fleet_start(3);
 	struct line_conn *idle = open_session(f, "pay", "k1");
 	struct line_conn *open = open_session(f, "pay", "k1");
 	g_autofree char *end = NULL;
@@ -579,7 +599,192 @@
 	fleet_stop(f);
 }
 
-static void wait_for_metric(const struct fleet *f, const char *line)
+/* Sum of a counter over the instances that accept callers. */
+static long sum_of_metric(const struct test_fleet *f, const char *name)
+{
+	long sum = 0;
+
+	for (uint32_t i = 0; i < f->session_hosts; i++) {
+		g_autofree char *text = NULL;
+		const char *at;
+
+		if (!f->pids[SESSION_HOST + i] ||
+		    http(f, SESSION_HOST + (int)i, 9464, "GET", "/metrics", "",
+			 &text) != 200)
+			continue;
+		at = strstr(text, name);
+		sum += at ? strtol(at + strlen(name), NULL, 10) : 0;
+	}
+	return sum;
+}
+
+static struct line_conn *open_session_at(struct test_fleet *f, uint32_t nth)
+{
+	f->caller_host = SESSION_HOST + (int)nth;
+	return open_session(f, "pay", "k1");
+}
+
+/* Statements and transactions give the same answers through holders. */
+static void test_forwarding(void)
+{
+	struct test_fleet *f = fleet_start_many(3, SESSION_HOSTS_MAX);
+
+	for (uint32_t i = 0; i < f->session_hosts; i++) {
+		struct line_conn *c = open_session_at(f, i);
+
+		expect(c, "SET who guide", "COMPLETE -|READY I");
+		expect(c, "PARSE s1 READ q1", "COMPLETE -|READY I");
+		expect_eventually(c, "WRITE bed leila",
+				  "COMPLETE write-tag|READY I");
+		expect(c, "READ bed",
+		       "DATAROW leila:guide|COMPLETE read-tag|READY I");
+		expect(c, "EXECUTE s1 bed",
+		       "DATAROW leila:guide|COMPLETE read-tag|READY I");
+		expect(c, "EXECUTE s2 bed", "ERROR NOSTMT|READY I");
+		expect(c, "BEGIN", "COMPLETE -|READY T");
+		expect(c, "WRITE bed tomas", "COMPLETE write-tag|READY T");
+		expect(c, "SET who parent", "COMPLETE -|READY T");
+		expect(c, "EXECUTE s1 bed",
+		       "DATAROW leila:parent|COMPLETE read-tag|READY T");
+		expect(c, "COMMIT", "COMPLETE commit-tag|READY I");
+		expect(c, "BEGIN", "COMPLETE -|READY T");
+		expect(c, "WRITE bed abebe", "COMPLETE write-tag|READY T");
+		expect(c, "ROLLBACK", "COMPLETE -|READY I");
+		expect(c, "READ bed",
+		       "DATAROW tomas:parent|COMPLETE read-tag|READY I");
+		close_line(c);
+	}
+	g_assert_cmpint(sum_of_metric(f, "\nlws_forwarded "), >, 0);
+	g_assert_cmpint(sum_of_metric(f, "\nlws_held "), ==,
+			sum_of_metric(f, "\nlws_forwarded "));
+	fleet_stop(f);
+}
+
+struct frame_case {
+	const char *name;
+	const char *bytes;
+	size_t len;
+};
+
+/* After the hello of a forwarding connection: 4 bytes of length, then msgpack.
+ */
+static const struct frame_case frame_cases[] = {
+	{ "unknown-type", "\0\0\0\2\x91\x7f", 6 },
+	{ "not-msgpack", "\0\0\0\2\xc1\xc1", 6 },
+	{ "too-long", "\x7f\xff\xff\xff\x91", 5 },
+	{ "open-without-content", "\0\0\0\2\x91\x0c", 6 },
+	{ "statement-without-channel", "\0\0\0\3\x92\x0d\x01", 7 },
+	{ "reply-from-caller", "\0\0\0\3\x92\x0f\x01", 7 },
+	{ "a-second-hello", "\0\0\0\2\x91\x0b", 6 },
+};
+
+/* A malformed message closes its connection; the instance keeps running. */
+static void test_forward_malformed(void)
+{
+	static const char hello[] = "\0\0\0\2\x91\x0b";
+	struct test_fleet *f = fleet_start_many(3, SESSION_HOSTS_MAX);
+
+	g_assert_cmpint(WIRE_FORWARD_HELLO, ==, hello[5]);
+	for (size_t i = 0; i < G_N_ELEMENTS(frame_cases); i++) {
+		const struct frame_case *fc = &frame_cases[i];
+		int fd = test_connect(f->net, SESSION_HOST, TEST_PORT_PEERS,
+				      ANSWER_TIMEOUT_MS);
+		g_autoptr(GString) in = g_string_new(NULL);
+		gint64 until = g_get_monotonic_time() + 2000 * 1000;
+		int rc = 1;
+
+		g_assert_cmpint(fd, >=, 0);
+		g_assert_cmpint(send(fd, hello, sizeof(hello) - 1, 0), ==, 6);
+		g_usleep(50 * 1000);
+		g_assert_cmpint(send(fd, fc->bytes, fc->len, MSG_NOSIGNAL), ==,
+				(ssize_t)fc->len);
+		while (rc > 0 && g_get_monotonic_time() < until)
+			rc = test_read(fd, in, 2000);
+		if (rc >= 0)
+			g_printerr("not closed: %s\n", fc->name);
+		g_assert_cmpint(rc, <, 0);
+		close(fd);
+	}
+	for (uint32_t i = 0; i < f->session_hosts; i++) {
+		struct line_conn *c = open_session_at(f, i);
+
+		expect_eventually(c, "WRITE a b", "COMPLETE write-tag|READY I");
+		close_line(c);
+		g_assert_cmpint(
+			waitpid(f->pids[SESSION_HOST + i], NULL, WNOHANG), ==,
+			0);
+	}
+	fleet_stop(f);
+}
+
+/* A killed holder: callers of the other instances are served again soon. */
+static void test_holder_killed(void)
+{
+	struct test_fleet *f = fleet_start_many(3, SESSION_HOSTS_MAX);
+	struct line_conn *c[SESSION_HOSTS_MAX];
+
+	for (uint32_t i = 0; i < f->session_hosts; i++) {
+		c[i] = open_session_at(f, i);
+		expect_eventually(c[i], "WRITE a b",
+				  "COMPLETE write-tag|READY I");
+	}
+	for (uint32_t killed = 0; killed < 3; killed++) {
+		gint64 at = g_get_monotonic_time();
+
+		stop(f, SESSION_HOST + (int)killed, SIGKILL);
+		for (uint32_t i = killed + 1; i < f->session_hosts; i++)
+			expect_eventually(c[i], "WRITE a b",
+					  "COMPLETE write-tag|READY I");
+		g_assert_cmpint(g_get_monotonic_time() - at, <, 3000 * 1000);
+	}
+	for (uint32_t i = 0; i < f->session_hosts; i++)
+		close_line(c[i]);
+	fleet_stop(f);
+}
+
+/*
+ * A planned stop of holders: open transactions of the other instances end as
+ * their callers want, and no statement is refused.
+ */
+static void test_holder_stops(void)
+{
+	struct test_fleet *f = fleet_start_many(3, SESSION_HOSTS_MAX);
+	struct line_conn *open[SESSION_HOSTS_MAX];
+	struct line_conn *idle[SESSION_HOSTS_MAX];
+
+	for (uint32_t i = 0; i < f->session_hosts; i++) {
+		idle[i] = open_session_at(f, i);
+		expect_eventually(idle[i], "WRITE a b",
+				  "COMPLETE write-tag|READY I");
+		open[i] = open_session_at(f, i);
+		expect(open[i], "BEGIN", "COMPLETE -|READY T");
+		expect(open[i], "WRITE x y", "COMPLETE write-tag|READY T");
+		expect(open[i], "ROLLBACK", "COMPLETE -|READY I");
+	}
+	for (uint32_t stopped = 0; stopped < 3; stopped++) {
+		pid_t pid = f->pids[SESSION_HOST + stopped];
+		uint32_t last = f->session_hosts - 1;
+
+		expect(open[last], "BEGIN", "COMPLETE -|READY T");
+		expect(open[last], "WRITE x y", "COMPLETE write-tag|READY T");
+		kill(pid, SIGTERM);
+		for (int n = 0; n < 20; n++) {
+			expect(idle[last], "WRITE a b",
+			       "COMPLETE write-tag|READY I");
+			g_usleep(5 * 1000);
+		}
+		expect(open[last], "COMMIT", "COMPLETE commit-tag|READY I");
+		waitpid(pid, NULL, 0);
+		f->pids[SESSION_HOST + stopped] = 0;
+	}
+	for (uint32_t i = 0; i < f->session_hosts; i++) {
+		close_line(open[i]);
+		close_line(idle[i]);
+	}
+	fleet_stop(f);
+}
+
+static void wait_for_metric(const struct test_fleet *f, const char *line)
 {
 	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
 
@@ -604,7 +809,7 @@
  */
 static void test_voters(void)
 {
-	struct fleet *f = fleet_start(5);
+	struct test_fleet *f = fleet_start(5);
 	g_autofree char *newer = config_of(9, "\"k1\"");
 
 	wait_for_metric(f, "lws_voters 5\n");
@@ -619,8 +824,8 @@
  * Searches a log as docs/OPERATIONS.md describes it. Returns the first line
  * that contains both texts, NULL for none.
  */
-static char *find_log_line(const struct fleet *f, int host, const char *first,
-			   const char *second)
+static char *find_log_line(const struct test_fleet *f, int host,
+			   const char *first, const char *second)
 {
 	g_autofree char *path = g_strdup_printf("%s/%d.log", f->dir, host);
 	g_autofree char *log = NULL;
@@ -636,8 +841,8 @@
 	return NULL;
 }
 
-static void expect_log_line(const struct fleet *f, int host, const char *first,
-			    const char *second)
+static void expect_log_line(const struct test_fleet *f, int host,
+			    const char *first, const char *second)
 {
 	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
 	g_autofree char *line = NULL;
@@ -655,8 +860,8 @@
  * Expects the line in the log of any control instance, since any may be the
  * leader.
  */
-static void expect_control_log_line(const struct fleet *f, const char *first,
-				    const char *second)
+static void expect_control_log_line(const struct test_fleet *f,
+				    const char *first, const char *second)
 {
 	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
 	g_autofree char *line = NULL;
@@ -682,7 +887,7 @@
 /* The logs show the cause of a failed statement under its id. */
 static void test_failures_logged(void)
 {
-	struct fleet *f = fleet_start(3);
+	struct test_fleet *f = fleet_start(3);
 	struct line_conn *c = open_session(f, "pay", "k1");
 	g_autofree char *slow = config_at_rate(7, 1);
 	g_autofree char *fast = config_at_rate(9, 500);
@@ -745,6 +950,11 @@
 			test_primary_leaving);
 	g_test_add_func("/platform-daemon/configuration", test_configuration);
 	g_test_add_func("/platform-daemon/stop", test_stop);
+	g_test_add_func("/platform-daemon/forwarding", test_forwarding);
+	g_test_add_func("/platform-daemon/forward-malformed",
+			test_forward_malformed);
+	g_test_add_func("/platform-daemon/holder-killed", test_holder_killed);
+	g_test_add_func("/platform-daemon/holder-stops", test_holder_stops);
 	g_test_add_func("/platform-daemon/voters", test_voters);
 	g_test_add_func("/platform-daemon/failures-logged",
 			test_failures_logged);
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -206,6 +206,100 @@
 	g_assert_cmpuint(listing.in_objective, >, listing.late);
 }
 
+/* A deployment in which most operations go through holders. */
+static struct pool_sim_params forwarding_params(uint64_t seed)
+{
+	struct pool_sim_params params = pool_sim_abay(seed);
+
+	params.instances = 40;
+	params.connections_max = 24;
+	params.forwards = true;
+	return params;
+}
+
+static void silent_holder(struct pool_sim *sim)
+{
+	sim->faults[pool_sim_holder(sim, 0)] = POOL_INSTANCE_SILENT;
+}
+
+static void stopping_holder(struct pool_sim *sim)
+{
+	sim->faults[pool_sim_holder(sim, 1)] = POOL_INSTANCE_STOPPING;
+}
+
+static void stopping_holders(struct pool_sim *sim)
+{
+	for (uint32_t i = 0; i < 3; i++)
+		sim->faults[pool_sim_holder(sim, i)] = POOL_INSTANCE_STOPPING;
+}
+
+/* The holder comes back after its operations were given up. */
+static void paused_holder(struct pool_sim *sim)
+{
+	uint32_t holder = pool_sim_holder(sim, 2);
+
+	sim->faults[holder] = POOL_INSTANCE_SILENT;
+	pool_sim_run(sim, 1500 * MS);
+	sim->faults[holder] = POOL_INSTANCE_WORKS;
+}
+
+/* A holder has left the state, and another one takes its place. */
+static void removed_holder(struct pool_sim *sim)
+{
+	uint32_t holder = pool_sim_holder(sim, 0);
+
+	sim->faults[holder] = POOL_INSTANCE_SILENT;
+	pool_sim_run(sim, 500 * MS);
+	sim->fleet->instances[holder].accepts_callers = false;
+	pool_sim_fleet_changed(sim);
+}
+
+static const struct fault_case forward_cases[] = {
+	{ "no-fault", no_fault, 0.98 },
+	{ "silent-holder", silent_holder, 0.8 },
+	{ "stopping-holder", stopping_holder, 0.95 },
+	{ "stopping-holders", stopping_holders, 0.9 },
+	{ "paused-holder", paused_holder, 0.95 },
+	{ "removed-holder", removed_holder, 0.8 },
+	{ "slow-replica", slow_replica, 0.9 },
+	{ "new-primary", new_primary, 0.9 },
+};
+
+static void test_forward_fault(gconstpointer data)
+{
+	const struct fault_case *c = data;
+	struct pool_tally sums[3] = { { 0 } };
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct pool_sim_params params = forwarding_params(seed);
+
+		run_case(&params, c, sums);
+	}
+	for (uint32_t i = 0; i < 3; i++)
+		g_assert_cmpfloat(pool_sim_score(&sums[i]), >=, c->min_score);
+}
+
+/*
+ * Many instances share few connections: each statement of a customer finds its
+ * connection at the holder, so only few are opened after the start.
+ */
+static void test_forward_opens_few_connections(void)
+{
+	struct pool_sim_params params = forwarding_params(1);
+	struct pool_sim *sim = pool_sim_create(&params);
+	struct pooler_stats before;
+	struct pooler_stats after;
+
+	pool_sim_run(sim, 5 * S);
+	before = pool_sim_stats(sim);
+	pool_sim_run(sim, 20 * S);
+	after = pool_sim_stats(sim);
+	g_assert_cmpuint(after.held - before.held, >, 1000);
+	g_assert_cmpuint((after.connects - before.connects) * 20, <,
+			 after.operations - before.operations);
+	pool_sim_free(sim);
+}
+
 int main(int argc, char **argv)
 {
 	if (sodium_init() < 0)
@@ -217,6 +311,15 @@
 
 		g_test_add_data_func(path, &fault_cases[i], test_fault);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(forward_cases); i++) {
+		g_autofree char *path = g_strdup_printf("/pooler/forward/%s",
+							forward_cases[i].name);
+
+		g_test_add_data_func(path, &forward_cases[i],
+				     test_forward_fault);
+	}
+	g_test_add_func("/pooler/forward/opens-few-connections",
+			test_forward_opens_few_connections);
 	g_test_add_func("/pooler/lagging-replicas-get-few-statements",
 			test_lagging_replicas_get_few_statements);
 	g_test_add_func("/pooler/in-time-before-late",
