Send each change of the state to an instance once

Counted by type of message: nearly all were replies to sync requests.

A single change is still pushed at once.

--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -74,11 +74,13 @@
  * struct downstream - an instance that fetches state changes from this one
  * @peer: its connection
  * @have_index: last index that it has, or that was sent to it
+ * @requested_us: time of its last request
  * @diskless: it has no data directory and gets commands in their compact form
  */
 struct downstream {
 	struct peer *peer;
 	uint64_t have_index;
+	uint64_t requested_us;
 	bool diskless;
 };
 
@@ -144,11 +146,11 @@
 	struct downstream downstreams[CONTROL_DOWNSTREAMS_MAX];
 	/* Peer that the last sync request went to; NULL for none. */
 	struct peer *upstream;
-	uint32_t upstream_index;
 	char leader_name[FLEET_NAME_MAX];
 	uint64_t leader_term;
 	/* Leader's name as last pushed to the other instances. */
 	char pushed_leader[FLEET_NAME_MAX];
+	struct sync_push push;
 	/* When a configuration, catalog or snapshot was last applied here. */
 	uint64_t config_applied_us;
 
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -13,6 +13,11 @@
 
 #define UPSTREAMS_MAX 64
 #define REPORT_INTERVAL_US LWS_US_PER_S
+/*
+ * An instance that has sent no request for this long uses another upstream. It
+ * sends one every SYNC_POLL_US, or after SYNC_TIMEOUT_US to the next upstream.
+ */
+#define DOWNSTREAM_ACTIVE_US (700 * LWS_US_PER_MS)
 
 /* Finding peers */
 
@@ -95,7 +100,7 @@
 {
 	if (c->raft && raft_voters(c->raft)->count)
 		return control_leader_peer(c);
-	return nth_upstream(c, c->upstream_index);
+	return nth_upstream(c, c->sync.upstream);
 }
 
 static void send_sync_request(struct control *c, uint64_t now_us)
@@ -174,16 +179,35 @@
 	}
 }
 
-void control_push_downstreams(struct control *c)
+static bool lacks_changes(const struct control *c,
+			  const struct downstream *downstream, uint64_t now_us)
 {
-	const char *leader = leader_name(c);
+	return downstream->have_index < c->fleet->applied_index &&
+	       now_us - downstream->requested_us < DOWNSTREAM_ACTIVE_US;
+}
 
-	for (uint32_t i = 0; i < c->downstreams_count; i++) {
-		struct downstream *downstream = &c->downstreams[i];
+/* If it is too early, the next tick pushes. */
+static void push_changes(struct control *c)
+{
+	uint64_t now_us = lws_time_now_us();
+	uint32_t first = 0;
 
-		if (downstream->have_index < c->fleet->applied_index)
-			send_changes(c, downstream, 0);
+	while (first < c->downstreams_count &&
+	       !lacks_changes(c, &c->downstreams[first], now_us))
+		first++;
+	if (first == c->downstreams_count || !sync_push_due(&c->push, now_us))
+		return;
+	for (uint32_t i = first; i < c->downstreams_count; i++) {
+		if (lacks_changes(c, &c->downstreams[i], now_us))
+			send_changes(c, &c->downstreams[i], 0);
 	}
+}
+
+void control_push_downstreams(struct control *c)
+{
+	const char *leader = leader_name(c);
+
+	push_changes(c);
 	if (*leader && strcmp(leader, c->pushed_leader) != 0) {
 		LWS_STR_COPY(c->pushed_leader, leader);
 		push_leader(c);
@@ -208,6 +232,7 @@
 	if (!downstream)
 		return;
 	downstream->have_index = request->have_index;
+	downstream->requested_us = pending.arrived_us;
 	downstream->diskless = request->compact;
 	(void)sync_pending_add(&c->pending_syncs, &pending);
 	/*
@@ -286,17 +311,8 @@
 	bool is_leader = c->raft && raft_role(c->raft) == RAFT_LEADER;
 
 	if (!is_leader) {
-		switch (sync_client_step(&c->sync, now_us)) {
-		case SYNC_WAIT:
-			break;
-		case SYNC_NEXT_UPSTREAM:
-			c->upstream_index++;
+		if (sync_client_step(&c->sync, now_us) == SYNC_SEND_REQUEST)
 			send_sync_request(c, now_us);
-			break;
-		case SYNC_SEND_REQUEST:
-			send_sync_request(c, now_us);
-			break;
-		}
 	}
 	if (control_confirmed_us(c, now_us))
 		atomic_store(&c->daemon->confirmed_us,
--- a/lib/membership/sync.c
+++ b/lib/membership/sync.c
@@ -7,16 +7,28 @@
 
 /* Downstream */
 
+static void choose_upstream(struct sync_client *c, uint64_t now_us,
+			    uint32_t upstream)
+{
+	c->upstream = upstream;
+	c->upstream_since_us = now_us;
+}
+
 enum sync_step sync_client_step(struct sync_client *c, uint64_t now_us)
 {
 	if (c->sent_us) {
 		if (now_us - c->sent_us < c->timeout_us)
 			return SYNC_WAIT;
 		c->sent_us = 0;
-		return SYNC_NEXT_UPSTREAM;
+		choose_upstream(c, now_us, c->upstream + 1);
+		return SYNC_SEND_REQUEST;
 	}
-	return now_us - c->done_us >= c->poll_us ? SYNC_SEND_REQUEST
-						 : SYNC_WAIT;
+	if (now_us - c->done_us < c->poll_us)
+		return SYNC_WAIT;
+	if (c->upstream &&
+	    now_us - c->upstream_since_us >= SYNC_PREFER_AGAIN_US)
+		choose_upstream(c, now_us, 0);
+	return SYNC_SEND_REQUEST;
 }
 
 void sync_client_sent(struct sync_client *c, uint64_t now_us)
@@ -89,6 +101,36 @@
 	*e = (struct sync_log_entry){ 0 };
 }
 
+bool sync_push_due(struct sync_push *push, uint64_t now_us)
+{
+	if (push->pushed_us && now_us - push->pushed_us < SYNC_PUSH_INTERVAL_US)
+		return false;
+	push->pushed_us = now_us;
+	return true;
+}
+
+static bool is_large(const struct sync_log_entry *e)
+{
+	return e->compact != e->data && e->len > SYNC_FULL_COMMAND_MAX_BYTES;
+}
+
+/* Drops the full form of large commands but the newest ones. */
+static void drop_old_full(struct sync_log *log)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = log->count; i; i--) {
+		struct sync_log_entry *e =
+			(struct sync_log_entry *)entry_at(log, i - 1);
+
+		if (!e->has_full || !is_large(e) ||
+		    kept++ < SYNC_FULL_LARGE_COMMANDS)
+			continue;
+		TALLOC_FREE(e->data);
+		e->has_full = false;
+	}
+}
+
 void sync_log_push(struct sync_log *log, uint64_t index, const uint8_t *data,
 		   uint32_t len, const uint8_t *compact, uint32_t compact_len)
 {
@@ -105,14 +147,15 @@
 	log->count++;
 	e->index = index;
 	e->len = len;
-	e->has_full = !compact || len <= SYNC_FULL_COMMAND_MAX_BYTES;
-	if (len && e->has_full)
+	e->has_full = true;
+	if (len)
 		e->data = talloc_memdup(log, data, len);
 	e->compact = e->data;
 	e->compact_len = len;
 	if (compact) {
 		e->compact = talloc_memdup(log, compact, compact_len);
 		e->compact_len = compact_len;
+		drop_old_full(log);
 	}
 }
 
@@ -165,6 +208,9 @@
 	uint64_t state = fleet->config_text ? strlen(fleet->config_text) : 0;
 	uint64_t bytes = 0;
 
+	/* Only instances with a data directory get the document. */
+	if (!compact)
+		state += fleet->document_len;
 	if (!have_index || !log->count ||
 	    entry_at(log, 0)->index > have_index + 1)
 		return false;
--- a/lib/membership/sync.h
+++ b/lib/membership/sync.h
@@ -24,8 +24,14 @@
 #define SYNC_PENDING_MAX 2048
 /* Entries up to this total size are sent even if a snapshot is smaller. */
 #define SYNC_ENTRIES_ALLOWANCE_BYTES (64U * 1024U)
-/* Larger commands are stored in their compact form only. */
+/* Larger commands that have a compact form: only the newest are kept in full.
+ */
 #define SYNC_FULL_COMMAND_MAX_BYTES (16U * 1024U)
+#define SYNC_FULL_LARGE_COMMANDS 2U
+/* After this time with another upstream, the preferred one is tried again. */
+#define SYNC_PREFER_AGAIN_US 1000000ULL
+/* Shortest time between two pushes of changes to downstream instances. */
+#define SYNC_PUSH_INTERVAL_US 50000ULL
 
 /* Downstream */
 
@@ -36,6 +42,8 @@
  * @sent_us: when the outstanding request was sent, 0 for none
  * @done_us: when the last request ended
  * @confirmed_us: the local copy has everything accepted before this time
+ * @upstream: which upstream to use, 0 for the preferred one
+ * @upstream_since_us: when @upstream was chosen
  */
 struct sync_client {
 	uint64_t poll_us;
@@ -43,15 +51,23 @@
 	uint64_t sent_us;
 	uint64_t done_us;
 	uint64_t confirmed_us;
+	uint32_t upstream;
+	uint64_t upstream_since_us;
 };
 
 enum sync_step {
 	SYNC_WAIT,
 	SYNC_SEND_REQUEST,
-	SYNC_NEXT_UPSTREAM,
 };
 
-/** sync_client_step() - return what the caller must do now */
+/**
+ * sync_client_step() - return what the caller must do now
+ *
+ * Chooses another upstream when a request times out, and the preferred one
+ * again after SYNC_PREFER_AGAIN_US. Load pattern: when a whole fleet starts, no
+ * upstream can answer at first; without a way back, most instances would stay
+ * with one in another failure domain.
+ */
 enum sync_step sync_client_step(struct sync_client *c, uint64_t now_us);
 
 /** sync_client_sent() - record that a request was sent */
@@ -90,12 +106,30 @@
  * @compact: compact form for diskless instances, NULL if they get @data
  * @compact_len: bytes of @compact
  *
- * A command above SYNC_FULL_COMMAND_MAX_BYTES that has a compact form is stored
- * in that form only; instances with a data directory then get a snapshot.
+ * Of the commands above SYNC_FULL_COMMAND_MAX_BYTES that have a compact form,
+ * only the newest SYNC_FULL_LARGE_COMMANDS are stored in full. An instance with
+ * a data directory that lacks an older one gets a snapshot, and then sends
+ * snapshots to its own downstream instances.
  */
 void sync_log_push(struct sync_log *log, uint64_t index, const uint8_t *data,
 		   uint32_t len, const uint8_t *compact, uint32_t compact_len);
 
+/**
+ * struct sync_push - pushes of changes to downstream instances
+ * @pushed_us: time of the last push, 0 before the first
+ *
+ * Load pattern: hundreds of instances join within a second, and each join is a
+ * change that all of them need. A push for each change costs one message for
+ * each pair of instances; a push for all changes of an interval does not. A
+ * single change is pushed at once.
+ */
+struct sync_push {
+	uint64_t pushed_us;
+};
+
+/** sync_push_due() - whether changes may be pushed now; if so, records it */
+bool sync_push_due(struct sync_push *push, uint64_t now_us);
+
 /** sync_log_clear() - drop all entries when a snapshot replaces the state */
 void sync_log_clear(struct sync_log *log);
 
