Keep links that were opened or used during a check

Cause: the check of the links reads the time once. An operation that it moves to another holder opens or uses a link at a later time; the difference of the two unsigned times was huge, so that link counted as silent, as not connected in time, or as unused, and was closed with all its operations.

Change: the decision is a function without I/O (lib/membership/link_watch), which treats a later time as now. The rows opened-during-the-check and used-during-the-check of its test fail with plain differences.

--- a/lib/daemon/forward_io.c
+++ b/lib/daemon/forward_io.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "io_time.h"
+#include "link_watch.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
@@ -18,15 +19,6 @@
 /* Most operations in progress on one link. */
 #define CHANNELS_MAX 1024U
 #define TICK_MS 100
-/* A holder is asked for a sign of life after this long without a message. */
-#define PING_AFTER_US (150 * LWS_US_PER_MS)
-/*
- * A link is given up after this long without a message while a reply is due.
- * A lost packet is sent again after 200 to 400 ms.
- */
-#define SILENCE_US (500 * LWS_US_PER_MS)
-/* Longest time to connect, so that another holder can still be tried. */
-#define CONNECT_US (250 * LWS_US_PER_MS)
 /* First and longest pause before a lost holder is connected again. */
 #define RETRY_MIN_US (100 * LWS_US_PER_MS)
 #define RETRY_MAX_US (1600 * LWS_US_PER_MS)
@@ -50,9 +42,7 @@
 	struct stream *stream;
 	enum link_state state;
 	bool hello_received;
-	uint64_t started_us;
-	uint64_t last_received_us;
-	uint64_t pinged_us;
+	struct link_watch watch;
 	uint64_t last_channel;
 	uint32_t channels_count;
 	/* Messages that wait until the link is up. */
@@ -444,6 +434,7 @@
 static void link_is_up(struct link *link)
 {
 	link->state = LINK_UP;
+	link->watch.up = true;
 	if (link->pending.len)
 		stream_write(link->stream, link->pending.data,
 			     link->pending.len);
@@ -529,7 +520,8 @@
  */
 static bool was_stalled(const struct forward_io *io, uint64_t now_us)
 {
-	return now_us - io->tick_us > SILENCE_US;
+	return link_watch_elapsed_us(now_us, io->tick_us) >
+	       LINK_WATCH_SILENCE_US;
 }
 
 static ssize_t on_data(void *private_data, const uint8_t *data, size_t len)
@@ -540,7 +532,7 @@
 
 	if (!link->holder && was_stalled(link->io, now_us))
 		return LWS_E_DEADLINE;
-	link->last_received_us = now_us;
+	link->watch.received_us = now_us;
 	while (at < len && link->state != LINK_CLOSED) {
 		ssize_t used = take_message(link, data + at, len - at);
 
@@ -578,8 +570,8 @@
 		return NULL;
 	link->io = io;
 	link->holder = holder;
-	link->started_us = lws_time_now_us();
-	link->last_received_us = link->started_us;
+	link->watch.started_us = lws_time_now_us();
+	link->watch.received_us = link->watch.started_us;
 	talloc_set_destructor(link, destroy_link);
 	link->next = io->links;
 	if (io->links)
@@ -690,7 +682,7 @@
 		return NULL;
 	/* The silence before this operation says nothing about the holder. */
 	if (!link->channels)
-		link->last_received_us = lws_time_now_us();
+		link->watch.received_us = lws_time_now_us();
 	ch->link = link;
 	ch->number = ++link->last_channel;
 	ch->session = s;
@@ -730,23 +722,20 @@
 
 static void check_link(struct link *link, uint64_t now_us)
 {
-	uint64_t silent_us = now_us - link->last_received_us;
-
 	if (!link->holder)
 		return;
-	if (link->state == LINK_CONNECTING) {
-		if (now_us - link->started_us > CONNECT_US)
-			close_link(link, "not connected in time");
+	switch (link_watch_step(&link->watch, now_us, link->channels != NULL)) {
+	case LINK_WATCH_WAIT:
 		return;
-	}
-	if (!link->channels)
+	case LINK_WATCH_PING:
+		send_type(link, WIRE_FORWARD_PING);
+		return;
+	case LINK_WATCH_NOT_CONNECTED:
+		close_link(link, "not connected in time");
 		return;
-	if (silent_us > SILENCE_US) {
+	case LINK_WATCH_SILENT:
 		close_link(link, "silent");
-	} else if (silent_us > PING_AFTER_US &&
-		   now_us - link->pinged_us > PING_AFTER_US) {
-		link->pinged_us = now_us;
-		send_type(link, WIRE_FORWARD_PING);
+		return;
 	}
 }
 
@@ -755,7 +744,7 @@
 			 uint64_t now_us)
 {
 	if (holder->lost && !holder->link && now_us >= holder->retry_at_us &&
-	    now_us - holder->used_us < UNUSED_US)
+	    link_watch_elapsed_us(now_us, holder->used_us) < UNUSED_US)
 		connect_holder(holder, io);
 }
 
@@ -766,7 +755,8 @@
 	while (*at) {
 		struct holder_peer *holder = *at;
 
-		if (now_us - holder->used_us < UNUSED_US ||
+		if (link_watch_elapsed_us(now_us, holder->used_us) <
+			    UNUSED_US ||
 		    (holder->link && holder->link->channels)) {
 			at = &holder->next;
 			continue;
@@ -797,7 +787,7 @@
 		next = link->next;
 		/* After a stall, messages of holders may still be unread. */
 		if (stalled && link->holder)
-			link->last_received_us = now_us;
+			link_watch_resume(&link->watch, now_us);
 		if (stalled && !link->holder)
 			close_link(link, "this process was stalled");
 		else
