Let another holder run what a cut-off one cannot get tokens for

Cause: a holder whose rate allocator does not answer refuses operations of customers with a rate, though the other instances reach it and other holders get tokens.

Change: such a holder does not take the operation, and an accepting instance in that state does not run its own. The sender tries the next holder.

--- a/lib/admit/rate_bucket.h
+++ b/lib/admit/rate_bucket.h
@@ -72,6 +72,21 @@
 	return false;
 }
 
+/**
+ * rate_bucket_cut_off() - whether a request could not get a token
+ *
+ * Return: true if there is no token and the rate allocator does not answer.
+ */
+static inline bool rate_bucket_cut_off(const struct rate_bucket *bucket,
+				       uint64_t now_us)
+{
+	bool spendable = atomic_load(&bucket->tokens) > 0 &&
+			 now_us < atomic_load(&bucket->expires_us);
+
+	return !spendable && bucket->allocator_unresponsive &&
+	       atomic_load(bucket->allocator_unresponsive);
+}
+
 /**
  * rate_bucket_tick() - update the demand and prepare a token request
  * @bucket: token bucket
--- a/lib/session/pooler_forward.c
+++ b/lib/session/pooler_forward.c
@@ -64,8 +64,35 @@
 	       now_us - g->primary->suspect_since_us > POOL_SUSPECT_REFUSE_US;
 }
 
+/*
+ * Returns true if this instance cannot get a token for the customer, since the
+ * rate allocator does not answer. Load pattern: an instance is cut off from the
+ * control instances, but other instances still reach it.
+ */
+static bool out_of_tokens(const struct pool_session *s, uint64_t now_us)
+{
+	const struct pooler_ops *ops = &s->pooler->ops;
+	const struct rate_bucket *bucket =
+		s->rate_per_s
+			? ops->token_bucket(ops->private_data, s->customer)
+			: NULL;
+
+	return bucket && rate_bucket_cut_off(bucket, now_us);
+}
+
 /* At the accepting instance */
 
+/* Returns false if another holder should run the operation. */
+static bool may_run_here(const struct pool_session *s, uint64_t now_us)
+{
+	const struct pool_job *job = &s->job;
+
+	if (needs_primary(s, &job->st, job->writes) &&
+	    primary_out_of_reach(job->group, now_us))
+		return false;
+	return !out_of_tokens(s, now_us);
+}
+
 /* Holders that cannot take the operation, as bits 1 << index. */
 static uint32_t excluded_holders(const struct pool_session *s, uint64_t now_us)
 {
@@ -76,11 +103,9 @@
 	for (uint32_t i = 0; i < g->holders.count; i++) {
 		const struct holder *h = &g->holders.ranked[i];
 		bool self = strcmp(h->name, p->params.name) == 0;
-		bool usable =
-			self ? !needs_primary(s, &s->job.st, s->job.writes) ||
-					!primary_out_of_reach(g, now_us)
-			     : p->ops.holder_usable(p->ops.private_data,
-						    h->addr);
+		bool usable = self ? may_run_here(s, now_us)
+				   : p->ops.holder_usable(p->ops.private_data,
+							  h->addr);
 
 		if (!usable)
 			excluded |= 1U << i;
@@ -372,6 +397,8 @@
 	    needs_primary(s, &op->statement, writes(s, &op->statement)) &&
 	    primary_out_of_reach(s->job.group, now_us))
 		return POOL_REFUSED_PRIMARY;
+	if (out_of_tokens(s, now_us))
+		return "rate_allocator_unresponsive";
 	return NULL;
 }
 
--- a/tests/support_pool.c
+++ b/tests/support_pool.c
@@ -13,6 +13,8 @@
 #define MS LWS_US_PER_MS
 #define GROUP "g"
 #define HANDSHAKE_MS 12
+/* More than callers send. */
+#define CUSTOMER_RATE_PER_S 100000
 #define TICK_US (4 * MS)
 #define STATEMENTS_MAX 4
 #define RETRIES 2
@@ -636,6 +638,8 @@
 	struct pool_sim_instance *instance = private_data;
 	struct pool_sim *sim = instance->sim;
 
+	if (sim->faults[instance->number] == POOL_INSTANCE_CUT_OFF)
+		return &sim->empty_bucket;
 	for (uint32_t i = 0; i < POOL_CUSTOMERS; i++) {
 		if (strcmp(sim->fleet->catalog->customers[i].name, name) == 0)
 			return sim->token_buckets[i];
@@ -1157,6 +1161,8 @@
 		char key[16];
 
 		snprintf(c->customers[i].name, CATALOG_NAME_MAX, "c%u", i);
+		c->customers[i].rate_per_s = CUSTOMER_RATE_PER_S;
+		c->customers[i].burst = CUSTOMER_RATE_PER_S;
 		snprintf(key, sizeof(key), "key-%u", i);
 		key_hash(key, c->keys[i].hash);
 		c->keys[i].customer = i;
@@ -1242,6 +1248,8 @@
 	schedule(sim, i * 100, on_tick, instance);
 }
 
+static const atomic_bool allocator_unresponsive = true;
+
 struct pool_sim *pool_sim_create(const struct pool_sim_params *params)
 {
 	struct pool_sim *sim = g_new0(struct pool_sim, 1);
@@ -1264,6 +1272,7 @@
 		atomic_store(&sim->token_buckets[i]->tokens, 1000000000);
 		atomic_store(&sim->token_buckets[i]->expires_us, UINT64_MAX);
 	}
+	sim->empty_bucket.allocator_unresponsive = &allocator_unresponsive;
 	for (uint32_t i = 0; i < params->instances; i++)
 		make_instance(sim, i);
 	pool_sim_promote(sim, 0);
--- a/tests/support_pool.h
+++ b/tests/support_pool.h
@@ -102,6 +102,8 @@
 	POOL_INSTANCE_SILENT,
 	/** refuses operations of other instances */
 	POOL_INSTANCE_STOPPING,
+	/** the rate allocator does not answer it, and it has no tokens */
+	POOL_INSTANCE_CUT_OFF,
 };
 
 struct pool_sim {
@@ -114,6 +116,7 @@
 	enum pool_instance_fault faults[POOL_INSTANCES_MAX];
 	struct pool_endpoint_model endpoints[POOL_ENDPOINTS];
 	struct rate_bucket *token_buckets[POOL_CUSTOMERS];
+	struct rate_bucket empty_bucket;
 	uint64_t term;
 	GArray *commits;
 	struct pool_tally tallies[3];
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -233,6 +233,12 @@
 		sim->faults[pool_sim_holder(sim, i)] = POOL_INSTANCE_STOPPING;
 }
 
+/* Callers reach the holder, but it cannot get tokens. */
+static void cut_off_holder(struct pool_sim *sim)
+{
+	sim->faults[pool_sim_holder(sim, 0)] = POOL_INSTANCE_CUT_OFF;
+}
+
 /* The holder comes back after its operations were given up. */
 static void paused_holder(struct pool_sim *sim)
 {
@@ -259,6 +265,7 @@
 	{ "silent-holder", silent_holder, 0.8 },
 	{ "stopping-holder", stopping_holder, 0.95 },
 	{ "stopping-holders", stopping_holders, 0.9 },
+	{ "cut-off-holder", cut_off_holder, 0.95 },
 	{ "paused-holder", paused_holder, 0.95 },
 	{ "removed-holder", removed_holder, 0.8 },
 	{ "slow-replica", slow_replica, 0.9 },
