Acknowledge a new endpoint only once it is registered

A replica that had just started announced itself for 13 s to a control instance that does not vote any more. That instance got no messages of the new term, named the earlier leader, and sent the announcements there; an instance that does not lead dropped them without a word. The replica got success, confirmed commits, and was not paused when the primary of its group was replaced. Ruled out: replicas that receive while paused. A trial asked them for their status during the promotion: both stayed at position 456, while the primary reached 480 and its commits were acknowledged.

Change: the leader that sync replies name goes before that of the own log if its term is newer; a new endpoint, or a new incarnation, gets success only once it is registered, and an error after 700 ms, so that it announces itself elsewhere; an instance that gets an announcement without leading says so in its log.

Once, while it was written, its fleet did not start: the processes that the test spawns one after the other were 30.2 s apart, with nothing but g_file_set_contents() between, and none of three voters could write its term for 19 s; syncs of this machine stalled. It passed 7 times after that.

--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -165,6 +165,7 @@
 	struct session_server *session_server;
 	/* Reads that wait until the local state is confirmed, oldest first. */
 	struct pending_read *reads;
+	struct pending_announcement *announcements;
 
 	/* Time of the last periodic report, and the leader that it went to. */
 	uint64_t report_us;
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -34,11 +34,22 @@
 	return found;
 }
 
+/*
+ * An instance with a data directory that does not vote may get no messages of
+ * a new leader, and still name the leader of an older term.
+ */
+static bool follows_raft_leader(const struct control *c)
+{
+	return c->raft && raft_leader(c->raft) &&
+	       !sync_leader_is_newer(c->leader_name, c->leader_term,
+				     raft_term(c->raft));
+}
+
 struct peer *control_leader_peer(struct control *c)
 {
 	struct peer *found = NULL;
 
-	if (c->raft && raft_leader(c->raft))
+	if (follows_raft_leader(c))
 		return control_peer_of_member(c, raft_leader(c->raft));
 	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p)) {
 		if (strcmp(peer_hello(p)->name, c->leader_name) != 0)
@@ -49,12 +60,21 @@
 	return found;
 }
 
+/* Name of the leader according to sync replies, "" if that is no newer. */
+static const char *heard_leader_name(const struct control *c)
+{
+	if (c->raft && !sync_leader_is_newer(c->leader_name, c->leader_term,
+					     raft_term(c->raft)))
+		return "";
+	return c->leader_name;
+}
+
 static const char *leader_name(const struct control *c)
 {
 	const struct raft_voters *voters;
 
-	if (!c->raft || !raft_leader(c->raft))
-		return c->raft ? "" : c->leader_name;
+	if (!follows_raft_leader(c))
+		return heard_leader_name(c);
 	voters = raft_voters(c->raft);
 	for (uint32_t i = 0; i < voters->count; i++) {
 		if (voters->member[i].id == raft_leader(c->raft))
@@ -65,7 +85,9 @@
 
 static uint64_t leader_term(const struct control *c)
 {
-	return c->raft ? raft_term(c->raft) : c->leader_term;
+	if (c->raft && raft_term(c->raft) > c->leader_term)
+		return raft_term(c->raft);
+	return c->leader_term;
 }
 
 /* Sync requests to the upstream */
@@ -473,6 +495,22 @@
 	}
 }
 
+/*
+ * A sender that names an older leader gets no answer; the endpoint announces
+ * itself again, to another instance if it is not registered yet.
+ */
+static void on_announce(struct control *c, const struct peer *peer,
+			const struct wire_announce *announce)
+{
+	if (!c->leader) {
+		lws_log_warn(c->daemon->log, "announcement_misdirected",
+			     "{s:s}", "from", peer_hello(peer)->name);
+		return;
+	}
+	for (uint32_t i = 0; i < announce->count; i++)
+		control_leader_announce(c, &announce->items[i]);
+}
+
 static void on_message(void *private_data, struct peer *peer,
 		       const struct wire_msg *msg)
 {
@@ -517,8 +555,7 @@
 			control_leader_report(c, &instance, &msg->report);
 		break;
 	case WIRE_ANNOUNCE:
-		for (uint32_t i = 0; c->leader && i < msg->announce.count; i++)
-			control_leader_announce(c, &msg->announce.items[i]);
+		on_announce(c, peer, &msg->announce);
 		break;
 	case WIRE_HELLO:
 	case WIRE_KEEPALIVE:
--- a/lib/daemon/operator.c
+++ b/lib/daemon/operator.c
@@ -10,6 +10,11 @@
 
 /* A read whose state cannot be confirmed fails after this time. */
 #define READ_TIMEOUT_US (800 * LWS_US_PER_MS)
+/*
+ * A new endpoint that is not registered after this time is told to announce
+ * itself elsewhere; it waits a second for an answer.
+ */
+#define REGISTER_TIMEOUT_US (700 * LWS_US_PER_MS)
 /* Validity of an announcement. */
 #define ANNOUNCE_LEASE_MS LEASE_MAX_MS
 
@@ -21,6 +26,17 @@
 	operator_read_fn done;
 };
 
+/* An announcement of a new endpoint that waits until it is registered. */
+struct pending_announcement {
+	struct pending_announcement *next;
+	char group[FLEET_NAME_MAX];
+	char endpoint[FLEET_NAME_MAX];
+	uint64_t incarnation;
+	uint64_t arrived_us;
+	void *private_data;
+	operator_done_fn done;
+};
+
 /* A change that waits for its commit. */
 struct pending_operation {
 	void *private_data;
@@ -110,8 +126,11 @@
 	return true;
 }
 
+static void answer_announcements(struct control *c, uint64_t now_us);
+
 void operator_tick(struct control *c, uint64_t now_us)
 {
+	answer_announcements(c, now_us);
 	while (c->reads && answer_read(c, c->reads, now_us)) {
 		struct pending_read *done = c->reads;
 
@@ -122,6 +141,70 @@
 
 /* Endpoints */
 
+static bool is_registered(const struct control *c, const char *group,
+			  const char *endpoint, uint64_t incarnation)
+{
+	const struct fleet_group *g = fleet_find_group(c->fleet, group);
+	const struct fleet_endpoint *e =
+		g ? fleet_find_endpoint(g, endpoint) : NULL;
+
+	return e && e->incarnation >= incarnation;
+}
+
+/* Returns false while the announcement has to wait. */
+static bool answer_announcement(struct control *c,
+				const struct pending_announcement *a,
+				uint64_t now_us)
+{
+	if (is_registered(c, a->group, a->endpoint, a->incarnation)) {
+		a->done(a->private_data, 0);
+		return true;
+	}
+	if (now_us - a->arrived_us < REGISTER_TIMEOUT_US)
+		return false;
+	lws_log_warn(c->daemon->log, "announcement_unconfirmed", "{s:s,s:s}",
+		     "group", a->group, "endpoint", a->endpoint);
+	a->done(a->private_data, LWS_E_NO_QUORUM);
+	return true;
+}
+
+static void answer_announcements(struct control *c, uint64_t now_us)
+{
+	struct pending_announcement **at = &c->announcements;
+
+	while (*at) {
+		struct pending_announcement *a = *at;
+
+		if (!answer_announcement(c, a, now_us)) {
+			at = &a->next;
+			continue;
+		}
+		*at = a->next;
+		talloc_free(a);
+	}
+}
+
+static void await_registration(struct control *c,
+			       const struct operator_announcement *from,
+			       void *private_data, operator_done_fn done)
+{
+	struct pending_announcement *a =
+		talloc_zero(c, struct pending_announcement);
+
+	if (!a) {
+		done(private_data, LWS_E_NOMEM);
+		return;
+	}
+	LWS_STR_COPY(a->group, from->group);
+	LWS_STR_COPY(a->endpoint, from->endpoint.id);
+	a->incarnation = from->endpoint.incarnation;
+	a->arrived_us = lws_time_now_us();
+	a->private_data = private_data;
+	a->done = done;
+	a->next = c->announcements;
+	c->announcements = a;
+}
+
 static bool valid(const struct operator_announcement *a)
 {
 	return cfg_name_valid(a->group) && cfg_name_valid(a->endpoint.id) &&
@@ -156,6 +239,11 @@
 		done(private_data, LWS_E_NOT_LEADER);
 		return;
 	}
+	if (!a->leaving && !is_registered(c, a->group, a->endpoint.id,
+					  a->endpoint.incarnation)) {
+		await_registration(c, a, private_data, done);
+		return;
+	}
 	group = fleet_find_group(c->fleet, a->group);
 	known = group ? fleet_find_endpoint(group, a->endpoint.id) : NULL;
 	if (!a->leaving || !known || known->leaving) {
--- a/lib/daemon/operator.h
+++ b/lib/daemon/operator.h
@@ -63,8 +63,10 @@
 /**
  * operator_announce() - handle an announcement of an endpoint
  *
- * @done gets 0 once the announcement was sent to the leader; for an endpoint
- * that starts leaving, once the change is committed.
+ * @done gets 0 once the announcement was sent to the leader. For a new endpoint
+ * it gets 0 once that is registered, so that an acknowledged endpoint is never
+ * left out of a failover; LWS_E_NO_QUORUM if that takes too long. For an
+ * endpoint that starts leaving, it gets 0 once the change is committed.
  */
 void operator_announce(struct control *c,
 		       const struct operator_announcement *announcement,
--- a/lib/membership/sync.c
+++ b/lib/membership/sync.c
@@ -55,6 +55,12 @@
 		c->confirmed_us = stamp_us;
 }
 
+bool sync_leader_is_newer(const char *heard_leader, uint64_t heard_term,
+			  uint64_t own_term)
+{
+	return *heard_leader && heard_term > own_term;
+}
+
 /* Upstream: recently applied commands */
 
 /**
--- a/lib/membership/sync.h
+++ b/lib/membership/sync.h
@@ -90,6 +90,16 @@
 void sync_client_reply(struct sync_client *c, uint64_t now_us,
 		       uint64_t stamp_us, bool confirmed);
 
+/**
+ * sync_leader_is_newer() - whether a leader named in sync replies replaces the
+ * one that this instance follows
+ * @heard_leader: its name, "" if none is named
+ * @heard_term: its term
+ * @own_term: term of the control log at this instance
+ */
+bool sync_leader_is_newer(const char *heard_leader, uint64_t heard_term,
+			  uint64_t own_term);
+
 /* Upstream: recently applied commands */
 
 struct sync_log;
--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -624,6 +624,57 @@
 	return open_session(f, "pay", "k1");
 }
 
+static int leader_host(const struct test_fleet *f)
+{
+	for (uint32_t i = 1; i <= f->controls; i++) {
+		g_autofree char *text = NULL;
+
+		if (http(f, (int)i, 9464, "GET", "/metrics", "", &text) ==
+			    200 &&
+		    strstr(text, "\nlws_leads 1\n"))
+			return (int)i;
+	}
+	return 0;
+}
+
+/*
+ * A new endpoint announces itself to an instance whose leader does not work,
+ * as after a change of the leader that the instance does not know of. If the
+ * answer is success, the endpoint must be registered: it may confirm commits,
+ * and a failover that does not know it would lose them.
+ */
+static void test_announcement_registered(void)
+{
+	static const char body[] =
+		"{\"service\":\"g1\",\"address\":\"127.0.0.9:5009\","
+		"\"zone\":\"z1\",\"version\":\"v1\",\"slots\":2,"
+		"\"state\":\"ready\",\"cold_left_ms\":0,"
+		"\"db_role\":\"replica\",\"seq\":1,"
+		"\"born\":1700000000000}";
+	struct test_fleet *f = fleet_start(3);
+	int leader = leader_host(f);
+	int other = leader == 1 ? 2 : 1;
+	g_autofree char *log = g_strdup_printf("%s/%d.log", f->dir, other);
+	g_autofree char *text = NULL;
+	int status;
+
+	g_assert_cmpint(leader, >, 0);
+	if (!leader) {
+		fleet_stop(f);
+		return;
+	}
+	kill(f->pids[leader], SIGSTOP);
+	status = http(f, other, 8462, "POST", "/v1/instances/i-new/heartbeat",
+		      body, NULL);
+	g_assert_true(g_file_get_contents(log, &text, NULL, NULL));
+	if (status == 200)
+		g_assert_nonnull(strstr(text, "endpoint g1/i-new join"));
+	else
+		g_assert_cmpint(status, ==, 503);
+	kill(f->pids[leader], SIGCONT);
+	fleet_stop(f);
+}
+
 /* Statements and transactions give the same answers through holders. */
 static void test_forwarding(void)
 {
@@ -950,6 +1001,8 @@
 			test_primary_leaving);
 	g_test_add_func("/platform-daemon/configuration", test_configuration);
 	g_test_add_func("/platform-daemon/stop", test_stop);
+	g_test_add_func("/platform-daemon/announcement-registered",
+			test_announcement_registered);
 	g_test_add_func("/platform-daemon/forwarding", test_forwarding);
 	g_test_add_func("/platform-daemon/forward-malformed",
 			test_forward_malformed);
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -227,6 +227,33 @@
 	g_assert_cmpuint(c.confirmed_us, ==, 1000);
 }
 
+struct leader_case {
+	const char *heard;
+	uint64_t heard_term;
+	uint64_t own_term;
+	bool newer;
+};
+
+static const struct leader_case leader_cases[] = {
+	{ "", 0, 2, false },
+	{ "", 3, 2, false },
+	{ "control-1", 2, 2, false },
+	{ "control-1", 1, 2, false },
+	/* An instance that stopped voting got no messages of term 3. */
+	{ "control-2", 3, 2, true },
+	{ "control-2", 3, 0, true },
+};
+
+static void test_leader_is_newer(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(leader_cases); i++) {
+		const struct leader_case *c = &leader_cases[i];
+
+		g_assert_true(sync_leader_is_newer(c->heard, c->heard_term,
+						   c->own_term) == c->newer);
+	}
+}
+
 /*
  * No upstream answers while the fleet starts; after that the preferred one is
  * used again, and given up again if it still does not answer.
@@ -467,6 +494,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/sync/confirmed-times", test_confirmed_times);
 	g_test_add_func("/sync/late-reply", test_late_reply);
+	g_test_add_func("/sync/leader-is-newer", test_leader_is_newer);
 	g_test_add_func("/sync/preferred-upstream", test_preferred_upstream);
 	g_test_add_func("/sync/log-or-snapshot", test_log_or_snapshot);
 	g_test_add_func("/sync/large-commands", test_large_commands);
