--- a/lib/daemon/forward_io.c
+++ b/lib/daemon/forward_io.c
@@ -1,23 +1,16 @@
-#include "forward_io.h"
+#include "forward_internal.h"
 
 #include <string.h>
 #include <talloc.h>
 #include <unistd.h>
 
 #include "io_time.h"
-#include "link_watch.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
-#include "session_user.h"
 #include "stream.h"
-#include "wire.h"
 
-/* Largest message: a statement of the largest size and its session. */
-#define FRAME_MAX_BYTES (2U * 1024U * 1024U)
-#define OUT_MAX_BYTES (8U * 1024U * 1024U)
-/* Most operations in progress on one link. */
-#define CHANNELS_MAX 1024U
+#define OUT_MAX_BYTES (4U * FORWARD_FRAME_MAX_BYTES)
 #define TICK_MS 100
 /* First and longest pause before a lost holder is connected again. */
 #define RETRY_MIN_US (100 * LWS_US_PER_MS)
@@ -26,80 +19,9 @@
 #define UNUSED_US (60 * LWS_US_PER_S)
 #define ACK_TIMEOUT_MS 2500
 
-enum link_state {
-	LINK_CONNECTING,
-	/** both sides have sent WIRE_FORWARD_HELLO */
-	LINK_UP,
-	LINK_CLOSED,
-};
-
-/* One connection. An accepted link has no holder. */
-struct link {
-	struct forward_io *io;
-	struct link *prev;
-	struct link *next;
-	struct holder_peer *holder;
-	struct stream *stream;
-	enum link_state state;
-	bool hello_received;
-	struct link_watch watch;
-	uint64_t last_channel;
-	uint32_t channels_count;
-	/* Messages that wait until the link is up. */
-	struct byte_buffer pending;
-	/* Dialled: operations sent to the holder. */
-	struct channel *channels;
-	/* Accepted: operations run for the other instance. */
-	struct held_operation *held;
-};
-
-/* Another instance that holds connections. */
-struct holder_peer {
-	struct holder_peer *next;
-	char addr[FLEET_ADDR_MAX];
-	struct link *link;
-	/* The last link was lost, and there is none that is up. */
-	bool lost;
-	bool draining;
-	uint64_t retry_at_us;
-	uint64_t pause_us;
-	uint64_t used_us;
-};
-
-/* An operation sent to a holder. */
-struct channel {
-	struct link *link;
-	struct channel *prev;
-	struct channel *next;
-	uint64_t number;
-	struct pool_session *session;
-	bool reply_due;
-};
-
-struct held_operation {
-	struct session_user user;
-	struct link *link;
-	struct held_operation *next;
-	uint64_t number;
-	/* NULL once the operation has ended. */
-	struct pool_session *session;
-	bool busy;
-};
-
-struct forward_io {
-	struct forward_io_params params;
-	struct link *links;
-	struct holder_peer *holders;
-	uint32_t held_count;
-	bool draining;
-	uint64_t tick_us;
-	struct tevent_immediate *sweep;
-	bool sweep_due;
-};
-
 /* Links */
 
-static void send_msg(struct link *link, const struct wire_msg *msg)
+void forward_send(struct link *link, const struct wire_msg *msg)
 {
 	uint8_t *frame;
 	size_t len;
@@ -113,11 +35,11 @@
 	talloc_free(frame);
 }
 
-static void send_type(struct link *link, enum wire_type type)
+void forward_send_type(struct link *link, enum wire_type type)
 {
 	struct wire_msg msg = { .type = type };
 
-	send_msg(link, &msg);
+	forward_send(link, &msg);
 }
 
 static void on_link_free(struct tevent_context *ev, struct tevent_immediate *im,
@@ -148,35 +70,6 @@
 		link->next->prev = link->prev;
 }
 
-static void remove_channel(struct channel *ch)
-{
-	if (ch->prev)
-		ch->prev->next = ch->next;
-	else
-		ch->link->channels = ch->next;
-	if (ch->next)
-		ch->next->prev = ch->prev;
-	ch->link->channels_count--;
-	talloc_free(ch);
-}
-
-/* Closes the sessions of operations that ran for the other instance. */
-static void end_held(struct link *link, uint64_t now_us)
-{
-	struct forward_io *io = link->io;
-	struct held_operation *next;
-
-	for (struct held_operation *h = link->held; h; h = next) {
-		next = h->next;
-		if (h->session)
-			pooler_close_session(io->params.pooler, now_us,
-					     h->session);
-		io->held_count--;
-		talloc_free(h);
-	}
-	link->held = NULL;
-}
-
 static uint64_t next_pause_us(uint64_t pause_us)
 {
 	if (!pause_us)
@@ -214,221 +107,13 @@
 	while (link->channels) {
 		struct pool_session *s = link->channels->session;
 
-		remove_channel(link->channels);
+		forward_remove_channel(link->channels);
 		pooler_forward_lost(io->params.pooler, now_us, s, sent);
 	}
-	end_held(link, now_us);
+	forward_end_held(link, now_us);
 	free_link_later(link);
 }
 
-/* Operations sent to a holder */
-
-static struct channel *find_channel(const struct link *link, uint64_t number)
-{
-	for (struct channel *ch = link->channels; ch; ch = ch->next) {
-		if (ch->number == number)
-			return ch;
-	}
-	return NULL;
-}
-
-static void on_reply(struct link *link, const struct wire_forward *msg)
-{
-	struct channel *ch = find_channel(link, msg->channel);
-	struct pool_session *s = ch ? ch->session : NULL;
-
-	/* The reply may have crossed the end of the channel. */
-	if (!ch || !ch->reply_due)
-		return;
-	ch->reply_due = false;
-	if (msg->reply.state != TRANSACTION_OPEN)
-		remove_channel(ch);
-	pooler_forward_reply(link->io->params.pooler, lws_time_now_us(), s,
-			     &msg->reply);
-}
-
-static void on_refused(struct link *link, const struct wire_forward *msg)
-{
-	struct channel *ch = find_channel(link, msg->channel);
-	struct pool_session *s = ch ? ch->session : NULL;
-
-	if (!ch)
-		return;
-	remove_channel(ch);
-	pooler_forward_refused(link->io->params.pooler, lws_time_now_us(), s,
-			       msg->reason);
-}
-
-/* Operations run for another instance */
-
-static struct held_operation *find_held(const struct link *link,
-					uint64_t number)
-{
-	for (struct held_operation *h = link->held; h; h = h->next) {
-		if (h->number == number)
-			return h;
-	}
-	return NULL;
-}
-
-static void refuse(struct link *link, uint64_t number, const char *reason)
-{
-	struct wire_msg msg = { .type = WIRE_FORWARD_REFUSED,
-				.forward = { .channel = number,
-					     .reason = reason } };
-
-	send_msg(link, &msg);
-}
-
-static void remove_held(struct held_operation *held)
-{
-	struct held_operation **at = &held->link->held;
-
-	while (*at != held)
-		at = &(*at)->next;
-	*at = held->next;
-	held->link->channels_count--;
-	held->link->io->held_count--;
-	talloc_free(held);
-}
-
-static void on_sweep(struct tevent_context *ev, struct tevent_immediate *im,
-		     void *private_data)
-{
-	struct forward_io *io = private_data;
-	uint64_t now_us = lws_time_now_us();
-
-	(void)ev;
-	(void)im;
-	io->sweep_due = false;
-	for (struct link *link = io->links; link; link = link->next) {
-		struct held_operation *next;
-
-		for (struct held_operation *h = link->held; h; h = next) {
-			next = h->next;
-			if (!h->user.ended)
-				continue;
-			if (h->session)
-				pooler_close_session(io->params.pooler, now_us,
-						     h->session);
-			remove_held(h);
-		}
-	}
-}
-
-/* The pooler must not be called from its ops, so the session is closed later.
- */
-static void end_later(struct held_operation *held)
-{
-	struct forward_io *io = held->link->io;
-
-	held->user.ended = true;
-	if (io->sweep_due)
-		return;
-	io->sweep_due = true;
-	tevent_schedule_immediate(io->sweep, io->params.ev, on_sweep, io);
-}
-
-void forward_io_reply(struct held_operation *held,
-		      const struct caller_reply *reply)
-{
-	struct wire_msg msg = { .type = WIRE_FORWARD_REPLY,
-				.forward = { .channel = held->number,
-					     .reply = *reply } };
-
-	held->busy = false;
-	send_msg(held->link, &msg);
-	if (reply->state != TRANSACTION_OPEN)
-		end_later(held);
-}
-
-void forward_io_session_ended(struct held_operation *held)
-{
-	held->session = NULL;
-	end_later(held);
-}
-
-static int on_open(struct link *link, const struct wire_forward *msg)
-{
-	struct forward_io *io = link->io;
-	uint64_t now_us = lws_time_now_us();
-	struct held_operation *held;
-	const char *reason;
-
-	if (link->holder || find_held(link, msg->channel))
-		return LWS_E_WIRE_FORMAT;
-	if (io->draining || link->channels_count >= CHANNELS_MAX) {
-		refuse(link, msg->channel,
-		       io->draining ? "stopping" : "too_many_operations");
-		return 0;
-	}
-	held = talloc_zero(link, struct held_operation);
-	if (!held)
-		return LWS_E_NOMEM;
-	held->user.kind = SESSION_USER_INSTANCE;
-	held->link = link;
-	held->number = msg->channel;
-	held->session = pooler_open_forwarded(io->params.pooler, now_us,
-					      &msg->operation, held, &reason);
-	if (!held->session) {
-		talloc_free(held);
-		refuse(link, msg->channel, reason);
-		return 0;
-	}
-	held->next = link->held;
-	link->held = held;
-	link->channels_count++;
-	io->held_count++;
-	held->busy = true;
-	pooler_statement(io->params.pooler, now_us, held->session,
-			 &msg->operation.statement);
-	return 0;
-}
-
-/* The operation ended here, so its transaction was rolled back. */
-static void reply_ended(struct link *link, const struct wire_forward *msg)
-{
-	bool commit = msg->statement.kind == STATEMENT_COMMIT;
-	struct wire_msg reply = {
-		.type = WIRE_FORWARD_REPLY,
-		.forward = { .channel = msg->channel,
-			     .reply = { .error = STATEMENT_E_ABORTED,
-					.text = "the transaction has ended",
-					.state = commit ? TRANSACTION_NONE
-							: TRANSACTION_FAILED } }
-	};
-
-	send_msg(link, &reply);
-}
-
-static int on_statement(struct link *link, const struct wire_forward *msg)
-{
-	struct held_operation *held = find_held(link, msg->channel);
-
-	if (link->holder || (held && held->busy))
-		return LWS_E_WIRE_FORMAT;
-	if (!held || held->user.ended || !held->session) {
-		reply_ended(link, msg);
-		return 0;
-	}
-	held->busy = true;
-	pooler_statement(link->io->params.pooler, lws_time_now_us(),
-			 held->session, &msg->statement);
-	return 0;
-}
-
-static void on_end(struct link *link, const struct wire_forward *msg)
-{
-	struct held_operation *held = find_held(link, msg->channel);
-
-	if (!held)
-		return;
-	if (held->session)
-		pooler_close_session(link->io->params.pooler, lws_time_now_us(),
-				     held->session);
-	remove_held(held);
-}
-
 /* Messages */
 
 static void link_is_up(struct link *link)
@@ -466,20 +151,20 @@
 		return on_first(link, msg);
 	switch (msg->type) {
 	case WIRE_FORWARD_OPEN:
-		return on_open(link, &msg->forward);
+		return forward_on_open(link, &msg->forward);
 	case WIRE_FORWARD_STATEMENT:
-		return on_statement(link, &msg->forward);
+		return forward_on_statement(link, &msg->forward);
 	case WIRE_FORWARD_END:
-		on_end(link, &msg->forward);
+		forward_on_end(link, &msg->forward);
 		return 0;
 	case WIRE_FORWARD_REPLY:
-		on_reply(link, &msg->forward);
+		forward_on_reply(link, &msg->forward);
 		return 0;
 	case WIRE_FORWARD_REFUSED:
-		on_refused(link, &msg->forward);
+		forward_on_refused(link, &msg->forward);
 		return 0;
 	case WIRE_FORWARD_PING:
-		send_type(link, WIRE_FORWARD_PONG);
+		forward_send_type(link, WIRE_FORWARD_PONG);
 		return 0;
 	case WIRE_FORWARD_PONG:
 		return 0;
@@ -499,7 +184,7 @@
 	size_t frame;
 	int rc = wire_frame_length(data, len, &frame);
 
-	if (!rc && frame > FRAME_MAX_BYTES)
+	if (!rc && frame > FORWARD_FRAME_MAX_BYTES)
 		rc = LWS_E_WIRE_TOO_BIG;
 	if (rc)
 		return rc;
@@ -582,7 +267,7 @@
 
 static struct stream_params stream_params_of(struct link *link)
 {
-	return (struct stream_params){ .in_max = FRAME_MAX_BYTES +
+	return (struct stream_params){ .in_max = FORWARD_FRAME_MAX_BYTES +
 						 WIRE_HEADER_BYTES,
 				       .out_max = OUT_MAX_BYTES,
 				       .ack_timeout_ms = ACK_TIMEOUT_MS,
@@ -591,7 +276,7 @@
 				       .on_down = on_down };
 }
 
-static void connect_holder(struct holder_peer *holder, struct forward_io *io)
+void forward_connect(struct holder_peer *holder, struct forward_io *io)
 {
 	struct link *link = add_link(io, holder);
 	struct stream_params params;
@@ -607,7 +292,7 @@
 		return;
 	}
 	holder->link = link;
-	send_type(link, WIRE_FORWARD_HELLO);
+	forward_send_type(link, WIRE_FORWARD_HELLO);
 }
 
 void forward_io_accept(struct forward_io *io, int fd)
@@ -627,95 +312,9 @@
 		talloc_free(link);
 		return;
 	}
-	send_type(link, WIRE_FORWARD_HELLO);
+	forward_send_type(link, WIRE_FORWARD_HELLO);
 	if (io->draining)
-		send_type(link, WIRE_FORWARD_DRAIN);
-}
-
-/* Operations of the pooler */
-
-static struct holder_peer *holder_at(struct forward_io *io, const char *addr)
-{
-	struct holder_peer *holder;
-
-	for (holder = io->holders; holder; holder = holder->next) {
-		if (strcmp(holder->addr, addr) == 0)
-			return holder;
-	}
-	holder = talloc_zero(io, struct holder_peer);
-	if (!holder)
-		return NULL;
-	LWS_STR_COPY(holder->addr, addr);
-	holder->next = io->holders;
-	io->holders = holder;
-	return holder;
-}
-
-bool forward_io_usable(struct forward_io *io, const char *addr)
-{
-	struct holder_peer *holder = holder_at(io, addr);
-
-	if (!holder)
-		return false;
-	holder->used_us = lws_time_now_us();
-	return !holder->lost && !holder->draining;
-}
-
-void *forward_io_open(struct forward_io *io, struct pool_session *s,
-		      const char *addr, const struct forwarded_operation *op)
-{
-	struct wire_msg msg = { .type = WIRE_FORWARD_OPEN,
-				.forward.operation = *op };
-	struct holder_peer *holder = holder_at(io, addr);
-	struct link *link;
-	struct channel *ch;
-
-	if (!holder)
-		return NULL;
-	if (!holder->link)
-		connect_holder(holder, io);
-	link = holder->link;
-	if (!link || link->channels_count >= CHANNELS_MAX)
-		return NULL;
-	ch = talloc_zero(link, struct channel);
-	if (!ch)
-		return NULL;
-	/* The silence before this operation says nothing about the holder. */
-	if (!link->channels)
-		link->watch.received_us = lws_time_now_us();
-	ch->link = link;
-	ch->number = ++link->last_channel;
-	ch->session = s;
-	ch->reply_due = true;
-	ch->next = link->channels;
-	if (link->channels)
-		link->channels->prev = ch;
-	link->channels = ch;
-	link->channels_count++;
-	msg.forward.channel = ch->number;
-	send_msg(link, &msg);
-	return ch;
-}
-
-void forward_io_statement(void *channel, const struct statement *st)
-{
-	struct channel *ch = channel;
-	struct wire_msg msg = { .type = WIRE_FORWARD_STATEMENT,
-				.forward = { .channel = ch->number,
-					     .statement = *st } };
-
-	ch->reply_due = true;
-	send_msg(ch->link, &msg);
-}
-
-void forward_io_end(void *channel)
-{
-	struct channel *ch = channel;
-	struct wire_msg msg = { .type = WIRE_FORWARD_END,
-				.forward.channel = ch->number };
-
-	send_msg(ch->link, &msg);
-	remove_channel(ch);
+		forward_send_type(link, WIRE_FORWARD_DRAIN);
 }
 
 /* Timer */
@@ -728,7 +327,7 @@
 	case LINK_WATCH_WAIT:
 		return;
 	case LINK_WATCH_PING:
-		send_type(link, WIRE_FORWARD_PING);
+		forward_send_type(link, WIRE_FORWARD_PING);
 		return;
 	case LINK_WATCH_NOT_CONNECTED:
 		close_link(link, "not connected in time");
@@ -745,7 +344,7 @@
 {
 	if (holder->lost && !holder->link && now_us >= holder->retry_at_us &&
 	    link_watch_elapsed_us(now_us, holder->used_us) < UNUSED_US)
-		connect_holder(holder, io);
+		forward_connect(holder, io);
 }
 
 static void forget_unused(struct forward_io *io, uint64_t now_us)
@@ -828,7 +427,7 @@
 	io->draining = true;
 	for (struct link *link = io->links; link; link = link->next) {
 		if (!link->holder)
-			send_type(link, WIRE_FORWARD_DRAIN);
+			forward_send_type(link, WIRE_FORWARD_DRAIN);
 	}
 }
 
