--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -735,7 +735,7 @@
 	static const char hello[] = "\0\0\0\2\x91\x0b";
 	struct test_fleet *f = fleet_start_many(3, SESSION_HOSTS_MAX);
 
-	g_assert_cmpint(WIRE_FORWARD_HELLO, ==, hello[5]);
+	g_assert_cmpuint(WIRE_FORWARD_HELLO, ==, (unsigned char)hello[5]);
 	for (size_t i = 0; i < G_N_ELEMENTS(frame_cases); i++) {
 		const struct frame_case *fc = &frame_cases[i];
 		int fd = test_connect(f->net, SESSION_HOST, TEST_PORT_PEERS,
@@ -774,7 +774,7 @@
 	struct test_fleet *f = fleet_start_many(3, SESSION_HOSTS_MAX);
 	struct line_conn *c[SESSION_HOSTS_MAX];
 
-	for (uint32_t i = 0; i < f->session_hosts; i++) {
+	for (uint32_t i = 0; i < SESSION_HOSTS_MAX; i++) {
 		c[i] = open_session_at(f, i);
 		expect_eventually(c[i], "WRITE a b",
 				  "COMPLETE write-tag|READY I");
@@ -783,12 +783,12 @@
 		gint64 at = g_get_monotonic_time();
 
 		stop(f, SESSION_HOST + (int)killed, SIGKILL);
-		for (uint32_t i = killed + 1; i < f->session_hosts; i++)
+		for (uint32_t i = killed + 1; i < SESSION_HOSTS_MAX; i++)
 			expect_eventually(c[i], "WRITE a b",
 					  "COMPLETE write-tag|READY I");
 		g_assert_cmpint(g_get_monotonic_time() - at, <, 3000 * 1000);
 	}
-	for (uint32_t i = 0; i < f->session_hosts; i++)
+	for (uint32_t i = 0; i < SESSION_HOSTS_MAX; i++)
 		close_line(c[i]);
 	fleet_stop(f);
 }
@@ -803,7 +803,7 @@
 	struct line_conn *open[SESSION_HOSTS_MAX];
 	struct line_conn *idle[SESSION_HOSTS_MAX];
 
-	for (uint32_t i = 0; i < f->session_hosts; i++) {
+	for (uint32_t i = 0; i < SESSION_HOSTS_MAX; i++) {
 		idle[i] = open_session_at(f, i);
 		expect_eventually(idle[i], "WRITE a b",
 				  "COMPLETE write-tag|READY I");
@@ -814,7 +814,7 @@
 	}
 	for (uint32_t stopped = 0; stopped < 3; stopped++) {
 		pid_t pid = f->pids[SESSION_HOST + stopped];
-		uint32_t last = f->session_hosts - 1;
+		const uint32_t last = SESSION_HOSTS_MAX - 1;
 
 		expect(open[last], "BEGIN", "COMPLETE -|READY T");
 		expect(open[last], "WRITE x y", "COMPLETE write-tag|READY T");
@@ -828,7 +828,7 @@
 		waitpid(pid, NULL, 0);
 		f->pids[SESSION_HOST + stopped] = 0;
 	}
-	for (uint32_t i = 0; i < f->session_hosts; i++) {
+	for (uint32_t i = 0; i < SESSION_HOSTS_MAX; i++) {
 		close_line(open[i]);
 		close_line(idle[i]);
 	}
