--- a/lib/admit/admission.c
+++ b/lib/admit/admission.c
@@ -64,8 +64,7 @@
 
 bool admission_allocator_unresponsive(const struct admission_item *item)
 {
-	return item->bucket->allocator_unresponsive &&
-	       atomic_load(item->bucket->allocator_unresponsive);
+	return rate_bucket_unresponsive(item->bucket);
 }
 
 enum admission_verdict admission_enter(struct admission *a, uint64_t now_us,
--- a/lib/admit/rate_bucket.h
+++ b/lib/admit/rate_bucket.h
@@ -72,6 +72,13 @@
 	return false;
 }
 
+/** rate_bucket_unresponsive() - whether the rate allocator does not answer */
+static inline bool rate_bucket_unresponsive(const struct rate_bucket *bucket)
+{
+	return bucket->allocator_unresponsive &&
+	       atomic_load(bucket->allocator_unresponsive);
+}
+
 /**
  * rate_bucket_cut_off() - whether a request could not get a token
  *
@@ -83,8 +90,7 @@
 	bool spendable = atomic_load(&bucket->tokens) > 0 &&
 			 now_us < atomic_load(&bucket->expires_us);
 
-	return !spendable && bucket->allocator_unresponsive &&
-	       atomic_load(bucket->allocator_unresponsive);
+	return !spendable && rate_bucket_unresponsive(bucket);
 }
 
 /**
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -354,12 +354,16 @@
 }
 
 /*
- * Only control instances need connections to each other. Without an adapter,
- * instances dial only the addresses in their settings.
+ * Writes the address that other instances are told. Only control instances need
+ * permanent connections to each other; without an adapter, instances dial only
+ * the addresses in their settings.
  */
-static bool is_forward_only(const struct control *c)
+static void own_addr(const struct control *c, char *out)
 {
-	return c->daemon->adapter && !c->daemon->settings.data;
+	bool forward_only = c->daemon->adapter && !c->daemon->settings.data;
+
+	snprintf(out, FLEET_ADDR_MAX, "%s%s",
+		 forward_only ? FLEET_FORWARD_ONLY : "", c->peer_addr);
 }
 
 static void send_report(struct control *c, struct wire_report_item *items,
@@ -376,8 +380,7 @@
 
 	LWS_STR_COPY(self.name, c->daemon->settings.name);
 	LWS_STR_COPY(self.failure_domain, c->daemon->settings.failure_domain);
-	snprintf(self.addr, sizeof(self.addr), "%s%s",
-		 is_forward_only(c) ? FLEET_FORWARD_ONLY : "", c->peer_addr);
+	own_addr(c, self.addr);
 	self.accepts_callers = serves_callers(c);
 	if (c->leader)
 		control_leader_report(c, &self, &msg.report);
@@ -627,9 +630,7 @@
 			return params.listen_fd;
 		if (s->peer_advertise)
 			LWS_STR_COPY(c->peer_addr, s->peer_advertise);
-		snprintf(params.hello.addr, sizeof(params.hello.addr), "%s%s",
-			 is_forward_only(c) ? FLEET_FORWARD_ONLY : "",
-			 c->peer_addr);
+		own_addr(c, params.hello.addr);
 	}
 	rc = peer_hub_create(c, c->ev, &params, &c->hub);
 	return rc ? rc : dial_all(c);
--- a/lib/session/pooler.c
+++ b/lib/session/pooler.c
@@ -88,6 +88,17 @@
 	pooler_reply(s, now_us, &reply, reason);
 }
 
+/* The statement was sent and not answered in time: it may have run. */
+void pooler_refuse_timeout(struct pool_session *s, uint64_t now_us,
+			   const char *reason)
+{
+	pooler_refuse(s, now_us, STATEMENT_E_TIMEOUT,
+		      s->job.st.kind == STATEMENT_COMMIT
+			      ? TRANSACTION_NONE
+			      : pooler_state_after_error(s),
+		      reason);
+}
+
 void pooler_reply_success(struct pool_session *s, uint64_t now_us,
 			  enum transaction_state state)
 {
@@ -260,11 +271,7 @@
 			      pooler_state_after_error(s), reason);
 		return;
 	}
-	pooler_refuse(s, now_us, STATEMENT_E_TIMEOUT,
-		      job->st.kind == STATEMENT_COMMIT
-			      ? TRANSACTION_NONE
-			      : pooler_state_after_error(s),
-		      "the endpoint did not answer in time");
+	pooler_refuse_timeout(s, now_us, "the endpoint did not answer in time");
 }
 
 static void tick_busy(struct pool_session *s, uint64_t now_us)
--- a/lib/session/pooler_forward.c
+++ b/lib/session/pooler_forward.c
@@ -93,24 +93,20 @@
 	return !out_of_tokens(s, now_us);
 }
 
-/* Holders that cannot take the operation, as bits 1 << index. */
-static uint32_t excluded_holders(const struct pool_session *s, uint64_t now_us)
+static bool is_self(const struct pooler *p, const struct holder *h)
+{
+	return strcmp(h->name, p->params.name) == 0;
+}
+
+/* Returns true if the holder may be chosen for the operation now. */
+static bool is_usable(const struct pool_session *s, const struct holder *h,
+		      uint64_t now_us)
 {
 	const struct pooler *p = s->pooler;
-	const struct pool_group *g = s->job.group;
-	uint32_t excluded = s->job.excluded_holders;
-
-	for (uint32_t i = 0; i < g->holders.count; i++) {
-		const struct holder *h = &g->holders.ranked[i];
-		bool self = strcmp(h->name, p->params.name) == 0;
-		bool usable = self ? may_run_here(s, now_us)
-				   : p->ops.holder_usable(p->ops.private_data,
-							  h->addr);
-
-		if (!usable)
-			excluded |= 1U << i;
-	}
-	return excluded;
+
+	return is_self(p, h)
+		       ? may_run_here(s, now_us)
+		       : p->ops.holder_usable(p->ops.private_data, h->addr);
 }
 
 static struct log_position committed_in_group(const struct pool_session *s)
@@ -192,17 +188,19 @@
 	struct pooler *p = s->pooler;
 	struct pool_job *job = &s->job;
 	struct pool_group *g = job->group;
-	uint32_t excluded;
+	uint32_t excluded = job->excluded_holders;
 	uint32_t index;
 
 	if (s->held || !g->forwards)
 		return false;
-	excluded = excluded_holders(s, now_us);
 	while ((index = holders_choose(&g->holders, s->customer_hash,
 				       excluded)) != HOLDERS_RANKED) {
 		const struct holder *h = &g->holders.ranked[index];
 
-		if (strcmp(h->name, p->params.name) == 0)
+		excluded |= 1U << index;
+		if (!is_usable(s, h, now_us))
+			continue;
+		if (is_self(p, h))
 			return false;
 		s->channel = open_channel(s, now_us, h->addr);
 		if (s->channel) {
@@ -212,7 +210,6 @@
 			mark_forwarded(s, now_us);
 			return true;
 		}
-		excluded |= 1U << index;
 	}
 	/*
 	 * If no holder reaches the primary, it is being replaced. Connections
@@ -266,14 +263,6 @@
 	return s->busy && s->job.place == JOB_FORWARDED;
 }
 
-static void begin_transaction(struct pool_session *s)
-{
-	s->read_only = s->job.st.kind == STATEMENT_BEGIN_READ;
-	s->wrote = false;
-	s->lost_error = STATEMENT_E_NONE;
-	s->began_us = s->job.arrived_us;
-}
-
 void pooler_forward_reply(struct pooler *p, uint64_t now_us,
 			  struct pool_session *s,
 			  const struct caller_reply *reply)
@@ -296,7 +285,7 @@
 	}
 	if (!out.error) {
 		if (begins)
-			begin_transaction(s);
+			pooler_begin_transaction(s);
 		if ((commits && s->wrote) ||
 		    (s->state == TRANSACTION_NONE && job->writes))
 			pooler_record_commit(s, out.position);
@@ -340,11 +329,7 @@
 void pooler_forward_expired(struct pool_session *s, uint64_t now_us)
 {
 	pooler_forward_end(s);
-	pooler_refuse(s, now_us, STATEMENT_E_TIMEOUT,
-		      s->job.st.kind == STATEMENT_COMMIT
-			      ? TRANSACTION_NONE
-			      : pooler_state_after_error(s),
-		      "the holder did not answer in time");
+	pooler_refuse_timeout(s, now_us, "the holder did not answer in time");
 }
 
 /* At the holder */
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -433,6 +433,8 @@
 void pooler_refuse(struct pool_session *s, uint64_t now_us,
 		   enum statement_error error, enum transaction_state state,
 		   const char *reason);
+void pooler_refuse_timeout(struct pool_session *s, uint64_t now_us,
+			   const char *reason);
 void pooler_log_event(struct pool_session *s, uint64_t now_us,
 		      const char *event, enum statement_error error,
 		      const char *reason, uint64_t age_us);
@@ -453,6 +455,7 @@
 void pooler_fail_transaction(struct pool_session *s, uint64_t now_us,
 			     enum statement_error error, const char *reason);
 void pooler_refuse_rate(struct pool_session *s, uint64_t now_us);
+void pooler_begin_transaction(struct pool_session *s);
 void pooler_start_admitted(struct pool_session *s, uint64_t now_us);
 void pooler_admit(struct pool_session *s, uint64_t now_us);
 
--- a/lib/session/pooler_statement.c
+++ b/lib/session/pooler_statement.c
@@ -252,6 +252,15 @@
 	enqueue(s, now_us);
 }
 
+/* Sets up the transaction that the session's BEGIN opens. */
+void pooler_begin_transaction(struct pool_session *s)
+{
+	s->read_only = s->job.st.kind == STATEMENT_BEGIN_READ;
+	s->wrote = false;
+	s->lost_error = STATEMENT_E_NONE;
+	s->began_us = s->job.arrived_us;
+}
+
 void pooler_start_admitted(struct pool_session *s, uint64_t now_us)
 {
 	struct pool_job *job = &s->job;
@@ -263,10 +272,7 @@
 		start_autocommit(s, now_us);
 		return;
 	}
-	s->read_only = job->st.kind == STATEMENT_BEGIN_READ;
-	s->wrote = false;
-	s->lost_error = STATEMENT_E_NONE;
-	s->began_us = job->arrived_us;
+	pooler_begin_transaction(s);
 	pooler_reply_success(s, now_us, TRANSACTION_OPEN);
 }
 
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -15,12 +15,11 @@
 	return len ? talloc_memdup(mem_ctx, data, len) : NULL;
 }
 
-/* Enters a list with @per_item values for each item; returns the item count. */
-static uint32_t enter_list(struct pack_reader *r, struct pack_reader *in,
-			   uint32_t per_item)
+uint32_t wire_enter_list(struct pack_reader *r, struct pack_reader *in,
+			 uint32_t per_item, uint32_t items_max)
 {
 	if (pack_reader_enter(r, in) || in->count % per_item ||
-	    in->count / per_item > WIRE_ITEMS_MAX) {
+	    in->count / per_item > items_max) {
 		r->rc = LWS_E_WIRE_FORMAT;
 		in->rc = LWS_E_WIRE_FORMAT;
 		return 0;
@@ -28,7 +27,7 @@
 	return in->count / per_item;
 }
 
-static void leave_list(struct pack_reader *r, const struct pack_reader *in)
+void wire_leave_list(struct pack_reader *r, const struct pack_reader *in)
 {
 	if (pack_reader_end(in))
 		r->rc = LWS_E_WIRE_FORMAT;
@@ -82,13 +81,13 @@
 	msg->append_request.prev_term = pack_read_u64(r);
 	msg->append_request.commit = pack_read_u64(r);
 	msg->append_request.stamp_us = pack_read_u64(r);
-	msg->append_request.count = enter_list(r, &in, 1);
+	msg->append_request.count = wire_enter_list(r, &in, 1, WIRE_ITEMS_MAX);
 	msg->append_request.entries = talloc_zero_array(
 		mem_ctx, struct raft_entry, msg->append_request.count + 1);
 	for (uint32_t i = 0; i < msg->append_request.count; i++)
 		raft_entry_unpack(&in, mem_ctx,
 				  &msg->append_request.entries[i]);
-	leave_list(r, &in);
+	wire_leave_list(r, &in);
 }
 
 static void raft_pack(struct pack_writer *w, const struct raft_msg *msg)
@@ -199,7 +198,7 @@
 	reply->leader_term = pack_read_u64(r);
 	data = pack_read_bin(r, &reply->snapshot_len);
 	reply->snapshot = copy_bytes(mem_ctx, data, reply->snapshot_len);
-	reply->count = enter_list(r, &in, 2);
+	reply->count = wire_enter_list(r, &in, 2, WIRE_ITEMS_MAX);
 	reply->entries = talloc_zero_array(mem_ctx, struct wire_sync_entry,
 					   reply->count + 1);
 	for (uint32_t i = 0; i < reply->count; i++) {
@@ -209,7 +208,7 @@
 		data = pack_read_bin(&in, &entry->len);
 		entry->data = copy_bytes(mem_ctx, data, entry->len);
 	}
-	leave_list(r, &in);
+	wire_leave_list(r, &in);
 }
 
 /* Token requests */
@@ -234,7 +233,7 @@
 
 	rate->seq = pack_read_u64(r);
 	rate->ttl_us = pack_read_u64(r);
-	rate->count = enter_list(r, &in, 4);
+	rate->count = wire_enter_list(r, &in, 4, WIRE_ITEMS_MAX);
 	rate->items = talloc_zero_array(mem_ctx, struct wire_rate_item,
 					rate->count + 1);
 	for (uint32_t i = 0; i < rate->count; i++) {
@@ -243,7 +242,7 @@
 		rate->items[i].held = (uint32_t)pack_read_u64(&in);
 		rate->items[i].returned = (uint32_t)pack_read_u64(&in);
 	}
-	leave_list(r, &in);
+	wire_leave_list(r, &in);
 }
 
 /* Reports and announcements */
@@ -268,7 +267,7 @@
 
 	report->index = pack_read_u64(r);
 	report->version = pack_read_u64(r);
-	report->count = enter_list(r, &in, 4);
+	report->count = wire_enter_list(r, &in, 4, WIRE_ITEMS_MAX);
 	report->items = talloc_zero_array(mem_ctx, struct wire_report_item,
 					  report->count + 1);
 	for (uint32_t i = 0; i < report->count; i++) {
@@ -279,7 +278,7 @@
 		item->term = pack_read_u64(&in);
 		item->suspect = pack_read_bool(&in);
 	}
-	leave_list(r, &in);
+	wire_leave_list(r, &in);
 }
 
 /* Number of values per announcement. */
@@ -312,7 +311,8 @@
 {
 	struct pack_reader in;
 
-	announce->count = enter_list(r, &in, ANNOUNCE_FIELDS);
+	announce->count =
+		wire_enter_list(r, &in, ANNOUNCE_FIELDS, WIRE_ITEMS_MAX);
 	announce->items = talloc_zero_array(mem_ctx, struct wire_announce_item,
 					    announce->count + 1);
 	for (uint32_t i = 0; i < announce->count; i++) {
@@ -332,7 +332,7 @@
 		item->endpoint.seq = pack_read_u64(&in);
 		item->claims_primary = pack_read_bool(&in);
 	}
-	leave_list(r, &in);
+	wire_leave_list(r, &in);
 }
 
 /* Messages */
--- a/lib/wire/wire_forward.c
+++ b/lib/wire/wire_forward.c
@@ -81,8 +81,7 @@
 	st->value = unpack_text(&in, mem_ctx);
 	st->writes = pack_read_bool(&in);
 	st->waited_us = pack_read_u64(&in);
-	if (pack_reader_end(&in))
-		r->rc = LWS_E_WIRE_FORMAT;
+	wire_leave_list(r, &in);
 }
 
 static void values_pack(struct pack_writer *w,
@@ -95,22 +94,6 @@
 	}
 }
 
-/*
- * Enters a list of at most @items_max items of @per_item values; returns the
- * number of items.
- */
-static uint32_t enter_list(struct pack_reader *r, struct pack_reader *in,
-			   uint32_t per_item, uint32_t items_max)
-{
-	if (pack_reader_enter(r, in))
-		return 0;
-	if (in->count % per_item || in->count / per_item > items_max) {
-		r->rc = LWS_E_WIRE_FORMAT;
-		return 0;
-	}
-	return in->count / per_item;
-}
-
 static char *unpack_string(struct pack_reader *r, void *mem_ctx)
 {
 	uint32_t len;
@@ -127,7 +110,7 @@
 			  struct forwarded_operation *op)
 {
 	struct pack_reader in;
-	uint32_t count = enter_list(r, &in, 2, SESSION_VALUES_MAX);
+	uint32_t count = wire_enter_list(r, &in, 2, SESSION_VALUES_MAX);
 	struct session_value *values =
 		talloc_zero_array(mem_ctx, struct session_value, count + 1);
 
@@ -141,8 +124,7 @@
 	}
 	op->values_count = count;
 	op->values = values;
-	if (pack_reader_end(&in))
-		r->rc = LWS_E_WIRE_FORMAT;
+	wire_leave_list(r, &in);
 }
 
 static void prepared_pack(struct pack_writer *w,
@@ -160,7 +142,7 @@
 			    struct forwarded_operation *op)
 {
 	struct pack_reader in;
-	uint32_t count = enter_list(r, &in, 3, SESSION_PREPARED_MAX);
+	uint32_t count = wire_enter_list(r, &in, 3, SESSION_PREPARED_MAX);
 	struct session_prepared *prepared =
 		talloc_zero_array(mem_ctx, struct session_prepared, count + 1);
 
@@ -175,8 +157,7 @@
 	}
 	op->prepared_count = count;
 	op->prepared = prepared;
-	if (pack_reader_end(&in))
-		r->rc = LWS_E_WIRE_FORMAT;
+	wire_leave_list(r, &in);
 }
 
 static void operation_pack(struct pack_writer *w,
@@ -203,8 +184,7 @@
 	if (pack_reader_enter(r, &in))
 		return;
 	op->committed = unpack_position(&in);
-	if (pack_reader_end(&in))
-		r->rc = LWS_E_WIRE_FORMAT;
+	wire_leave_list(r, &in);
 	values_unpack(r, mem_ctx, op);
 	prepared_unpack(r, mem_ctx, op);
 	statement_unpack(r, mem_ctx, &op->statement);
