--- a/tests/support_pool.c
+++ b/tests/support_pool.c
@@ -1418,3 +1418,41 @@
 		},
 	};
 }
+
+struct pool_sim_params pool_sim_moorings(uint64_t seed)
+{
+	return (struct pool_sim_params){
+		.seed = seed,
+		.instances = 8,
+		.slots = 5,
+		.queue = 40,
+		.connections_max = 34,
+		.lag_ms = 20,
+		.hop_us = 1400,
+		.classes_count = 3,
+		.large_percent = 40,
+		.classes = {
+			{ "berths", CATALOG_READS_PRIMARY, 0, 1000, 200, 4000,
+			  11, 20, 25, 18 },
+			{ "timetable", CATALOG_READS_BOUNDED_STALENESS, 1500,
+			  3000, 800, 12000, 55, 0, 10, 18 },
+			{ "loans", CATALOG_READS_YOUR_WRITES, 2500, 1000, 400,
+			  4000, 33, 12, 12, 84 },
+		},
+	};
+}
+
+struct pool_sim_params pool_sim_moorings_grown(uint64_t seed)
+{
+	struct pool_sim_params params = pool_sim_moorings(seed);
+
+	params.instances = 60;
+	params.slots = 6;
+	params.queue = 48;
+	params.connections_max = 74;
+	params.forwards = true;
+	params.classes[0].per_s = 22.5;
+	params.classes[1].per_s = 22.5;
+	params.classes[2].per_s = 105;
+	return params;
+}
--- a/tests/support_pool.h
+++ b/tests/support_pool.h
@@ -138,9 +138,15 @@
 	uint64_t refused_late;
 };
 
-/** pool_sim_abay(), pool_sim_refugio() - sizes of the deployments */
+/**
+ * pool_sim_abay(), pool_sim_refugio(), pool_sim_moorings(),
+ * pool_sim_moorings_grown() - sizes of the deployments, with the load of one
+ * group
+ */
 struct pool_sim_params pool_sim_abay(uint64_t seed);
 struct pool_sim_params pool_sim_refugio(uint64_t seed);
+struct pool_sim_params pool_sim_moorings(uint64_t seed);
+struct pool_sim_params pool_sim_moorings_grown(uint64_t seed);
 
 struct pool_sim *pool_sim_create(const struct pool_sim_params *params);
 void pool_sim_free(struct pool_sim *sim);
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -307,6 +307,97 @@
 	pool_sim_free(sim);
 }
 
+/* Days: disturbances one after the other, at seeded times */
+
+#define DAY_DISTURBANCES 8
+#define DAY_SLOT_MS 5000
+/* Score of a class over all seeds: the users' target for days with trouble. */
+#define DAY_SCORE_MIN 0.9
+
+static void end_faults(struct pool_sim *sim)
+{
+	for (uint32_t i = 0; i < POOL_ENDPOINTS; i++) {
+		sim->endpoints[i].slow_factor = 0;
+		sim->endpoints[i].lag_ms = sim->params.lag_ms;
+		sim->endpoints[i].unresponsive = false;
+	}
+	memset(sim->faults, 0, sizeof(sim->faults));
+	sim->load = 1;
+	sim->hot_factor = 1;
+}
+
+static void burst(struct pool_sim *sim)
+{
+	sim->load = 1.7;
+}
+
+static void promoted_after_crash(struct pool_sim *sim)
+{
+	sim->endpoints[0].unresponsive = true;
+	pool_sim_run(sim, 1000 * MS);
+	pool_sim_promote(sim, 2);
+}
+
+static const fault_fn day_faults[] = {
+	no_fault,     slow_replica,	    lagging_replica,
+	burst,	      unresponsive_replica, promoted_after_crash,
+	hot_customer, silent_holder,
+};
+
+struct day_case {
+	const char *name;
+	struct pool_sim_params (*params)(uint64_t seed);
+};
+
+static const struct day_case day_cases[] = {
+	{ "abay", pool_sim_abay },
+	{ "refugio", pool_sim_refugio },
+	{ "moorings", pool_sim_moorings },
+	{ "moorings-grown", pool_sim_moorings_grown },
+};
+
+static void run_day(const struct pool_sim_params *params,
+		    struct pool_tally *sums)
+{
+	struct pool_sim *sim = pool_sim_create(params);
+
+	pool_sim_run(sim, 2 * S);
+	memset(sim->tallies, 0, sizeof(sim->tallies));
+	for (uint32_t i = 0; i < DAY_DISTURBANCES; i++) {
+		uint64_t before_us = lws_rng_below(&sim->rng, 1000) * MS;
+		uint64_t for_us = (1000 + lws_rng_below(&sim->rng, 2000)) * MS;
+
+		pool_sim_run(sim, before_us);
+		day_faults[lws_rng_below(&sim->rng, G_N_ELEMENTS(day_faults))](
+			sim);
+		pool_sim_run(sim, for_us);
+		end_faults(sim);
+		if (!sim->endpoints[0].primary)
+			pool_sim_promote(sim, 0);
+		pool_sim_run(sim, DAY_SLOT_MS * MS - before_us - for_us);
+	}
+	g_assert_true(pool_sim_guarantees_hold(sim));
+	for (uint32_t i = 0; i < params->classes_count; i++)
+		pool_tally_add(&sums[i], &sim->tallies[i]);
+	pool_sim_free(sim);
+}
+
+static void test_day(gconstpointer data)
+{
+	const struct day_case *c = data;
+	struct pool_tally sums[3] = { { 0 } };
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct pool_sim_params params = c->params(seed);
+
+		run_day(&params, sums);
+	}
+	for (uint32_t i = 0; i < 3; i++) {
+		g_test_message("class %u: %.3f", i, pool_sim_score(&sums[i]));
+		g_assert_cmpfloat(pool_sim_score(&sums[i]), >=, DAY_SCORE_MIN);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	if (sodium_init() < 0)
@@ -325,6 +416,12 @@
 		g_test_add_data_func(path, &forward_cases[i],
 				     test_forward_fault);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(day_cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/pooler/day/%s", day_cases[i].name);
+
+		g_test_add_data_func(path, &day_cases[i], test_day);
+	}
 	g_test_add_func("/pooler/forward/opens-few-connections",
 			test_forward_opens_few_connections);
 	g_test_add_func("/pooler/lagging-replicas-get-few-statements",
