--- a/lib/admit/admission.h
+++ b/lib/admit/admission.h
@@ -8,7 +8,8 @@
 
 /**
  * DOC: Admission control: a request either gets a token of its customer's
- * rate, waits briefly for one, or is refused.
+ * rate, waits briefly for one, or is refused. Load pattern: a customer sends
+ * more than its rate, or as much in bursts.
  *
  * A short wait is preferred to a refusal. It lasts longer while the rate
  * allocator has not answered, as after a stall or a failover of it. The number
--- a/lib/admit/fair_queue.h
+++ b/lib/admit/fair_queue.h
@@ -10,7 +10,8 @@
  * Start-time fair queueing: each customer has a virtual time that advances by
  * 1/weight for each request served; the customer with the smallest virtual
  * time is served next. Within a customer the earliest deadline comes first. A
- * customer that sends more than its share only delays its own requests.
+ * customer that sends more than its share only delays its own requests. Load
+ * pattern: one customer sends many times what it usually does.
  *
  * Source: Goyal, Vin and Cheng, "Start-time Fair Queueing" (1996).
  */
--- a/lib/session/pooler.c
+++ b/lib/session/pooler.c
@@ -235,6 +235,10 @@
 	}
 }
 
+/*
+ * Load pattern: no endpoint had room for the statement, or none has answered it
+ * in time. Tells which: what was sent may have run.
+ */
 static void refuse_expired(struct pool_session *s, uint64_t now_us)
 {
 	struct pool_job *job = &s->job;
--- a/lib/session/pooler_answers.c
+++ b/lib/session/pooler_answers.c
@@ -2,6 +2,10 @@
 
 /* Answers from endpoints */
 
+/*
+ * Load pattern: an endpoint that many instances share is slow or full. Each
+ * sends it fewer statements at a time, so that its queue stays short.
+ */
 static void lower_limit(struct pool_endpoint *e, uint64_t now_us)
 {
 	if (now_us - e->limit_lowered_us < POOL_LIMIT_PAUSE_US)
--- a/lib/session/pooler_conns.c
+++ b/lib/session/pooler_conns.c
@@ -155,7 +155,11 @@
 	return e->running + e->opening >= (uint32_t)e->limit;
 }
 
-/* Returns an idle connection, or NULL after starting to open one if allowed. */
+/*
+ * Returns an idle connection, or NULL after starting to open one if allowed.
+ * Load pattern: an endpoint has no room for statements, or accepts no further
+ * connections; opening more would take slots from statements.
+ */
 struct pool_conn *pool_conn_for(struct pool_endpoint *e, struct pool_session *s,
 				uint64_t now_us)
 {
--- a/lib/session/pooler_dispatch.c
+++ b/lib/session/pooler_dispatch.c
@@ -139,6 +139,10 @@
 	return true;
 }
 
+/*
+ * Load pattern: replicas that are slow, lag or do not answer, while others have
+ * room. A read goes to the endpoint that should finish it first.
+ */
 static struct pool_conn *find_conn_anywhere(struct pool_group *g,
 					    struct pool_session *s,
 					    uint64_t now_us)
@@ -174,6 +178,10 @@
 	return NULL;
 }
 
+/*
+ * Load pattern: the primary leaves, hangs or has just been replaced. Statements
+ * wait for its successor instead of being sent to it.
+ */
 static struct pool_conn *find_conn_at_primary(struct pool_group *g,
 					      struct pool_session *s,
 					      uint64_t now_us)
@@ -275,6 +283,7 @@
 	return s;
 }
 
+/* Returns true if the statement must not be overtaken any longer. */
 static bool is_wait_nearly_over(const struct pool_job *job, uint64_t now_us)
 {
 	uint64_t total_us = job->item.deadline_us - job->arrived_us;
@@ -286,7 +295,8 @@
 /*
  * Starts statements on idle connections of the same customer first, since a new
  * connection costs the endpoint as much as a short statement. Does nothing
- * if the statement at the head of the queue is close to its deadline.
+ * if the statement at the head of the queue is close to its deadline. Load
+ * pattern: many customers share few connections, each of which serves one.
  */
 static void start_on_idle_conns(struct pool_group *g, struct fair_queue *q,
 				bool anywhere, uint64_t now_us)
--- a/lib/session/pooler_forward.c
+++ b/lib/session/pooler_forward.c
@@ -362,7 +362,11 @@
 	return prepared && prepared->writes;
 }
 
-/* Returns why this instance cannot take the operation, NULL if it can. */
+/*
+ * Returns why this instance cannot take the operation, NULL if it can. Load
+ * pattern: a holder that stops, or that is cut off from the control instances
+ * or the primary, while other holders are not.
+ */
 static const char *refuse_operation(struct pool_session *s, uint64_t now_us,
 				    const struct forwarded_operation *op)
 {
--- a/lib/session/pooler_group.c
+++ b/lib/session/pooler_group.c
@@ -193,7 +193,8 @@
  * A long statement is no sign of a failure. A leadership check needs no slot,
  * and connections are accepted at any load. So a primary becomes suspect when
  * these probes stay unanswered, when connections fail, or when it answers
- * nothing for POOL_HANG_FACTOR times pooler_params.suspect_us.
+ * nothing for POOL_HANG_FACTOR times pooler_params.suspect_us. Load pattern: a
+ * primary that is only slow under load must not be replaced.
  */
 static void watch_primary(struct pool_group *g, uint64_t now_us)
 {
--- a/lib/session/pooler_outcome.c
+++ b/lib/session/pooler_outcome.c
@@ -12,7 +12,8 @@
 
 /*
  * Queues a statement again, or refuses it. The statement must not have run, and
- * must have released its connection.
+ * must have released its connection. Load pattern: endpoints that are full, lag
+ * or have changed their role, while others can still serve it in time.
  */
 void pooler_not_started(struct pool_session *s, uint64_t now_us,
 			enum statement_error error,
--- a/lib/session/pooler_queue.c
+++ b/lib/session/pooler_queue.c
@@ -105,6 +105,11 @@
 	       (objective_us > service_us ? objective_us - service_us : 0);
 }
 
+/*
+ * Load pattern: a burst, or endpoints that are slow, so that more statements
+ * come than can be served. What could only be sent after its deadline is
+ * refused at once; the others are ordered by the time at which they must start.
+ */
 int pool_enqueue(struct pool_session *s, uint64_t now_us, uint64_t *expected_us)
 {
 	struct pool_job *job = &s->job;
@@ -130,7 +135,8 @@
 
 /*
  * Moves statements that can no longer meet their objective to the late queue,
- * so that those that still can are served first.
+ * so that those that still can are served first. Load pattern: a backlog, as
+ * after an endpoint was slow or away; served in order, all would be late.
  */
 static void move_late(struct fair_queue *from, struct fair_queue *to,
 		      uint64_t now_us)
