--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -569,6 +569,39 @@
 	g_assert_null(s.core.statement_listen);
 }
 
+/*
+ * Guards against refusing callers too early while the control instances are out
+ * of reach, and against accepting a withdrawn key for too long. Without
+ * contact, service is owed for 0.6 of bounds.revoke_ms; the last confirmation
+ * may be an interval of sync requests (500 ms) older than the loss of contact.
+ */
+static void test_key_times(void)
+{
+	static const struct {
+		const char *text;
+		uint32_t revoke_ms;
+		uint32_t min_ms;
+	} cases[] = {
+		{ SETTINGS, 5000, 3500 },
+		{ SETTINGS "bounds.revoke_ms=5000\n", 5000, 3500 },
+		{ SETTINGS "bounds.revoke_ms=10000\n", 10000, 6500 },
+		{ SETTINGS "bounds.revoke_ms=2000\n", 2000, 1200 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct platform_settings s;
+		char reason[256];
+
+		g_assert_cmpint(platform_settings_parse(&s, cases[i].text,
+							reason, sizeof(reason)),
+				==, 0);
+		g_assert_cmpuint(s.core.key_fresh_ms, >=, cases[i].min_ms);
+		/* A fifth is left for clocks and statements on their way. */
+		g_assert_cmpuint(s.core.key_fresh_ms * 5, <=,
+				 cases[i].revoke_ms * 4);
+	}
+}
+
 /*
  * Changes some bytes of an input at random. The decoders must not read out of
  * bounds or report more bytes than they were given.
@@ -658,6 +691,7 @@
 	g_test_add_func("/platform/catalog-values", test_catalog_values);
 	g_test_add_func("/platform/announcements", test_heartbeats);
 	g_test_add_func("/platform/settings", test_settings);
+	g_test_add_func("/platform/key-times", test_key_times);
 	g_test_add_func("/platform/mutations", test_mutations);
 	g_test_add_func("/platform/json-mutations", test_json_mutations);
 	return g_test_run();
