Add the table of failure domains and regions

Placement needs to know which endpoints and instances are in one region, and only the failure domain of each is known.

Nothing uses the table yet.

--- a/lib/daemon/daemon.c
+++ b/lib/daemon/daemon.c
@@ -124,6 +124,8 @@
 	signal(SIGPIPE, SIG_IGN);
 	d->settings = *settings;
 	d->adapter = adapter;
+	/* The text was checked with the other settings. */
+	(void)regions_parse(&d->regions, settings->regions);
 	d->log = lws_log_create(d, STDOUT_FILENO, settings->log_level,
 				settings->name);
 	randombytes_buf(&d->incarnation, sizeof(d->incarnation));
--- a/lib/daemon/daemon.h
+++ b/lib/daemon/daemon.h
@@ -8,6 +8,7 @@
 #include "lws_counter.h"
 #include "lws_log.h"
 #include "message_queue.h"
+#include "regions.h"
 #include "settings.h"
 #include "view.h"
 
@@ -41,6 +42,7 @@
  * @workers: worker threads
  * @listen_addr: bound address for callers
  * @adapter: NULL for the built-in interface
+ * @regions: region of each failure domain
  */
 struct daemon {
 	struct settings settings;
@@ -55,6 +57,7 @@
 	struct worker *workers[DAEMON_WORKERS_MAX];
 	char listen_addr[64];
 	const struct daemon_adapter *adapter;
+	struct regions regions;
 };
 
 /* daemon.c */
--- a/lib/daemon/settings.c
+++ b/lib/daemon/settings.c
@@ -11,6 +11,7 @@
 #include "cfg.h"
 #include "lws_error.h"
 #include "lws_version.h"
+#include "regions.h"
 #include "sock.h"
 
 enum setting_kind {
@@ -19,6 +20,7 @@
 	SETTING_TEXT,
 	SETTING_NUMBER,
 	SETTING_LEVEL,
+	SETTING_REGIONS,
 };
 
 /*
@@ -96,6 +98,9 @@
 	  SETTING_NUMBER, AT(drain_ms), 100, 600000 },
 	{ "log-level", "LEVEL", "error, warn, info or debug (info)",
 	  SETTING_LEVEL, AT(log_level), 0, 0 },
+	{ "regions", "LIST",
+	  "Region of each failure domain: DOMAIN=REGION, separated by commas",
+	  SETTING_REGIONS, AT(regions), 0, 0 },
 };
 
 #define SETTINGS_COUNT (sizeof(table) / sizeof(table[0]))
@@ -124,6 +129,8 @@
 static int set_one(struct settings *s, const struct setting *setting,
 		   const char *value)
 {
+	struct regions regions;
+
 	switch (setting->kind) {
 	case SETTING_NAME:
 		if (!cfg_name_valid(value))
@@ -137,6 +144,10 @@
 		if (!*value)
 			return LWS_E_ARGUMENT;
 		break;
+	case SETTING_REGIONS:
+		if (regions_parse(&regions, value))
+			return LWS_E_ARGUMENT;
+		break;
 	case SETTING_NUMBER:
 		return set_number(s, setting, value);
 	case SETTING_LEVEL:
@@ -154,6 +165,8 @@
 		[SETTING_ADDRESS] = "an IP address and a port, IP:PORT",
 		[SETTING_TEXT] = "a non-empty text",
 		[SETTING_LEVEL] = "error, warn, info or debug",
+		[SETTING_REGIONS] = "a list DOMAIN=REGION,... with one region "
+				    "for each failure domain",
 	};
 
 	if (setting->kind == SETTING_NUMBER)
--- a/lib/daemon/settings.h
+++ b/lib/daemon/settings.h
@@ -53,6 +53,8 @@
  *                        of them are empty
  * @voters: number of control instances that vote; 0: keep those of the
  *          bootstrap
+ * @regions: region of each failure domain, as for regions_parse(); NULL for
+ *           none
  */
 struct settings {
 	const char *name;
@@ -84,6 +86,7 @@
 	const char *metrics_listen;
 	bool bootstrap_from_seeds;
 	uint32_t voters;
+	const char *regions;
 };
 
 /** settings_default() - set all settings that have a default */
