Read home regions of databases and customers

A route or tenant of the platform's configuration may have home_regions, a list of region names; absent, null or empty means no restriction, anything else is an invalid configuration.

The packed catalog and its patches have a section after their other items if any database or customer has home regions. Without home regions their bytes are those of the previous version; readers skip unknown sections. The previous version refuses a catalog with a section, so home regions must only be configured once all instances run this version.

--- a/lib/config/catalog.c
+++ b/lib/config/catalog.c
@@ -9,6 +9,11 @@
 #define DATABASE_FIELDS 9
 #define GROUP_FIELDS 3
 #define CUSTOMER_FIELDS 4
+/* Items of a catalog without its sections. */
+#define CATALOG_ITEMS 6
+/* Section with the home regions of databases and customers. */
+#define SECTION_HOME_REGIONS "home_regions"
+#define SECTION_NAME_MAX 32
 
 /* Sorting and validation */
 
@@ -150,6 +155,33 @@
 	return NULL;
 }
 
+/* Home regions */
+
+bool catalog_add_region(struct catalog_regions *list, const char *name)
+{
+	size_t len = strlen(name);
+
+	for (uint32_t i = 0; i < list->count; i++) {
+		if (strcmp(list->name[i], name) == 0)
+			return true;
+	}
+	if (!len || len >= CFG_NAME_MAX ||
+	    list->count == CATALOG_HOME_REGIONS_MAX)
+		return false;
+	memcpy(list->name[list->count++], name, len + 1);
+	return true;
+}
+
+static bool regions_equal(const struct catalog_regions *a,
+			  const struct catalog_regions *b)
+{
+	for (uint32_t i = 0; i < a->count && i < b->count; i++) {
+		if (strcmp(a->name[i], b->name[i]) != 0)
+			return false;
+	}
+	return a->count == b->count;
+}
+
 /* Encoding */
 
 static void groups_pack(struct pack_writer *w, const struct catalog *catalog)
@@ -200,9 +232,68 @@
 	}
 }
 
+static void regions_pack(struct pack_writer *w, const char *owner,
+			 const struct catalog_regions *list)
+{
+	pack_str(w, owner);
+	pack_array(w, list->count);
+	for (uint32_t i = 0; i < list->count; i++)
+		pack_str(w, list->name[i]);
+}
+
+static uint32_t count_restricted_databases(const struct catalog *catalog)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < catalog->databases_count; i++)
+		n += catalog->databases[i].home_regions.count ? 1 : 0;
+	return n;
+}
+
+static uint32_t count_restricted_customers(const struct catalog *catalog)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < catalog->customers_count; i++)
+		n += catalog->customers[i].home_regions.count ? 1 : 0;
+	return n;
+}
+
+/* Returns the number of sections of a catalog, or of a patch with its tables.
+ */
+static uint32_t count_sections(const struct catalog *c)
+{
+	return count_restricted_databases(c) || count_restricted_customers(c)
+		       ? 1
+		       : 0;
+}
+
+static void sections_pack(struct pack_writer *w, const struct catalog *c)
+{
+	if (!count_sections(c))
+		return;
+	pack_array(w, 3);
+	pack_str(w, SECTION_HOME_REGIONS);
+	pack_array(w, 2 * count_restricted_databases(c));
+	for (uint32_t i = 0; i < c->databases_count; i++) {
+		const struct catalog_database *d = &c->databases[i];
+
+		if (d->home_regions.count)
+			regions_pack(w, d->name, &d->home_regions);
+	}
+	pack_array(w, 2 * count_restricted_customers(c));
+	for (uint32_t i = 0; i < c->customers_count; i++) {
+		const struct catalog_customer *customer = &c->customers[i];
+
+		if (customer->home_regions.count)
+			regions_pack(w, customer->name,
+				     &customer->home_regions);
+	}
+}
+
 void catalog_pack(struct pack_writer *w, const struct catalog *catalog)
 {
-	pack_array(w, 6);
+	pack_array(w, CATALOG_ITEMS + count_sections(catalog));
 	pack_u64(w, catalog->version);
 	pack_u64(w, catalog->transaction_idle_ms);
 	groups_pack(w, catalog);
@@ -211,6 +302,7 @@
 		database_pack(w, &catalog->databases[i]);
 	customers_pack(w, catalog);
 	keys_pack(w, catalog);
+	sections_pack(w, catalog);
 }
 
 /* Decoding */
@@ -312,6 +404,90 @@
 	leave_records(r, &in);
 }
 
+static void regions_unpack(struct pack_reader *r, struct catalog_regions *list)
+{
+	struct pack_reader in;
+	char name[CFG_NAME_MAX];
+
+	if (pack_reader_enter(r, &in))
+		return;
+	*list = (struct catalog_regions){ 0 };
+	for (uint32_t i = 0; i < in.count; i++) {
+		pack_read_str(&in, name, sizeof(name));
+		if (in.rc || !catalog_add_region(list, name))
+			in.rc = LWS_E_WIRE_FORMAT;
+	}
+	leave_records(r, &in);
+}
+
+/* The packed databases are sorted. */
+static struct catalog_regions *regions_of_database(struct catalog *c,
+						   const char *name)
+{
+	struct catalog_database *d =
+		(struct catalog_database *)catalog_find_database(c, name);
+
+	return d ? &d->home_regions : NULL;
+}
+
+static struct catalog_regions *regions_of_customer(struct catalog *c,
+						   const char *name)
+{
+	for (uint32_t i = 0; i < c->customers_count; i++) {
+		if (strcmp(c->customers[i].name, name) == 0)
+			return &c->customers[i].home_regions;
+	}
+	return NULL;
+}
+
+/* Reads pairs of a name and its list; @find returns the list of a name. */
+static void home_regions_unpack(
+	struct pack_reader *r, struct catalog *c,
+	struct catalog_regions *(*find)(struct catalog *, const char *))
+{
+	struct pack_reader in;
+	char name[CATALOG_NAME_MAX];
+
+	if (pack_reader_enter(r, &in))
+		return;
+	for (uint32_t i = 0; i < in.count / 2 && !in.rc; i++) {
+		struct catalog_regions *list;
+
+		pack_read_str(&in, name, sizeof(name));
+		list = find(c, name);
+		if (list)
+			regions_unpack(&in, list);
+		else
+			in.rc = LWS_E_WIRE_FORMAT;
+	}
+	leave_records(r, &in);
+}
+
+/*
+ * Reads the sections up to the end of the message. The databases and customers
+ * that they refer to must have been read.
+ */
+static void sections_unpack(struct pack_reader *r, struct catalog *databases,
+			    struct catalog *customers)
+{
+	while (!r->rc && r->next < r->count) {
+		struct pack_reader in;
+		char name[SECTION_NAME_MAX];
+
+		if (pack_reader_enter(r, &in))
+			return;
+		pack_read_str(&in, name, sizeof(name));
+		if (strcmp(name, SECTION_HOME_REGIONS) == 0) {
+			home_regions_unpack(&in, databases,
+					    regions_of_database);
+			home_regions_unpack(&in, customers,
+					    regions_of_customer);
+		}
+		if (in.rc)
+			r->rc = LWS_E_WIRE_FORMAT;
+	}
+}
+
 int catalog_unpack(void *mem_ctx, const uint8_t *data, size_t len,
 		   struct catalog **out)
 {
@@ -329,6 +505,7 @@
 	databases_unpack(&r, c);
 	customers_unpack(&r, c);
 	keys_unpack(&r, c);
+	sections_unpack(&r, c, c);
 	rc = pack_reader_end(&r);
 	pack_reader_clear(&r);
 	if (!rc)
@@ -354,7 +531,21 @@
 	       a->latency_objective_ms == b->latency_objective_ms &&
 	       a->max_age_ms == b->max_age_ms &&
 	       a->attempts_max == b->attempts_max &&
-	       a->priority == b->priority && a->open == b->open;
+	       a->priority == b->priority && a->open == b->open &&
+	       regions_equal(&a->home_regions, &b->home_regions);
+}
+
+/* True when customers at the same index have the same home regions. */
+static bool customers_regions_same(const struct catalog *a,
+				   const struct catalog *b)
+{
+	for (uint32_t i = 0; i < a->customers_count && i < b->customers_count;
+	     i++) {
+		if (!regions_equal(&a->customers[i].home_regions,
+				   &b->customers[i].home_regions))
+			return false;
+	}
+	return true;
 }
 
 /* True when all groups, customers and keys are the same. */
@@ -376,7 +567,7 @@
 	       memcmp(x.buf.data, y.buf.data, x.buf.size) == 0;
 	pack_writer_clear(&x);
 	pack_writer_clear(&y);
-	return same;
+	return same && customers_regions_same(a, b);
 }
 
 static void removed_pack(struct pack_writer *w, const struct catalog *from,
@@ -403,18 +594,20 @@
 	return !old || !database_same(old, d);
 }
 
-static void changed_pack(struct pack_writer *w, const struct catalog *from,
-			 const struct catalog *to)
+/* Returns a new list of the databases that are new or differ. */
+static struct catalog_database *changed_databases(const struct catalog *from,
+						  const struct catalog *to,
+						  uint32_t *count)
 {
-	uint32_t n = 0;
+	struct catalog_database *list = talloc_zero_array(
+		NULL, struct catalog_database, to->databases_count + 1);
 
-	for (uint32_t i = 0; i < to->databases_count; i++)
-		n += is_changed(from, &to->databases[i]);
-	pack_array(w, n * DATABASE_FIELDS);
-	for (uint32_t i = 0; i < to->databases_count; i++) {
+	*count = 0;
+	for (uint32_t i = 0; list && i < to->databases_count; i++) {
 		if (is_changed(from, &to->databases[i]))
-			database_pack(w, &to->databases[i]);
+			list[(*count)++] = to->databases[i];
 	}
+	return list;
 }
 
 void catalog_patch_pack(struct pack_writer *w, const struct catalog *from,
@@ -422,17 +615,24 @@
 {
 	static const struct catalog empty;
 	bool same = other_tables_same(from, to);
+	struct catalog changes = same ? empty : *to;
 
-	pack_array(w, PATCH_FIELDS);
+	changes.databases =
+		changed_databases(from, to, &changes.databases_count);
+	pack_array(w, PATCH_FIELDS + count_sections(&changes));
 	pack_u64(w, from->version);
 	pack_u64(w, to->version);
 	pack_u64(w, to->transaction_idle_ms);
 	pack_bool(w, same);
-	groups_pack(w, same ? &empty : to);
-	customers_pack(w, same ? &empty : to);
-	keys_pack(w, same ? &empty : to);
+	groups_pack(w, &changes);
+	customers_pack(w, &changes);
+	keys_pack(w, &changes);
 	removed_pack(w, from, to);
-	changed_pack(w, from, to);
+	pack_array(w, changes.databases_count * DATABASE_FIELDS);
+	for (uint32_t i = 0; i < changes.databases_count; i++)
+		database_pack(w, &changes.databases[i]);
+	sections_pack(w, &changes);
+	talloc_free(changes.databases);
 }
 
 static void copy_other_tables(struct catalog *to, const struct catalog *from)
@@ -520,6 +720,7 @@
 					       sizeof(*from->databases));
 	removed_unpack(r, old);
 	databases_unpack(r, changed);
+	sections_unpack(r, changed, c);
 	if (!r->rc)
 		merge_databases(c, old, changed);
 	talloc_free(old);
--- a/lib/config/catalog.h
+++ b/lib/config/catalog.h
@@ -23,6 +23,8 @@
 #define CATALOG_CUSTOMERS_MAX 4096
 #define CATALOG_KEYS_MAX 65536
 #define CATALOG_GROUPS_MAX 1024
+/* Regions in one list. */
+#define CATALOG_HOME_REGIONS_MAX 16
 
 /** enum catalog_reads - consistency of the reads of a database */
 enum catalog_reads {
@@ -35,6 +37,15 @@
 	CATALOG_READS_COUNT,
 };
 
+/**
+ * struct catalog_regions - regions whose endpoints may run operations
+ * @count: number of names; 0 for no restriction
+ */
+struct catalog_regions {
+	uint32_t count;
+	char name[CATALOG_HOME_REGIONS_MAX][CFG_NAME_MAX];
+};
+
 /**
  * struct catalog_database - a database that callers may open
  * @name: unique name
@@ -46,6 +57,7 @@
  * @attempts_max: maximum attempts of a statement, at least 1
  * @priority: priority class, 0 is the most urgent
  * @open: callers need no key
+ * @home_regions: regions to which its operations are restricted
  */
 struct catalog_database {
 	char name[CATALOG_NAME_MAX];
@@ -57,6 +69,7 @@
 	uint32_t attempts_max;
 	uint32_t priority;
 	bool open;
+	struct catalog_regions home_regions;
 };
 
 /**
@@ -88,12 +101,14 @@
  * @rate_per_s: operations per second in the whole fleet, 0 for no limit
  * @burst: operations above the rate that may arrive at once
  * @priority: priority class, 0 is the most urgent
+ * @home_regions: regions to which its operations are restricted
  */
 struct catalog_customer {
 	char name[CATALOG_NAME_MAX];
 	uint32_t rate_per_s;
 	uint32_t burst;
 	uint32_t priority;
+	struct catalog_regions home_regions;
 };
 
 /**
@@ -141,14 +156,29 @@
 const struct catalog_customer *catalog_find_key(const struct catalog *catalog,
 						const uint8_t *hash);
 
-/** catalog_pack() - encode a catalog as one msgpack array */
+/**
+ * catalog_add_region() - add a region to a list
+ *
+ * Return: false if the list is full, or the name is empty or too long. A name
+ * that is already in the list is not added again.
+ */
+bool catalog_add_region(struct catalog_regions *list, const char *name);
+
+/**
+ * catalog_pack() - encode a catalog as one msgpack array
+ *
+ * Optional sections follow the other items: arrays that begin with their name.
+ * They are present only if they have content, and readers skip those that they
+ * do not know. Versions without sections refuse a catalog that has one.
+ */
 void catalog_pack(struct pack_writer *w, const struct catalog *catalog);
 
 /**
  * catalog_patch_pack() - encode the changes from @from to @to
  *
  * The patch is one msgpack array. It contains the databases that changed and,
- * if any group, customer or key changed, all groups, customers and keys.
+ * if any group, customer or key changed, all groups, customers and keys. The
+ * sections of catalog_pack() follow, for these databases and customers.
  */
 void catalog_patch_pack(struct pack_writer *w, const struct catalog *from,
 			const struct catalog *to);
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "catalog.h"
 #include "cfg_directory.h"
 #include "lws_error.h"
 #include "lws_rng.h"
@@ -201,6 +202,230 @@
 	}
 }
 
+/* Catalogs: packed form and patches, with and without home regions */
+
+/* A catalog: databases "a" and "b", customers "t" and "u", in this order. */
+struct regions_case {
+	const char *name;
+	/* Regions of a, b, t, u: one letter each. */
+	const char *before[4];
+	const char *after[4];
+	/* First byte of the packed catalog and of the patch: items, + 0x90. */
+	uint8_t catalog_head;
+	uint8_t patch_head;
+};
+
+static const struct regions_case regions_cases[] = {
+	{ "none", { "", "", "", "" }, { "", "", "", "" }, 0x96, 0x99 },
+	{ "database-restricted",
+	  { "", "", "", "" },
+	  { "n", "", "", "" },
+	  0x97,
+	  0x9a },
+	{ "database-freed",
+	  { "n", "", "", "" },
+	  { "", "", "", "" },
+	  0x96,
+	  0x99 },
+	{ "database-moved",
+	  { "n", "s", "", "" },
+	  { "s", "s", "", "" },
+	  0x97,
+	  0x9a },
+	{ "database-unchanged",
+	  { "ns", "", "", "" },
+	  { "ns", "", "", "" },
+	  0x97,
+	  0x99 },
+	{ "customer-restricted",
+	  { "", "", "", "" },
+	  { "", "", "", "ns" },
+	  0x97,
+	  0x9a },
+	{ "customer-freed",
+	  { "n", "", "s", "" },
+	  { "n", "", "", "" },
+	  0x97,
+	  0x99 },
+	{ "customer-unchanged",
+	  { "", "", "s", "" },
+	  { "n", "", "s", "" },
+	  0x97,
+	  0x9a },
+	{ "shorter-list",
+	  { "nsw", "", "", "" },
+	  { "ns", "", "", "" },
+	  0x97,
+	  0x9a },
+};
+
+static void add_regions(struct catalog_regions *list, const char *letters)
+{
+	for (; *letters; letters++) {
+		char name[] = { *letters, '\0' };
+
+		g_assert_true(catalog_add_region(list, name));
+	}
+}
+
+static struct catalog *make_catalog(void *mem, uint64_t version,
+				    const char *const *regions)
+{
+	struct catalog *c = talloc_zero(mem, struct catalog);
+	const char *reason;
+
+	c->version = version;
+	c->transaction_idle_ms = 3000;
+	c->groups_count = 1;
+	c->groups = talloc_zero_array(c, struct catalog_group, 2);
+	strcpy(c->groups[0].name, "g");
+	c->groups[0].connections_max = 21;
+	c->databases_count = 2;
+	c->databases = talloc_zero_array(c, struct catalog_database, 3);
+	c->customers_count = 2;
+	c->customers = talloc_zero_array(c, struct catalog_customer, 3);
+	c->keys = talloc_zero_array(c, struct catalog_key, 1);
+	for (uint32_t i = 0; i < 2; i++) {
+		c->databases[i].name[0] = (char)('a' + i);
+		c->databases[i].statement_timeout_ms = 800;
+		add_regions(&c->databases[i].home_regions, regions[i]);
+		c->customers[i].name[0] = (char)('t' + i);
+		c->customers[i].rate_per_s = 5;
+		add_regions(&c->customers[i].home_regions, regions[2 + i]);
+	}
+	g_assert_cmpint(catalog_finish(c, &reason), ==, 0);
+	return c;
+}
+
+static GBytes *packed(const struct catalog *c)
+{
+	struct pack_writer w;
+	GBytes *bytes;
+
+	pack_writer_init(&w);
+	catalog_pack(&w, c);
+	bytes = g_bytes_new(w.buf.data, w.buf.size);
+	pack_writer_clear(&w);
+	return bytes;
+}
+
+static void check_copy(const struct catalog *wanted, const struct catalog *got)
+{
+	g_autoptr(GBytes) a = packed(wanted);
+	g_autoptr(GBytes) b = packed(got);
+
+	g_assert_true(g_bytes_equal(a, b));
+	for (uint32_t i = 0; i < 2; i++) {
+		g_assert_cmpuint(got->databases[i].home_regions.count, ==,
+				 wanted->databases[i].home_regions.count);
+		g_assert_cmpuint(got->customers[i].home_regions.count, ==,
+				 wanted->customers[i].home_regions.count);
+	}
+}
+
+/*
+ * Guards against a restriction that is lost, or outlives its removal, in the
+ * packed form or in a patch; and against sections in the form that instances of
+ * older versions read when there are no home regions.
+ */
+static void test_home_regions(gconstpointer data)
+{
+	const struct regions_case *c = data;
+	void *mem = talloc_new(NULL);
+	struct catalog *before = make_catalog(mem, 1, c->before);
+	struct catalog *after = make_catalog(mem, 2, c->after);
+	g_autoptr(GBytes) bytes = packed(after);
+	struct catalog *copy;
+	struct pack_writer w;
+	const uint8_t *at;
+	size_t len;
+
+	at = g_bytes_get_data(bytes, &len);
+	g_assert_cmpuint(at[0], ==, c->catalog_head);
+	g_assert_cmpint(catalog_unpack(mem, at, len, &copy), ==, 0);
+	check_copy(after, copy);
+	pack_writer_init(&w);
+	catalog_patch_pack(&w, before, after);
+	g_assert_cmpuint((uint8_t)w.buf.data[0], ==, c->patch_head);
+	g_assert_cmpint(catalog_patch_apply(mem, before,
+					    (const uint8_t *)w.buf.data,
+					    w.buf.size, &copy),
+			==, 0);
+	check_copy(after, copy);
+	pack_writer_clear(&w);
+	talloc_free(mem);
+}
+
+/* The packed form of the version before home regions, byte for byte. */
+static void test_catalog_bytes(void)
+{
+	static const char *const none[] = { "", "", "", "" };
+	static const char hex[] =
+		"9601cd0bb893a1671500dc0012a1610000cd032000000000c2a1620000cd03"
+		"2000000000c298a174050000a17505000090";
+	void *mem = talloc_new(NULL);
+	g_autoptr(GBytes) bytes = packed(make_catalog(mem, 1, none));
+	g_autoptr(GString) got = g_string_new(NULL);
+	const uint8_t *at;
+	size_t len;
+
+	at = g_bytes_get_data(bytes, &len);
+	for (size_t i = 0; i < len; i++)
+		g_string_append_printf(got, "%02x", at[i]);
+	g_assert_cmpstr(got->str, ==, hex);
+	talloc_free(mem);
+}
+
+/* A section of a later version is skipped; a malformed list is refused. */
+static void test_catalog_sections(void)
+{
+	static const char *const none[] = { "", "", "", "" };
+	static const struct {
+		const char *section;
+		size_t len;
+		int rc;
+	} cases[] = {
+		/* ["later", 7] */
+		{ "\x92\xa5later\x07", 8, 0 },
+		/* ["home_regions", ["a", ["n"]], []] */
+		{ "\x93\xachome_regions\x92\xa1"
+		  "a\x91\xa1n\x90",
+		  21, 0 },
+		/* an unknown database */
+		{ "\x93\xachome_regions\x92\xa1"
+		  "z\x91\xa1n\x90",
+		  21, LWS_E_WIRE_FORMAT },
+		/* a database without a list */
+		{ "\x93\xachome_regions\x91\xa1"
+		  "a\x90",
+		  18, LWS_E_WIRE_FORMAT },
+		/* an empty name */
+		{ "\x93\xachome_regions\x92\xa1"
+		  "a\x91\xa0\x90",
+		  20, LWS_E_WIRE_FORMAT },
+		/* no array */
+		{ "\x07", 1, LWS_E_WIRE_FORMAT },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		void *mem = talloc_new(NULL);
+		g_autoptr(GBytes) bytes = packed(make_catalog(mem, 1, none));
+		g_autoptr(GByteArray) all = g_byte_array_new();
+		struct catalog *copy = NULL;
+		const uint8_t *at;
+		size_t len;
+
+		at = g_bytes_get_data(bytes, &len);
+		g_byte_array_append(all, at, (guint)len);
+		all->data[0]++;
+		g_byte_array_append(all, (const uint8_t *)cases[i].section,
+				    (guint)cases[i].len);
+		g_assert_cmpint(catalog_unpack(mem, all->data, all->len, &copy),
+				==, cases[i].rc);
+		talloc_free(mem);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	if (sodium_init() < 0)
@@ -212,6 +437,15 @@
 
 		g_test_add_data_func(path, &directory_cases[i], test_directory);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(regions_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/config/home-regions/%s", regions_cases[i].name);
+
+		g_test_add_data_func(path, &regions_cases[i],
+				     test_home_regions);
+	}
+	g_test_add_func("/config/catalog-bytes", test_catalog_bytes);
+	g_test_add_func("/config/catalog-sections", test_catalog_sections);
 	g_test_add_func("/config/merge", test_merge_keeps_the_rest);
 	g_test_add_func("/config/mutations", test_mutations);
 	return g_test_run();
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -345,6 +345,12 @@
 	"{\"name\":\"" name "\",\"api_keys\":[" keys "]," \
 	"\"rate_per_s\":119,\"burst\":119,\"priority\":1}"
 
+#define HOME_ROUTE(regions)                                        \
+	"{\"host\":\"a\",\"service\":\"g1\",\"type\":\"primary\"," \
+	"\"timeout_ms\":800,\"home_regions\":" regions "}"
+#define HOME_TENANT(regions) \
+	"{\"name\":\"t\",\"api_keys\":[],\"home_regions\":" regions "}"
+
 struct catalog_case {
 	const char *body;
 	int rc;
@@ -396,6 +402,23 @@
 	{ "{\"version\":7,\"version\":8,\"routes\":[]," SERVICES "}",
 	  LWS_E_CONFIG_SYNTAX },
 	{ "{\"version\":7,\"routes\":[", LWS_E_CONFIG_SYNTAX },
+	{ CATALOG(HOME_ROUTE("null"), HOME_TENANT("null")), 0 },
+	{ CATALOG(HOME_ROUTE("[]"), HOME_TENANT("[]")), 0 },
+	{ CATALOG(HOME_ROUTE("[\"n\",\"s\"]"), HOME_TENANT("[\"n\"]")), 0 },
+	{ CATALOG(HOME_ROUTE("[\"n\",\"n\"]"), ""), 0 },
+	{ CATALOG(HOME_ROUTE("\"n\""), ""), LWS_E_CONFIG_VALUE },
+	{ CATALOG(HOME_ROUTE("{}"), ""), LWS_E_CONFIG_VALUE },
+	{ CATALOG(HOME_ROUTE("false"), ""), LWS_E_CONFIG_VALUE },
+	{ CATALOG(HOME_ROUTE("[7]"), ""), LWS_E_CONFIG_VALUE },
+	{ CATALOG(HOME_ROUTE("[null]"), ""), LWS_E_CONFIG_VALUE },
+	{ CATALOG(HOME_ROUTE("[\"\"]"), ""), LWS_E_CONFIG_VALUE },
+	{ CATALOG(HOME_ROUTE("[[\"n\"]]"), ""), LWS_E_CONFIG_VALUE },
+	{ CATALOG(HOME_ROUTE("[\"n\\u0000\"]"), ""), LWS_E_CONFIG_SYNTAX },
+	{ CATALOG(HOME_ROUTE("[\"12345678901234567890123456789012\"]"), ""),
+	  LWS_E_CONFIG_VALUE },
+	{ CATALOG("", HOME_TENANT("\"n\"")), LWS_E_CONFIG_VALUE },
+	{ CATALOG("", HOME_TENANT("[\"n\",1]")), LWS_E_CONFIG_VALUE },
+	{ CATALOG("", HOME_TENANT("0")), LWS_E_CONFIG_VALUE },
 	{ "[]", LWS_E_CONFIG_SYNTAX },
 	{ "", LWS_E_CONFIG_SYNTAX },
 };
@@ -454,6 +477,38 @@
 	talloc_free(catalog);
 }
 
+/* The lists reach the catalog as sent, and survive its packed form. */
+static void test_home_regions(void)
+{
+	static const char body[] =
+		CATALOG(HOME_ROUTE("[\"n\",\"s\"]"), HOME_TENANT("[\"s\"]"));
+	const struct catalog_regions *list;
+	struct catalog *catalog;
+	struct catalog *copy;
+	struct pack_writer w;
+	const char *reason;
+
+	g_assert_cmpint(platform_decode_catalog(NULL, (const uint8_t *)body,
+						sizeof(body) - 1, &catalog,
+						&reason),
+			==, 0);
+	pack_writer_init(&w);
+	catalog_pack(&w, catalog);
+	g_assert_cmpint(
+		catalog_unpack(NULL, (uint8_t *)w.buf.data, w.buf.size, &copy),
+		==, 0);
+	list = &catalog_find_database(copy, "a")->home_regions;
+	g_assert_cmpuint(list->count, ==, 2);
+	g_assert_cmpstr(list->name[0], ==, "n");
+	g_assert_cmpstr(list->name[1], ==, "s");
+	list = &copy->customers[0].home_regions;
+	g_assert_cmpuint(list->count, ==, 1);
+	g_assert_cmpstr(list->name[0], ==, "s");
+	pack_writer_clear(&w);
+	talloc_free(copy);
+	talloc_free(catalog);
+}
+
 #define HEARTBEAT(more)                                                   \
 	"{\"service\":\"g1\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\"," \
 	"\"slots\":2,\"state\":\"ready\",\"db_role\":\"replica\","        \
@@ -536,8 +591,46 @@
 	{ SETTINGS "bounds.quota_excess=0.1\n", 0, NULL },
 	{ SETTINGS "bounds.quota_excess=2\n", LWS_E_CONFIG_VALUE,
 	  "bounds.quota_excess" },
+	{ SETTINGS "region=n\n", 0, NULL },
+	{ SETTINGS "region=n\nzones.bole=n\nzones.gerji=s\n", 0, NULL },
+	{ SETTINGS "zones.bole=n\nzones.bole=n\n", 0, NULL },
+	{ SETTINGS "zones.bole=n\nzones.bole=s\n", LWS_E_CONFIG_VALUE,
+	  "zones.bole: " },
+	{ SETTINGS "zones.bole=\n", LWS_E_CONFIG_VALUE, "zones.bole: " },
+	{ SETTINGS "zones.=n\n", LWS_E_CONFIG_VALUE, "zones.: " },
+	{ SETTINGS "zones.a=b,c=d\n", LWS_E_CONFIG_VALUE, "zones.a: " },
+	{ SETTINGS "region=s\nzones.bole=n\n", LWS_E_CONFIG_VALUE, "region: " },
 };
 
+struct regions_case {
+	const char *lines;
+	/* Setting of the daemon, NULL for none. */
+	const char *regions;
+};
+
+/* The region of this instance is that of its own failure domain, "bole". */
+static const struct regions_case regions_cases[] = {
+	{ SETTINGS, NULL },
+	{ SETTINGS "region=\n", NULL },
+	{ SETTINGS "region=n\n", "bole=n" },
+	{ SETTINGS "zones.bole=n\nzones.gerji=s\n", "bole=n,gerji=s" },
+	{ SETTINGS "zones.gerji=s\nregion=n\n", "gerji=s,bole=n" },
+};
+
+static void test_regions(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(regions_cases); i++) {
+		const struct regions_case *c = &regions_cases[i];
+		struct platform_settings s;
+		char reason[256];
+
+		g_assert_cmpint(platform_settings_parse(&s, c->lines, reason,
+							sizeof(reason)),
+				==, 0);
+		g_assert_cmpstr(s.core.regions, ==, c->regions);
+	}
+}
+
 static void test_settings(void)
 {
 	struct platform_settings s;
@@ -656,8 +749,10 @@
 	g_test_add_func("/platform/replies", test_replies);
 	g_test_add_func("/platform/catalog", test_catalog);
 	g_test_add_func("/platform/catalog-values", test_catalog_values);
+	g_test_add_func("/platform/home-regions", test_home_regions);
 	g_test_add_func("/platform/announcements", test_heartbeats);
 	g_test_add_func("/platform/settings", test_settings);
+	g_test_add_func("/platform/regions", test_regions);
 	g_test_add_func("/platform/mutations", test_mutations);
 	g_test_add_func("/platform/json-mutations", test_json_mutations);
 	return g_test_run();
