--- a/lib/daemon/session_server.c
+++ b/lib/daemon/session_server.c
@@ -702,6 +702,7 @@
 	metrics_put(out, "forward_refused", stats->forward_refused);
 	metrics_put(out, "forward_lost", stats->forward_lost);
 	metrics_put(out, "held", stats->held);
+	metrics_put(out, "crossed_region", stats->crossed_region);
 	metrics_put(out, "malformed", server->malformed);
 	for (int i = STATEMENT_E_NONE + 1; i < STATEMENT_E_COUNT; i++) {
 		snprintf(name, sizeof(name), "refused{error=\"%s\"}",
@@ -731,6 +732,7 @@
 		.leaving_grace_us = s->leave_ms * LWS_US_PER_MS,
 		.customer_bound = true,
 		.seed = c->daemon->incarnation,
+		.regions = &c->daemon->regions,
 	};
 	struct pooler_ops ops = {
 		.private_data = server,
--- a/lib/session/holders.h
+++ b/lib/session/holders.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "fleet.h"
+#include "regions.h"
 
 /**
  * DOC: Choice of the holders of a group: the few instances that keep the
@@ -32,10 +33,12 @@
  * struct holder - an instance that may hold connections
  * @name: instance
  * @addr: address at which it accepts forwarded operations
+ * @region: its region, as a set of regions_bit(); 0 if unknown
  */
 struct holder {
 	char name[FLEET_NAME_MAX];
 	char addr[FLEET_ADDR_MAX];
+	uint64_t region;
 };
 
 /** struct holders - order of the holders of one group */
@@ -60,13 +63,17 @@
  * @out: result
  * @fleet: replicated state
  * @group: group
+ * @regions: regions of the failure domains, NULL for none
  *
  * The first holders are in the failure domains of the group's endpoints, each
  * in another one: an isolated domain then still has a holder, and the loss of
- * one domain takes only one holder.
+ * one domain takes only one holder. With more than one region, each region with
+ * an endpoint has one of them, as far as HOLDERS_PER_GROUP allows: operations
+ * then need not cross regions, and an isolated region still has a holder.
  */
 void holders_rank(struct holders *out, const struct fleet *fleet,
-		  const struct fleet_group *group);
+		  const struct fleet_group *group,
+		  const struct regions *regions);
 
 /**
  * holders_index() - position of an instance in the order
@@ -80,10 +87,14 @@
  * @h: order of the group
  * @customer: hash of the customer's name
  * @excluded: instances that cannot take the operation, as bits 1 << index
+ * @region: region to prefer, as a set of regions_bit(); 0 for none
+ *
+ * Load pattern: regions with little bandwidth between them. Instances in
+ * @region are chosen before all others, also those that only replace a holder.
  *
  * Return: index in @ranked, or HOLDERS_RANKED if all are excluded.
  */
 uint32_t holders_choose(const struct holders *h, uint64_t customer,
-			uint32_t excluded);
+			uint32_t excluded, uint64_t region);
 
 #endif
--- a/lib/session/pooler.c
+++ b/lib/session/pooler.c
@@ -22,6 +22,7 @@
 	p->params = *params;
 	p->ops = *ops;
 	p->rng.seed = params->seed;
+	p->own_region = regions_bit(params->regions, params->failure_domain);
 	p->admission = admission_create(p);
 	if (!p->admission) {
 		talloc_free(p);
@@ -183,7 +184,7 @@
 	talloc_free(s);
 }
 
-static void dequeue(struct pool_session *s)
+void pooler_dequeue(struct pool_session *s)
 {
 	struct pool_job *job = &s->job;
 
@@ -199,7 +200,7 @@
 {
 	if (s->busy) {
 		pool_detach_opening(s);
-		dequeue(s);
+		pooler_dequeue(s);
 		p->busy_count--;
 	}
 	pooler_forward_end(s);
@@ -264,7 +265,7 @@
 		return;
 	}
 	if (job->place == JOB_QUEUED)
-		dequeue(s);
+		pooler_dequeue(s);
 	if (conn) {
 		s->conn = NULL;
 		conn->session = NULL;
@@ -413,6 +414,7 @@
 				  fleet_find_group(fleet, from->name));
 		pool_dispatch(g, now_us);
 	}
+	pooler_recheck_home_regions(p, now_us);
 }
 
 void pooler_set_confirmed(struct pooler *p, uint64_t confirmed_us)
--- a/lib/session/pooler.h
+++ b/lib/session/pooler.h
@@ -6,6 +6,7 @@
 #include "forward.h"
 #include "lws_histogram.h"
 #include "rate_bucket.h"
+#include "regions.h"
 #include "statement.h"
 
 /**
@@ -49,6 +50,7 @@
  *                    there is no successor; 0 for no limit
  * @customer_bound: a connection serves only the customer it was opened for
  * @seed: seed for jitter
+ * @regions: regions of the failure domains, must stay valid; NULL for none
  */
 struct pooler_params {
 	char name[FLEET_NAME_MAX];
@@ -58,6 +60,7 @@
 	uint64_t leaving_grace_us;
 	bool customer_bound;
 	uint64_t seed;
+	const struct regions *regions;
 };
 
 /**
@@ -284,6 +287,8 @@
  * @forward_refused: operations that a holder did not take
  * @forward_lost: channels lost with a statement in progress
  * @held: operations of other instances that this instance took
+ * @crossed_region: operations sent to a holder, or started at an endpoint, of
+ *                  another region than this instance's
  * @refused: errors returned to callers, by error
  * @answered_us: time from a statement's arrival to its successful answer, by
  *               priority class
@@ -302,6 +307,7 @@
 	uint64_t forward_refused;
 	uint64_t forward_lost;
 	uint64_t held;
+	uint64_t crossed_region;
 	uint64_t refused[STATEMENT_E_COUNT];
 	struct lws_histogram answered_us[POOLER_PRIORITY_CLASSES];
 	struct lws_histogram waited_us[POOLER_PRIORITY_CLASSES];
--- a/lib/session/pooler_answers.c
+++ b/lib/session/pooler_answers.c
@@ -108,7 +108,7 @@
 	const struct pool_group *g = e->group;
 
 	if (!s->job.anywhere)
-		return e == g->primary;
+		return e == g->primary && pooler_may_run_at(s, e);
 	return pool_find_min_position(s) && pool_can_read(e, &s->job, now_us);
 }
 
--- a/lib/session/pooler_dispatch.c
+++ b/lib/session/pooler_dispatch.c
@@ -55,7 +55,9 @@
 	uint64_t service = e->service_us ? e->service_us : POOL_SERVICE_US;
 	uint64_t cost = service * (e->running + 1);
 
-	if (strcmp(e->failure_domain, p->params.failure_domain) != 0)
+	if (pooler_crosses_region(p, e->region))
+		cost += POOL_OTHER_REGION_US;
+	else if (strcmp(e->failure_domain, p->params.failure_domain) != 0)
 		cost += POOL_OTHER_DOMAIN_US;
 	if (!pool_find_idle(e, s->customer, 0))
 		cost += POOL_HANDSHAKE_US;
@@ -103,7 +105,8 @@
 		   uint64_t now_us)
 {
 	if (!e->known || (!e->present && e != e->group->primary) ||
-	    e->suspect || is_past_leaving_grace(e, now_us))
+	    e->suspect || is_past_leaving_grace(e, now_us) ||
+	    !pooler_may_run_at(pool_session_of_job(job), e))
 		return false;
 	/*
 	 * After its pause, a lagging endpoint gets one statement at a time,
@@ -139,6 +142,22 @@
 	return true;
 }
 
+/*
+ * Returns true if a connection in the own region is being opened for the
+ * statement, and has not taken longer than it takes to cross to the region of
+ * @e: an endpoint that does not answer must not delay the statement further.
+ */
+static bool waits_for_own_region(const struct pool_session *s,
+				 const struct pool_endpoint *e, uint64_t now_us)
+{
+	const struct pooler *p = s->pooler;
+	const struct pool_conn *opening = s->job.opening;
+
+	return opening && pooler_crosses_region(p, e->region) &&
+	       !pooler_crosses_region(p, opening->endpoint->region) &&
+	       now_us - opening->sent_us < POOL_OTHER_REGION_US;
+}
+
 /*
  * Load pattern: replicas that are slow, lag or do not answer, while others have
  * room. A read goes to the endpoint that should finish it first.
@@ -159,6 +178,7 @@
 			bool lagging = pool_is_lagging(e, &s->job);
 
 			if ((tried & (1U << i)) ||
+			    waits_for_own_region(s, e, now_us) ||
 			    !pool_can_read(e, &s->job, now_us))
 				continue;
 			if (!best || lagging < best_lagging ||
@@ -192,6 +212,10 @@
 		s->job.wait_reason = "no_primary";
 		return NULL;
 	}
+	if (!pooler_may_run_at(s, e)) {
+		s->job.wait_reason = "primary_outside_home_regions";
+		return NULL;
+	}
 	if (is_past_leaving_grace(e, now_us)) {
 		s->job.wait_reason = "primary_left";
 		return NULL;
@@ -209,6 +233,10 @@
 void pool_start_queued(struct fair_queue *q, struct pool_session *s,
 		       struct pool_conn *conn, uint64_t now_us)
 {
+	struct pooler *p = s->pooler;
+
+	if (pooler_crosses_region(p, conn->endpoint->region))
+		p->stats.crossed_region++;
 	fair_queue_take(q, &s->job.item);
 	pool_start(s, conn, now_us);
 }
@@ -272,13 +300,15 @@
 		return NULL;
 	if (!anywhere)
 		return e == g->primary && !e->suspect &&
+				       pooler_may_run_at(s, e) &&
 				       !is_past_leaving_grace(e, now_us) &&
 				       now_us >= e->read_only_until_us &&
 				       now_us >= e->busy_until_us
 			       ? s
 			       : NULL;
 	if (!pool_find_min_position(s) || !pool_can_read(e, &s->job, now_us) ||
-	    (e == g->primary && replica_can_read(g, &s->job, now_us)))
+	    (e == g->primary && replica_can_read(g, &s->job, now_us)) ||
+	    pooler_prefers_other(s, e, now_us))
 		return NULL;
 	return s;
 }
--- a/lib/session/pooler_forward.c
+++ b/lib/session/pooler_forward.c
@@ -40,14 +40,13 @@
 		holders_needed(usable_connections(g), p->accepting_instances,
 			       p->catalog->customers_count);
 	if (g->forwards) {
-		holders_rank(&g->holders, p->fleet, state);
+		holders_rank(&g->holders, p->fleet, state, p->params.regions);
 		g->forwards = g->holders.count > 0;
 	}
 	g->connections_share = share_of(p, g);
 }
 
-/* Returns true if only the primary can run the operation. */
-static bool needs_primary(const struct pool_session *s,
+bool pooler_needs_primary(const struct pool_session *s,
 			  const struct statement *st, bool writes)
 {
 	return writes || st->kind == STATEMENT_BEGIN ||
@@ -87,7 +86,9 @@
 {
 	const struct pool_job *job = &s->job;
 
-	if (needs_primary(s, &job->st, job->writes) &&
+	if (job->region_refused)
+		return false;
+	if (pooler_needs_primary(s, &job->st, job->writes) &&
 	    primary_out_of_reach(job->group, now_us))
 		return false;
 	return !out_of_tokens(s, now_us);
@@ -104,6 +105,8 @@
 {
 	const struct pooler *p = s->pooler;
 
+	if (!is_self(p, h) && !pooler_may_hold(s, h))
+		return false;
 	return is_self(p, h)
 		       ? may_run_here(s, now_us)
 		       : p->ops.holder_usable(p->ops.private_data, h->addr);
@@ -189,12 +192,14 @@
 	struct pool_job *job = &s->job;
 	struct pool_group *g = job->group;
 	uint32_t excluded = job->excluded_holders;
+	uint64_t region = pooler_preferred_region(
+		s, pooler_needs_primary(s, &job->st, job->writes));
 	uint32_t index;
 
 	if (s->held || !g->forwards)
 		return false;
-	while ((index = holders_choose(&g->holders, s->customer_hash,
-				       excluded)) != HOLDERS_RANKED) {
+	while ((index = holders_choose(&g->holders, s->customer_hash, excluded,
+				       region)) != HOLDERS_RANKED) {
 		const struct holder *h = &g->holders.ranked[index];
 
 		excluded |= 1U << index;
@@ -205,12 +210,23 @@
 		s->channel = open_channel(s, now_us, h->addr);
 		if (s->channel) {
 			p->stats.forwarded++;
+			if (pooler_crosses_region(p, h->region))
+				p->stats.crossed_region++;
 			job->holder = index;
 			s->channel_group = g;
 			mark_forwarded(s, now_us);
 			return true;
 		}
 	}
+	/*
+	 * Only a newer configuration than this instance's can make a holder
+	 * refuse it, so this instance cannot tell where it may run.
+	 */
+	if (job->region_refused) {
+		pooler_refuse(s, now_us, STATEMENT_E_BUSY, TRANSACTION_NONE,
+			      "home regions have changed");
+		return true;
+	}
 	/*
 	 * If no holder reaches the primary, it is being replaced. Connections
 	 * of all instances to its successor would keep that busy.
@@ -295,6 +311,19 @@
 	pooler_reply(s, now_us, &out, out.text);
 }
 
+/* The configuration of a holder, which is newer, excludes its region. */
+static void exclude_region(struct pool_session *s)
+{
+	const struct holders *h = &s->job.group->holders;
+	uint64_t region = h->ranked[s->job.holder].region;
+
+	s->job.region_refused = true;
+	for (uint32_t i = 0; i < h->count; i++) {
+		if (h->ranked[i].region == region)
+			s->job.excluded_holders |= 1U << i;
+	}
+}
+
 void pooler_forward_refused(struct pooler *p, uint64_t now_us,
 			    struct pool_session *s, const char *reason)
 {
@@ -304,6 +333,8 @@
 	p->stats.forward_refused++;
 	if (strcmp(reason, POOL_REFUSED_PRIMARY) == 0)
 		s->job.primary_refused = true;
+	if (strcmp(reason, POOL_REFUSED_REGION) == 0)
+		exclude_region(s);
 	forward_again(s, now_us);
 }
 
@@ -372,6 +403,7 @@
 {
 	struct pooler *p = s->pooler;
 	const char *reason = NULL;
+	bool at_primary;
 
 	if (p->draining)
 		return "stopping";
@@ -382,8 +414,16 @@
 	/* pooler_statement() reports errors that are not this instance's. */
 	if (pooler_check_access(s, now_us, &reason) == STATEMENT_E_BUSY)
 		return reason;
-	if (s->job.group &&
-	    needs_primary(s, &op->statement, writes(s, &op->statement)) &&
+	at_primary = pooler_needs_primary(s, &op->statement,
+					  writes(s, &op->statement));
+	if (s->has_home_regions && !(s->home_regions & p->own_region))
+		return POOL_REFUSED_REGION;
+	if (s->job.group) {
+		reason = pooler_no_endpoint(s, at_primary);
+		if (reason)
+			return reason;
+	}
+	if (s->job.group && at_primary &&
 	    primary_out_of_reach(s->job.group, now_us))
 		return POOL_REFUSED_PRIMARY;
 	if (out_of_tokens(s, now_us))
--- a/lib/session/pooler_group.c
+++ b/lib/session/pooler_group.c
@@ -68,6 +68,8 @@
 		close_idle(e, now_us);
 	}
 	LWS_STR_COPY(e->failure_domain, from->failure_domain);
+	e->region = regions_bit(e->group->pooler->params.regions,
+				from->failure_domain);
 	e->known = true;
 	e->present = from->present;
 	if (!from->leaving)
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -49,6 +49,11 @@
 #define POOL_SUSPECT_REFUSE_US (700 * LWS_US_PER_MS)
 /* Reason that a holder gives for it. */
 #define POOL_REFUSED_PRIMARY "primary_suspect"
+/*
+ * Reason of a holder outside the home regions of an operation, according to its
+ * own configuration.
+ */
+#define POOL_REFUSED_REGION "holder_outside_home_regions"
 /* A connection above the even share is closed after this idle time. */
 #define POOL_EXTRA_IDLE_MAX_US (150 * LWS_US_PER_MS)
 /*
@@ -119,6 +124,12 @@
 #define POOL_SERVICE_US (10 * LWS_US_PER_MS)
 /* Extra round-trip time to an endpoint in another failure domain. */
 #define POOL_OTHER_DOMAIN_US (1 * LWS_US_PER_MS)
+/*
+ * Extra time of a statement at an endpoint in another region, instead of the
+ * above: the order of a round trip between two regions, where an idle endpoint
+ * far away serves a read sooner than one nearby with two short ones to run.
+ */
+#define POOL_OTHER_REGION_US (20 * LWS_US_PER_MS)
 /*
  * A primary with an unanswered request is suspect if it has neither answered
  * nor accepted a connection for this many times pooler_params.suspect_us.
@@ -225,6 +236,8 @@
 	char id[FLEET_NAME_MAX];
 	char addr[FLEET_ADDR_MAX];
 	char failure_domain[FLEET_NAME_MAX];
+	/* Its region as a set of regions_bit(); 0 if unknown. */
+	uint64_t region;
 	uint64_t incarnation;
 	bool known;
 	bool present;
@@ -353,6 +366,8 @@
 	uint32_t holder;
 	/* A holder refused it because the primary does not answer. */
 	bool primary_refused;
+	/* A holder refused it as outside the home regions. */
+	bool region_refused;
 	const char *wait_reason;
 };
 
@@ -384,6 +399,10 @@
 	uint32_t weight;
 	/* Rate limit of the customer, 0 for none. */
 	uint32_t rate_per_s;
+	/* Only endpoints in @home_regions, a set, may run its operations. */
+	bool has_home_regions;
+	bool home_regions_disjoint;
+	uint64_t home_regions;
 	enum catalog_reads reads;
 	uint32_t priority_class;
 	uint32_t objective_ms;
@@ -408,6 +427,11 @@
 	const struct catalog *catalog;
 	/* Number of instances that accept callers and share connections. */
 	uint32_t accepting_instances;
+	/* Region of this instance, as a set of regions_bit(). */
+	uint64_t own_region;
+	/* Whether the catalog @home_version has home regions. */
+	bool has_home_regions;
+	uint64_t home_version;
 	uint64_t confirmed_us;
 	struct lws_rng rng;
 	struct admission *admission;
@@ -442,6 +466,8 @@
 			 enum transaction_state state);
 void pooler_reply_success(struct pool_session *s, uint64_t now_us,
 			  enum transaction_state state);
+/* Takes a statement out of the queue or of the wait for a token. */
+void pooler_dequeue(struct pool_session *s);
 
 /* pooler_statement.c: checks before a statement is queued */
 void pooler_refuse_queue_full(struct pool_session *s, uint64_t now_us,
@@ -461,9 +487,28 @@
 
 void pooler_mark_lagging(struct pool_job *job, const struct pool_endpoint *e);
 
+/* pooler_regions.c: home regions, and preference for the own region */
+void pooler_apply_home_regions(struct pool_session *s,
+			       const struct catalog_database *database,
+			       const struct catalog_customer *customer);
+bool pooler_may_run_at(const struct pool_session *s,
+		       const struct pool_endpoint *e);
+bool pooler_may_hold(const struct pool_session *s, const struct holder *h);
+/* Returns why no endpoint may run the operation, NULL if one may. */
+const char *pooler_no_endpoint(const struct pool_session *s, bool at_primary);
+uint64_t pooler_preferred_region(const struct pool_session *s, bool at_primary);
+bool pooler_crosses_region(const struct pooler *p, uint64_t region);
+bool pooler_prefers_other(const struct pool_session *s,
+			  const struct pool_endpoint *e, uint64_t now_us);
+void pooler_abort_outside_home_regions(struct pool_session *s, uint64_t now_us);
+void pooler_recheck_home_regions(struct pooler *p, uint64_t now_us);
+
 /* pooler_forward.c: operations sent to holders, and taken from others */
 void pooler_forward_update(struct pooler *p, struct pool_group *g,
 			   const struct fleet_group *state);
+/* Returns true if only the primary can run the operation. */
+bool pooler_needs_primary(const struct pool_session *s,
+			  const struct statement *st, bool writes);
 /* Returns false if this instance has to run the operation itself. */
 bool pooler_forward_operation(struct pool_session *s, uint64_t now_us);
 void pooler_forward_statement(struct pool_session *s, uint64_t now_us);
@@ -508,6 +553,7 @@
 
 /* pooler_queue.c: queues of statements */
 struct pool_session *pool_session_of(struct fair_queue_item *item);
+const struct pool_session *pool_session_of_job(const struct pool_job *job);
 /*
  * Returns 0, LWS_E_QUEUE_FULL if the statement would be sent too late, or
  * LWS_E_NOMEM.
--- a/lib/session/pooler_queue.c
+++ b/lib/session/pooler_queue.c
@@ -13,10 +13,19 @@
 				       offsetof(struct pool_session, job));
 }
 
+const struct pool_session *pool_session_of_job(const struct pool_job *job)
+{
+	return (const struct pool_session *)((const char *)job -
+					     offsetof(struct pool_session,
+						      job));
+}
+
 /* Returns true if the endpoint may serve the statement, as far as is known. */
 static bool may_serve(const struct pool_session *s,
 		      const struct pool_endpoint *e)
 {
+	if (!pooler_may_run_at(s, e))
+		return false;
 	if (!s->job.anywhere)
 		return e == e->group->primary;
 	return e->present && !e->suspect && !pool_is_lagging(e, &s->job);
--- a/lib/session/pooler_statement.c
+++ b/lib/session/pooler_statement.c
@@ -108,6 +108,7 @@
 		return error;
 	apply_database(s, d);
 	apply_customer(s, customer);
+	pooler_apply_home_regions(s, d, customer);
 	s->job.group = pooler_group_of(p, p->catalog->groups[d->group].name);
 	if (s->job.group)
 		return STATEMENT_E_NONE;
@@ -201,9 +202,17 @@
 {
 	struct pool_job *job = &s->job;
 	struct pool_group *g = job->group;
+	const char *no_endpoint;
 	uint64_t wait_us;
 
 	job->anywhere = may_read_anywhere(s);
+	no_endpoint = pooler_no_endpoint(s, !job->anywhere);
+	if (no_endpoint) {
+		job->place = JOB_NONE;
+		pooler_refuse(s, now_us, STATEMENT_E_BUSY,
+			      pooler_state_after_error(s), no_endpoint);
+		return;
+	}
 	job->place = JOB_QUEUED;
 	switch (pool_enqueue(s, now_us, &wait_us)) {
 	case 0:
@@ -325,9 +334,16 @@
 {
 	const char *reason = "";
 	enum statement_error error = pooler_check_access(s, now_us, &reason);
+	const char *no_endpoint = NULL;
 
+	if (!error)
+		no_endpoint = pooler_no_endpoint(
+			s, pooler_needs_primary(s, &s->job.st, s->job.writes));
 	if (error)
 		pooler_refuse(s, now_us, error, TRANSACTION_NONE, reason);
+	else if (no_endpoint)
+		pooler_refuse(s, now_us, STATEMENT_E_BUSY, TRANSACTION_NONE,
+			      no_endpoint);
 	else if (!pooler_forward_operation(s, now_us))
 		pooler_admit(s, now_us);
 }
@@ -457,6 +473,10 @@
 		return;
 	}
 	job->deadline_us = pooler_send_by_us(s);
+	if (s->conn && !pooler_may_run_at(s, s->conn->endpoint)) {
+		pooler_abort_outside_home_regions(s, now_us);
+		return;
+	}
 	if (s->conn) {
 		job->kind = JOB_IN_TRANSACTION;
 		job->group = s->conn->endpoint->group;
--- a/tests/support_pool.c
+++ b/tests/support_pool.c
@@ -32,6 +32,8 @@
 	/* Until when each other instance counts as unusable. */
 	uint64_t lost_until_us[POOL_INSTANCES_MAX];
 	char failure_domain[FLEET_NAME_MAX];
+	/* It does not have the newest configuration. */
+	bool outdated;
 };
 
 /* The endpoint's side of a connection. */
@@ -134,6 +136,71 @@
 	g_sequence_insert_sorted(sim->events, e, compare, NULL);
 }
 
+/* Regions */
+
+static bool same_region(const struct pool_sim *sim, const char *a,
+			const char *b)
+{
+	return regions_count(&sim->regions) < 2 ||
+	       regions_same(&sim->regions, a, b);
+}
+
+static const char *domain_of(const struct pool_sim *sim,
+			     const struct pool_endpoint_model *e)
+{
+	return sim->fleet->groups[0]
+		.endpoint[e - sim->endpoints]
+		.failure_domain;
+}
+
+/* Returns true if instance and endpoint of the link are in one region. */
+static bool link_in_region(const struct link *l)
+{
+	const struct pool_sim *sim = l->instance->sim;
+
+	return same_region(sim, l->instance->failure_domain,
+			   domain_of(sim, l->endpoint));
+}
+
+static bool link_cut(const struct link *l)
+{
+	return l->instance->sim->regions_cut && !link_in_region(l);
+}
+
+static uint64_t hop_us(const struct pool_sim *sim, bool in_region)
+{
+	return in_region || !sim->params.region_hop_us
+		       ? sim->params.hop_us
+		       : sim->params.region_hop_us;
+}
+
+static uint64_t link_hop_us(const struct link *l)
+{
+	return hop_us(l->instance->sim, link_in_region(l));
+}
+
+/* Returns true if the list, one letter for each region, allows the region. */
+static bool home_allows(const char *home, const char *region)
+{
+	return !home || !*home || (region && strchr(home, *region));
+}
+
+static void check_region(struct pool_sim *sim, const struct link *l)
+{
+	const char *region =
+		regions_of(&sim->regions, domain_of(sim, l->endpoint));
+
+	if (!home_allows(sim->database_home, region) ||
+	    !home_allows(sim->customer_home, region)) {
+		sim->outside_home++;
+		sim->outside_home_current += l->instance->outdated ? 0 : 1;
+	}
+	if (link_in_region(l))
+		sim->in_region++;
+	else
+		sim->across_regions++;
+}
+
 /* Links */
 
 static void link_unref(struct link *l)
@@ -193,7 +260,7 @@
 {
 	struct answer *a;
 
-	if (l->endpoint->unresponsive)
+	if (l->endpoint->unresponsive || link_cut(l))
 		return;
 	a = g_new0(struct answer, 1);
 	a->link = l;
@@ -208,7 +275,7 @@
 	a->result.position =
 		(struct log_position){ sim->term,
 				       log_number(sim, l->endpoint) };
-	schedule(sim, sim->params.hop_us, on_answer, a);
+	schedule(sim, link_hop_us(l), on_answer, a);
 }
 
 /* Returns the log position that a read must see. */
@@ -343,6 +410,7 @@
 	e->statements++;
 	l->busy = true;
 	check_run(sim, cmd, c);
+	check_region(sim, l);
 	if (!is_write(cmd) && !is_commit(cmd) &&
 	    log_number(sim, e) < required_position(sim, c))
 		sim->stale_reads++;
@@ -500,7 +568,7 @@
 	struct command *cmd = arg;
 	struct link *l = cmd->link;
 
-	if (l->endpoint->unresponsive || l->closed) {
+	if (l->endpoint->unresponsive || l->closed || link_cut(l)) {
 		free_command(cmd);
 		return;
 	}
@@ -530,8 +598,7 @@
 		cmd->id = copy(commands[i].id);
 		cmd->name = copy(commands[i].name);
 		cmd->value = copy(commands[i].value);
-		schedule(instance->sim, instance->sim->params.hop_us,
-			 on_arrival, cmd);
+		schedule(instance->sim, link_hop_us(l), on_arrival, cmd);
 	}
 }
 
@@ -541,7 +608,7 @@
 
 	if (!l->closed && l->endpoint->refuses_connections)
 		pooler_conn_closed(l->instance->pooler, sim->now_us, l->conn);
-	else if (!l->closed && !l->endpoint->unresponsive)
+	else if (!l->closed && !l->endpoint->unresponsive && !link_cut(l))
 		pooler_conn_established(l->instance->pooler, sim->now_us,
 					l->conn);
 	link_unref(l);
@@ -564,7 +631,7 @@
 	l->commands = g_queue_new();
 	l->refs = 2;
 	l->endpoint->connections++;
-	schedule(sim, 2 * sim->params.hop_us, on_established, l);
+	schedule(sim, 2 * link_hop_us(l), on_established, l);
 	return l;
 }
 
@@ -665,8 +732,18 @@
 
 static void op_event(void *private_data, const struct pooler_event *event)
 {
-	(void)private_data;
-	(void)event;
+	struct pool_sim *sim = ((struct pool_sim_instance *)private_data)->sim;
+	uint64_t *count;
+
+	if (!event->reason)
+		return;
+	count = g_hash_table_lookup(sim->reasons, event->reason);
+	if (!count) {
+		count = g_new0(uint64_t, 1);
+		g_hash_table_insert(sim->reasons, g_strdup(event->reason),
+				    count);
+	}
+	(*count)++;
 }
 
 /* Operations that instances forward to each other */
@@ -699,6 +776,17 @@
 	return instance->sim->faults[instance->number] == POOL_INSTANCE_SILENT;
 }
 
+static bool channel_in_region(const struct channel *ch)
+{
+	return same_region(ch->from->sim, ch->from->failure_domain,
+			   ch->to->failure_domain);
+}
+
+static bool channel_cut(const struct channel *ch)
+{
+	return ch->from->sim->regions_cut && !channel_in_region(ch);
+}
+
 static void on_channel_message(struct pool_sim *sim, void *arg);
 
 static void channel_send(struct channel *ch, bool to_holder,
@@ -710,7 +798,8 @@
 	m->channel = ch;
 	m->to_holder = to_holder;
 	g_assert_cmpint(wire_encode(NULL, msg, &m->frame, &m->len), ==, 0);
-	schedule(sim, sim->params.hop_us, on_channel_message, m);
+	schedule(sim, hop_us(sim, channel_in_region(ch)), on_channel_message,
+		 m);
 }
 
 static void channel_reply(struct channel *ch, const struct caller_reply *reply)
@@ -785,7 +874,10 @@
 	struct channel *ch = m->channel;
 	struct wire_msg *msg;
 
-	if (is_silent(ch->from) || is_silent(ch->to)) {
+	if (channel_cut(ch)) {
+		if (m->to_holder)
+			end_held(sim, ch);
+	} else if (is_silent(ch->from) || is_silent(ch->to)) {
 		if (is_silent(ch->from))
 			end_held(sim, ch);
 	} else {
@@ -814,7 +906,7 @@
 
 	if (s && ch->waiting_since_us &&
 	    sim->now_us - ch->waiting_since_us >= SILENCE_US &&
-	    is_silent(ch->to)) {
+	    (is_silent(ch->to) || channel_cut(ch))) {
 		ch->session = NULL;
 		ch->from->lost_until_us[ch->to->number] = sim->now_us + LOST_US;
 		pooler_forward_lost(ch->from->pooler, sim->now_us, s, true);
@@ -855,6 +947,10 @@
 	ch->from = instance;
 	ch->to = instance_at(instance->sim, addr);
 	ch->session = s;
+	if (channel_in_region(ch))
+		ch->from->sim->channels_in_region++;
+	else
+		ch->from->sim->channels_across++;
 	await_reply(ch);
 	channel_send(ch, true, &msg);
 	return ch;
@@ -1100,6 +1196,27 @@
 
 /* The simulation */
 
+static void add_home(struct catalog_regions *list, const char *letters)
+{
+	*list = (struct catalog_regions){ 0 };
+	for (; letters && *letters; letters++) {
+		char name[] = { *letters, '\0' };
+
+		g_assert_true(catalog_add_region(list, name));
+	}
+}
+
+static void set_home(struct pool_sim *sim, struct catalog *c,
+		     const char *database_home, const char *customer_home)
+{
+	sim->database_home = database_home;
+	sim->customer_home = customer_home;
+	for (uint32_t i = 0; i < c->databases_count; i++)
+		add_home(&c->databases[i].home_regions, database_home);
+	for (uint32_t i = 0; i < c->customers_count; i++)
+		add_home(&c->customers[i].home_regions, customer_home);
+}
+
 static void on_tick(struct pool_sim *sim, void *arg)
 {
 	struct pool_sim_instance *instance = arg;
@@ -1167,6 +1284,7 @@
 		key_hash(key, c->keys[i].hash);
 		c->keys[i].customer = i;
 	}
+	set_home(sim, c, sim->params.database_home, sim->params.customer_home);
 	g_assert_cmpint(catalog_finish(c, &why), ==, 0);
 	sim->fleet->groups_count = 1;
 	sim->fleet->groups =
@@ -1198,6 +1316,43 @@
 				 sim->fleet);
 }
 
+void pool_sim_configure(struct pool_sim *sim, const char *database_home,
+			const char *customer_home, bool holders, bool others)
+{
+	struct catalog *c = talloc_memdup(sim->fleet, sim->fleet->catalog,
+					  sizeof(*sim->fleet->catalog));
+	struct fleet *fleet =
+		talloc_memdup(NULL, sim->fleet, sizeof(*sim->fleet));
+	struct holders h;
+
+	c->databases = talloc_memdup(
+		c, c->databases, c->databases_count * sizeof(*c->databases));
+	c->customers = talloc_memdup(
+		c, c->customers, c->customers_count * sizeof(*c->customers));
+	c->version++;
+	set_home(sim, c, database_home, customer_home);
+	fleet->catalog = c;
+	holders_rank(&h, sim->fleet, &sim->fleet->groups[0], &sim->regions);
+	for (uint32_t i = 0; i < sim->params.instances; i++) {
+		bool holds = holders_index(&h, sim->fleet->instances[i].name) <
+			     HOLDERS_PER_GROUP;
+
+		sim->instances[i]->outdated = !(holds ? holders : others);
+		if (!sim->instances[i]->outdated)
+			pooler_set_fleet(sim->instances[i]->pooler, sim->now_us,
+					 fleet);
+	}
+	/* Instances without it keep the former state. */
+	sim->fleet = fleet;
+}
+
+uint64_t pool_sim_refusals(const struct pool_sim *sim, const char *reason)
+{
+	const uint64_t *count = g_hash_table_lookup(sim->reasons, reason);
+
+	return count ? *count : 0;
+}
+
 void pool_sim_promote(struct pool_sim *sim, uint32_t endpoint)
 {
 	struct fleet_group *g = &sim->fleet->groups[0];
@@ -1240,6 +1395,8 @@
 	snprintf(params.name, sizeof(params.name), "i%u", i);
 	snprintf(params.failure_domain, sizeof(params.failure_domain), "d%u",
 		 i % 4);
+	LWS_STR_COPY(instance->failure_domain, params.failure_domain);
+	params.regions = &sim->regions;
 	instance->sim = sim;
 	instance->number = i;
 	instance->pooler = pooler_create(NULL, &params, &ops);
@@ -1260,6 +1417,9 @@
 	sim->load = 1;
 	sim->hot_factor = 1;
 	sim->events = g_sequence_new(g_free);
+	sim->reasons =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_assert_cmpint(regions_parse(&sim->regions, params->regions), ==, 0);
 	sim->commits = g_array_new(FALSE, TRUE, sizeof(struct commit));
 	make_fleet(sim);
 	for (uint32_t i = 0; i < POOL_ENDPOINTS; i++) {
@@ -1319,6 +1479,7 @@
 	/* Callers, links and channels are not freed before the process exits.
 	 */
 	g_sequence_free(sim->events);
+	g_hash_table_destroy(sim->reasons);
 	g_array_free(sim->commits, TRUE);
 	g_free(sim);
 }
@@ -1338,6 +1499,7 @@
 		sum.forward_refused += s->forward_refused;
 		sum.forward_lost += s->forward_lost;
 		sum.held += s->held;
+		sum.crossed_region += s->crossed_region;
 	}
 	return sum;
 }
@@ -1346,7 +1508,7 @@
 {
 	struct holders h;
 
-	holders_rank(&h, sim->fleet, &sim->fleet->groups[0]);
+	holders_rank(&h, sim->fleet, &sim->fleet->groups[0], &sim->regions);
 	return (uint32_t)atoi(h.ranked[nth].name + 1);
 }
 
--- a/tests/support_pool.h
+++ b/tests/support_pool.h
@@ -7,6 +7,7 @@
 #include "lws_rng.h"
 #include "lws_time.h"
 #include "pooler.h"
+#include "regions.h"
 
 /**
  * DOC: Simulation of session poolers in virtual time: instances that accept
@@ -61,6 +62,14 @@
 	uint32_t large_percent;
 	/* Operations go through holders. */
 	bool forwards;
+	/* Regions as for regions_parse(); instances and endpoints are in d0..
+	 */
+	const char *regions;
+	/* One-way latency between regions, 0 for @hop_us. */
+	uint32_t region_hop_us;
+	/* Home regions, one letter each, of all databases and all customers. */
+	const char *database_home;
+	const char *customer_home;
 };
 
 /**
@@ -136,6 +145,26 @@
 	uint64_t reports;
 	/* Refusals that took longer than the objective. */
 	uint64_t refused_late;
+	struct regions regions;
+	/* Nothing passes between regions. */
+	bool regions_cut;
+	/* Home regions of the newest configuration. */
+	const char *database_home;
+	const char *customer_home;
+	/*
+	 * Statements started at an endpoint outside of these, and those of them
+	 * from instances with this configuration.
+	 */
+	uint64_t outside_home;
+	uint64_t outside_home_current;
+	/* Statements by whether instance and endpoint are in one region. */
+	uint64_t in_region;
+	uint64_t across_regions;
+	/* Reads and operations for the primary that crossed to a holder. */
+	uint64_t channels_in_region;
+	uint64_t channels_across;
+	/* Refusals by reason. */
+	GHashTable *reasons;
 };
 
 /**
@@ -160,6 +189,17 @@
 /** pool_sim_fleet_changed() - pass the cluster state to all instances */
 void pool_sim_fleet_changed(struct pool_sim *sim);
 
+/**
+ * pool_sim_configure() - put a catalog with other home regions in force
+ * @holders: the first holders of the group get it
+ * @others: all other instances get it
+ */
+void pool_sim_configure(struct pool_sim *sim, const char *database_home,
+			const char *customer_home, bool holders, bool others);
+
+/** pool_sim_refusals() - refusals with a reason */
+uint64_t pool_sim_refusals(const struct pool_sim *sim, const char *reason);
+
 /** pool_sim_stats() - sum of the counters of all instances */
 struct pooler_stats pool_sim_stats(const struct pool_sim *sim);
 
--- a/tests/test_holders.c
+++ b/tests/test_holders.c
@@ -96,7 +96,7 @@
 		make_group("g1", c->endpoints, c->endpoint_domains);
 	struct holders h;
 
-	holders_rank(&h, fleet, &group);
+	holders_rank(&h, fleet, &group, NULL);
 	g_assert_cmpuint(h.count, ==, c->ranked);
 	for (uint32_t i = 0; i < c->different; i++) {
 		const struct fleet_instance *a =
@@ -122,7 +122,7 @@
 
 	fleet->instances[0].addr[0] = '\0';
 	fleet->instances[1].accepts_callers = false;
-	holders_rank(&h, fleet, &group);
+	holders_rank(&h, fleet, &group, NULL);
 	g_assert_cmpuint(h.count, ==, 2);
 	g_assert_cmpuint(holders_index(&h, "entry-0"), ==, HOLDERS_RANKED);
 	g_assert_cmpuint(holders_index(&h, "entry-1"), ==, HOLDERS_RANKED);
@@ -136,10 +136,10 @@
 	uint32_t customers[HOLDERS_RANKED] = { 0 };
 	struct holders h;
 
-	holders_rank(&h, fleet, &group);
+	holders_rank(&h, fleet, &group, NULL);
 	for (uint64_t customer = 1; customer <= CUSTOMERS; customer++) {
-		uint32_t first = holders_choose(&h, customer, 0);
-		uint32_t next = holders_choose(&h, customer, 1U << first);
+		uint32_t first = holders_choose(&h, customer, 0, 0);
+		uint32_t next = holders_choose(&h, customer, 1U << first, 0);
 
 		g_assert_cmpuint(first, <, HOLDERS_PER_GROUP);
 		g_assert_cmpuint(next, <, HOLDERS_PER_GROUP);
@@ -149,15 +149,15 @@
 	for (uint32_t i = 0; i < HOLDERS_PER_GROUP; i++)
 		g_assert_cmpuint(customers[i], >, CUSTOMERS / 5);
 	/* The others follow only when no holder is left. */
-	g_assert_cmpuint(holders_choose(&h, 1, 7), ==, HOLDERS_PER_GROUP);
-	g_assert_cmpuint(holders_choose(&h, 1, (1U << HOLDERS_RANKED) - 1), ==,
-			 HOLDERS_RANKED);
+	g_assert_cmpuint(holders_choose(&h, 1, 7, 0), ==, HOLDERS_PER_GROUP);
+	g_assert_cmpuint(holders_choose(&h, 1, (1U << HOLDERS_RANKED) - 1, 0),
+			 ==, HOLDERS_RANKED);
 	talloc_free(fleet);
 }
 
 static const char *chosen(const struct holders *h, uint64_t customer)
 {
-	return h->ranked[holders_choose(h, customer, 0)].name;
+	return h->ranked[holders_choose(h, customer, 0, 0)].name;
 }
 
 /* When a holder leaves, the customers of the others stay where they are. */
@@ -169,10 +169,10 @@
 	struct holders after;
 	uint32_t moved = 0;
 
-	holders_rank(&before, fleet, &group);
+	holders_rank(&before, fleet, &group, NULL);
 	fleet_find_instance(fleet, before.ranked[1].name)->accepts_callers =
 		false;
-	holders_rank(&after, fleet, &group);
+	holders_rank(&after, fleet, &group, NULL);
 	for (uint64_t customer = 1; customer <= CUSTOMERS; customer++)
 		moved += strcmp(chosen(&before, customer),
 				chosen(&after, customer)) != 0;
@@ -194,7 +194,7 @@
 		struct fleet_group group = make_group(name, 3, 3);
 		struct holders h;
 
-		holders_rank(&h, fleet, &group);
+		holders_rank(&h, fleet, &group, NULL);
 		for (uint32_t i = 0; i < HOLDERS_PER_GROUP; i++)
 			g_hash_table_add(names, g_strdup(h.ranked[i].name));
 	}
@@ -202,6 +202,258 @@
 	talloc_free(fleet);
 }
 
+/*
+ * Orders and choices recorded before regions existed: a deployment without a
+ * table, or with one region, must keep them, since another order moves all
+ * connections.
+ */
+struct order_case {
+	uint32_t instances;
+	uint32_t domains;
+	uint32_t endpoints;
+	uint32_t endpoint_domains;
+	const char *group;
+	uint32_t ranked[HOLDERS_RANKED];
+	/* Choices for customers 1 to 12; after the loss of that, 1 to 6. */
+	const char *first;
+	const char *next;
+};
+
+static const struct order_case order_cases[] = {
+	{ 294,
+	  6,
+	  3,
+	  3,
+	  "group-0",
+	  { 174, 169, 122, 262, 11, 177, 82, 68 },
+	  "022212112102",
+	  "111021" },
+	{ 294,
+	  6,
+	  3,
+	  3,
+	  "group-1",
+	  { 61, 104, 42, 81, 255, 10, 25, 217 },
+	  "020021122201",
+	  "112112" },
+	{ 60,
+	  3,
+	  3,
+	  3,
+	  "group-0",
+	  { 11, 52, 33, 32, 43, 12, 59, 53 },
+	  "002012122012",
+	  "111120" },
+	{ 60,
+	  3,
+	  3,
+	  3,
+	  "group-1",
+	  { 10, 42, 35, 25, 3, 55, 16, 30 },
+	  "211212201001",
+	  "122020" },
+	{ 60,
+	  3,
+	  3,
+	  1,
+	  "group-0",
+	  { 33, 11, 52, 32, 43, 12, 59, 53 },
+	  "110120200120",
+	  "222201" },
+	{ 60,
+	  3,
+	  3,
+	  1,
+	  "group-1",
+	  { 42, 10, 25, 3, 55, 16, 35, 30 },
+	  "020101220112",
+	  "102222" },
+	{ 68,
+	  6,
+	  3,
+	  6,
+	  "group-0",
+	  { 32, 43, 12, 11, 52, 33, 59, 53 },
+	  "001112222101",
+	  "212220" },
+	{ 68,
+	  6,
+	  3,
+	  6,
+	  "group-1",
+	  { 61, 42, 8, 10, 25, 3, 55, 16 },
+	  "010021211100",
+	  "121212" },
+	{ 75,
+	  4,
+	  5,
+	  4,
+	  "group-0",
+	  { 11, 68, 33, 52, 32, 43, 12, 59 },
+	  "012012121011",
+	  "100220" },
+	{ 75,
+	  4,
+	  5,
+	  4,
+	  "group-1",
+	  { 61, 10, 3, 25, 42, 55, 16, 35 },
+	  "220012110112",
+	  "001221" },
+};
+
+static void check_order(const struct order_case *c, const struct regions *r,
+			uint64_t preferred)
+{
+	struct fleet *fleet = make_fleet(c->instances, c->domains);
+	struct fleet_group group =
+		make_group(c->group, c->endpoints, c->endpoint_domains);
+	struct holders h;
+
+	holders_rank(&h, fleet, &group, r);
+	g_assert_cmpuint(h.count, ==, HOLDERS_RANKED);
+	for (uint32_t i = 0; i < h.count; i++) {
+		g_autofree char *name =
+			g_strdup_printf("entry-%u", c->ranked[i]);
+
+		g_assert_cmpstr(h.ranked[i].name, ==, name);
+	}
+	for (uint64_t customer = 1; c->first[customer - 1]; customer++)
+		g_assert_cmpuint(holders_choose(&h, customer, 0, preferred), ==,
+				 (uint32_t)(c->first[customer - 1] - '0'));
+	for (uint64_t customer = 1; c->next[customer - 1]; customer++) {
+		uint32_t lost = (uint32_t)(c->first[customer - 1] - '0');
+
+		g_assert_cmpuint(
+			holders_choose(&h, customer, 1U << lost, preferred), ==,
+			(uint32_t)(c->next[customer - 1] - '0'));
+	}
+	talloc_free(fleet);
+}
+
+static void test_same_order(void)
+{
+	struct regions one;
+
+	g_assert_cmpint(regions_parse(&one, "d0=n,d1=n,d2=n,d3=n,d4=n,d5=n"),
+			==, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(order_cases); i++) {
+		check_order(&order_cases[i], NULL, 0);
+		check_order(&order_cases[i], &one, 0);
+		check_order(&order_cases[i], &one, 1);
+	}
+}
+
+struct region_case {
+	const char *name;
+	const char *table;
+	uint32_t domains;
+	uint32_t endpoints;
+	uint32_t endpoint_domains;
+	/* Different regions of the first holders. */
+	uint32_t regions;
+	/* Failure domain of the last endpoint, NULL for none of its own. */
+	const char *last_domain;
+};
+
+static const struct region_case region_cases[] = {
+	{ "two-regions", "d0=n,d1=n,d2=s,d3=s", 4, 3, 3, 2, NULL },
+	{ "three-regions", "d0=n,d1=s,d2=w", 3, 3, 3, 3, NULL },
+	{ "many-endpoints-in-one", "d0=n,d1=n,d2=n,d3=n,d4=n,d5=s", 6, 6, 6, 2,
+	  NULL },
+	/* No instance is in d9, but some are in another domain of "s". */
+	{ "no-instance-in-domain", "d0=n,d1=n,d2=n,d3=s,d9=s", 4, 3, 3, 2,
+	  "d9" },
+	{ "no-endpoint-in-region", "d0=n,d1=n,d2=n,d3=s", 4, 3, 3, 1, NULL },
+	{ "unknown-domain", "d0=n,d2=s", 3, 3, 3, 2, NULL },
+	{ "more-regions-than-holders", "d0=n,d1=s,d2=w,d3=e", 4, 4, 4, 3,
+	  NULL },
+};
+
+/*
+ * Guards against a region whose operations all cross to another one because
+ * none of the first holders is in it.
+ */
+static void test_each_region_has_holder(gconstpointer data)
+{
+	const struct region_case *c = data;
+	struct regions table;
+
+	g_assert_cmpint(regions_parse(&table, c->table), ==, 0);
+	for (uint32_t n = 0; n < 50; n++) {
+		g_autofree char *name = g_strdup_printf("group-%u", n);
+		struct fleet *fleet = make_fleet(60, c->domains);
+		struct fleet_group group =
+			make_group(name, c->endpoints, c->endpoint_domains);
+		struct holders h;
+		uint64_t seen = 0;
+
+		if (c->last_domain)
+			LWS_STR_COPY(
+				group.endpoint[c->endpoints - 1].failure_domain,
+				c->last_domain);
+		holders_rank(&h, fleet, &group, &table);
+		g_assert_cmpuint(h.count, ==, HOLDERS_RANKED);
+		for (uint32_t i = 0; i < HOLDERS_PER_GROUP; i++) {
+			const char *domain =
+				fleet_find_instance(fleet, h.ranked[i].name)
+					->failure_domain;
+
+			g_assert_cmpuint(h.ranked[i].region, ==,
+					 regions_bit(&table, domain));
+			seen |= h.ranked[i].region;
+			for (uint32_t k = 0; k < i; k++)
+				g_assert_cmpstr(domain, !=,
+						fleet_find_instance(
+							fleet, h.ranked[k].name)
+							->failure_domain);
+		}
+		g_assert_cmpint(__builtin_popcountll(seen), ==, c->regions);
+		talloc_free(fleet);
+	}
+}
+
+/*
+ * An operation goes to the holder of its region, then to others of the region,
+ * and only then to another region.
+ */
+static void test_choose_in_region(void)
+{
+	struct fleet *fleet = make_fleet(60, 4);
+	struct fleet_group group = make_group("g1", 3, 3);
+	struct regions table;
+	struct holders h;
+
+	g_assert_cmpint(regions_parse(&table, "d0=n,d1=n,d2=s,d3=s"), ==, 0);
+	holders_rank(&h, fleet, &group, &table);
+	for (uint64_t bit = 1; bit <= 2; bit <<= 1) {
+		for (uint64_t customer = 1; customer <= CUSTOMERS; customer++) {
+			uint32_t excluded = 0;
+			bool left_region = false;
+
+			for (uint32_t i = 0; i < h.count; i++) {
+				uint32_t at = holders_choose(&h, customer,
+							     excluded, bit);
+
+				g_assert_cmpuint(at, <, h.count);
+				if (h.ranked[at].region != bit)
+					left_region = true;
+				else
+					g_assert_false(left_region);
+				if (!i)
+					g_assert_cmpuint(at, <,
+							 HOLDERS_PER_GROUP);
+				excluded |= 1U << at;
+			}
+			g_assert_true(left_region);
+			g_assert_cmpuint(
+				holders_choose(&h, customer, excluded, bit), ==,
+				HOLDERS_RANKED);
+		}
+	}
+	talloc_free(fleet);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -217,6 +469,15 @@
 
 		g_test_add_data_func(path, &rank_cases[i], test_rank);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(region_cases); i++) {
+		g_autofree char *path = g_strdup_printf("/holders/regions/%s",
+							region_cases[i].name);
+
+		g_test_add_data_func(path, &region_cases[i],
+				     test_each_region_has_holder);
+	}
+	g_test_add_func("/holders/same-order", test_same_order);
+	g_test_add_func("/holders/choose-in-region", test_choose_in_region);
 	g_test_add_func("/holders/candidates", test_candidates);
 	g_test_add_func("/holders/choose", test_choose);
 	g_test_add_func("/holders/holder-leaves", test_holder_leaves);
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -307,6 +307,497 @@
 	pool_sim_free(sim);
 }
 
+/* Regions. The endpoints e0, e1, e2 are in d0, d1, d2; e0 is the primary. */
+
+#define TWO_REGIONS "d0=n,d1=n,d2=s,d3=s"
+/* Longest time for a new configuration to apply to what is in progress. */
+#define APPLY_US (100 * MS)
+
+static void lose_south(struct pool_sim *sim)
+{
+	sim->endpoints[2].refuses_connections = true;
+	sim->fleet->groups[0].endpoint[2].present = false;
+	pool_sim_fleet_changed(sim);
+}
+
+static void primary_to_south(struct pool_sim *sim)
+{
+	pool_sim_promote(sim, 2);
+}
+
+static void cut_regions(struct pool_sim *sim)
+{
+	sim->regions_cut = true;
+}
+
+static void heal_regions(struct pool_sim *sim)
+{
+	sim->regions_cut = true;
+	pool_sim_run(sim, 3 * S);
+	sim->regions_cut = false;
+	pool_sim_run(sim, 2 * S);
+}
+
+static void restrict_all(struct pool_sim *sim)
+{
+	pool_sim_configure(sim, "n", NULL, true, true);
+	pool_sim_run(sim, APPLY_US);
+}
+
+static void restrict_customers(struct pool_sim *sim)
+{
+	pool_sim_configure(sim, NULL, "n", true, true);
+	pool_sim_run(sim, APPLY_US);
+}
+
+/* The holders check the operations of instances with an older configuration. */
+static void restrict_holders_only(struct pool_sim *sim)
+{
+	pool_sim_configure(sim, "n", NULL, true, false);
+	pool_sim_run(sim, APPLY_US);
+}
+
+/* Holders with an older configuration take nothing. */
+static void restrict_all_but_holders(struct pool_sim *sim)
+{
+	pool_sim_configure(sim, "n", NULL, false, true);
+	pool_sim_run(sim, APPLY_US);
+}
+
+enum region_flags {
+	REGIONS_DIRECT = 0,
+	/** operations go through holders */
+	REGIONS_FORWARD = 1,
+	/** the guarantees hold, but the fault leaves no room for a score */
+	REGIONS_NO_SCORE = 2,
+	/** holders run operations of their callers by an older configuration */
+	REGIONS_OLD_HOLDERS = 4,
+};
+
+struct region_case {
+	const char *name;
+	const char *regions;
+	const char *database_home;
+	const char *customer_home;
+	fault_fn fault;
+	uint32_t flags;
+	/* Minimum scores of the classes after the fault was injected. */
+	double min_score[3];
+	/* Reason that some refusals must have, NULL if none may have it. */
+	const char *reason;
+};
+
+/* The classes: reads and writes at the primary; stale reads; own writes. */
+static const struct region_case region_cases[] = {
+	{ "direct/none",
+	  TWO_REGIONS,
+	  NULL,
+	  NULL,
+	  no_fault,
+	  REGIONS_DIRECT,
+	  { 0.95, 0.95, 0.95 },
+	  NULL },
+	{ "direct/home-of-primary",
+	  TWO_REGIONS,
+	  "n",
+	  NULL,
+	  no_fault,
+	  REGIONS_DIRECT,
+	  { 0.9, 0.6, 0.8 },
+	  NULL },
+	{ "direct/customers-home",
+	  TWO_REGIONS,
+	  NULL,
+	  "n",
+	  no_fault,
+	  REGIONS_DIRECT,
+	  { 0.9, 0.6, 0.8 },
+	  NULL },
+	{ "direct/both-lists",
+	  TWO_REGIONS,
+	  "ns",
+	  "n",
+	  no_fault,
+	  REGIONS_DIRECT,
+	  { 0.9, 0.6, 0.8 },
+	  NULL },
+	{ "direct/all-regions",
+	  TWO_REGIONS,
+	  "ns",
+	  "ns",
+	  no_fault,
+	  REGIONS_DIRECT,
+	  { 0.95, 0.95, 0.95 },
+	  NULL },
+	{ "direct/disjoint",
+	  TWO_REGIONS,
+	  "n",
+	  "s",
+	  no_fault,
+	  REGIONS_DIRECT,
+	  { 0, 0, 0 },
+	  "home_regions_disjoint" },
+	{ "direct/primary-outside",
+	  TWO_REGIONS,
+	  "s",
+	  NULL,
+	  no_fault,
+	  REGIONS_DIRECT,
+	  { 0, 0.3, 0 },
+	  "primary_outside_home_regions" },
+	{ "direct/primary-moves-home",
+	  TWO_REGIONS,
+	  "s",
+	  NULL,
+	  primary_to_south,
+	  REGIONS_DIRECT,
+	  { 0.3, 0, 0 },
+	  NULL },
+	{ "direct/primary-moves-out",
+	  TWO_REGIONS,
+	  "n",
+	  NULL,
+	  primary_to_south,
+	  REGIONS_DIRECT,
+	  { 0, 0.6, 0 },
+	  "primary_outside_home_regions" },
+	{ "direct/last-endpoint-lost",
+	  TWO_REGIONS,
+	  "s",
+	  NULL,
+	  lose_south,
+	  REGIONS_DIRECT,
+	  { 0, 0, 0 },
+	  "no_endpoint_in_home_regions" },
+	{ "direct/unknown-domain",
+	  "d0=n,d1=n,d3=s",
+	  "s",
+	  NULL,
+	  no_fault,
+	  REGIONS_DIRECT,
+	  { 0, 0, 0 },
+	  "no_endpoint_in_home_regions" },
+	{ "direct/no-table",
+	  NULL,
+	  "n",
+	  NULL,
+	  no_fault,
+	  REGIONS_DIRECT,
+	  { 0, 0, 0 },
+	  "no_endpoint_in_home_regions" },
+	{ "direct/one-region-home",
+	  "d0=n,d1=n,d2=n,d3=n",
+	  "n",
+	  NULL,
+	  no_fault,
+	  REGIONS_DIRECT,
+	  { 0.95, 0.95, 0.95 },
+	  NULL },
+	{ "direct/restricted-later",
+	  TWO_REGIONS,
+	  NULL,
+	  NULL,
+	  restrict_all,
+	  REGIONS_DIRECT,
+	  { 0.9, 0.6, 0.8 },
+	  NULL },
+	{ "direct/cut",
+	  TWO_REGIONS,
+	  NULL,
+	  NULL,
+	  cut_regions,
+	  REGIONS_NO_SCORE,
+	  { 0, 0, 0 },
+	  NULL },
+	{ "direct/cut-home",
+	  TWO_REGIONS,
+	  "n",
+	  NULL,
+	  cut_regions,
+	  REGIONS_NO_SCORE,
+	  { 0, 0, 0 },
+	  NULL },
+	{ "direct/healed",
+	  TWO_REGIONS,
+	  "n",
+	  NULL,
+	  heal_regions,
+	  REGIONS_DIRECT,
+	  { 0.9, 0.6, 0.8 },
+	  NULL },
+	{ "forward/none",
+	  TWO_REGIONS,
+	  NULL,
+	  NULL,
+	  no_fault,
+	  REGIONS_FORWARD,
+	  { 0.95, 0.95, 0.95 },
+	  NULL },
+	{ "forward/home-of-primary",
+	  TWO_REGIONS,
+	  "n",
+	  NULL,
+	  no_fault,
+	  REGIONS_FORWARD,
+	  { 0.9, 0.6, 0.8 },
+	  NULL },
+	{ "forward/customers-home",
+	  TWO_REGIONS,
+	  NULL,
+	  "n",
+	  no_fault,
+	  REGIONS_FORWARD,
+	  { 0.9, 0.6, 0.8 },
+	  NULL },
+	{ "forward/disjoint",
+	  TWO_REGIONS,
+	  "n",
+	  "s",
+	  no_fault,
+	  REGIONS_FORWARD,
+	  { 0, 0, 0 },
+	  "home_regions_disjoint" },
+	{ "forward/primary-outside",
+	  TWO_REGIONS,
+	  "s",
+	  NULL,
+	  no_fault,
+	  REGIONS_FORWARD,
+	  { 0, 0.3, 0 },
+	  "primary_outside_home_regions" },
+	{ "forward/last-endpoint-lost",
+	  TWO_REGIONS,
+	  "s",
+	  NULL,
+	  lose_south,
+	  REGIONS_FORWARD,
+	  { 0, 0, 0 },
+	  "no_endpoint_in_home_regions" },
+	{ "forward/unknown-domain",
+	  "d0=n,d1=n,d3=s",
+	  "s",
+	  NULL,
+	  no_fault,
+	  REGIONS_FORWARD,
+	  { 0, 0, 0 },
+	  "no_endpoint_in_home_regions" },
+	{ "forward/restricted-later",
+	  TWO_REGIONS,
+	  NULL,
+	  NULL,
+	  restrict_all,
+	  REGIONS_FORWARD,
+	  { 0.9, 0.6, 0.8 },
+	  NULL },
+	{ "forward/customers-restricted-later",
+	  TWO_REGIONS,
+	  NULL,
+	  NULL,
+	  restrict_customers,
+	  REGIONS_FORWARD,
+	  { 0.9, 0.6, 0.8 },
+	  NULL },
+	{ "forward/older-at-senders",
+	  TWO_REGIONS,
+	  NULL,
+	  NULL,
+	  restrict_holders_only,
+	  REGIONS_FORWARD,
+	  { 0.9, 0.6, 0.8 },
+	  NULL },
+	{ "forward/older-at-holders",
+	  TWO_REGIONS,
+	  NULL,
+	  NULL,
+	  restrict_all_but_holders,
+	  REGIONS_FORWARD | REGIONS_OLD_HOLDERS,
+	  { 0.8, 0.5, 0.6 },
+	  NULL },
+	{ "forward/holder-lost",
+	  TWO_REGIONS,
+	  "n",
+	  NULL,
+	  silent_holder,
+	  REGIONS_FORWARD,
+	  { 0.8, 0.5, 0.6 },
+	  NULL },
+	{ "forward/cut",
+	  TWO_REGIONS,
+	  NULL,
+	  NULL,
+	  cut_regions,
+	  REGIONS_FORWARD | REGIONS_NO_SCORE,
+	  { 0, 0, 0 },
+	  NULL },
+	{ "forward/cut-home",
+	  TWO_REGIONS,
+	  "n",
+	  NULL,
+	  cut_regions,
+	  REGIONS_FORWARD | REGIONS_NO_SCORE,
+	  { 0, 0, 0 },
+	  NULL },
+	{ "forward/healed",
+	  TWO_REGIONS,
+	  "n",
+	  NULL,
+	  heal_regions,
+	  REGIONS_FORWARD,
+	  { 0.9, 0.6, 0.8 },
+	  NULL },
+};
+
+static const char *const region_reasons[] = {
+	"home_regions_disjoint",
+	"no_endpoint_in_home_regions",
+	"primary_outside_home_regions",
+};
+
+static void check_reasons(const struct pool_sim *sim,
+			  const struct region_case *c)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(region_reasons); i++) {
+		uint64_t n = pool_sim_refusals(sim, region_reasons[i]);
+
+		if (g_strcmp0(c->reason, region_reasons[i]) == 0)
+			g_assert_cmpuint(n, >, 0);
+		else if (!c->reason)
+			g_assert_cmpuint(n, ==, 0);
+	}
+}
+
+static void run_region_case(const struct region_case *c, uint64_t seed,
+			    struct pool_tally *sums)
+{
+	struct pool_sim_params params = c->flags & REGIONS_FORWARD
+						? forwarding_params(seed)
+						: pool_sim_moorings(seed);
+	struct pool_sim *sim;
+
+	params.regions = c->regions;
+	params.region_hop_us = 10 * MS;
+	params.database_home = c->database_home;
+	params.customer_home = c->customer_home;
+	sim = pool_sim_create(&params);
+	pool_sim_run(sim, 2 * S);
+	c->fault(sim);
+	g_hash_table_remove_all(sim->reasons);
+	memset(sim->tallies, 0, sizeof(sim->tallies));
+	sim->outside_home = 0;
+	sim->outside_home_current = 0;
+	sim->refused_late = 0;
+	pool_sim_run(sim, 5 * S);
+	g_assert_true(pool_sim_guarantees_hold(sim));
+	g_assert_cmpuint(sim->outside_home_current, ==, 0);
+	if (!(c->flags & REGIONS_OLD_HOLDERS))
+		g_assert_cmpuint(sim->outside_home, ==, 0);
+	check_reasons(sim, c);
+	/* What no endpoint may run is refused at once. */
+	if (c->reason && !c->min_score[1])
+		g_assert_cmpuint(sim->refused_late, ==, 0);
+	for (uint32_t i = 0; i < 3; i++)
+		pool_tally_add(&sums[i], &sim->tallies[i]);
+	pool_sim_free(sim);
+}
+
+static void test_regions(gconstpointer data)
+{
+	const struct region_case *c = data;
+	struct pool_tally sums[3] = { { 0 } };
+
+	for (uint64_t seed = 1; seed <= SEEDS / 3; seed++)
+		run_region_case(c, seed, sums);
+	for (uint32_t i = 0; i < 3; i++) {
+		g_test_message("%s class %u: %.3f", c->name, i,
+			       pool_sim_score(&sums[i]));
+		if (!(c->flags & REGIONS_NO_SCORE))
+			g_assert_cmpfloat(pool_sim_score(&sums[i]), >=,
+					  c->min_score[i]);
+	}
+}
+
+/*
+ * Without home regions, with two regions: no read is sent to a holder in the
+ * other region, and a read goes to an endpoint there only if that is free while
+ * those of the own region are busy.
+ */
+static void test_own_region(void)
+{
+	uint64_t channels[2] = { 0 };
+	uint64_t statements[2] = { 0 };
+
+	for (uint64_t seed = 1; seed <= SEEDS / 3; seed++) {
+		for (uint32_t forwards = 0; forwards < 2; forwards++) {
+			struct pool_sim_params params =
+				forwards ? forwarding_params(seed)
+					 : pool_sim_moorings(seed);
+			struct pool_sim *sim;
+			struct pooler_stats stats;
+
+			params.regions = TWO_REGIONS;
+			params.region_hop_us = 10 * MS;
+			/* Only reads that any endpoint may serve. */
+			params.classes[0] = params.classes[1];
+			params.classes[0].transaction_percent = 0;
+			params.classes[0].per_s = 40;
+			params.classes_count = 1;
+			sim = pool_sim_create(&params);
+			pool_sim_run(sim, 6 * S);
+			stats = pool_sim_stats(sim);
+			channels[0] += sim->channels_in_region;
+			channels[1] += sim->channels_across;
+			statements[0] += sim->in_region;
+			statements[1] += sim->across_regions;
+			g_assert_cmpuint(stats.crossed_region, >=,
+					 sim->channels_across);
+			pool_sim_free(sim);
+		}
+	}
+	g_test_message("channels %" G_GUINT64_FORMAT " in the region, "
+		       "%" G_GUINT64_FORMAT " across; statements "
+		       "%" G_GUINT64_FORMAT ", %" G_GUINT64_FORMAT,
+		       channels[0], channels[1], statements[0], statements[1]);
+	g_assert_cmpuint(channels[0], >, 500);
+	g_assert_cmpuint(channels[1], ==, 0);
+	g_assert_cmpuint(statements[1] * 5, <, statements[0]);
+}
+
+/*
+ * With one region every decision is the same as without a table: same events
+ * in the same order, so all counters are equal.
+ */
+static void test_one_region(void)
+{
+	static const char *const tables[] = { NULL, "d0=n,d1=n,d2=n,d3=n" };
+
+	for (uint64_t seed = 1; seed <= 3; seed++) {
+		struct pooler_stats stats[2];
+		struct pool_tally tallies[2][3];
+		uint64_t statements[2];
+
+		for (uint32_t i = 0; i < 2; i++) {
+			struct pool_sim_params params = forwarding_params(seed);
+			struct pool_sim *sim;
+
+			params.regions = tables[i];
+			sim = pool_sim_create(&params);
+			pool_sim_run(sim, 2 * S);
+			silent_holder(sim);
+			pool_sim_run(sim, 2 * S);
+			stats[i] = pool_sim_stats(sim);
+			memcpy(tallies[i], sim->tallies, sizeof(tallies[i]));
+			statements[i] = sim->in_region;
+			pool_sim_free(sim);
+		}
+		g_assert_cmpuint(stats[0].crossed_region, ==, 0);
+		g_assert_cmpmem(&stats[0], sizeof(stats[0]), &stats[1],
+				sizeof(stats[1]));
+		g_assert_cmpmem(tallies[0], sizeof(tallies[0]), tallies[1],
+				sizeof(tallies[1]));
+		g_assert_cmpuint(statements[0], ==, statements[1]);
+	}
+}
+
 /* Days: disturbances one after the other, at seeded times */
 
 #define DAY_DISTURBANCES 8
@@ -416,6 +907,14 @@
 		g_test_add_data_func(path, &forward_cases[i],
 				     test_forward_fault);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(region_cases); i++) {
+		g_autofree char *path = g_strdup_printf("/pooler/regions/%s",
+							region_cases[i].name);
+
+		g_test_add_data_func(path, &region_cases[i], test_regions);
+	}
+	g_test_add_func("/pooler/regions/own-region", test_own_region);
+	g_test_add_func("/pooler/regions/one-region", test_one_region);
 	for (size_t i = 0; i < G_N_ELEMENTS(day_cases); i++) {
 		g_autofree char *path =
 			g_strdup_printf("/pooler/day/%s", day_cases[i].name);
