Prefer replicas of the own region for HTTP/2 reads

A read of the product's own interface went to the replica with the fewest outstanding calls, also across regions.

With more than one region, replicas of this instance's region rank first; a replica of another one is used if none in the region can take the read. With one region or no table the rank is the same as before.

--- a/lib/daemon/router_io.c
+++ b/lib/daemon/router_io.c
@@ -484,6 +484,7 @@
 	io->worker = w;
 	LWS_STR_COPY(io->name, name);
 	LWS_STR_COPY(params.failure_domain, s->failure_domain);
+	params.regions = &w->daemon->regions;
 	params.probe_us = s->probe_ms * LWS_US_PER_MS;
 	params.suspect_us = s->suspect_ms * LWS_US_PER_MS;
 	params.seed = w->daemon->incarnation + session_name_hash(name);
--- a/lib/route/router.h
+++ b/lib/route/router.h
@@ -6,6 +6,7 @@
 
 #include "fleet.h"
 #include "positions.h"
+#include "regions.h"
 
 /**
  * DOC: Request router: makes all decisions about the requests of one database
@@ -41,6 +42,7 @@
  * @queue_max: limit of waiting requests of one customer
  * @failure_domain: failure domain of this instance
  * @seed: seed for jitter
+ * @regions: regions of the failure domains, must stay valid; NULL for none
  */
 struct router_params {
 	uint64_t probe_us;
@@ -56,6 +58,7 @@
 	uint32_t queue_max;
 	char failure_domain[FLEET_NAME_MAX];
 	uint64_t seed;
+	const struct regions *regions;
 };
 
 /** router_params_default() - get the default settings */
--- a/lib/route/router_dispatch.c
+++ b/lib/route/router_dispatch.c
@@ -50,9 +50,24 @@
 }
 
 /*
- * Returns the rank of an endpoint for a read; the lowest is preferred. The
- * number of outstanding calls comes first, then the own failure domain, then
- * chance.
+ * Returns true if there are several regions, this instance's is known, and the
+ * endpoint is in another one.
+ */
+static bool is_in_other_region(const struct router *rt,
+			       const struct fleet_endpoint *e)
+{
+	const struct regions *regions = rt->params.regions;
+	const char *own = rt->params.failure_domain;
+
+	return regions_count(regions) > 1 && regions_lists(regions, own) &&
+	       !regions_same(regions, own, e->failure_domain);
+}
+
+/*
+ * Returns the rank of an endpoint for a read; the lowest is preferred. The own
+ * region comes first, then the number of outstanding calls, then the own
+ * failure domain, then chance. Load pattern: regions with little bandwidth
+ * between them.
  */
 static uint64_t rank(struct router *rt, uint32_t i)
 {
@@ -60,7 +75,8 @@
 	uint64_t remote =
 		strcmp(e->failure_domain, rt->params.failure_domain) != 0;
 
-	return (uint64_t)rt->endpoints[i].running << 32 | remote << 16 |
+	return (uint64_t)is_in_other_region(rt, e) << 63 |
+	       (uint64_t)rt->endpoints[i].running << 32 | remote << 16 |
 	       lws_rng_below(&rt->rng, 1 << 16);
 }
 
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -99,14 +99,14 @@
 	}
 }
 
-static struct fixture *set_up(uint64_t max_staleness_us)
+static struct fixture *set_up_with(uint64_t max_staleness_us,
+				   const struct router_params *params)
 {
 	struct fixture *f = g_new0(struct fixture, 1);
-	struct router_params params = router_params_default();
 	struct router_limits limits = { 3, 20, 9, max_staleness_us };
 
 	f->now = 100 * LWS_US_PER_S;
-	f->rt = router_create(NULL, &params, f->now);
+	f->rt = router_create(NULL, params, f->now);
 	f->group = (struct fleet_group){ .name = "g",
 					 .term = 1,
 					 .primary_term = 1,
@@ -117,6 +117,8 @@
 
 		snprintf(e->id, sizeof(e->id), "e%d", i);
 		snprintf(e->addr, sizeof(e->addr), "a:%d", i);
+		snprintf(e->failure_domain, sizeof(e->failure_domain), "d%d",
+			 i);
 		e->present = true;
 		e->member = true;
 	}
@@ -127,6 +129,13 @@
 	return f;
 }
 
+static struct fixture *set_up(uint64_t max_staleness_us)
+{
+	struct router_params params = router_params_default();
+
+	return set_up_with(max_staleness_us, &params);
+}
+
 static void tear_down(struct fixture *f)
 {
 	talloc_free(f->rt);
@@ -323,6 +332,54 @@
 	tear_down(f);
 }
 
+struct region_case {
+	const char *name;
+	const char *regions;
+	const char *own_domain;
+	/* Endpoint that is absent, 0 for none. */
+	uint32_t absent;
+	/* Replicas that may get reads, as bits. */
+	uint32_t replicas;
+};
+
+static const struct region_case region_cases[] = {
+	{ "first-region", "d0=n,d1=n,d2=s,d3=s", "d0", 0, 1U << 1 },
+	{ "second-region", "d0=n,d1=n,d2=s,d3=s", "d3", 0, 1U << 2 },
+	{ "none-in-region", "d0=n,d1=n,d2=s,d3=s", "d3", 2, 1U << 1 },
+	{ "own-region-unknown", "d0=n,d1=n,d2=s", "d3", 0, 1U << 1 | 1U << 2 },
+	{ "one-region", "d0=n,d1=n,d2=n,d3=n", "d3", 0, 1U << 1 | 1U << 2 },
+	{ "no-table", NULL, "d3", 0, 1U << 1 | 1U << 2 },
+};
+
+/* Guards against reads that cross to another region without need. */
+static void test_read_in_region(gconstpointer data)
+{
+	const struct region_case *c = data;
+	struct router_params params = router_params_default();
+	struct regions regions;
+	struct fixture *f;
+	uint32_t seen = 0;
+
+	g_assert_cmpint(regions_parse(&regions, c->regions), ==, 0);
+	params.regions = &regions;
+	LWS_STR_COPY(params.failure_domain, c->own_domain);
+	f = set_up_with(0, &params);
+	if (c->absent) {
+		f->group.endpoint[c->absent].present = false;
+		router_set_group(f->rt, f->now, &f->group);
+		process_actions(f);
+	}
+	for (int i = 0; i < 40; i++) {
+		struct router_request r = request(f, ROUTER_READ);
+
+		submit(f, &r);
+		seen |= 1U << f->exec.endpoint;
+		done(f, ROUTER_DONE, 1, 1, 10);
+	}
+	g_assert_cmpuint(seen, ==, c->replicas);
+	tear_down(f);
+}
+
 /*
  * A read is checked against the position in its answer, not against the
  * position that was known when it was sent.
@@ -717,6 +774,13 @@
 
 		g_test_add_data_func(path, &read_cases[i], test_session_read);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(region_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/router/read-in-region/%s", region_cases[i].name);
+
+		g_test_add_data_func(path, &region_cases[i],
+				     test_read_in_region);
+	}
 	ADD("write-needs-majority", test_write_needs_majority);
 	ADD("fenced-replicas", test_fenced_replicas_do_not_confirm);
 	ADD("deadline", test_deadline);
