--- a/lib/daemon/settings.c
+++ b/lib/daemon/settings.c
@@ -165,8 +165,7 @@
 		[SETTING_ADDRESS] = "an IP address and a port, IP:PORT",
 		[SETTING_TEXT] = "a non-empty text",
 		[SETTING_LEVEL] = "error, warn, info or debug",
-		[SETTING_REGIONS] = "a list DOMAIN=REGION,... with one region "
-				    "for each failure domain",
+		[SETTING_REGIONS] = "a list DOMAIN=REGION,...",
 	};
 
 	if (setting->kind == SETTING_NUMBER)
