--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -56,6 +56,8 @@
 };
 
 static int next_net = 1;
+/* Lines that are added to the settings of all instances. */
+static const char *more_settings = "";
 
 /* Processes */
 
@@ -71,7 +73,8 @@
 					  .data_dir = host >= SESSION_HOST
 							      ? NULL
 							      : data };
-	g_autofree char *text = test_platform_settings(&instance);
+	g_autofree char *settings = test_platform_settings(&instance);
+	g_autofree char *text = g_strconcat(settings, more_settings, NULL);
 
 	g_assert_true(g_file_set_contents(path, text, -1, NULL));
 }
@@ -1104,6 +1107,99 @@
 	g_assert_nonnull(line);
 }
 
+/*
+ * The endpoints are in z1 to z3; the first one starts as the primary. Writes of
+ * "pay" are possible only with this region, or without a restriction.
+ */
+#define HOME_SETTINGS "zones.z1=north\nzones.z2=south\nzones.z3=south\n"
+
+struct home_case {
+	/* Home regions of database "pay" and of customer "t", as JSON. */
+	const char *database;
+	const char *customer;
+	/* Reason that a write is refused for, NULL if it is served. */
+	const char *reason;
+};
+
+static const struct home_case home_cases[] = {
+	{ "[\"north\"]", "[]", NULL },
+	{ "[\"south\"]", "null", "primary_outside_home_regions" },
+	{ "[\"north\",\"south\"]", "[\"north\"]", NULL },
+	{ "[\"north\"]", "[\"south\"]", "home_regions_disjoint" },
+	{ "[\"west\"]", "[]", "no_endpoint_in_home_regions" },
+	{ "null", "null", NULL },
+};
+
+static char *config_with_home(int version, const struct home_case *c)
+{
+	g_autofree char *config = config_of(version, "\"k1\",\"k2\"");
+	GString *out = g_string_new(config);
+	g_autofree char *database = g_strdup_printf(
+		"\"host\":\"pay\",\"home_regions\":%s", c->database);
+	g_autofree char *customer = g_strdup_printf(
+		"\"name\":\"t\",\"home_regions\":%s", c->customer);
+
+	g_assert_cmpuint(g_string_replace(out, "\"host\":\"pay\"", database, 0),
+			 ==, 1);
+	g_assert_cmpuint(g_string_replace(out, "\"name\":\"t\"", customer, 0),
+			 ==, 1);
+	return g_string_free(out, FALSE);
+}
+
+/* Repeats a write until it is refused for this reason. */
+static void expect_refusal(struct line_conn *c, const char *reason)
+{
+	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
+
+	while (g_get_monotonic_time() < until) {
+		g_autofree char *got = NULL;
+
+		g_clear_pointer(&c->error, g_free);
+		got = query(c, "WRITE bed north");
+		if (c->error && strstr(c->error, reason))
+			return;
+		g_usleep(50 * 1000);
+	}
+	g_error("no refusal with %s: %s", reason, c->error);
+}
+
+/*
+ * With real processes and through holders: each new list of home regions
+ * applies to a session that stays open, refusals give the reason to the caller
+ * and in the log, and a value that is no list is refused.
+ */
+static void test_home_regions(void)
+{
+	static const struct home_case not_a_list = { "\"north\"", "[]", NULL };
+	g_autofree char *invalid = NULL;
+	struct test_fleet *f;
+	struct line_conn *c;
+	int version = 10;
+
+	more_settings = HOME_SETTINGS;
+	f = fleet_start_many(3, SESSION_HOSTS_MAX);
+	more_settings = "";
+	c = open_session_at(f, SESSION_HOSTS_MAX - 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(home_cases); i++) {
+		const struct home_case *hc = &home_cases[i];
+		g_autofree char *config = config_with_home(++version, hc);
+
+		g_assert_cmpint(replace_config(f, config), ==, 200);
+		if (!hc->reason) {
+			expect_eventually(c, "WRITE bed north",
+					  "COMPLETE write-tag|READY I");
+			continue;
+		}
+		expect_refusal(c, hc->reason);
+		expect_log_line(f, f->caller_host, "statement_refused",
+				hc->reason);
+	}
+	invalid = config_with_home(++version, &not_a_list);
+	g_assert_cmpint(replace_config(f, invalid), ==, 400);
+	close_line(c);
+	fleet_stop(f);
+}
+
 /* Sends a statement with this id. Returns the answer. */
 static char *query_with_id(struct line_conn *c, const char *id,
 			   const char *text)
@@ -1193,6 +1289,7 @@
 	g_test_add_func("/platform-daemon/holder-stops", test_holder_stops);
 	g_test_add_func("/platform-daemon/leader-stalls", test_leader_stalls);
 	g_test_add_func("/platform-daemon/voters", test_voters);
+	g_test_add_func("/platform-daemon/home-regions", test_home_regions);
 	g_test_add_func("/platform-daemon/failures-logged",
 			test_failures_logged);
 	return g_test_run();
