--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -87,6 +87,55 @@
 	return count_domains(fleet, true);
 }
 
+/* Index in the list of evacuated domains, or the number of them. */
+static uint32_t evacuated_index(const struct fleet *fleet, const char *domain)
+{
+	uint32_t i = 0;
+
+	while (i < fleet->evacuated_count &&
+	       strcmp(fleet->evacuated[i], domain) != 0)
+		i++;
+	return i;
+}
+
+bool fleet_domain_evacuated(const struct fleet *fleet, const char *domain)
+{
+	return evacuated_index(fleet, domain) < fleet->evacuated_count;
+}
+
+bool fleet_domain_present(const struct fleet *fleet, const char *domain)
+{
+	if (fleet_domain_evacuated(fleet, domain))
+		return true;
+	for (uint32_t i = 0; i < fleet->instances_count; i++) {
+		if (strcmp(fleet->instances[i].failure_domain, domain) == 0)
+			return true;
+	}
+	for (uint32_t g = 0; g < fleet->groups_count; g++) {
+		const struct fleet_group *group = &fleet->groups[g];
+
+		for (uint32_t i = 0; i < group->count; i++) {
+			if (strcmp(group->endpoint[i].failure_domain, domain) ==
+			    0)
+				return true;
+		}
+	}
+	return false;
+}
+
+uint32_t fleet_evacuated_endpoints(const struct fleet *fleet,
+				   const struct fleet_group *group)
+{
+	uint32_t bits = 0;
+
+	for (uint32_t i = 0; i < group->count; i++) {
+		if (fleet_domain_evacuated(fleet,
+					   group->endpoint[i].failure_domain))
+			bits |= 1U << i;
+	}
+	return bits;
+}
+
 static bool endpoint_same(const struct fleet_endpoint *a,
 			  const struct fleet_endpoint *b)
 {
@@ -612,6 +661,42 @@
 	return 0;
 }
 
+/* Evacuated failure domains */
+
+void fleet_insert_evacuated(struct fleet *fleet, const char *domain)
+{
+	fleet->evacuated = (char(*)[FLEET_NAME_MAX])talloc_realloc_size(
+		fleet, fleet->evacuated,
+		(fleet->evacuated_count + 1) * FLEET_NAME_MAX);
+	LWS_STR_COPY(fleet->evacuated[fleet->evacuated_count], domain);
+	fleet->evacuated_count++;
+}
+
+/* Both commands succeed without a change if there is nothing to do. */
+static int apply_domain_evacuate(struct fleet *fleet,
+				 const struct fleet_command *command)
+{
+	if (fleet_domain_evacuated(fleet, command->domain))
+		return 0;
+	if (fleet->evacuated_count == FLEET_EVACUATED_MAX)
+		return LWS_E_QUEUE_FULL;
+	fleet_insert_evacuated(fleet, command->domain);
+	return 0;
+}
+
+static int apply_domain_restore(struct fleet *fleet,
+				const struct fleet_command *command)
+{
+	uint32_t at = evacuated_index(fleet, command->domain);
+
+	if (at == fleet->evacuated_count)
+		return 0;
+	fleet->evacuated_count--;
+	memmove(fleet->evacuated[at], fleet->evacuated[at + 1],
+		(size_t)(fleet->evacuated_count - at) * FLEET_NAME_MAX);
+	return 0;
+}
+
 /* Requests and audit trail */
 
 void fleet_push_request(struct fleet *fleet, const char *id, int rc)
@@ -676,6 +761,12 @@
 			 command->type == FLEET_INSTANCE_JOIN ? "join"
 							      : "leave");
 		return;
+	case FLEET_DOMAIN_EVACUATE:
+	case FLEET_DOMAIN_RESTORE:
+		snprintf(out, room, "domain %s %s", command->domain,
+			 command->type == FLEET_DOMAIN_EVACUATE ? "evacuate"
+								: "restore");
+		return;
 	case FLEET_COMMAND_TYPE_COUNT:
 		out[0] = '\0';
 		return;
@@ -734,6 +825,10 @@
 		return apply_catalog_patch(fleet, command);
 	case FLEET_ENDPOINT_REMOVE:
 		return apply_remove(fleet, command);
+	case FLEET_DOMAIN_EVACUATE:
+		return apply_domain_evacuate(fleet, command);
+	case FLEET_DOMAIN_RESTORE:
+		return apply_domain_restore(fleet, command);
 	case FLEET_COMMAND_TYPE_COUNT:
 		break;
 	}
--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -31,6 +31,8 @@
 #define FLEET_AUDIT_MAX 512
 #define FLEET_SECRET_BYTES 32
 #define FLEET_AUDIT_TEXT_MAX 128
+/* More failure domains than any deployment has. */
+#define FLEET_EVACUATED_MAX 256
 
 /**
  * struct fleet_endpoint - an endpoint that announced itself
@@ -158,6 +160,8 @@
  * @audit_count: number of entries in @audit
  * @audit_next: next entry of @audit to overwrite
  * @audit: ring of audit entries
+ * @evacuated_count: number of @evacuated
+ * @evacuated: failure domains whose endpoints get nothing new, oldest first
  */
 struct fleet {
 	uint64_t applied_index;
@@ -184,6 +188,8 @@
 	uint32_t audit_count;
 	uint32_t audit_next;
 	struct fleet_audit *audit;
+	uint32_t evacuated_count;
+	char (*evacuated)[FLEET_NAME_MAX];
 };
 
 /** enum fleet_command_type - stored in the log by number */
@@ -205,6 +211,10 @@
 	FLEET_ENDPOINT_REMOVE,
 	/** update the catalog of an instance that keeps no document */
 	FLEET_CATALOG_PATCH,
+	/** send nothing more to the endpoints of a failure domain */
+	FLEET_DOMAIN_EVACUATE,
+	/** undo FLEET_DOMAIN_EVACUATE */
+	FLEET_DOMAIN_RESTORE,
 	FLEET_COMMAND_TYPE_COUNT,
 };
 
@@ -221,6 +231,7 @@
  * @instance: FLEET_INSTANCE_*
  * @endpoint: FLEET_ENDPOINT_*
  * @group: FLEET_GROUP_*
+ * @domain: FLEET_DOMAIN_*
  */
 struct fleet_command {
 	enum fleet_command_type type;
@@ -252,6 +263,7 @@
 			uint32_t members_count;
 			char members[FLEET_ENDPOINTS_MAX][FLEET_NAME_MAX];
 		} group;
+		char domain[FLEET_NAME_MAX];
 	};
 };
 
@@ -354,6 +366,27 @@
 /** fleet_count_caller_domains() - count domains with caller-facing instances */
 uint32_t fleet_count_caller_domains(const struct fleet *fleet);
 
+/**
+ * fleet_domain_evacuated() - whether a failure domain is evacuated
+ *
+ * Every decision that avoids evacuated domains uses this function.
+ */
+bool fleet_domain_evacuated(const struct fleet *fleet, const char *domain);
+
+/**
+ * fleet_domain_present() - whether a failure domain is in the state: with an
+ *                          instance alive, an endpoint, or evacuated
+ */
+bool fleet_domain_present(const struct fleet *fleet, const char *domain);
+
+/**
+ * fleet_evacuated_endpoints() - endpoints of a group in evacuated domains
+ *
+ * Return: bits 1 << index in the list of the group's endpoints.
+ */
+uint32_t fleet_evacuated_endpoints(const struct fleet *fleet,
+				   const struct fleet_group *group);
+
 /** fleet_group_same() - whether two agreed states of a group are equal */
 bool fleet_group_same(const struct fleet_group *a, const struct fleet_group *b);
 
--- a/lib/control/fleet_internal.h
+++ b/lib/control/fleet_internal.h
@@ -16,6 +16,9 @@
 /** fleet_insert_withdrawn() - add a hash to the withdrawn keys */
 void fleet_insert_withdrawn(struct fleet *fleet, const uint8_t *hash);
 
+/** fleet_insert_evacuated() - add a domain that is not in the list */
+void fleet_insert_evacuated(struct fleet *fleet, const char *domain);
+
 /** fleet_push_request() - remember a result, in place of the oldest if full */
 void fleet_push_request(struct fleet *fleet, const char *id, int rc);
 
--- a/lib/control/fleet_pack.c
+++ b/lib/control/fleet_pack.c
@@ -5,6 +5,8 @@
 #include "lws_error.h"
 
 #define INSTANCE_FIELDS 4
+/* Without the optional fields at the end. */
+#define SNAPSHOT_FIELDS 12
 
 /* Commands */
 
@@ -117,6 +119,7 @@
 		[FLEET_GROUP_PRIMARY] = 4,   [FLEET_INSTANCE_JOIN] = 4,
 		[FLEET_INSTANCE_LEAVE] = 4,  [FLEET_CATALOG_REPLACE] = 3,
 		[FLEET_ENDPOINT_REMOVE] = 2, [FLEET_CATALOG_PATCH] = 3,
+		[FLEET_DOMAIN_EVACUATE] = 1, [FLEET_DOMAIN_RESTORE] = 1,
 	};
 
 	pack_array(w, 4 + fields[command->type]);
@@ -155,6 +158,10 @@
 		pack_bin(w, command->catalog.packed,
 			 command->catalog.packed_len);
 		return;
+	case FLEET_DOMAIN_EVACUATE:
+	case FLEET_DOMAIN_RESTORE:
+		pack_str(w, command->domain);
+		return;
 	case FLEET_COMMAND_TYPE_COUNT:
 		return;
 	}
@@ -203,6 +210,10 @@
 		command->catalog.packed =
 			read_bin_copy(r, mem_ctx, &command->catalog.packed_len);
 		return;
+	case FLEET_DOMAIN_EVACUATE:
+	case FLEET_DOMAIN_RESTORE:
+		pack_read_str(r, command->domain, FLEET_NAME_MAX);
+		return;
 	case FLEET_COMMAND_TYPE_COUNT:
 		return;
 	}
@@ -458,12 +469,43 @@
 				  packed_len);
 }
 
+static void evacuated_pack(struct pack_writer *w, const struct fleet *fleet)
+{
+	pack_array(w, fleet->evacuated_count);
+	for (uint32_t i = 0; i < fleet->evacuated_count; i++)
+		pack_str(w, fleet->evacuated[i]);
+}
+
+/* A snapshot without the list has no evacuated domains. */
+static void evacuated_unpack(struct pack_reader *r, struct fleet *fleet)
+{
+	struct pack_reader in;
+	char domain[FLEET_NAME_MAX];
+
+	if (r->rc || r->next == r->count)
+		return;
+	if (pack_reader_enter(r, &in) || in.count > FLEET_EVACUATED_MAX) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	for (uint32_t i = 0; i < in.count; i++) {
+		pack_read_str(&in, domain, sizeof(domain));
+		fleet_insert_evacuated(fleet, domain);
+	}
+	if (pack_reader_end(&in))
+		r->rc = LWS_E_WIRE_FORMAT;
+}
+
 static void snapshot_pack(struct pack_writer *w, const struct fleet *fleet,
 			  bool compact)
 {
 	static const struct fleet empty;
 
-	pack_array(w, 12);
+	/*
+	 * The list of evacuated domains is left out if it is empty: instances
+	 * of earlier versions accept exactly SNAPSHOT_FIELDS.
+	 */
+	pack_array(w, SNAPSHOT_FIELDS + (fleet->evacuated_count ? 1 : 0));
 	pack_u64(w, fleet->applied_index);
 	pack_u64(w, fleet->config_version);
 	pack_str(w, fleet->config_text);
@@ -474,6 +516,8 @@
 	requests_pack(w, compact ? &empty : fleet);
 	audit_pack(w, compact ? &empty : fleet);
 	catalog_state_pack(w, fleet, compact);
+	if (fleet->evacuated_count)
+		evacuated_pack(w, fleet);
 }
 
 void fleet_snapshot_pack(struct pack_writer *w, const struct fleet *fleet)
@@ -507,6 +551,7 @@
 	requests_unpack(&r, fleet);
 	audit_unpack(&r, fleet);
 	catalog_state_unpack(&r, fleet);
+	evacuated_unpack(&r, fleet);
 	rc = pack_reader_end(&r);
 	pack_reader_clear(&r);
 	if (!rc && fleet->config_version)
--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -45,6 +45,7 @@
 	char addr[FLEET_ADDR_MAX];
 	bool present;
 	bool leaving;
+	bool evacuated;
 	bool claims_primary;
 	bool command_sent;
 	uint64_t command_sent_us;
@@ -58,13 +59,15 @@
 	struct fleet_group group;
 	uint32_t sync_replicas;
 	uint32_t domains;
+	/* Endpoints in evacuated domains, as bits of their index in @group. */
+	uint32_t evacuated;
 	enum phase phase;
 	uint64_t fencing_token;
 	uint64_t pause_term;
 	char choice[FLEET_NAME_MAX];
 	uint64_t phase_since_us;
 	uint64_t last_attempt_us;
-	/* The attempt started because the primary is suspect or leaving. */
+	/* The attempt started because the primary must not stay. */
 	bool primary_unwanted;
 	/* A promotion call has no known outcome; it may still take effect. */
 	bool unresolved_call;
@@ -166,6 +169,29 @@
 	return s->group.primary_term && strcmp(s->group.primary, m->id) == 0;
 }
 
+/* Whether another endpoint, outside of evacuated domains, can take over. */
+static bool has_candidate_outside(const struct managed_failover *s)
+{
+	for (uint32_t i = 0; i < s->members_count; i++) {
+		const struct member *m = &s->members[i];
+
+		if (m->present && !m->evacuated && !is_primary(s, m))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether the primary has to move out of an evacuated domain. Without a
+ * candidate outside it stays: an attempt would only interrupt replication.
+ */
+static bool must_evacuate(struct managed_failover *s)
+{
+	const struct member *primary = find_member(s, s->group.primary);
+
+	return primary && primary->evacuated && has_candidate_outside(s);
+}
+
 /* The endpoint with the newest term among those that report to be primary. */
 static struct member *find_newest_primary(struct managed_failover *s)
 {
@@ -214,7 +240,8 @@
 
 	s->fencing_token = s->group.term + 1;
 	s->primary_unwanted = strcmp(reason, "primary_suspect") == 0 ||
-			      strcmp(reason, "primary_leaving") == 0;
+			      strcmp(reason, "primary_leaving") == 0 ||
+			      must_evacuate(s);
 	s->choice[0] = '\0';
 	/*
 	 * If the newest token has no primary yet, an earlier leader may have
@@ -240,6 +267,14 @@
 		send_command(s, m, now_us, kind, s->pause_term);
 }
 
+/* Whether to ask an endpoint again for a change that is expected soon. */
+static bool poll_due(const struct managed_failover *s, const struct member *m,
+		     uint64_t now_us)
+{
+	return !m->command_sent ||
+	       now_us - m->command_sent_us >= s->params.command_retry_us / 5;
+}
+
 static void commit_primary(struct managed_failover *s, uint64_t now_us,
 			   const char *id)
 {
@@ -274,12 +309,16 @@
 
 	if (cmp)
 		return cmp > 0;
+	if (a->evacuated != b->evacuated)
+		return b->evacuated;
 	return a->present && !b->present;
 }
 
 /*
  * The paused replica that received most. NULL while so few replicas are paused
- * that it may lack an acknowledged commit.
+ * that it may lack an acknowledged commit. NULL also if only replicas in
+ * evacuated domains received most: none of these is promoted, and any other may
+ * lack an acknowledged commit.
  */
 static struct member *choose_safe(struct managed_failover *s)
 {
@@ -299,6 +338,8 @@
 		if (!best || more_recent(m, best))
 			best = m;
 	}
+	if (best && best->evacuated)
+		return NULL;
 	return missing <= missing_max ? best : NULL;
 }
 
@@ -359,6 +400,34 @@
 	enter_phase(s, now_us, PHASE_PAUSE);
 }
 
+/*
+ * Whether to let a replica outside of evacuated domains go on receiving, so
+ * that it catches up with the replicas in evacuated domains, which are paused
+ * first: paused together, one of those might have received most, and no replica
+ * could be promoted. At most @sync_replicas - 1 of them may stay unpaused.
+ */
+static bool has_to_catch_up(const struct managed_failover *s,
+			    const struct member *m)
+{
+	uint32_t unpaused_max = s->sync_replicas ? s->sync_replicas - 1 : 0;
+	uint32_t unpaused = 0;
+
+	if (m->evacuated)
+		return false;
+	for (uint32_t i = 0; i < s->members_count; i++) {
+		const struct member *other = &s->members[i];
+
+		if (!other->evacuated || is_primary(s, other))
+			continue;
+		if (!other->paused)
+			unpaused++;
+		else if (log_position_cmp(other->status.received,
+					  m->status.received) > 0)
+			return true;
+	}
+	return unpaused > unpaused_max;
+}
+
 static void pause_replicas(struct managed_failover *s, uint64_t now_us)
 {
 	struct member *choice;
@@ -366,8 +435,12 @@
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		struct member *m = &s->members[i];
 
-		if (!is_primary(s, m) && !m->paused)
+		if (is_primary(s, m) || m->paused)
+			continue;
+		if (!has_to_catch_up(s, m))
 			send_if_due(s, m, now_us, COMMAND_PAUSE);
+		else if (poll_due(s, m, now_us))
+			send_command(s, m, now_us, COMMAND_STATUS, 0);
 	}
 	choice = choose_safe(s);
 	if (choice)
@@ -383,8 +456,7 @@
 		commit_primary(s, now_us, m->id);
 		return;
 	}
-	if (m && (!m->command_sent || now_us - m->command_sent_us >=
-					      s->params.command_retry_us / 5))
+	if (m && poll_due(s, m, now_us))
 		send_command(s, m, now_us, COMMAND_STATUS, 0);
 }
 
@@ -460,6 +532,8 @@
 		return "primary_gone";
 	if (primary->leaving)
 		return "primary_leaving";
+	if (must_evacuate(s))
+		return "primary_evacuated";
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		if (s->members[i].claims_primary && !primary->claims_primary &&
 		    s->members[i].present)
@@ -468,9 +542,16 @@
 	return primary_suspected(s, now_us) ? "primary_suspect" : NULL;
 }
 
-/* Whether a replica can take over; without one, no attempt starts. */
-static bool has_candidate(const struct managed_failover *s)
+/*
+ * Whether a replica can take over; without one, no attempt starts. An
+ * unfinished attempt, or one after an endpoint became primary, may end without
+ * a promotion of a replica, so it needs none outside of evacuated domains.
+ */
+static bool has_candidate(const struct managed_failover *s, const char *reason)
 {
+	if (s->evacuated && strcmp(reason, "unfinished") != 0 &&
+	    strcmp(reason, "another_claims") != 0)
+		return has_candidate_outside(s);
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		if (s->members[i].present && !is_primary(s, &s->members[i]))
 			return true;
@@ -486,7 +567,7 @@
 		return;
 	reason = reason_to_start(s, now_us);
 	probe_primary(s, now_us);
-	if (!reason || (s->group.primary_term && !has_candidate(s)))
+	if (!reason || (s->group.primary_term && !has_candidate(s, reason)))
 		return;
 	start_attempt(s, now_us, reason);
 }
@@ -555,6 +636,7 @@
 		LWS_STR_COPY(m->addr, group->endpoint[i].addr);
 		m->present = group->endpoint[i].present;
 		m->leaving = group->endpoint[i].leaving;
+		m->evacuated = s->evacuated & (1U << i);
 	}
 	if (s->phase == PHASE_COMMIT_TOKEN && group->term >= s->fencing_token) {
 		if (group->term == s->fencing_token)
@@ -577,6 +659,12 @@
 	managed_failover_tick(s, now_us);
 }
 
+void managed_failover_set_evacuated(struct managed_failover *s,
+				    uint32_t endpoints)
+{
+	s->evacuated = endpoints;
+}
+
 void managed_failover_set_domains(struct managed_failover *s, uint32_t domains)
 {
 	s->domains = domains;
--- a/lib/control/managed_failover.h
+++ b/lib/control/managed_failover.h
@@ -87,6 +87,19 @@
 	const char *reason;
 };
 
+/**
+ * managed_failover_set_evacuated() - set which endpoints are in evacuated
+ *                                    failure domains
+ * @s: state machine
+ * @endpoints: fleet_evacuated_endpoints() of the group that is passed to the
+ *             next managed_failover_set_group()
+ *
+ * A primary there is replaced by a replica outside, if there is one; a replica
+ * there is never promoted.
+ */
+void managed_failover_set_evacuated(struct managed_failover *s,
+				    uint32_t endpoints);
+
 /** managed_failover_create() - create the state machine of one group */
 struct managed_failover *managed_failover_create(
 	void *mem_ctx, const struct managed_failover_params *params,
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -175,6 +175,43 @@
 	control_proposals_applied(c, index, result);
 }
 
+static bool was_evacuated(const struct control *c, const char *domain)
+{
+	for (uint32_t i = 0; i < c->evacuated_count; i++) {
+		if (strcmp(c->evacuated[i], domain) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Logs evacuations that begin or end at this instance with this state. */
+static void log_evacuations(struct control *c)
+{
+	const struct fleet *fleet = c->fleet;
+
+	for (uint32_t i = 0; i < fleet->evacuated_count; i++) {
+		if (!was_evacuated(c, fleet->evacuated[i]))
+			lws_log_info(c->daemon->log, "evacuation_in_force",
+				     "{s:s}", "failure_domain",
+				     fleet->evacuated[i]);
+	}
+	for (uint32_t i = 0; i < c->evacuated_count; i++) {
+		if (!fleet_domain_evacuated(fleet, c->evacuated[i]))
+			lws_log_info(c->daemon->log, "evacuation_ended",
+				     "{s:s}", "failure_domain",
+				     c->evacuated[i]);
+	}
+	TALLOC_FREE(c->evacuated);
+	c->evacuated_count = 0;
+	if (!fleet->evacuated_count)
+		return;
+	c->evacuated = (char(*)[FLEET_NAME_MAX])talloc_memdup(
+		c, fleet->evacuated,
+		(size_t)fleet->evacuated_count * FLEET_NAME_MAX);
+	if (c->evacuated)
+		c->evacuated_count = fleet->evacuated_count;
+}
+
 void control_publish(struct control *c)
 {
 	struct view *view;
@@ -182,6 +219,7 @@
 	control_push_downstreams(c);
 	if (!c->fleet_changed)
 		return;
+	log_evacuations(c);
 	control_dial_fleet(c);
 	if (c->session_server)
 		session_server_fleet_changed(c->session_server);
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -138,6 +138,9 @@
 	/* The replicated state, and whether it has unpublished changes. */
 	struct fleet *fleet;
 	bool fleet_changed;
+	/* Evacuated failure domains as last published, for the log. */
+	uint32_t evacuated_count;
+	char (*evacuated)[FLEET_NAME_MAX];
 	struct sync_client sync;
 	struct sync_log *sync_log;
 	/* Sync requests of downstreams that wait for a confirmation. */
--- a/lib/daemon/control_admin.c
+++ b/lib/daemon/control_admin.c
@@ -9,6 +9,7 @@
 #include "lws_str.h"
 #include "lws_time.h"
 #include "lws_version.h"
+#include "operator.h"
 #include "sock.h"
 
 #define ADMIN_CONNECTIONS_MAX 1024
@@ -82,6 +83,15 @@
 	return list;
 }
 
+static json_t *evacuated_json(const struct fleet *fleet)
+{
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < fleet->evacuated_count; i++)
+		json_array_append_new(list, json_string(fleet->evacuated[i]));
+	return list;
+}
+
 static json_t *instances_json(const struct control *c)
 {
 	json_t *list = json_array();
@@ -139,12 +149,13 @@
 			 "config_version", (json_int_t)c->fleet->config_version,
 			 "index", (json_int_t)c->fleet->applied_index, "member",
 			 (json_int_t)c->identity.member);
-	more = json_pack("{s:I,s:s,s:I,s:o,s:o,s:o}", "cluster",
+	more = json_pack("{s:I,s:s,s:I,s:o,s:o,s:o,s:o}", "cluster",
 			 (json_int_t)c->identity.cluster, "callers",
 			 c->daemon->listen_addr, "instances_alive",
 			 (json_int_t)c->fleet->instances_count, "instances",
 			 instances_json(c), "voters", voters_json(c), "groups",
-			 groups_json(c->fleet));
+			 groups_json(c->fleet), "evacuated",
+			 evacuated_json(c->fleet));
 	json_object_update(body, more);
 	json_decref(more);
 	answer_json(request, 200, body);
@@ -322,6 +333,48 @@
 	propose(c, request, &command);
 }
 
+/* An evacuation, or its end, whose failure domain is being checked. */
+struct pending_domain_change {
+	struct control *control;
+	struct h2_request *request;
+	struct fleet_command command;
+};
+
+static void on_domain_checked(void *private_data, int rc)
+{
+	struct pending_domain_change *pending = private_data;
+
+	if (rc)
+		answer_error(pending->control, pending->request, rc);
+	else
+		propose(pending->control, pending->request, &pending->command);
+	talloc_free(pending);
+}
+
+static void post_domain(struct control *c, struct h2_request *request,
+			const json_t *body, enum fleet_command_type type)
+{
+	struct pending_domain_change *pending =
+		talloc_zero(c, struct pending_domain_change);
+
+	if (!pending) {
+		answer_error(c, request, LWS_E_NOMEM);
+		return;
+	}
+	pending->control = c;
+	pending->request = request;
+	if (!start_command(body, &pending->command) ||
+	    !copy_text(body, "domain", pending->command.domain,
+		       FLEET_NAME_MAX)) {
+		answer_error(c, request, LWS_E_ARGUMENT);
+		talloc_free(pending);
+		return;
+	}
+	pending->command.type = type;
+	operator_check_domain(c, pending->command.domain, pending,
+			      on_domain_checked);
+}
+
 static bool read_voters(const json_t *list, struct raft_voters *voters)
 {
 	size_t i;
@@ -459,6 +512,10 @@
 		post_key(c, request, body, FLEET_KEY_GIVE);
 	} else if (strcmp(path, "/_lws/key/withdraw") == 0) {
 		post_key(c, request, body, FLEET_KEY_WITHDRAW);
+	} else if (strcmp(path, "/_lws/domain/evacuate") == 0) {
+		post_domain(c, request, body, FLEET_DOMAIN_EVACUATE);
+	} else if (strcmp(path, "/_lws/domain/restore") == 0) {
+		post_domain(c, request, body, FLEET_DOMAIN_RESTORE);
 	} else if (strcmp(path, "/_lws/bootstrap") == 0) {
 		post_bootstrap(c, request, body);
 	} else if (strcmp(path, "/_lws/drain") == 0) {
--- a/lib/daemon/control_managed_failover.c
+++ b/lib/daemon/control_managed_failover.c
@@ -226,6 +226,9 @@
 
 		if (!managed)
 			continue;
+		managed_failover_set_evacuated(
+			managed->failover,
+			fleet_evacuated_endpoints(c->fleet, &group));
 		managed_failover_set_group(managed->failover, now_us, &group,
 					   sync_replicas_of(c, group.name));
 		pump(c, managed);
--- a/lib/daemon/metrics.c
+++ b/lib/daemon/metrics.c
@@ -69,6 +69,17 @@
 	}
 }
 
+static void put_evacuations(struct byte_buffer *out, const struct fleet *fleet)
+{
+	char name[96];
+
+	for (uint32_t i = 0; i < fleet->evacuated_count; i++) {
+		snprintf(name, sizeof(name), "evacuated{failure_domain=\"%s\"}",
+			 fleet->evacuated[i]);
+		metrics_put(out, name, 1);
+	}
+}
+
 static void put_control(struct byte_buffer *out, struct control *c)
 {
 	uint64_t now_us = lws_time_now_us();
@@ -84,6 +95,7 @@
 		    confirmed_us ? now_us - confirmed_us : UINT64_MAX);
 	metrics_put(out, "leads", c->leader != NULL);
 	metrics_put(out, "proposals_waiting", c->proposals != NULL);
+	put_evacuations(out, c->fleet);
 	if (!c->raft)
 		return;
 	metrics_put(out, "log_term", raft_term(c->raft));
--- a/lib/daemon/operator.c
+++ b/lib/daemon/operator.c
@@ -139,6 +139,117 @@
 	}
 }
 
+/* Evacuation of failure domains */
+
+/* A check of a domain that waits until the local state is confirmed. */
+struct pending_domain {
+	struct control *control;
+	char domain[FLEET_NAME_MAX];
+	void *private_data;
+	operator_done_fn done;
+};
+
+/* An evacuation, or its end, whose domain is being checked. */
+struct pending_evacuation {
+	struct control *control;
+	struct fleet_command command;
+	void *private_data;
+	operator_done_fn done;
+};
+
+/* Whether the failure domain exists, as far as this instance knows. */
+static bool domain_known(const struct control *c, const char *domain)
+{
+	return fleet_domain_present(c->fleet, domain);
+}
+
+static void on_state_confirmed(void *private_data, int rc,
+			       const uint8_t *document, uint32_t len)
+{
+	struct pending_domain *pending = private_data;
+
+	(void)document;
+	(void)len;
+	if (domain_known(pending->control, pending->domain))
+		rc = 0;
+	else if (rc != LWS_E_NO_QUORUM && rc != LWS_E_NOMEM)
+		rc = LWS_E_NOT_FOUND;
+	pending->done(pending->private_data, rc);
+	talloc_free(pending);
+}
+
+void operator_check_domain(struct control *c, const char *domain,
+			   void *private_data, operator_done_fn done)
+{
+	struct pending_domain *pending;
+
+	if (!cfg_name_valid(domain)) {
+		done(private_data, LWS_E_NOT_FOUND);
+		return;
+	}
+	if (domain_known(c, domain)) {
+		done(private_data, 0);
+		return;
+	}
+	pending = talloc_zero(c, struct pending_domain);
+	if (!pending) {
+		done(private_data, LWS_E_NOMEM);
+		return;
+	}
+	pending->control = c;
+	LWS_STR_COPY(pending->domain, domain);
+	pending->private_data = private_data;
+	pending->done = done;
+	/*
+	 * An instance that has just started, or is cut off, may lack the
+	 * domain; only a confirmed state shows that there is none.
+	 */
+	operator_read(c, pending, on_state_confirmed);
+}
+
+static void on_evacuation_checked(void *private_data, int rc)
+{
+	struct pending_evacuation *pending = private_data;
+
+	if (rc)
+		pending->done(pending->private_data, rc);
+	else
+		propose(pending->control, &pending->command,
+			pending->private_data, pending->done);
+	talloc_free(pending);
+}
+
+static void change_evacuation(struct control *c, enum fleet_command_type type,
+			      const char *domain, void *private_data,
+			      operator_done_fn done)
+{
+	struct pending_evacuation *pending =
+		talloc_zero(c, struct pending_evacuation);
+
+	if (!pending) {
+		done(private_data, LWS_E_NOMEM);
+		return;
+	}
+	pending->control = c;
+	pending->command.type = type;
+	LWS_STR_COPY(pending->command.domain, domain);
+	pending->private_data = private_data;
+	pending->done = done;
+	operator_check_domain(c, domain, pending, on_evacuation_checked);
+}
+
+void operator_evacuate(struct control *c, const char *domain,
+		       void *private_data, operator_done_fn done)
+{
+	change_evacuation(c, FLEET_DOMAIN_EVACUATE, domain, private_data, done);
+}
+
+void operator_restore(struct control *c, const char *domain, void *private_data,
+		      operator_done_fn done)
+{
+	change_evacuation(c, FLEET_DOMAIN_RESTORE, domain, private_data, done);
+}
+
 /* Endpoints */
 
 static bool is_registered(const struct control *c, const char *group,
--- a/lib/daemon/operator.h
+++ b/lib/daemon/operator.h
@@ -46,6 +46,33 @@
 void operator_read(struct control *c, void *private_data,
 		   operator_read_fn done);
 
+/**
+ * operator_check_domain() - check that a failure domain exists
+ * @c: control thread
+ * @domain: name
+ * @private_data: passed to @done
+ * @done: gets 0, LWS_E_NOT_FOUND, or LWS_E_NO_QUORUM if the domain is unknown
+ *        here and the local state could not be confirmed in time
+ */
+void operator_check_domain(struct control *c, const char *domain,
+			   void *private_data, operator_done_fn done);
+
+/**
+ * operator_evacuate() - send nothing more to the endpoints of a failure domain
+ * @c: control thread
+ * @domain: name
+ * @private_data: passed to @done
+ * @done: gets 0 once a majority has committed and synced the change, also when
+ *        the domain is evacuated already; LWS_E_NOT_FOUND if there is no such
+ *        domain. After any other result the change may still be applied.
+ */
+void operator_evacuate(struct control *c, const char *domain,
+		       void *private_data, operator_done_fn done);
+
+/** operator_restore() - undo operator_evacuate(), with the same results */
+void operator_restore(struct control *c, const char *domain, void *private_data,
+		      operator_done_fn done);
+
 /**
  * struct operator_announcement - registration or heartbeat of an endpoint
  * @group: its group
--- a/lib/daemon/session_server.c
+++ b/lib/daemon/session_server.c
@@ -635,6 +635,9 @@
 			      uint64_t confirmed_us)
 {
 	pooler_set_confirmed(server->pooler, confirmed_us);
+	/* The pooler does not have changes that are not published yet. */
+	if (!server->control->fleet_changed)
+		pooler_set_fleet_confirmed(server->pooler, confirmed_us);
 }
 
 void session_server_tokens_granted(struct session_server *server)
@@ -729,6 +732,8 @@
 		.key_fresh_us = s->key_fresh_ms * LWS_US_PER_MS,
 		.suspect_us = s->suspect_ms * LWS_US_PER_MS,
 		.leaving_grace_us = s->leave_ms * LWS_US_PER_MS,
+		.evacuate_grace_us =
+			settings_evacuate_grace_ms(s) * LWS_US_PER_MS,
 		.customer_bound = true,
 		.seed = c->daemon->incarnation,
 	};
--- a/lib/daemon/settings.c
+++ b/lib/daemon/settings.c
@@ -13,6 +13,11 @@
 #include "lws_version.h"
 #include "sock.h"
 
+/* The report of a leaving endpoint and a statement in flight take less time. */
+#define LEAVING_RESERVE_MS 1200
+/* Default of settings.evacuate_ms. */
+#define EVACUATE_DEFAULT_MS 5000
+
 enum setting_kind {
 	SETTING_NAME,
 	SETTING_ADDRESS,
@@ -247,6 +252,18 @@
 		     "--operator-key-file");
 }
 
+uint32_t settings_less_reserve(uint32_t bound_ms)
+{
+	return bound_ms > 2 * LEAVING_RESERVE_MS ? bound_ms - LEAVING_RESERVE_MS
+						 : bound_ms / 2;
+}
+
+uint32_t settings_evacuate_grace_ms(const struct settings *s)
+{
+	return settings_less_reserve(s->evacuate_ms ? s->evacuate_ms
+						    : EVACUATE_DEFAULT_MS);
+}
+
 void settings_default(struct settings *s)
 {
 	*s = (struct settings){ .listen = "127.0.0.1:0",
--- a/lib/daemon/settings.h
+++ b/lib/daemon/settings.h
@@ -45,6 +45,8 @@
  * @log_level: most detailed level that is logged
  * @leave_ms: how long a leaving primary may still get statements; 0: until
  *            there is a new primary
+ * @evacuate_ms: no statement reaches an endpoint of an evacuated failure domain
+ *               after this time; 0 for the default
  * @statement_listen: address for callers of a statement protocol; NULL for
  *                    none
  * @metrics_listen: address of the metrics; NULL for none
@@ -80,6 +82,7 @@
 	uint32_t drain_ms;
 	enum lws_log_level log_level;
 	uint32_t leave_ms;
+	uint32_t evacuate_ms;
 	const char *statement_listen;
 	const char *metrics_listen;
 	bool bootstrap_from_seeds;
@@ -89,6 +92,18 @@
 /** settings_default() - set all settings that have a default */
 void settings_default(struct settings *s);
 
+/**
+ * settings_less_reserve() - how long an endpoint may get statements if none may
+ *                           reach it after @bound_ms
+ */
+uint32_t settings_less_reserve(uint32_t bound_ms);
+
+/**
+ * settings_evacuate_grace_ms() - how long a primary in an evacuated failure
+ *                                domain may get statements
+ */
+uint32_t settings_evacuate_grace_ms(const struct settings *s);
+
 /**
  * settings_environment() - read the environment variables
  *
--- a/lib/session/holders.c
+++ b/lib/session/holders.c
@@ -76,8 +76,10 @@
 	struct scored in_domain[FLEET_ENDPOINTS_MAX] = { 0 };
 	struct scored domains[HOLDERS_PER_GROUP];
 	struct scored all[HOLDERS_RANKED];
+	struct scored evacuated[HOLDERS_RANKED];
 	uint32_t domains_count = 0;
 	uint32_t all_count = 0;
+	uint32_t evacuated_count = 0;
 
 	for (uint32_t i = 0; i < fleet->instances_count; i++) {
 		const struct fleet_instance *instance = &fleet->instances[i];
@@ -86,6 +88,12 @@
 
 		if (!may_hold(instance))
 			continue;
+		/* Its endpoint of the group gets no statements. */
+		if (fleet_domain_evacuated(fleet, instance->failure_domain)) {
+			insert(evacuated, &evacuated_count, HOLDERS_RANKED,
+			       new);
+			continue;
+		}
 		insert(all, &all_count, HOLDERS_RANKED, new);
 		e = endpoint_in(group, instance->failure_domain);
 		if (e < group->count &&
@@ -102,6 +110,8 @@
 		append(out, domains[i].instance);
 	for (uint32_t i = 0; i < all_count; i++)
 		append(out, all[i].instance);
+	for (uint32_t i = 0; i < evacuated_count; i++)
+		append(out, evacuated[i].instance);
 }
 
 uint32_t holders_index(const struct holders *h, const char *name)
--- a/lib/session/holders.h
+++ b/lib/session/holders.h
@@ -63,7 +63,8 @@
  *
  * The first holders are in the failure domains of the group's endpoints, each
  * in another one: an isolated domain then still has a holder, and the loss of
- * one domain takes only one holder.
+ * one domain takes only one holder. Instances in evacuated failure domains come
+ * last.
  */
 void holders_rank(struct holders *out, const struct fleet *fleet,
 		  const struct fleet_group *group);
--- a/lib/session/pooler.c
+++ b/lib/session/pooler.c
@@ -397,6 +397,7 @@
 {
 	p->fleet = fleet;
 	p->catalog = fleet->catalog;
+	pool_update_evacuations(p, fleet);
 	p->accepting_instances = count_accepting_instances(fleet);
 	for (uint32_t i = 0; p->catalog && i < p->catalog->groups_count; i++) {
 		const struct catalog_group *from = &p->catalog->groups[i];
@@ -420,6 +421,11 @@
 	p->confirmed_us = confirmed_us;
 }
 
+void pooler_set_fleet_confirmed(struct pooler *p, uint64_t confirmed_us)
+{
+	p->fleet_confirmed_us = confirmed_us;
+}
+
 void pooler_resend_reports(struct pooler *p)
 {
 	for (uint32_t i = 0; i < p->groups_count; i++)
--- a/lib/session/pooler.h
+++ b/lib/session/pooler.h
@@ -47,6 +47,9 @@
  * @leaving_grace_us: a leaving primary gets new statements for this long after
  *                    this instance learned that it leaves, then none, even if
  *                    there is no successor; 0 for no limit
+ * @evacuate_grace_us: a primary in an evacuated failure domain gets statements
+ *                     for this long after the evacuation was not yet in force,
+ *                     unless there is a successor earlier, then none
  * @customer_bound: a connection serves only the customer it was opened for
  * @seed: seed for jitter
  */
@@ -56,6 +59,7 @@
 	uint64_t key_fresh_us;
 	uint64_t suspect_us;
 	uint64_t leaving_grace_us;
+	uint64_t evacuate_grace_us;
 	bool customer_bound;
 	uint64_t seed;
 };
@@ -167,6 +171,14 @@
 /** pooler_set_confirmed() - set when the keys were last confirmed */
 void pooler_set_confirmed(struct pooler *p, uint64_t confirmed_us);
 
+/**
+ * pooler_set_fleet_confirmed() - set when the cluster state was complete
+ * @p: pooler
+ * @confirmed_us: the state last passed to pooler_set_fleet() lacked nothing
+ *                that was committed before this time
+ */
+void pooler_set_fleet_confirmed(struct pooler *p, uint64_t confirmed_us);
+
 /**
  * pooler_open_session() - open a session for a caller
  * @p: pooler
--- a/lib/session/pooler_conns.c
+++ b/lib/session/pooler_conns.c
@@ -69,7 +69,8 @@
 
 bool pool_may_open(const struct pool_endpoint *e, uint64_t now_us)
 {
-	if (now_us < e->fail_until_us || now_us < e->full_until_us)
+	if (now_us < e->fail_until_us || now_us < e->full_until_us ||
+	    pool_is_past_evacuation_grace(e, now_us))
 		return false;
 	return e->conns_count < e->group->connections_share + POOL_EXTRA_CONNS;
 }
--- a/lib/session/pooler_dispatch.c
+++ b/lib/session/pooler_dispatch.c
@@ -65,14 +65,57 @@
 	return cost;
 }
 
-/* Returns true if the endpoint is leaving and its grace period has passed. */
+static bool is_over(uint64_t since_us, uint64_t grace_us, uint64_t now_us)
+{
+	return since_us && since_us + grace_us < now_us;
+}
+
+bool pool_is_past_evacuation_grace(const struct pool_endpoint *e,
+				   uint64_t now_us)
+{
+	return is_over(e->evacuated_since_us,
+		       e->group->pooler->params.evacuate_grace_us, now_us);
+}
+
+/*
+ * Returns true if the endpoint is leaving, or its failure domain is evacuated,
+ * and the grace period has passed.
+ */
 static bool is_past_leaving_grace(const struct pool_endpoint *e,
 				  uint64_t now_us)
 {
 	uint64_t grace_us = e->group->pooler->params.leaving_grace_us;
 
-	return grace_us && e->leaving_since_us &&
-	       now_us - e->leaving_since_us > grace_us;
+	return (grace_us && is_over(e->leaving_since_us, grace_us, now_us)) ||
+	       pool_is_past_evacuation_grace(e, now_us);
+}
+
+/* Whether all endpoints of the group are in evacuated failure domains. */
+static bool is_group_evacuated(const struct pool_group *g)
+{
+	uint32_t others = 0;
+
+	for (uint32_t i = 0; i < g->endpoints_count; i++) {
+		const struct pool_endpoint *e = g->endpoints[i];
+
+		others += e->known && !e->evacuated_since_us ? 1 : 0;
+	}
+	return g->endpoints_count && !others;
+}
+
+const char *pool_evacuation_refusal(const struct pool_session *s,
+				    uint64_t now_us)
+{
+	const struct pool_group *g = s->job.group;
+
+	if (s->job.anywhere)
+		return is_group_evacuated(g)
+			       ? "the failure domains of all endpoints are "
+				 "evacuated"
+			       : NULL;
+	return g->primary && pool_is_past_evacuation_grace(g->primary, now_us)
+		       ? POOL_EVACUATED
+		       : NULL;
 }
 
 /*
@@ -103,7 +146,8 @@
 		   uint64_t now_us)
 {
 	if (!e->known || (!e->present && e != e->group->primary) ||
-	    e->suspect || is_past_leaving_grace(e, now_us))
+	    e->suspect || e->evacuated_since_us ||
+	    is_past_leaving_grace(e, now_us))
 		return false;
 	/*
 	 * After its pause, a lagging endpoint gets one statement at a time,
@@ -345,7 +389,8 @@
 	struct pool_endpoint *e = g->primary;
 
 	if (g->leadership_conn || !e || !e->known ||
-	    now_us < e->read_only_until_us)
+	    now_us < e->read_only_until_us ||
+	    pool_is_past_evacuation_grace(e, now_us))
 		return;
 	for (struct pool_conn *c = e->conns; c; c = c->next) {
 		if (c->state != CONN_IDLE)
@@ -372,7 +417,8 @@
 	 * Opening a connection also checks whether the primary answers, so this
 	 * connection may exceed the even share.
 	 */
-	if (!g->leadership_conn && !e->opening && now_us >= e->fail_until_us)
+	if (!g->leadership_conn && !e->opening && now_us >= e->fail_until_us &&
+	    !pool_is_past_evacuation_grace(e, now_us))
 		(void)pool_open(e, "", now_us);
 }
 
--- a/lib/session/pooler_group.c
+++ b/lib/session/pooler_group.c
@@ -55,6 +55,41 @@
 	return e;
 }
 
+/* Returns 0 if the failure domain is not evacuated. */
+static uint64_t evacuated_since_us(const struct pooler *p, const char *domain)
+{
+	for (uint32_t i = 0; i < p->evacuations_count; i++) {
+		if (strcmp(p->evacuations[i].domain, domain) == 0)
+			return p->evacuations[i].since_us;
+	}
+	return 0;
+}
+
+/*
+ * Keeps since when each domain may be evacuated. An evacuation that is not in
+ * the previous state was committed after the time at which that was confirmed:
+ * an instance that was cut off or has just started gets no grace period of its
+ * own, so that all instances in contact stop in time.
+ */
+void pool_update_evacuations(struct pooler *p, const struct fleet *fleet)
+{
+	struct pool_evacuation *list = NULL;
+	uint64_t since_us = p->fleet_confirmed_us ? p->fleet_confirmed_us : 1;
+
+	if (fleet->evacuated_count)
+		list = talloc_zero_array(p, struct pool_evacuation,
+					 fleet->evacuated_count);
+	for (uint32_t i = 0; list && i < fleet->evacuated_count; i++) {
+		uint64_t known_us = evacuated_since_us(p, fleet->evacuated[i]);
+
+		LWS_STR_COPY(list[i].domain, fleet->evacuated[i]);
+		list[i].since_us = known_us ? known_us : since_us;
+	}
+	talloc_free(p->evacuations);
+	p->evacuations = list;
+	p->evacuations_count = list ? fleet->evacuated_count : 0;
+}
+
 static void update_endpoint(struct pool_endpoint *e, uint64_t now_us,
 			    const struct fleet_endpoint *from)
 {
@@ -74,6 +109,8 @@
 		e->leaving_since_us = 0;
 	else if (!e->leaving_since_us)
 		e->leaving_since_us = now_us;
+	e->evacuated_since_us =
+		evacuated_since_us(e->group->pooler, e->failure_domain);
 }
 
 /* Aborts idle read-write transactions, which the old primary cannot commit. */
@@ -247,8 +284,98 @@
 		pooler_conn_closed(e->group->pooler, now_us, conn);
 }
 
+/* Evacuation of failure domains */
+
+/* Ends a transaction whose connection runs no statement. */
+static void end_transaction(struct pool_conn *c, uint64_t now_us)
+{
+	struct pool_session *s = c->session;
+	bool commit = s->busy && s->job.st.kind == STATEMENT_COMMIT;
+
+	s->conn = NULL;
+	c->session = NULL;
+	pool_close(c, now_us);
+	if (!s->busy)
+		s->lost_error = STATEMENT_E_ABORTED;
+	else
+		pooler_refuse(s, now_us, STATEMENT_E_ABORTED,
+			      commit ? TRANSACTION_NONE : TRANSACTION_FAILED,
+			      POOL_EVACUATED);
+}
+
+/*
+ * Closes connections to an endpoint that gets nothing more. Those that run a
+ * statement are closed once it has ended.
+ */
+static void leave_endpoint(struct pool_endpoint *e, uint64_t now_us)
+{
+	struct pool_conn *next;
+
+	close_idle(e, now_us);
+	if (!pool_is_past_evacuation_grace(e, now_us))
+		return;
+	for (struct pool_conn *c = e->conns; c; c = next) {
+		struct pool_session *s = c->session;
+
+		next = c->next;
+		if (s && (c->state == CONN_PINNED ||
+			  (s->busy && s->job.place == JOB_RETRY_ON_CONN)))
+			end_transaction(c, now_us);
+	}
+}
+
+static void refuse_queue(struct fair_queue *q, uint64_t now_us)
+{
+	struct fair_queue_item *item;
+	const char *reason;
+
+	while ((item = fair_queue_peek(q)) &&
+	       (reason = pool_evacuation_refusal(pool_session_of(item),
+						 now_us))) {
+		struct pool_session *s = pool_session_of(item);
+
+		fair_queue_remove(q, item);
+		s->job.place = JOB_NONE;
+		pooler_refuse(s, now_us, STATEMENT_E_BUSY,
+			      pooler_state_after_error(s), reason);
+	}
+}
+
+static void refuse_queues(struct pool_queues *queues, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < POOL_PRIORITY_CLASSES; i++) {
+		refuse_queue(queues->at_primary[i], now_us);
+		refuse_queue(queues->anywhere[i], now_us);
+	}
+}
+
+/*
+ * Load pattern: a failure domain is evacuated. Its endpoints get nothing more,
+ * and what no other endpoint can serve is refused instead of being kept waiting
+ * until its timeout.
+ */
+static void handle_evacuations(struct pool_group *g, uint64_t now_us)
+{
+	bool any = false;
+
+	for (uint32_t i = 0; i < g->endpoints_count; i++) {
+		struct pool_endpoint *e = g->endpoints[i];
+
+		if (!e->evacuated_since_us)
+			continue;
+		any = true;
+		if (e != g->primary || pool_is_past_evacuation_grace(e, now_us))
+			leave_endpoint(e, now_us);
+	}
+	if (!any)
+		return;
+	refuse_queues(&g->in_time, now_us);
+	refuse_queues(&g->late, now_us);
+}
+
 void pool_group_tick(struct pool_group *g, uint64_t now_us)
 {
+	handle_evacuations(g, now_us);
 	for (uint32_t i = 0; i < g->endpoints_count; i++) {
 		close_timed_out(g->endpoints[i], now_us);
 		pool_close_surplus(g->endpoints[i], now_us);
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -150,6 +150,8 @@
  * this long.
  */
 #define POOL_DRAIN_IDLE_US (10 * LWS_US_PER_MS)
+/* Reason of refusals while a primary is in an evacuated failure domain. */
+#define POOL_EVACUATED "the failure domain of the primary is evacuated"
 
 enum conn_state {
 	/** connecting, or waiting for the answer to COMMAND_OPEN */
@@ -219,6 +221,8 @@
  * @last_contact_us: time of the last answer or established connection
  * @suspect_since_us: when it last became suspect
  * @leaving_since_us: when this instance learned that it leaves; 0 if it stays
+ * @evacuated_since_us: its failure domain was not evacuated before this time; 0
+ *                      if it is not evacuated
  */
 struct pool_endpoint {
 	struct pool_group *group;
@@ -248,6 +252,7 @@
 	uint64_t read_only_until_us;
 	uint64_t last_contact_us;
 	uint64_t leaving_since_us;
+	uint64_t evacuated_since_us;
 	bool suspect;
 	uint64_t suspect_since_us;
 };
@@ -401,6 +406,16 @@
 	struct pool_job job;
 };
 
+/**
+ * struct pool_evacuation - an evacuated failure domain
+ * @domain: name
+ * @since_us: it was not evacuated before this time, never 0
+ */
+struct pool_evacuation {
+	char domain[FLEET_NAME_MAX];
+	uint64_t since_us;
+};
+
 struct pooler {
 	struct pooler_params params;
 	struct pooler_ops ops;
@@ -409,6 +424,10 @@
 	/* Number of instances that accept callers and share connections. */
 	uint32_t accepting_instances;
 	uint64_t confirmed_us;
+	/* The cluster state lacked nothing committed before this time. */
+	uint64_t fleet_confirmed_us;
+	uint32_t evacuations_count;
+	struct pool_evacuation *evacuations;
 	struct lws_rng rng;
 	struct admission *admission;
 	uint32_t groups_count;
@@ -525,6 +544,14 @@
 bool pool_can_read(const struct pool_endpoint *e, const struct pool_job *job,
 		   uint64_t now_us);
 bool pool_find_min_position(struct pool_session *s);
+bool pool_is_past_evacuation_grace(const struct pool_endpoint *e,
+				   uint64_t now_us);
+/*
+ * Returns why the evacuation of failure domains prevents that the statement is
+ * served, NULL if it does not.
+ */
+const char *pool_evacuation_refusal(const struct pool_session *s,
+				    uint64_t now_us);
 void pool_start_queued(struct fair_queue *q, struct pool_session *s,
 		       struct pool_conn *conn, uint64_t now_us);
 void pool_check_primary(struct pool_group *g, uint64_t now_us);
@@ -534,5 +561,6 @@
 void pool_group_update(struct pool_group *g, uint64_t now_us,
 		       const struct fleet_group *state);
 void pool_report(struct pool_group *g, bool again);
+void pool_update_evacuations(struct pooler *p, const struct fleet *fleet);
 
 #endif
--- a/lib/session/pooler_outcome.c
+++ b/lib/session/pooler_outcome.c
@@ -160,7 +160,8 @@
 	enum statement_error error = result->error;
 
 	if (error == STATEMENT_E_BUSY && result->state == TRANSACTION_OPEN &&
-	    may_still_send(s, now_us)) {
+	    may_still_send(s, now_us) &&
+	    !pool_is_past_evacuation_grace(s->conn->endpoint, now_us)) {
 		job->place = JOB_RETRY_ON_CONN;
 		/*
 		 * The statement did not run, but its transaction has begun on
--- a/lib/session/pooler_queue.c
+++ b/lib/session/pooler_queue.c
@@ -19,7 +19,8 @@
 {
 	if (!s->job.anywhere)
 		return e == e->group->primary;
-	return e->present && !e->suspect && !pool_is_lagging(e, &s->job);
+	return e->present && !e->suspect && !e->evacuated_since_us &&
+	       !pool_is_lagging(e, &s->job);
 }
 
 /**
--- a/lib/session/pooler_statement.c
+++ b/lib/session/pooler_statement.c
@@ -201,9 +201,17 @@
 {
 	struct pool_job *job = &s->job;
 	struct pool_group *g = job->group;
+	const char *refusal;
 	uint64_t wait_us;
 
 	job->anywhere = may_read_anywhere(s);
+	refusal = pool_evacuation_refusal(s, now_us);
+	if (refusal) {
+		job->place = JOB_NONE;
+		pooler_refuse(s, now_us, STATEMENT_E_BUSY,
+			      pooler_state_after_error(s), refusal);
+		return;
+	}
 	job->place = JOB_QUEUED;
 	switch (pool_enqueue(s, now_us, &wait_us)) {
 	case 0:
--- a/lib/tool/tool.c
+++ b/lib/tool/tool.c
@@ -246,6 +246,9 @@
 		printf("  %-16s %-16s version %" PRId64 "\n",
 		       get_text(item, "name"), get_text(item, "failure_domain"),
 		       get_number(item, "version"));
+	json_array_foreach(json_object_get(answer, "evacuated"), i, item)
+		printf("failure domain %s is evacuated\n",
+		       json_string_value(item));
 	json_array_foreach(json_object_get(answer, "groups"), i, item)
 		print_group(item);
 }
@@ -403,6 +406,45 @@
 	return TOOL_USAGE;
 }
 
+/* evacuate and restore */
+
+static enum tool_exit send_domain(const struct tool_options *options,
+				  const char *path,
+				  void (*print)(const json_t *answer))
+{
+	uint16_t status;
+	json_t *body = change_body(options);
+	json_t *answer;
+
+	json_object_set_new(body, "domain", json_string(options->args[1]));
+	answer = tool_call(options, "POST", path, body, &status);
+	json_decref(body);
+	return print_result(options, answer, print);
+}
+
+static void print_evacuated(const json_t *answer)
+{
+	(void)answer;
+	printf("evacuated; endpoints there get no statements after at most 5 "
+	       "seconds\n");
+}
+
+static enum tool_exit run_evacuate(const struct tool_options *options)
+{
+	return send_domain(options, "/_lws/domain/evacuate", print_evacuated);
+}
+
+static void print_restored(const json_t *answer)
+{
+	(void)answer;
+	printf("restored; endpoints there are used again\n");
+}
+
+static enum tool_exit run_restore(const struct tool_options *options)
+{
+	return send_domain(options, "/_lws/domain/restore", print_restored);
+}
+
 /* drain */
 
 static void print_drain(const json_t *answer)
@@ -575,6 +617,8 @@
 	{ "history", 1, 1, run_history },
 	{ "counters", 1, 1, run_counters },
 	{ "key", 2, 3, run_key },
+	{ "evacuate", 2, 2, run_evacuate },
+	{ "restore", 2, 2, run_restore },
 	{ "drain", 1, 1, run_drain },
 	{ "bootstrap", 1, 1, run_bootstrap },
 };
--- a/programs/lacewingspan/main.c
+++ b/programs/lacewingspan/main.c
@@ -49,6 +49,8 @@
 	"  key withdraw [HASH] withdraw a key; without HASH the key is read "
 	"from standard input\n"
 	"  key hash            print the hash of the key on standard input\n"
+	"  evacuate DOMAIN     send nothing more to the endpoints of a domain\n"
+	"  restore DOMAIN      end an evacuation\n"
 	"  drain               stop the one instance at --admin gracefully\n"
 	"  bootstrap           bootstrap a cluster of the control instances at "
 	"--admin\n"
--- a/tests/support_pool.c
+++ b/tests/support_pool.c
@@ -504,6 +504,7 @@
 		free_command(cmd);
 		return;
 	}
+	l->endpoint->commands++;
 	g_queue_push_tail(l->commands, cmd);
 	run_commands(sim, l);
 }
@@ -1105,6 +1106,8 @@
 	struct pool_sim_instance *instance = arg;
 
 	pooler_set_confirmed(instance->pooler, sim->now_us);
+	if (!sim->state_unconfirmed)
+		pooler_set_fleet_confirmed(instance->pooler, sim->now_us);
 	pooler_tick(instance->pooler, sim->now_us);
 	schedule(sim, TICK_US, on_tick, instance);
 }
@@ -1218,6 +1221,7 @@
 	struct pooler_params params = { .key_fresh_us = 3000 * MS,
 					.suspect_us = 400 * MS,
 					.leaving_grace_us = 1000 * MS,
+					.evacuate_grace_us = 1000 * MS,
 					.customer_bound = true,
 					.seed = sim->params.seed + i };
 	struct pooler_ops ops = {
--- a/tests/support_pool.h
+++ b/tests/support_pool.h
@@ -89,6 +89,8 @@
 	uint32_t running;
 	uint32_t connections;
 	uint64_t handshakes;
+	/* Commands of any kind that arrived. */
+	uint64_t commands;
 	uint64_t statements;
 	uint64_t busy_answers;
 	uint64_t lagging_answers;
@@ -117,6 +119,8 @@
 	struct pool_endpoint_model endpoints[POOL_ENDPOINTS];
 	struct rate_bucket *token_buckets[POOL_CUSTOMERS];
 	struct rate_bucket empty_bucket;
+	/* The instances get no confirmation of the cluster state. */
+	bool state_unconfirmed;
 	uint64_t term;
 	GArray *commits;
 	struct pool_tally tallies[3];
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -363,6 +363,160 @@
 	talloc_free(fleet);
 }
 
+struct evacuation_step {
+	enum fleet_command_type type;
+	const char *domain;
+	/* Evacuated domains afterwards, in order. */
+	const char *after;
+};
+
+/*
+ * Applied in order to one state, with a snapshot after each: requests that are
+ * repeated, that race with the opposite one, or that concern several domains
+ * are all acknowledged, and the last one for a domain counts.
+ */
+static const struct evacuation_step evacuation_steps[] = {
+	{ FLEET_DOMAIN_RESTORE, "a", "" },
+	{ FLEET_DOMAIN_EVACUATE, "a", "a" },
+	{ FLEET_DOMAIN_EVACUATE, "a", "a" },
+	{ FLEET_DOMAIN_EVACUATE, "b", "a b" },
+	{ FLEET_DOMAIN_EVACUATE, "c", "a b c" },
+	{ FLEET_DOMAIN_RESTORE, "b", "a c" },
+	{ FLEET_DOMAIN_RESTORE, "b", "a c" },
+	{ FLEET_DOMAIN_EVACUATE, "b", "a c b" },
+	{ FLEET_DOMAIN_RESTORE, "b", "a c" },
+	{ FLEET_DOMAIN_RESTORE, "a", "c" },
+	{ FLEET_DOMAIN_RESTORE, "c", "" },
+};
+
+static char *evacuated_names(const struct fleet *fleet)
+{
+	GString *out = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < fleet->evacuated_count; i++) {
+		g_assert_true(
+			fleet_domain_evacuated(fleet, fleet->evacuated[i]));
+		g_string_append_printf(out, "%s%s", i ? " " : "",
+				       fleet->evacuated[i]);
+	}
+	return g_string_free(out, FALSE);
+}
+
+/* A command as it comes out of the log. */
+static struct fleet_command logged(const struct fleet_command *command)
+{
+	struct fleet_command out;
+	struct pack_writer w;
+
+	pack_writer_init(&w);
+	fleet_command_pack(&w, command);
+	g_assert_cmpint(fleet_command_unpack(NULL, (const uint8_t *)w.buf.data,
+					     w.buf.size, &out),
+			==, 0);
+	pack_writer_clear(&w);
+	return out;
+}
+
+static void test_evacuations(void)
+{
+	struct fleet *fleet = fleet_create(NULL);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(evacuation_steps); i++) {
+		const struct evacuation_step *s = &evacuation_steps[i];
+		struct fleet_command command = { .type = s->type };
+		g_autofree char *names = NULL;
+		g_autofree char *audit = NULL;
+
+		LWS_STR_COPY(command.domain, s->domain);
+		LWS_STR_COPY(command.who, "ops");
+		command = logged(&command);
+		g_assert_cmpint(fleet_apply(fleet, i + 1, &command).rc, ==, 0);
+		fleet = through_snapshot(fleet);
+		names = evacuated_names(fleet);
+		g_assert_cmpstr(names, ==, s->after);
+		audit = g_strdup_printf("domain %s %s", s->domain,
+					s->type == FLEET_DOMAIN_EVACUATE
+						? "evacuate"
+						: "restore");
+		g_assert_cmpstr(fleet_audit_at(fleet, 0)->what, ==, audit);
+		g_assert_cmpstr(fleet_audit_at(fleet, 0)->who, ==, "ops");
+	}
+	talloc_free(fleet);
+}
+
+static uint32_t count_snapshot_fields(const struct fleet *fleet, bool compact)
+{
+	struct pack_writer w;
+	struct pack_reader r;
+	uint32_t count;
+
+	pack_writer_init(&w);
+	if (compact)
+		fleet_snapshot_pack_compact(&w, fleet);
+	else
+		fleet_snapshot_pack(&w, fleet);
+	g_assert_cmpint(pack_reader_init(&r, w.buf.data, w.buf.size), ==, 0);
+	count = r.count;
+	pack_reader_clear(&r);
+	pack_writer_clear(&w);
+	return count;
+}
+
+/*
+ * The previous version reads exactly 12 fields: a state without evacuations,
+ * also after the last one has ended, must not have more. The compact form has
+ * the list, too, or diskless instances would not evacuate.
+ */
+static void test_evacuations_in_snapshots(void)
+{
+	struct fleet *fleet = fleet_create(NULL);
+	struct fleet_command command = { .type = FLEET_DOMAIN_EVACUATE,
+					 .domain = "a" };
+
+	g_assert_cmpuint(count_snapshot_fields(fleet, false), ==, 12);
+	g_assert_cmpuint(count_snapshot_fields(fleet, true), ==, 12);
+	fleet_apply(fleet, 1, &command);
+	g_assert_cmpuint(count_snapshot_fields(fleet, false), ==, 13);
+	g_assert_cmpuint(count_snapshot_fields(fleet, true), ==, 13);
+	command.type = FLEET_DOMAIN_RESTORE;
+	fleet_apply(fleet, 2, &command);
+	g_assert_cmpuint(count_snapshot_fields(fleet, false), ==, 12);
+	g_assert_cmpuint(count_snapshot_fields(fleet, true), ==, 12);
+	talloc_free(fleet);
+}
+
+/* Only domains with an instance, an endpoint or an evacuation are known. */
+static void test_domain_present(void)
+{
+	struct fleet *fleet = fleet_create(NULL);
+	struct fleet_command instance = { .type = FLEET_INSTANCE_JOIN };
+	struct fleet_command endpoint = { .type = FLEET_ENDPOINT_JOIN };
+	struct fleet_command evacuate = { .type = FLEET_DOMAIN_EVACUATE,
+					  .domain = "c" };
+	struct fleet_group *group;
+
+	LWS_STR_COPY(instance.instance.name, "i");
+	LWS_STR_COPY(instance.instance.failure_domain, "a");
+	LWS_STR_COPY(endpoint.endpoint.group, "g");
+	LWS_STR_COPY(endpoint.endpoint.endpoint.id, "e");
+	LWS_STR_COPY(endpoint.endpoint.endpoint.failure_domain, "b");
+	fleet_apply(fleet, 1, &instance);
+	fleet_apply(fleet, 2, &endpoint);
+	g_assert_false(fleet_domain_present(fleet, "c"));
+	fleet_apply(fleet, 3, &evacuate);
+	g_assert_true(fleet_domain_present(fleet, "a"));
+	g_assert_true(fleet_domain_present(fleet, "b"));
+	g_assert_true(fleet_domain_present(fleet, "c"));
+	g_assert_false(fleet_domain_present(fleet, "d"));
+	g_assert_false(fleet_domain_present(fleet, ""));
+	group = fleet_find_group(fleet, "g");
+	g_assert_cmpuint(fleet_evacuated_endpoints(fleet, group), ==, 0);
+	LWS_STR_COPY(evacuate.domain, "b");
+	fleet_apply(fleet, 4, &evacuate);
+	g_assert_cmpuint(fleet_evacuated_endpoints(fleet, group), ==, 1);
+	talloc_free(fleet);
+}
+
 /* The audit trail has only the start of a key's hash, never the key. */
 static void test_audit(void)
 {
@@ -399,5 +553,9 @@
 	g_test_add_func("/fleet/audit", test_audit);
 	g_test_add_func("/fleet/announcements", test_announcements);
 	g_test_add_func("/fleet/catalog", test_catalog);
+	g_test_add_func("/fleet/evacuations", test_evacuations);
+	g_test_add_func("/fleet/evacuations-in-snapshots",
+			test_evacuations_in_snapshots);
+	g_test_add_func("/fleet/domain-present", test_domain_present);
 	return g_test_run();
 }
--- a/tests/test_holders.c
+++ b/tests/test_holders.c
@@ -129,6 +129,63 @@
 	talloc_free(fleet);
 }
 
+struct evacuated_case {
+	const char *name;
+	/* Evacuated domains, as bits of their numbers. */
+	uint32_t evacuated;
+	/* First holders that are outside and in different domains. */
+	uint32_t different;
+	/* Instances in the order that are outside. */
+	uint32_t outside;
+};
+
+/*
+ * 12 instances and the endpoints of a group in 4 domains: a holder near an
+ * endpoint that gets no statements would send all of them across domains.
+ */
+static const struct evacuated_case evacuated_cases[] = {
+	{ "none", 0, 3, HOLDERS_RANKED },
+	{ "one", 1, 3, HOLDERS_RANKED },
+	{ "two", 3, 2, 6 },
+	{ "three", 7, 1, 3 },
+	{ "all", 15, 0, 0 },
+};
+
+static void test_evacuated(gconstpointer data)
+{
+	const struct evacuated_case *c = data;
+	struct fleet *fleet = make_fleet(12, 4);
+	struct fleet_group group = make_group("g1", 4, 4);
+	struct holders h;
+
+	for (uint32_t d = 0; d < 4; d++) {
+		struct fleet_command command = {
+			.type = FLEET_DOMAIN_EVACUATE
+		};
+
+		snprintf(command.domain, sizeof(command.domain), "d%u", d);
+		if (c->evacuated & (1U << d))
+			fleet_apply(fleet, d + 1, &command);
+	}
+	holders_rank(&h, fleet, &group);
+	/* Operations still go through holders if all domains are evacuated. */
+	g_assert_cmpuint(h.count, ==, HOLDERS_RANKED);
+	for (uint32_t i = 0; i < h.count; i++) {
+		const struct fleet_instance *a =
+			fleet_find_instance(fleet, h.ranked[i].name);
+
+		g_assert_true(
+			fleet_domain_evacuated(fleet, a->failure_domain) ==
+			(i >= c->outside));
+		for (uint32_t k = 0; i < c->different && k < i; k++)
+			g_assert_cmpstr(
+				a->failure_domain, !=,
+				fleet_find_instance(fleet, h.ranked[k].name)
+					->failure_domain);
+	}
+	talloc_free(fleet);
+}
+
 static void test_choose(void)
 {
 	struct fleet *fleet = make_fleet(294, 6);
@@ -217,6 +274,12 @@
 
 		g_test_add_data_func(path, &rank_cases[i], test_rank);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(evacuated_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/holders/evacuated/%s", evacuated_cases[i].name);
+
+		g_test_add_data_func(path, &evacuated_cases[i], test_evacuated);
+	}
 	g_test_add_func("/holders/candidates", test_candidates);
 	g_test_add_func("/holders/choose", test_choose);
 	g_test_add_func("/holders/holder-leaves", test_holder_leaves);
--- a/tests/test_managed_failover.c
+++ b/tests/test_managed_failover.c
@@ -52,6 +52,10 @@
 	struct delayed_call delayed[16];
 	uint32_t promotions;
 	uint32_t lost_commits;
+	/* Endpoints in evacuated domains, as bits. */
+	uint32_t evacuated;
+	/* Promotion calls for a replica in an evacuated domain. */
+	uint32_t promoted_into;
 	uint32_t loss_percent;
 	uint32_t pending_token;
 };
@@ -91,6 +95,18 @@
 	return m;
 }
 
+static void set_group(struct model *m)
+{
+	managed_failover_set_evacuated(m->s, m->evacuated);
+	managed_failover_set_group(m->s, now_us(m), &m->group, 1);
+}
+
+static void evacuate(struct model *m, uint32_t endpoints)
+{
+	m->evacuated = endpoints;
+	set_group(m);
+}
+
 /* Every primary makes a commit, acknowledged once a replica receives it. */
 static void commit(struct model *m)
 {
@@ -189,6 +205,7 @@
 {
 	uint32_t i = index_of(a->endpoint);
 
+	m->promoted_into += (m->evacuated & (1U << i)) && !m->e[i].primary;
 	if (message_lost(m)) {
 		for (size_t k = 0; k < G_N_ELEMENTS(m->delayed); k++) {
 			if (m->delayed[k].used)
@@ -223,8 +240,7 @@
 			if (a.fencing_token <= m->group.term)
 				break;
 			m->group.term = a.fencing_token;
-			managed_failover_set_group(m->s, now_us(m), &m->group,
-						   1);
+			set_group(m);
 			break;
 		case MANAGED_FAILOVER_COMMAND:
 			handle_command(m, &a);
@@ -238,8 +254,7 @@
 				break;
 			m->group.primary_term = a.fencing_token;
 			LWS_STR_COPY(m->group.primary, a.endpoint);
-			managed_failover_set_group(m->s, now_us(m), &m->group,
-						   1);
+			set_group(m);
 			break;
 		case MANAGED_FAILOVER_COMMIT_REMOVAL:
 			break;
@@ -358,6 +373,106 @@
 	model_free(m);
 }
 
+struct evacuation_case {
+	const char *name;
+	/* Endpoints in evacuated domains, as bits; endpoint 0 is primary. */
+	uint32_t evacuated;
+	/* Endpoint that crashes when the evacuation begins, or ENDPOINTS. */
+	uint32_t crashes;
+	/* Endpoint that receives nothing for a second before, or ENDPOINTS. */
+	uint32_t behind;
+	/* Primary afterwards, NULL: any other. */
+	const char *primary;
+	uint32_t promotions;
+};
+
+/*
+ * The primary moves out of an evacuated domain if an endpoint outside has every
+ * acknowledged commit or can still receive it. It never moves into one.
+ */
+static const struct evacuation_case evacuation_cases[] = {
+	{ "primary", 1, ENDPOINTS, ENDPOINTS, NULL, 1 },
+	{ "primary-and-replica", 3, ENDPOINTS, ENDPOINTS, "e2", 1 },
+	/* The replica outside catches up before the promotion. */
+	{ "replica-outside-behind", 3, ENDPOINTS, 2, "e2", 1 },
+	{ "replica-inside-behind", 3, ENDPOINTS, 1, "e2", 1 },
+	{ "no-replica-outside", 7, ENDPOINTS, ENDPOINTS, "e0", 0 },
+	{ "replica", 2, ENDPOINTS, ENDPOINTS, "e0", 0 },
+	{ "both-replicas", 6, ENDPOINTS, ENDPOINTS, "e0", 0 },
+	{ "primary-crashes", 2, 0, ENDPOINTS, "e2", 1 },
+	{ "primary-crashes-in-evacuated-domain", 3, 0, ENDPOINTS, "e2", 1 },
+	/* Only the replica inside has every commit, so none is promoted. */
+	{ "primary-crashes-outside-behind", 3, 0, 2, "e0", 0 },
+	{ "primary-crashes-no-replica-outside", 6, 0, ENDPOINTS, "e0", 0 },
+	/* The replica that does not answer may have received most. */
+	{ "replica-inside-crashes", 3, 1, ENDPOINTS, "e0", 0 },
+	{ "replica-outside-crashes", 3, 2, ENDPOINTS, "e0", 0 },
+};
+
+static void test_evacuation(gconstpointer data)
+{
+	const struct evacuation_case *c = data;
+
+	for (uint64_t seed = 20; seed < 120; seed++) {
+		struct model *m = model_create(seed);
+
+		run(m, 2000);
+		if (c->behind < ENDPOINTS) {
+			m->e[c->behind].disconnected_until_ms =
+				m->now_ms + 1000;
+			/* Still cut off for 40 ms after the evacuation. */
+			run(m, 960);
+		}
+		if (c->crashes < ENDPOINTS)
+			m->e[c->crashes].down = true;
+		evacuate(m, c->evacuated);
+		run(m, 4000);
+		g_assert_cmpuint(m->promotions, ==, c->promotions);
+		g_assert_cmpuint(m->lost_commits, ==, 0);
+		g_assert_cmpuint(m->promoted_into, ==, 0);
+		if (c->primary)
+			g_assert_cmpstr(m->group.primary, ==, c->primary);
+		else
+			g_assert_cmpstr(m->group.primary, !=, "e0");
+		/* A crashed endpoint returns, and the evacuation ends. */
+		if (c->crashes < ENDPOINTS)
+			m->e[c->crashes].down = false;
+		evacuate(m, 0);
+		run(m, 6000);
+		g_assert_cmpuint(m->lost_commits, ==, 0);
+		g_assert_true(m->e[index_of(m->group.primary)].primary);
+		for (uint32_t i = 0; i < ENDPOINTS; i++)
+			g_assert_cmpuint(m->e[i].paused_term, ==, 0);
+		model_free(m);
+	}
+}
+
+/* The leader of the control group changes in the middle of an evacuation. */
+static void test_evacuation_leader_change(void)
+{
+	struct managed_failover_params params =
+		managed_failover_params_default();
+
+	for (uint32_t after_ms = 0; after_ms < 600; after_ms += TICK_MS) {
+		struct model *m = model_create(9);
+
+		run(m, 2000);
+		evacuate(m, 3);
+		run(m, after_ms);
+		talloc_free(m->s);
+		m->s = managed_failover_create(NULL, &params, now_us(m));
+		managed_failover_set_domains(m->s, 3);
+		set_group(m);
+		run(m, 4000);
+		g_assert_cmpstr(m->group.primary, ==, "e2");
+		g_assert_cmpuint(m->lost_commits, ==, 0);
+		g_assert_cmpuint(m->promoted_into, ==, 0);
+		for (uint32_t i = 0; i < ENDPOINTS; i++)
+			g_assert_cmpuint(m->e[i].paused_term, ==, 0);
+		model_free(m);
+	}
+}
+
 /* Reports from a single failure domain are not enough. */
 static void test_one_domain(void)
 {
@@ -442,6 +557,7 @@
 	uint32_t promotions = 0;
 	uint32_t lost_commits = 0;
 	uint32_t without_primary = 0;
+	uint32_t promoted_into = 0;
 
 	for (uint64_t seed = 100; seed < 100 + SEEDS; seed++) {
 		struct model *m = model_create(seed);
@@ -452,6 +568,10 @@
 			uint32_t victim =
 				(uint32_t)lws_rng_below(&m->rng, ENDPOINTS);
 
+			/* Half of the seeds have evacuations, too. */
+			if (seed % 2 && lws_rng_below(&m->rng, 3) == 0)
+				evacuate(m,
+					 (uint32_t)lws_rng_below(&m->rng, 8));
 			switch (lws_rng_below(&m->rng, 3)) {
 			case 0:
 				m->e[victim].down = true;
@@ -472,9 +592,11 @@
 		m->loss_percent = 0;
 		for (uint32_t k = 0; k < ENDPOINTS; k++)
 			m->e[k].down = false;
+		evacuate(m, 0);
 		run(m, 12000);
 		promotions += m->promotions;
 		lost_commits += m->lost_commits;
+		promoted_into += m->promoted_into;
 		without_primary += !m->e[index_of(m->group.primary)].primary;
 		if (m->lost_commits && g_test_verbose())
 			g_printerr("seed %lu lost %u\n", seed, m->lost_commits);
@@ -483,6 +605,7 @@
 	g_assert_cmpuint(promotions, >, SEEDS / 2);
 	g_assert_cmpuint(lost_commits, ==, 0);
 	g_assert_cmpuint(without_primary, ==, 0);
+	g_assert_cmpuint(promoted_into, ==, 0);
 }
 
 int main(int argc, char **argv)
@@ -493,6 +616,16 @@
 	g_test_add_func("/managed-failover/waits-for-replica",
 			test_waits_for_replica);
 	g_test_add_func("/managed-failover/leaving", test_leaving);
+	for (size_t i = 0; i < G_N_ELEMENTS(evacuation_cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/managed-failover/evacuation/%s",
+					evacuation_cases[i].name);
+
+		g_test_add_data_func(path, &evacuation_cases[i],
+				     test_evacuation);
+	}
+	g_test_add_func("/managed-failover/evacuation-leader-change",
+			test_evacuation_leader_change);
 	g_test_add_func("/managed-failover/one-domain", test_one_domain);
 	g_test_add_func("/managed-failover/leader-change", test_leader_change);
 	g_test_add_func("/managed-failover/leader-change-healthy",
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -534,6 +534,8 @@
 	  "bounds.grace_s" },
 	{ SETTINGS "zone=a b\n", LWS_E_CONFIG_VALUE, "zone: " },
 	{ SETTINGS "bounds.quota_excess=0.1\n", 0, NULL },
+	{ SETTINGS "bounds.evacuate_ms=x\n", LWS_E_CONFIG_VALUE,
+	  "bounds.evacuate_ms" },
 	{ SETTINGS "bounds.quota_excess=2\n", LWS_E_CONFIG_VALUE,
 	  "bounds.quota_excess" },
 };
@@ -567,6 +569,14 @@
 	g_assert_true(s.core.bootstrap_from_seeds);
 	g_assert_cmpuint(s.core.key_fresh_ms, <, 4000);
 	g_assert_null(s.core.statement_listen);
+	/* The default of 5,000 ms, less the reserve. */
+	g_assert_cmpuint(s.core.evacuate_ms, ==, 0);
+	g_assert_cmpuint(settings_evacuate_grace_ms(&s.core), ==, 3800);
+	g_assert_cmpint(platform_settings_parse(
+				&s, SETTINGS "bounds.evacuate_ms=2000\n",
+				reason, sizeof(reason)),
+			==, 0);
+	g_assert_cmpuint(settings_evacuate_grace_ms(&s.core), ==, 1000);
 }
 
 /*
--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -766,6 +766,210 @@
 	fleet_stop(f);
 }
 
+/*
+ * Searches a log as docs/OPERATIONS.md describes it. Returns the first line
+ * that contains both texts, NULL for none.
+ */
+static char *find_log_line(const struct test_fleet *f, int host,
+			   const char *first, const char *second)
+{
+	g_autofree char *path = g_strdup_printf("%s/%d.log", f->dir, host);
+	g_autofree char *log = NULL;
+	g_auto(GStrv) lines = NULL;
+
+	if (!g_file_get_contents(path, &log, NULL, NULL))
+		return NULL;
+	lines = g_strsplit(log, "\n", -1);
+	for (char **line = lines; *line; line++) {
+		if (strstr(*line, first) && strstr(*line, second))
+			return g_strdup(*line);
+	}
+	return NULL;
+}
+
+static void expect_log_line(const struct test_fleet *f, int host,
+			    const char *first, const char *second)
+{
+	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
+	g_autofree char *line = NULL;
+
+	while (!line && g_get_monotonic_time() < until) {
+		line = find_log_line(f, host, first, second);
+		g_usleep(20 * 1000);
+	}
+	if (!line)
+		g_printerr("no log line with %s and %s\n", first, second);
+	g_assert_nonnull(line);
+}
+
+/*
+ * Expects the line in the log of any control instance, since any may be the
+ * leader.
+ */
+static void expect_control_log_line(const struct test_fleet *f,
+				    const char *first, const char *second)
+{
+	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
+	g_autofree char *line = NULL;
+
+	while (!line && g_get_monotonic_time() < until) {
+		for (int i = 1; !line && i <= (int)f->controls; i++)
+			line = find_log_line(f, i, first, second);
+		g_usleep(20 * 1000);
+	}
+	g_assert_nonnull(line);
+}
+
+struct evacuation_case {
+	const char *method;
+	const char *path;
+	const char *body;
+	int status;
+};
+
+/* Sent to each instance in turn; all of them acknowledge accepted requests. */
+static const struct evacuation_case evacuation_cases[] = {
+	{ "POST", "/v1/evacuations/z1/finish", "", 200 },
+	{ "POST", "/v1/evacuations/nowhere/begin", "", 404 },
+	{ "POST", "/v1/evacuations/nowhere/finish", "", 404 },
+	{ "POST", "/v1/evacuations/no.name/begin", "", 404 },
+	{ "POST", "/v1/evacuations//begin", "", 404 },
+	{ "POST", "/v1/evacuations/z1", "", 404 },
+	{ "POST", "/v1/evacuations/z1/begin/begin", "", 404 },
+	{ "POST", "/v1/evacuations/z1/begin", "{}", 400 },
+	{ "POST", "/v1/evacuations/z1/finish", "x", 400 },
+	{ "GET", "/v1/evacuations/z1/begin", "", 405 },
+	{ "PUT", "/v1/evacuations/z1/begin", "", 405 },
+	{ "DELETE", "/v1/evacuations/z1/finish", "", 405 },
+	{ "POST", "/v1/evacuations/z1/begin", "", 200 },
+	{ "POST", "/v1/evacuations/z1/begin", "", 200 },
+	{ "POST", "/v1/evacuations/z2/begin", "", 200 },
+	{ "POST", "/v1/evacuations/z2/finish", "", 200 },
+	{ "POST", "/v1/evacuations/z2/finish", "", 200 },
+};
+
+static void wait_for_evacuation(const struct test_fleet *f, int host,
+				const char *domain, bool evacuated)
+{
+	g_autofree char *line = g_strdup_printf(
+		"\nlws_evacuated{failure_domain=\"%s\"} 1\n", domain);
+	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
+
+	while (g_get_monotonic_time() < until) {
+		g_autofree char *text = NULL;
+
+		if (http(f, host, 9464, "GET", "/metrics", "", &text) == 200 &&
+		    (strstr(text, line) != NULL) == evacuated)
+			return;
+		g_usleep(20 * 1000);
+	}
+	g_error("instance %d: domain %s is%s evacuated", host, domain,
+		evacuated ? " not" : "");
+}
+
+/*
+ * The primary moves out of an evacuated domain, and acknowledged writes stay;
+ * the evacuation survives a restart of all processes; it ends when withdrawn.
+ */
+static void test_evacuation(void)
+{
+	struct test_fleet *f = fleet_start(3);
+	struct line_conn *c = open_session(f, "pay", "k1");
+
+	expect(c, "WRITE bed leila", "COMPLETE write-tag|READY I");
+	for (size_t i = 0; i < G_N_ELEMENTS(evacuation_cases); i++) {
+		const struct evacuation_case *e = &evacuation_cases[i];
+		int status = http(f, (int)(i % 3) + 1, 8462, e->method, e->path,
+				  e->body, NULL);
+
+		if (status != e->status)
+			g_printerr("%s %s %s\n", e->method, e->path, e->body);
+		g_assert_cmpint(status, ==, e->status);
+	}
+	expect_control_log_line(f, "succession_started", "primary_evacuated");
+	expect_control_log_line(f, "promote_answered", "\"error\":\"ok\"");
+	expect_log_line(f, SESSION_HOST, "evacuation_in_force", "\"z1\"");
+	expect_eventually(c, "WRITE bed abel", "COMPLETE write-tag|READY I");
+	expect_eventually(c, "READ bed",
+			  "DATAROW abel:-|COMPLETE read-tag|READY I");
+	close_line(c);
+	for (int i = 0; i <= (int)f->controls; i++)
+		stop(f, i ? i : SESSION_HOST, SIGKILL);
+	for (int i = 0; i <= (int)f->controls; i++)
+		start_daemon(f, i ? i : SESSION_HOST);
+	wait_until_ready(f);
+	for (int i = 0; i <= (int)f->controls; i++) {
+		wait_for_evacuation(f, i ? i : SESSION_HOST, "z1", true);
+		wait_for_evacuation(f, i ? i : SESSION_HOST, "z2", false);
+	}
+	c = open_session(f, "pay", "k1");
+	expect_eventually(c, "READ bed",
+			  "DATAROW abel:-|COMPLETE read-tag|READY I");
+	g_assert_cmpint(
+		http(f, 2, 8462, "POST", "/v1/evacuations/z1/finish", "", NULL),
+		==, 200);
+	wait_for_evacuation(f, SESSION_HOST, "z1", false);
+	expect_log_line(f, SESSION_HOST, "evacuation_ended", "\"z1\"");
+	close_line(c);
+	fleet_stop(f);
+}
+
+/*
+ * Without a majority a request is not acknowledged, also if the domain is
+ * unknown to the instance; sent again to a majority, it is.
+ */
+static void test_evacuation_without_majority(void)
+{
+	struct test_fleet *f = fleet_start(3);
+
+	stop(f, 2, SIGKILL);
+	stop(f, 3, SIGKILL);
+	g_assert_cmpint(
+		http(f, 1, 8462, "POST", "/v1/evacuations/z1/begin", "", NULL),
+		==, 503);
+	g_assert_cmpint(http(f, 1, 8462, "POST",
+			     "/v1/evacuations/nowhere/begin", "", NULL),
+			==, 503);
+	start_daemon(f, 2);
+	wait_for_leader(f);
+	g_assert_cmpint(
+		http(f, 1, 8462, "POST", "/v1/evacuations/z1/begin", "", NULL),
+		==, 200);
+	fleet_stop(f);
+}
+
+/*
+ * The leader is killed at some point between the request and its answer: an
+ * acknowledged evacuation is in force, and a request without an answer can be
+ * sent again to another instance.
+ */
+static void test_evacuation_leader_killed(void)
+{
+	struct test_fleet *f = fleet_start(3);
+	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
+	int leader = wait_for_leader(f);
+	int other = leader == 1 ? 2 : 1;
+	int status;
+
+	kill(f->pids[leader], SIGSTOP);
+	status = http(f, other, 8462, "POST", "/v1/evacuations/z1/begin", "",
+		      NULL);
+	stop(f, leader, SIGKILL);
+	while (status != 200 && g_get_monotonic_time() < until) {
+		g_assert_cmpint(status, ==, 503);
+		status = http(f, other, 8462, "POST",
+			      "/v1/evacuations/z1/begin", "", NULL);
+		g_usleep(20 * 1000);
+	}
+	g_assert_cmpint(status, ==, 200);
+	wait_for_evacuation(f, other, "z1", true);
+	wait_for_evacuation(f, SESSION_HOST, "z1", true);
+	/* The instance that had stopped learns of it, too. */
+	start_daemon(f, leader);
+	wait_for_evacuation(f, leader, "z1", true);
+	fleet_stop(f);
+}
+
 /* Statements and transactions give the same answers through holders. */
 static void test_forwarding(void)
 {
@@ -1050,60 +1254,6 @@
 	fleet_stop(f);
 }
 
-/*
- * Searches a log as docs/OPERATIONS.md describes it. Returns the first line
- * that contains both texts, NULL for none.
- */
-static char *find_log_line(const struct test_fleet *f, int host,
-			   const char *first, const char *second)
-{
-	g_autofree char *path = g_strdup_printf("%s/%d.log", f->dir, host);
-	g_autofree char *log = NULL;
-	g_auto(GStrv) lines = NULL;
-
-	if (!g_file_get_contents(path, &log, NULL, NULL))
-		return NULL;
-	lines = g_strsplit(log, "\n", -1);
-	for (char **line = lines; *line; line++) {
-		if (strstr(*line, first) && strstr(*line, second))
-			return g_strdup(*line);
-	}
-	return NULL;
-}
-
-static void expect_log_line(const struct test_fleet *f, int host,
-			    const char *first, const char *second)
-{
-	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
-	g_autofree char *line = NULL;
-
-	while (!line && g_get_monotonic_time() < until) {
-		line = find_log_line(f, host, first, second);
-		g_usleep(20 * 1000);
-	}
-	if (!line)
-		g_printerr("no log line with %s and %s\n", first, second);
-	g_assert_nonnull(line);
-}
-
-/*
- * Expects the line in the log of any control instance, since any may be the
- * leader.
- */
-static void expect_control_log_line(const struct test_fleet *f,
-				    const char *first, const char *second)
-{
-	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
-	g_autofree char *line = NULL;
-
-	while (!line && g_get_monotonic_time() < until) {
-		for (int i = 1; !line && i <= (int)f->controls; i++)
-			line = find_log_line(f, i, first, second);
-		g_usleep(20 * 1000);
-	}
-	g_assert_nonnull(line);
-}
-
 /* Sends a statement with this id. Returns the answer. */
 static char *query_with_id(struct line_conn *c, const char *id,
 			   const char *text)
@@ -1193,6 +1343,11 @@
 	g_test_add_func("/platform-daemon/holder-stops", test_holder_stops);
 	g_test_add_func("/platform-daemon/leader-stalls", test_leader_stalls);
 	g_test_add_func("/platform-daemon/voters", test_voters);
+	g_test_add_func("/platform-daemon/evacuation", test_evacuation);
+	g_test_add_func("/platform-daemon/evacuation-without-majority",
+			test_evacuation_without_majority);
+	g_test_add_func("/platform-daemon/evacuation-leader-killed",
+			test_evacuation_leader_killed);
 	g_test_add_func("/platform-daemon/failures-logged",
 			test_failures_logged);
 	return g_test_run();
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "lws_str.h"
 #include "support_pool.h"
 
 /**
@@ -86,6 +87,134 @@
 	pool_sim_promote(sim, 1);
 }
 
+static void set_evacuated(struct pool_sim *sim, uint32_t endpoint,
+			  bool evacuated)
+{
+	struct fleet_command command = {
+		.type = evacuated ? FLEET_DOMAIN_EVACUATE : FLEET_DOMAIN_RESTORE
+	};
+
+	LWS_STR_COPY(command.domain,
+		     sim->fleet->groups[0].endpoint[endpoint].failure_domain);
+	fleet_apply(sim->fleet, sim->fleet->applied_index + 1, &command);
+	pool_sim_fleet_changed(sim);
+}
+
+static uint64_t commands_at(const struct pool_sim *sim, uint32_t endpoint)
+{
+	return sim->endpoints[endpoint].commands;
+}
+
+/* Reads leave a replica at once; open transactions end in time. */
+static void evacuated_replica(struct pool_sim *sim)
+{
+	uint64_t before;
+
+	set_evacuated(sim, 1, true);
+	/* The grace period, and time for statements in progress to end. */
+	pool_sim_run(sim, 1200 * MS);
+	before = commands_at(sim, 1);
+	pool_sim_run(sim, 3000 * MS);
+	g_assert_cmpuint(commands_at(sim, 1), ==, before);
+	g_assert_cmpuint(sim->endpoints[1].connections, ==, 0);
+}
+
+/* After the end of an evacuation, the endpoint serves reads again. */
+static void restored_replica(struct pool_sim *sim)
+{
+	uint64_t before;
+
+	evacuated_replica(sim);
+	set_evacuated(sim, 1, false);
+	before = commands_at(sim, 1);
+	pool_sim_run(sim, 1000 * MS);
+	g_assert_cmpuint(commands_at(sim, 1), >, before);
+}
+
+/* The successor of the primary is named within the grace period. */
+static void evacuated_primary(struct pool_sim *sim)
+{
+	uint64_t before;
+
+	set_evacuated(sim, 0, true);
+	pool_sim_run(sim, 500 * MS);
+	before = commands_at(sim, 0);
+	pool_sim_run(sim, 100 * MS);
+	/* Until then it gets what only the primary can run. */
+	g_assert_cmpuint(commands_at(sim, 0), >, before);
+	pool_sim_promote(sim, 2);
+	pool_sim_run(sim, 600 * MS);
+	before = commands_at(sim, 0);
+	pool_sim_run(sim, 1000 * MS);
+	g_assert_cmpuint(commands_at(sim, 0), ==, before);
+}
+
+/*
+ * No endpoint succeeds the primary: after the grace period it gets nothing, not
+ * even leadership checks or connections, until the evacuation ends.
+ */
+static void evacuated_primary_without_successor(struct pool_sim *sim)
+{
+	uint64_t before;
+	uint64_t handshakes;
+
+	set_evacuated(sim, 0, true);
+	pool_sim_run(sim, 1200 * MS);
+	before = commands_at(sim, 0);
+	handshakes = sim->endpoints[0].handshakes;
+	sim->refused_late = 0;
+	memset(sim->tallies, 0, sizeof(sim->tallies));
+	pool_sim_run(sim, 3000 * MS);
+	g_assert_cmpuint(commands_at(sim, 0), ==, before);
+	g_assert_cmpuint(sim->endpoints[0].handshakes, ==, handshakes);
+	g_assert_cmpuint(sim->endpoints[0].connections, ==, 0);
+	/* What only the primary can run is refused at once. */
+	g_assert_cmpuint(sim->tallies[0].refused, >, 0);
+	set_evacuated(sim, 0, false);
+	pool_sim_run(sim, 500 * MS);
+	g_assert_cmpuint(commands_at(sim, 0), >, before);
+}
+
+/* Nothing is kept waiting if no endpoint is left. */
+static void evacuated_group(struct pool_sim *sim)
+{
+	uint64_t before = 0;
+	uint64_t after = 0;
+
+	for (uint32_t i = 0; i < POOL_ENDPOINTS; i++)
+		set_evacuated(sim, i, true);
+	pool_sim_run(sim, 1200 * MS);
+	for (uint32_t i = 0; i < POOL_ENDPOINTS; i++)
+		before += commands_at(sim, i);
+	pool_sim_run(sim, 2000 * MS);
+	for (uint32_t i = 0; i < POOL_ENDPOINTS; i++)
+		after += commands_at(sim, i);
+	g_assert_cmpuint(after, ==, before);
+	for (uint32_t i = 0; i < POOL_ENDPOINTS; i++)
+		set_evacuated(sim, i, false);
+}
+
+/*
+ * The instances were cut off from the control group for longer than the grace
+ * period when they learn of the evacuation, or have just started: others have
+ * stopped long ago, so they must not begin a grace period of their own.
+ */
+static void late_evacuation(struct pool_sim *sim)
+{
+	uint64_t before;
+
+	sim->state_unconfirmed = true;
+	pool_sim_run(sim, 1500 * MS);
+	set_evacuated(sim, 0, true);
+	/* One tick, and statements in progress. */
+	pool_sim_run(sim, 150 * MS);
+	before = commands_at(sim, 0);
+	pool_sim_run(sim, 1000 * MS);
+	g_assert_cmpuint(commands_at(sim, 0), ==, before);
+	sim->state_unconfirmed = false;
+	set_evacuated(sim, 0, false);
+}
+
 static void hot_customer(struct pool_sim *sim)
 {
 	sim->hot_factor = 4;
@@ -108,6 +237,13 @@
 	{ "new-primary", new_primary, 0.9 },
 	{ "unresponsive-primary", unresponsive_primary, 0.5 },
 	{ "departed-primary", departed_primary, 0 },
+	{ "evacuated-replica", evacuated_replica, 0.9 },
+	{ "restored-replica", restored_replica, 0.95 },
+	{ "evacuated-primary", evacuated_primary, 0.9 },
+	{ "evacuated-primary-without-successor",
+	  evacuated_primary_without_successor, 0.9 },
+	{ "evacuated-group", evacuated_group, 0.9 },
+	{ "late-evacuation", late_evacuation, 0.9 },
 	{ "hot-customer", hot_customer, 0 },
 };
 
