Evacuate failure domains of groups of the own interface

Cause: failover of the product's own groups and the request router ignored evacuated domains.

Change: failover moves a primary out of an evacuated domain to a member outside that has every confirmed write, and chooses no other endpoint in one; if there is none, the current primary stays, and the next attempt comes after 5 s. The router sends no read to an evacuated endpoint, and refuses what only an evacuated primary can serve once the grace period has passed.

--- a/lib/control/failover.c
+++ b/lib/control/failover.c
@@ -12,6 +12,13 @@
 #define STEP_RETRY_US (300 * LWS_US_PER_MS)
 /* Largest lag at which a spare, an endpoint that is no member, becomes one. */
 #define SPARE_LAG_POSITIONS_MAX 1000
+/*
+ * How long to wait for all members before the primary stays although its domain
+ * is evacuated.
+ */
+#define EVACUATION_ANSWERS_US (300 * LWS_US_PER_MS)
+/* Each attempt to move a primary interrupts the writes of its group. */
+#define EVACUATION_INTERVAL_US (5 * LWS_US_PER_S)
 /* A member that is absent for this long is replaced by a spare. */
 #define MEMBER_ABSENT_MAX_US (10 * LWS_US_PER_S)
 
@@ -45,6 +52,9 @@
 	struct fleet_group group;
 	uint32_t endpoints_wanted;
 	uint32_t domains;
+	/* Endpoints in evacuated domains, as bits of their index in @group. */
+	uint32_t evacuated;
+	uint64_t evacuation_tried_us;
 	/* failover_set_group() was called before. */
 	bool group_known;
 	enum step step;
@@ -260,8 +270,52 @@
 	       strcmp(f->group.endpoint[i].id, f->group.primary) == 0;
 }
 
+static bool is_evacuated(const struct failover *f, uint32_t i)
+{
+	return f->evacuated & (1U << i);
+}
+
+/*
+ * Whether endpoint @i has every confirmed write: a write that it lacks is held
+ * only by members that are more recent, or have not answered, and these are no
+ * majority.
+ */
+static bool has_confirmed_writes(const struct failover *f, uint32_t i)
+{
+	uint32_t may_have_more = 0;
+
+	for (uint32_t k = 0; k < f->group.count; k++) {
+		if (!in_quorum(f, k) || k == i)
+			continue;
+		if (!f->answers[k].answered ||
+		    more_recent(&f->answers[k].report, &f->answers[i].report))
+			may_have_more++;
+	}
+	return may_have_more < majority(f);
+}
+
+/*
+ * Chooses among endpoints outside of evacuated domains that have every
+ * confirmed write; -1 if there is none. Prefers present ones.
+ */
+static int32_t choose_outside(const struct failover *f)
+{
+	for (int present = 1; present >= 0; present--) {
+		int32_t best = -1;
+
+		for (uint32_t i = 0; i < f->group.count; i++) {
+			if (!is_evacuated(f, i) && eligible(f, i, present) &&
+			    has_confirmed_writes(f, i) && preferred(f, i, best))
+				best = (int32_t)i;
+		}
+		if (best >= 0)
+			return best;
+	}
+	return -1;
+}
+
 /* The highest (log term, position); the current primary among equals. */
-static int32_t choose_primary(const struct failover *f)
+static int32_t choose_most_recent(const struct failover *f)
 {
 	bool must_be_present = present_are_majority(f);
 	int32_t best = -1;
@@ -273,6 +327,28 @@
 	return best;
 }
 
+/*
+ * With evacuated domains, an endpoint outside. If none can be promoted without
+ * the loss of a write, the current primary stays where it is, but no other
+ * endpoint in an evacuated domain is promoted: -1 while there is no choice.
+ */
+static int32_t choose_primary(const struct failover *f, uint64_t now_us)
+{
+	int32_t best;
+
+	if (!f->evacuated)
+		return choose_most_recent(f);
+	best = choose_outside(f);
+	if (best >= 0 || now_us - f->first_majority_us < EVACUATION_ANSWERS_US)
+		return best;
+	best = choose_most_recent(f);
+	return best >= 0 && f->group.primary_term &&
+			       strcmp(f->group.endpoint[best].id,
+				      f->group.primary) == 0
+		       ? best
+		       : -1;
+}
+
 /*
  * Members change one at a time and only with a new term, so every majority of
  * the old members shares an endpoint with every majority of the new ones.
@@ -297,9 +373,11 @@
 
 static void commit_choice(struct failover *f, uint64_t now_us)
 {
-	int32_t best = choose_primary(f);
+	int32_t best = choose_primary(f, now_us);
 	struct failover_action *action;
 
+	if (best < 0)
+		return;
 	f->times.fenced_us = now_us;
 	enter_step(f, STEP_PRIMARY, now_us);
 	action = push_action(f, FAILOVER_COMMIT_PRIMARY);
@@ -485,6 +563,25 @@
 	return false;
 }
 
+/* Whether to move the primary out of an evacuated domain. */
+static bool evacuation_due(const struct failover *f, uint64_t now_us)
+{
+	const struct fleet_endpoint *primary = primary_of(f);
+	bool outside = false;
+
+	if (!primary ||
+	    !is_evacuated(f, (uint32_t)(primary - f->group.endpoint)))
+		return false;
+	for (uint32_t i = 0; i < f->group.count; i++) {
+		const struct fleet_endpoint *e = &f->group.endpoint[i];
+
+		outside |= e->present && e->member && !is_evacuated(f, i);
+	}
+	return outside &&
+	       (!f->evacuation_tried_us ||
+		now_us - f->evacuation_tried_us >= EVACUATION_INTERVAL_US);
+}
+
 static bool reason_to_promote(struct failover *f, uint64_t now_us)
 {
 	if (first_primary_due(f) || promotion_unfinished(f))
@@ -494,11 +591,23 @@
 		return false;
 	if (reported_unresponsive(f) || primary_absent(f))
 		return true;
+	if (evacuation_due(f, now_us)) {
+		f->evacuation_tried_us = now_us;
+		return true;
+	}
 	return plan_replacement(f, now_us);
 }
 
 /* Public functions */
 
+void failover_set_evacuated(struct failover *f, uint32_t endpoints)
+{
+	/* A new evacuation starts without the interval. */
+	if (f->evacuated != endpoints)
+		f->evacuation_tried_us = 0;
+	f->evacuated = endpoints;
+}
+
 void failover_set_domains(struct failover *f, uint32_t domains)
 {
 	f->domains = domains ? domains : 1;
--- a/lib/control/failover.h
+++ b/lib/control/failover.h
@@ -120,6 +120,18 @@
 			const struct fleet_group *group,
 			uint32_t endpoints_wanted);
 
+/**
+ * failover_set_evacuated() - set which endpoints are in evacuated failure
+ *                            domains
+ * @f: state machine
+ * @endpoints: fleet_evacuated_endpoints() of the group that is passed to the
+ *             next failover_set_group()
+ *
+ * A primary there is replaced by a member outside that has every confirmed
+ * write; no other endpoint there becomes primary.
+ */
+void failover_set_evacuated(struct failover *f, uint32_t endpoints);
+
 /** failover_set_domains() - set the number of domains with live instances */
 void failover_set_domains(struct failover *f, uint32_t domains);
 
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -233,6 +233,8 @@
 			   control_bucket_of, c);
 	if (!view)
 		return;
+	for (uint32_t i = 0; view->cfg && i < view->cfg->groups_count; i++)
+		view->groups[i].confirmed_us = c->fleet_confirmed_us;
 	c->fleet_changed = false;
 	daemon_publish(c->daemon, view);
 	if (c->leader)
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -138,6 +138,8 @@
 	/* The replicated state, and whether it has unpublished changes. */
 	struct fleet *fleet;
 	bool fleet_changed;
+	/* The published state lacked nothing committed before this time. */
+	uint64_t fleet_confirmed_us;
 	/* Evacuated failure domains as last published, for the log. */
 	uint32_t evacuated_count;
 	char (*evacuated)[FLEET_NAME_MAX];
--- a/lib/daemon/control_leader.c
+++ b/lib/daemon/control_leader.c
@@ -193,6 +193,8 @@
 
 		if (!gf)
 			continue;
+		failover_set_evacuated(gf->failover, fleet_evacuated_endpoints(
+							     c->fleet, &group));
 		failover_set_group(gf->failover, now_us, &group,
 				   endpoints_wanted(c, group.name));
 		pump_failover(c, gf);
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -339,6 +339,8 @@
 	if (control_confirmed_us(c, now_us))
 		atomic_store(&c->daemon->confirmed_us,
 			     control_confirmed_us(c, now_us));
+	if (!c->fleet_changed)
+		c->fleet_confirmed_us = atomic_load(&c->daemon->confirmed_us);
 	if (c->session_server)
 		session_server_confirmed(c->session_server,
 					 atomic_load(&c->daemon->confirmed_us));
--- a/lib/daemon/router_io.c
+++ b/lib/daemon/router_io.c
@@ -486,6 +486,8 @@
 	LWS_STR_COPY(params.failure_domain, s->failure_domain);
 	params.probe_us = s->probe_ms * LWS_US_PER_MS;
 	params.suspect_us = s->suspect_ms * LWS_US_PER_MS;
+	params.evacuate_grace_us =
+		settings_evacuate_grace_ms(s) * LWS_US_PER_MS;
 	params.seed = w->daemon->incarnation + session_name_hash(name);
 	io->router = router_create(io, &params, lws_time_now_us());
 	if (!io->router) {
@@ -510,6 +512,8 @@
 		io->state = *group->state;
 		router_set_group(io->router, now_us, group->state);
 	}
+	router_set_evacuated(io->router, now_us, group->evacuated,
+			     group->confirmed_us);
 	run_actions(io);
 }
 
--- a/lib/daemon/view.c
+++ b/lib/daemon/view.c
@@ -62,6 +62,9 @@
 		LWS_STR_COPY(group->name, cfg_group->name);
 		group->hash = session_name_hash(cfg_group->name);
 		group->state = fleet_find_group(view->fleet, cfg_group->name);
+		if (group->state)
+			group->evacuated = fleet_evacuated_endpoints(
+				view->fleet, group->state);
 		group->watch = is_watcher(view->fleet, self, group->hash);
 		group->limits = (struct router_limits){
 			.slots = cfg_group->slots,
--- a/lib/daemon/view.h
+++ b/lib/daemon/view.h
@@ -19,6 +19,9 @@
  * @hash: session_name_hash() of @name
  * @state: replicated state, NULL until an endpoint has announced itself
  * @limits: limits for the request router
+ * @evacuated: fleet_evacuated_endpoints() of @state
+ * @confirmed_us: the state before this one lacked nothing committed before
+ *                this time; 0 if unknown
  * @watch: this instance probes the group's primary also without requests
  */
 struct view_group {
@@ -26,6 +29,8 @@
 	uint64_t hash;
 	const struct fleet_group *state;
 	struct router_limits limits;
+	uint32_t evacuated;
+	uint64_t confirmed_us;
 	bool watch;
 };
 
--- a/lib/route/router.c
+++ b/lib/route/router.c
@@ -194,6 +194,27 @@
 	}
 }
 
+/*
+ * Returns the evacuated endpoints of a new state of the group, in which they
+ * may have other indexes, until router_set_evacuated() is called.
+ */
+static uint32_t carry_evacuated(const struct router *rt,
+				const struct fleet_group *group)
+{
+	uint32_t bits = 0;
+
+	for (uint32_t k = 0; rt->evacuated && k < rt->group.count; k++) {
+		if (!router_is_evacuated(rt, k))
+			continue;
+		for (uint32_t i = 0; i < group->count; i++) {
+			if (strcmp(group->endpoint[i].failure_domain,
+				   rt->group.endpoint[k].failure_domain) == 0)
+				bits |= 1U << i;
+		}
+	}
+	return bits;
+}
+
 void router_set_group(struct router *rt, uint64_t now_us,
 		      const struct fleet_group *group)
 {
@@ -202,6 +223,7 @@
 	struct fleet_group old = rt->group;
 	bool members[FLEET_ENDPOINTS_MAX];
 
+	rt->evacuated = carry_evacuated(rt, group);
 	rt->group = *group;
 	router_pool_set_group(rt, now_us, &old);
 	for (uint32_t i = 0; i < group->count; i++)
@@ -226,6 +248,42 @@
 	router_tick(rt, now_us);
 }
 
+void router_set_evacuated(struct router *rt, uint64_t now_us,
+			  uint32_t endpoints, uint64_t confirmed_us)
+{
+	int32_t primary = rt->positions.primary;
+
+	if (!endpoints && !rt->evacuated)
+		return;
+	rt->evacuated = endpoints;
+	if (primary < 0 || !router_is_evacuated(rt, (uint32_t)primary))
+		rt->primary_evacuated_us = 0;
+	else if (!rt->primary_evacuated_us)
+		rt->primary_evacuated_us = confirmed_us ? confirmed_us : 1;
+	router_tick(rt, now_us);
+}
+
+/*
+ * Load pattern: the failure domain of the primary is evacuated, and no endpoint
+ * has succeeded it. Ends open transactions, and refuses what only the primary
+ * could serve instead of keeping it until its deadline.
+ */
+static void leave_evacuated_primary(struct router *rt, uint64_t now_us)
+{
+	struct fair_queue_item *item;
+
+	if (!router_primary_evacuated(rt, now_us))
+		return;
+	for (int i = 0; i < ROUTER_CONNS_MAX; i++) {
+		struct router_conn *c = &rt->conns[i];
+
+		if (c->state == CONN_TRANSACTION && !c->call)
+			router_close_conn(rt, now_us, c);
+	}
+	while ((item = fair_queue_pop(rt->primary_queue)))
+		router_answer(rt, request_of(item), LWS_E_NO_PRIMARY);
+}
+
 /* Estimates the wait of a new request from the requests that wait now. */
 static uint64_t expected_wait_us(const struct router *rt,
 				 const struct request *r)
@@ -251,6 +309,9 @@
 		return LWS_E_DRAINING;
 	if (r->spec.deadline_us <= now_us)
 		return LWS_E_DEADLINE;
+	if (needs_primary(r) && router_primary_evacuated(rt, now_us) &&
+	    (!r->spec.transaction || r->spec.op == ROUTER_BEGIN))
+		return LWS_E_NO_PRIMARY;
 	if (fair_queue_ahead(queue, r->spec.customer, FAIR_QUEUE_WEIGHT_MAX) >=
 	    rt->params.queue_max * 2)
 		return LWS_E_QUEUE_FULL;
@@ -354,6 +415,7 @@
 	expire_list(rt, &rt->running, now_us, LWS_E_OUTCOME_UNKNOWN);
 	router_check_confirmations(rt, now_us);
 	expire_list(rt, &rt->confirming, now_us, LWS_E_OUTCOME_UNKNOWN);
+	leave_evacuated_primary(rt, now_us);
 	router_close_overdue(rt, now_us);
 	router_check_suspects(rt, now_us);
 	router_open_conns(rt, now_us);
@@ -427,6 +489,11 @@
 {
 	uint64_t due = router_pool_next_due_us(rt);
 
+	if (rt->primary_evacuated_us &&
+	    !router_primary_evacuated(rt, rt->last_tick_us))
+		due = min_u64(due, rt->primary_evacuated_us +
+					   rt->params.evacuate_grace_us + 1);
+
 	due = min_u64(due, fair_queue_next_deadline(rt->any_queue));
 	due = min_u64(due, fair_queue_next_deadline(rt->primary_queue));
 	due = min_u64(due, earliest_deadline(&rt->parked));
--- a/lib/route/router.h
+++ b/lib/route/router.h
@@ -34,6 +34,8 @@
  *                 described at router_set_watch() is kept
  * @grace_us: how long a connection may stay busy past the deadline of its
  *            request before it is closed
+ * @evacuate_grace_us: how long a primary in an evacuated failure domain gets
+ *                     requests, unless it has a successor earlier
  * @transaction_us: maximum duration of a transaction
  * @retry_percent: retries per hundred requests
  * @retry_reserve: maximum number of retries saved up
@@ -49,6 +51,7 @@
 	uint64_t reconnect_us;
 	uint64_t idle_after_us;
 	uint64_t grace_us;
+	uint64_t evacuate_grace_us;
 	uint64_t transaction_us;
 	uint32_t retry_percent;
 	uint32_t retry_reserve;
@@ -187,6 +190,21 @@
 void router_set_group(struct router *rt, uint64_t now_us,
 		      const struct fleet_group *group);
 
+/**
+ * router_set_evacuated() - set which endpoints are in evacuated failure domains
+ * @rt: router
+ * @now_us: current time
+ * @endpoints: fleet_evacuated_endpoints() of the group last passed to
+ *             router_set_group()
+ * @confirmed_us: an evacuation that is new was not in force before this time; 0
+ *                if that is not known
+ *
+ * No read is sent to an evacuated endpoint. Their positions still count, so
+ * status calls to replicas there continue.
+ */
+void router_set_evacuated(struct router *rt, uint64_t now_us,
+			  uint32_t endpoints, uint64_t confirmed_us);
+
 /**
  * router_set_watch() - set whether to probe the primary all the time
  * @rt: router
--- a/lib/route/router_dispatch.c
+++ b/lib/route/router_dispatch.c
@@ -19,6 +19,17 @@
 	return primary;
 }
 
+bool router_is_evacuated(const struct router *rt, uint32_t endpoint)
+{
+	return rt->evacuated & (1U << endpoint);
+}
+
+bool router_primary_evacuated(const struct router *rt, uint64_t now_us)
+{
+	return rt->primary_evacuated_us &&
+	       rt->primary_evacuated_us + rt->params.evacuate_grace_us < now_us;
+}
+
 /* Whether an endpoint may serve a read, as far as this instance knows. */
 static bool may_serve(const struct router *rt, const struct request *r,
 		      uint64_t now_us, uint32_t i)
@@ -26,7 +37,8 @@
 	const struct fleet_endpoint *e = &rt->group.endpoint[i];
 	const struct positions_member *m = &rt->positions.members[i];
 
-	if (!e->present || !e->member || rt->endpoints[i].suspect || !m->known)
+	if (!e->present || !e->member || rt->endpoints[i].suspect ||
+	    !m->known || router_is_evacuated(rt, i))
 		return false;
 	if (r->spec.mark_term && !positions_covers(&m->last, r->spec.mark_term,
 						   r->spec.mark_position))
@@ -123,17 +135,18 @@
 	action->user = r->spec.user;
 }
 
-static bool primary_ready(const struct router *rt)
+static bool primary_ready(const struct router *rt, uint64_t now_us)
 {
 	int32_t primary = router_primary(rt);
 
 	return primary >= 0 && !rt->endpoints[primary].suspect &&
+	       !router_primary_evacuated(rt, now_us) &&
 	       !positions_superseded(&rt->positions);
 }
 
 static void dispatch_primary(struct router *rt, uint64_t now_us)
 {
-	while (primary_ready(rt)) {
+	while (primary_ready(rt, now_us)) {
 		struct router_conn *c =
 			router_idle_conn(rt, (uint32_t)router_primary(rt));
 		struct fair_queue_item *item =
@@ -155,6 +168,7 @@
 
 		if ((int32_t)i != router_primary(rt) && e->present &&
 		    e->member && !rt->endpoints[i].suspect &&
+		    !router_is_evacuated(rt, i) &&
 		    rt->positions.members[i].known)
 			return true;
 	}
@@ -207,7 +221,9 @@
 		if (any_replica_may_serve(rt, r, now_us)) {
 			router_list_remove(&rt->parked, r);
 			router_requeue(rt, r);
-		} else if (now_us >= r->not_before_us && primary_ready(rt)) {
+		} else if (now_us >= r->not_before_us &&
+			   !rt->primary_evacuated_us &&
+			   primary_ready(rt, now_us)) {
 			router_list_remove(&rt->parked, r);
 			r->primary_only = true;
 			router_requeue(rt, r);
--- a/lib/route/router_internal.h
+++ b/lib/route/router_internal.h
@@ -144,6 +144,13 @@
 	struct request_list running;
 	struct request_list confirming;
 	uint64_t next_id;
+	/* Endpoints in evacuated domains, as bits of their index in @group. */
+	uint32_t evacuated;
+	/*
+	 * The domain of the primary was not evacuated before this time; 0 if it
+	 * is not evacuated.
+	 */
+	uint64_t primary_evacuated_us;
 	/* When the current primary term became known. */
 	uint64_t term_seen_us;
 	/* Time and content of the last ROUTER_REPORT. */
@@ -197,6 +204,9 @@
 
 /* router_dispatch.c: choice of endpoint and connection for each request */
 int32_t router_primary(const struct router *rt);
+bool router_is_evacuated(const struct router *rt, uint32_t endpoint);
+/* Whether the primary is evacuated and gets no more requests. */
+bool router_primary_evacuated(const struct router *rt, uint64_t now_us);
 void router_dispatch(struct router *rt, uint64_t now_us);
 void router_send_exec(struct router *rt, uint64_t now_us, struct request *r,
 		      struct router_conn *c);
--- a/lib/route/router_pool.c
+++ b/lib/route/router_pool.c
@@ -136,6 +136,9 @@
 
 	if (!e->present || !e->member)
 		return false;
+	if (router_primary(rt) == (int32_t)endpoint &&
+	    router_primary_evacuated(rt, now_us))
+		return false;
 	return is_active(rt, now_us) ||
 	       (rt->watch && router_primary(rt) == (int32_t)endpoint);
 }
--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -244,6 +244,119 @@
 	talloc_free(f);
 }
 
+struct evacuated_choice_case {
+	const char *name;
+	/* Endpoints in evacuated domains, as bits; endpoint 0 is primary. */
+	uint32_t evacuated;
+	/* Positions in the answers to the fence, 0 for no answer. */
+	uint64_t position[3];
+	/* NULL while there is no choice. */
+	const char *chosen;
+};
+
+/*
+ * A promotion off an evacuated domain must not lose a write that a majority
+ * confirmed, and must not choose another endpoint in one.
+ */
+static const struct evacuated_choice_case evacuated_choice_cases[] = {
+	{ "primary-evacuated", 1, { 50, 40, 45 }, "e2" },
+	{ "primary-does-not-answer", 1, { 0, 40, 45 }, "e2" },
+	/* e0 and e1 may have confirmed up to 45 without e2. */
+	{ "outside-behind", 3, { 50, 45, 40 }, "e0" },
+	/* Only e0 has 50, so it is not confirmed. */
+	{ "outside-has-confirmed", 3, { 50, 45, 45 }, "e2" },
+	{ "outside-ahead-of-replica", 3, { 50, 40, 45 }, "e2" },
+	{ "replica-inside-unknown", 3, { 50, 0, 45 }, "e0" },
+	/* e1 may have a confirmed write that e2 lacks. */
+	{ "primary-lost-outside-behind", 3, { 0, 45, 40 }, NULL },
+	{ "primary-lost-outside-equal", 3, { 0, 45, 45 }, "e2" },
+	{ "all-evacuated", 7, { 50, 45, 40 }, "e0" },
+	{ "all-evacuated-primary-lost", 7, { 0, 45, 40 }, NULL },
+	{ "replica-evacuated", 2, { 50, 45, 40 }, "e0" },
+	{ "replica-evacuated-primary-lost", 2, { 0, 45, 45 }, "e2" },
+};
+
+static void test_evacuated_choice(gconstpointer data)
+{
+	const struct evacuated_choice_case *c = data;
+	struct fleet_group g = make_group(3, 1);
+	struct failover *f = start_with_primary(&g, 10 * LWS_US_PER_S);
+	uint64_t now = 20 * LWS_US_PER_S;
+	struct failover_action a;
+
+	failover_set_evacuated(f, c->evacuated);
+	report_suspect_majority(f, now, 1);
+	g_assert_true(next_of(f, FAILOVER_COMMIT_TERM, &a));
+	g.term = 2;
+	failover_set_group(f, now, &g, 3);
+	for (int i = 0; i < 3; i++) {
+		struct positions_report r = { 2, 1, c->position[i] };
+		char id[8];
+
+		snprintf(id, sizeof(id), "e%d", i);
+		if (c->position[i])
+			failover_fenced(f, now, id, 2, true, &r);
+	}
+	failover_tick(f, now + 100 * MS);
+	failover_tick(f, now + 500 * MS);
+	g_assert_cmpint(next_of(f, FAILOVER_COMMIT_PRIMARY, &a), ==,
+			c->chosen != NULL);
+	if (c->chosen)
+		g_assert_cmpstr(a.endpoint, ==, c->chosen);
+	/* The end of the evacuation allows every choice. */
+	failover_set_evacuated(f, 0);
+	failover_tick(f, now + 900 * MS);
+	g_assert_cmpint(next_of(f, FAILOVER_COMMIT_PRIMARY, &a), ==,
+			c->chosen == NULL);
+	talloc_free(f);
+}
+
+struct evacuation_start_case {
+	const char *name;
+	uint32_t evacuated;
+	/* Endpoints that are not present, as bits. */
+	uint32_t absent;
+	bool promotes;
+};
+
+/* Only a primary that another member can succeed is moved. */
+static const struct evacuation_start_case evacuation_start_cases[] = {
+	{ "none", 0, 0, false },
+	{ "primary", 1, 0, true },
+	{ "primary-and-replica", 3, 0, true },
+	{ "replica", 2, 0, false },
+	{ "all", 7, 0, false },
+	{ "outside-absent", 3, 4, false },
+	{ "one-outside-absent", 1, 4, true },
+};
+
+static void test_evacuation_start(gconstpointer data)
+{
+	const struct evacuation_start_case *c = data;
+	struct fleet_group g = make_group(3, 1);
+	struct failover *f = start_with_primary(&g, 10 * LWS_US_PER_S);
+	uint64_t now = 20 * LWS_US_PER_S;
+	struct failover_action a;
+
+	for (uint32_t i = 0; i < 3; i++)
+		g.endpoint[i].present = !(c->absent & (1U << i));
+	failover_set_evacuated(f, c->evacuated);
+	failover_set_group(f, now, &g, 3);
+	g_assert_cmpint(next_of(f, FAILOVER_COMMIT_TERM, &a), ==, c->promotes);
+	if (c->promotes) {
+		/* The primary stayed: the next attempt comes after 5 s. */
+		g.term = 2;
+		g.primary_term = 2;
+		failover_set_group(f, now, &g, 3);
+		failover_promoted(f, now, 2, true);
+		failover_tick(f, now + 4900 * MS);
+		g_assert_false(next_of(f, FAILOVER_COMMIT_TERM, &a));
+		failover_tick(f, now + 5100 * MS);
+		g_assert_true(next_of(f, FAILOVER_COMMIT_TERM, &a));
+	}
+	talloc_free(f);
+}
+
 /* Refusals, and answers to another term or of an unknown endpoint. */
 static void test_fence_answers_that_do_not_count(void)
 {
@@ -392,6 +505,22 @@
 
 		g_test_add_data_func(path, &choice_cases[i], test_choice);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(evacuated_choice_cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/failover/evacuated-choice/%s",
+					evacuated_choice_cases[i].name);
+
+		g_test_add_data_func(path, &evacuated_choice_cases[i],
+				     test_evacuated_choice);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(evacuation_start_cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/failover/evacuation-start/%s",
+					evacuation_start_cases[i].name);
+
+		g_test_add_data_func(path, &evacuation_start_cases[i],
+				     test_evacuation_start);
+	}
 	g_test_add_func("/failover/ignored-reports", test_ignored_reports);
 	g_test_add_func("/failover/fence-answers",
 			test_fence_answers_that_do_not_count);
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -105,6 +105,7 @@
 	struct router_params params = router_params_default();
 	struct router_limits limits = { 3, 20, 9, max_staleness_us };
 
+	params.evacuate_grace_us = 500 * MS;
 	f->now = 100 * LWS_US_PER_S;
 	f->rt = router_create(NULL, &params, f->now);
 	f->group = (struct fleet_group){ .name = "g",
@@ -577,6 +578,98 @@
 	tear_down(f);
 }
 
+/*
+ * Reads leave an evacuated replica at once, also if it is the only one that
+ * could serve them without a wait.
+ */
+static void test_evacuated_replica(void)
+{
+	struct fixture *f = set_up(0);
+
+	router_set_evacuated(f->rt, f->now, 1U << 1, f->now);
+	process_actions(f);
+	for (int i = 0; i < 20; i++) {
+		struct router_request r = request(f, ROUTER_READ);
+
+		submit(f, &r);
+		g_assert_cmpuint(f->exec.endpoint, ==, 2);
+		done(f, ROUTER_DONE, 1, 1, 10);
+	}
+	router_set_evacuated(f->rt, f->now, 1U << 1 | 1U << 2, f->now);
+	f->execs = 0;
+	for (int i = 0; i < 20; i++) {
+		struct router_request r = request(f, ROUTER_READ);
+
+		submit(f, &r);
+		run_healthy(f, 40 * MS);
+		g_assert_cmpuint(f->exec.endpoint, ==, 0);
+		done(f, ROUTER_DONE, 1, 1, 10);
+	}
+	tear_down(f);
+}
+
+struct evacuated_primary_case {
+	const char *name;
+	/* Time before the evacuation is known as of which it was not. */
+	uint64_t confirmed_ago_ms;
+	bool confirmed;
+	/* Whether it gets writes at first. */
+	bool grace;
+};
+
+static const struct evacuated_primary_case evacuated_primary_cases[] = {
+	{ "in-contact", 100, true, true },
+	/* No grace period of its own: others have stopped long ago. */
+	{ "was-cut-off", 5000, true, false },
+	{ "just-started", 0, false, false },
+};
+
+/*
+ * An evacuated primary gets no read at once, and after the grace period nothing
+ * at all: what only it can run is refused at once, waiting or new.
+ */
+static void test_evacuated_primary(gconstpointer data)
+{
+	const struct evacuated_primary_case *c = data;
+	struct fixture *f = set_up(0);
+	struct router_request write = request(f, ROUTER_WRITE);
+	struct router_request read = request(f, ROUTER_READ);
+
+	router_set_evacuated(f->rt, f->now, 1,
+			     c->confirmed ? f->now - c->confirmed_ago_ms * MS
+					  : 0);
+	process_actions(f);
+	f->execs = 0;
+	submit(f, &write);
+	g_assert_cmpuint(f->execs, ==, c->grace ? 1 : 0);
+	if (c->grace) {
+		done(f, ROUTER_DONE, 1, 1, 11);
+		all_statuses(f, 11);
+		run_healthy(f, 1000 * MS);
+		write.deadline_us = f->now + 1000 * MS;
+		f->execs = 0;
+		f->answers = 0;
+		submit(f, &write);
+	}
+	g_assert_cmpuint(f->execs, ==, 0);
+	g_assert_cmpint(f->answer.rc, ==, LWS_E_NO_PRIMARY);
+	/* Replicas outside still serve reads. */
+	read.deadline_us = f->now + 1000 * MS;
+	submit(f, &read);
+	g_assert_cmpuint(f->execs, ==, 1);
+	g_assert_cmpuint(f->exec.endpoint, !=, 0);
+	done(f, ROUTER_DONE, 1, 1, 11);
+	router_set_evacuated(f->rt, f->now, 0, f->now);
+	process_actions(f);
+	run_healthy(f, 1500 * MS);
+	write.deadline_us = f->now + 1000 * MS;
+	submit(f, &write);
+	g_assert_cmpuint(f->execs, ==, 2);
+	g_assert_cmpuint(f->exec.endpoint, ==, 0);
+	done(f, ROUTER_DONE, 1, 1, 12);
+	tear_down(f);
+}
+
 /* A connection that is dead without an error is replaced. */
 static void test_stuck_connection_is_replaced(void)
 {
@@ -733,6 +826,15 @@
 	    test_lost_endpoint_connection_ends_transaction);
 	ADD("tx/lost-commit", test_lost_commit_is_unknown);
 	ADD("leaving", test_leaving_endpoint_gets_no_new_requests);
+	ADD("evacuated-replica", test_evacuated_replica);
+	for (size_t i = 0; i < G_N_ELEMENTS(evacuated_primary_cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/router/evacuated-primary/%s",
+					evacuated_primary_cases[i].name);
+
+		g_test_add_data_func(path, &evacuated_primary_cases[i],
+				     test_evacuated_primary);
+	}
 	ADD("unresponsive-primary", test_unresponsive_primary_is_reported);
 	ADD("stuck-connection", test_stuck_connection_is_replaced);
 	ADD("refused-connections", test_refused_connections_are_reported);
