Test the evacuation of a domain with the product's own interface

The test covers the tool, the status, the audit trail, the loss of two disks and a restart of all instances, which no test covered for evacuations.

--- a/tests/test_daemon.c
+++ b/tests/test_daemon.c
@@ -611,6 +611,98 @@
 	test_fleet_stop(f);
 }
 
+static char *domain_of(struct test_fleet *f, uint32_t endpoint)
+{
+	json_t *status = test_fleet_status(f, 1);
+	json_t *groups = json_object_get(status, "groups");
+	json_t *list = json_object_get(json_array_get(groups, 0), "endpoints");
+	g_autofree char *addr = g_strdup_printf("%s.%u:", f->net, endpoint);
+	char *domain = NULL;
+	size_t i;
+	json_t *e;
+
+	json_array_foreach(list, i, e)
+	{
+		if (g_str_has_prefix(
+			    json_string_value(json_object_get(e, "addr")),
+			    addr))
+			domain = g_strdup(json_string_value(
+				json_object_get(e, "failure_domain")));
+	}
+	json_decref(status);
+	return domain;
+}
+
+static bool status_lists_no_evacuation(struct test_fleet *f)
+{
+	g_autofree char *out = NULL;
+
+	test_fleet_tool(f, &out, NULL, "status", NULL);
+	return !strstr(out, "is evacuated");
+}
+
+/*
+ * The primary moves out of an evacuated domain and keeps acknowledged writes.
+ * The evacuation survives the loss of two disks, one after the other, and a
+ * restart of all instances.
+ */
+static void test_evacuation(void)
+{
+	struct test_fleet *f = test_fleet_start();
+	g_autofree char *key = test_fleet_key(f, "guides");
+	g_autofree char *domain = NULL;
+	g_autofree char *line = NULL;
+	g_autofree char *out = NULL;
+	g_autofree char *history = NULL;
+
+	g_assert_true(write_until_acked(f, 1, key,
+					"{\"key\":\"a\",\"value\":\"1\"}"));
+	g_assert_cmpint(
+		test_fleet_tool(f, NULL, NULL, "evacuate", "nowhere", NULL), ==,
+		1);
+	old_primary = test_fleet_primary(f);
+	domain = domain_of(f, old_primary);
+	g_assert_nonnull(domain);
+	g_assert_cmpint(
+		test_fleet_tool(f, NULL, NULL, "evacuate", domain, NULL), ==,
+		0);
+	g_assert_cmpint(
+		test_fleet_tool(f, NULL, NULL, "evacuate", domain, NULL), ==,
+		0);
+	g_assert_true(test_fleet_wait(f, has_new_primary));
+	g_assert_true(write_until_acked(f, 2, key,
+					"{\"key\":\"b\",\"value\":\"2\"}"));
+	for (uint32_t i = 1; i <= 3; i++) {
+		test_fleet_call(f, i, "GET", PLACES "a", key, NULL);
+		g_assert_cmpstr(value_of(f), ==, "1");
+	}
+	lose_disk(f, 1);
+	lose_disk(f, 2);
+	for (uint32_t i = 1; i <= 3; i++)
+		test_fleet_signal(f, i, SIGKILL);
+	for (uint32_t i = 1; i <= 3; i++)
+		test_fleet_wait_exit(f, i);
+	for (uint32_t i = 1; i <= 3; i++)
+		test_fleet_run_instance(f, i);
+	g_assert_true(test_fleet_wait(f, has_leader));
+	line = g_strdup_printf("failure domain %s is evacuated\n", domain);
+	g_assert_cmpint(test_fleet_tool(f, &out, NULL, "status", NULL), ==, 0);
+	g_assert_nonnull(strstr(out, line));
+	/* The primary stays outside. */
+	g_assert_true(has_new_primary(f));
+	g_assert_cmpint(test_fleet_tool(f, NULL, NULL, "restore", domain, NULL),
+			==, 0);
+	g_assert_true(test_fleet_wait(f, status_lists_no_evacuation));
+	g_assert_cmpint(test_fleet_tool(f, &history, NULL, "history", NULL), ==,
+			0);
+	g_free(line);
+	line = g_strdup_printf("domain %s restore: ok", domain);
+	g_assert_nonnull(strstr(history, line));
+	g_assert_true(write_until_acked(f, 3, key,
+					"{\"key\":\"c\",\"value\":\"3\"}"));
+	test_fleet_stop(f);
+}
+
 static gpointer write_slow_request(gpointer data)
 {
 	struct reader *r = data;
@@ -690,6 +782,7 @@
 	ADD("transactions", test_transactions);
 	ADD("crossed-answers", test_crossed_answers);
 	ADD("primary-leaves", test_primary_leaves);
+	ADD("evacuation", test_evacuation);
 	ADD("graceful-stop-completes-requests",
 	    test_graceful_stop_completes_requests);
 	ADD("bad-peer-bytes", test_bad_peer_bytes);
