Soak: evacuate domains beside the other faults

Cause: no run with faults had evacuations.

Change: a second operator begins and ends evacuations of one or two domains, sometimes repeated. After the last fault, every instance must have the state that was acknowledged last.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -9,6 +9,8 @@
 
 #define ANSWER_MS 3000
 #define OPEN_MS 2000
+/* Keep in step with platform/platform_settings.c. */
+#define METRICS_PORT 9464
 #define CONNECT_MS 500
 #define HTTP_MS 1000
 /* High enough that neither limit is reached. */
@@ -73,6 +75,9 @@
 	struct item *current[SOAK_CALLERS];
 	struct caller callers[SOAK_CALLERS];
 	GThread *operator_thread;
+	GThread *evacuation_thread;
+	bool stop_evacuations;
+	uint64_t evacuations;
 	/* The newest acknowledged configuration. */
 	uint32_t version;
 	char *text;
@@ -592,6 +597,108 @@
 	return NULL;
 }
 
+/*
+ * Begins or ends an evacuation, like the platform: sends the request until a
+ * control instance acknowledges it, and sometimes once more.
+ */
+static void set_evacuated(struct soak_ledger *l, struct lws_rng *rng, int zone,
+			  bool evacuated)
+{
+	g_autofree char *path = g_strdup_printf("/v1/evacuations/z%d/%s", zone,
+						evacuated ? "begin" : "finish");
+	uint32_t more = (uint32_t)lws_rng_below(rng, 2);
+	int status = 0;
+
+	soak_log("%s", path);
+	while (!l->stop && (status != 200 || more)) {
+		more -= status == 200;
+		status = test_http(l->net, any_control(rng), TEST_PORT_CONTROL,
+				   "POST", path, "", HTTP_MS, NULL);
+		if (status >= 400 && status < 500)
+			soak_fail("%s was refused with HTTP status %d", path,
+				  status);
+		if (status != 200)
+			g_usleep(50 * 1000);
+	}
+}
+
+/* Evacuates one or two of the endpoints' domains at a time. */
+static gpointer run_evacuations(gpointer arg)
+{
+	struct soak_ledger *l = arg;
+	struct lws_rng rng = { .seed = l->seed + 2000 };
+
+	while (!l->stop_evacuations) {
+		int first = 1 + (int)lws_rng_below(&rng, SOAK_ENDPOINTS);
+		int second = 1 + (int)lws_rng_below(&rng, SOAK_ENDPOINTS);
+
+		g_usleep(500 * 1000 + lws_rng_below(&rng, 3000 * 1000));
+		set_evacuated(l, &rng, first, true);
+		g_usleep(lws_rng_below(&rng, 2500 * 1000));
+		set_evacuated(l, &rng, second, true);
+		g_usleep(lws_rng_below(&rng, 2500 * 1000));
+		set_evacuated(l, &rng, first, false);
+		set_evacuated(l, &rng, second, false);
+		l->evacuations++;
+	}
+	return NULL;
+}
+
+/* Whether an instance has exactly these domains evacuated. @zone: 0 for none */
+static bool evacuation_is_current(struct soak_ledger *l, int host, int zone)
+{
+	g_autofree char *wanted = g_strdup_printf(
+		"lws_evacuated{failure_domain=\"z%d\"} 1\n", zone);
+	g_autofree char *text = NULL;
+	const char *first;
+
+	if (test_http(l->net, host, METRICS_PORT, "GET", "/metrics", "",
+		      HTTP_MS, &text) != 200)
+		return false;
+	first = strstr(text, "lws_evacuated{");
+	if (!zone)
+		return !first;
+	return first && g_str_has_prefix(first, wanted) &&
+	       !strstr(first + strlen(wanted), "lws_evacuated{");
+}
+
+static void check_evacuation(struct soak_ledger *l, int zone)
+{
+	int64_t until = soak_now_ms() + SOAK_RECOVERY_MS;
+	int hosts = SOAK_CONTROLS + soak_session_servers;
+	int current = 0;
+
+	while (soak_now_ms() < until && current < hosts) {
+		current = 0;
+		for (int i = 0; i < hosts; i++)
+			current += evacuation_is_current(
+				l,
+				i < SOAK_CONTROLS ? i + 1
+						  : SOAK_FIRST_SESSION_SERVER +
+							    i - SOAK_CONTROLS,
+				zone);
+		g_usleep(100 * 1000);
+	}
+	if (current < hosts)
+		soak_fail("%d of %d instances have the acknowledged state of "
+			  "the evacuations (z%d)",
+			  current, hosts, zone);
+}
+
+void soak_check_evacuations(struct soak_ledger *l)
+{
+	struct lws_rng rng = { .seed = l->seed + 3000 };
+
+	l->stop_evacuations = true;
+	g_thread_join(l->evacuation_thread);
+	check_evacuation(l, 0);
+	set_evacuated(l, &rng, 1, true);
+	check_evacuation(l, 1);
+	set_evacuated(l, &rng, 1, false);
+	check_evacuation(l, 0);
+	soak_log("%" G_GUINT64_FORMAT " evacuations", l->evacuations);
+}
+
 void soak_callers_start(struct soak_ledger *l)
 {
 	struct lws_rng rng = { .seed = l->seed };
@@ -607,6 +714,7 @@
 		c->thread = g_thread_new("caller", run_caller, c);
 	}
 	l->operator_thread = g_thread_new("operator", run_operator, l);
+	l->evacuation_thread = g_thread_new("evacuations", run_evacuations, l);
 }
 
 void soak_callers_expect_answers(struct soak_ledger *l, bool on)
--- a/soak/main.c
+++ b/soak/main.c
@@ -294,6 +294,7 @@
 	while (!soak_fleet_undisturbed_ms(r.fleet))
 		run_for(&r, 20);
 	run_for(&r, 1000);
+	soak_check_evacuations(r.ledger);
 	soak_check_recovered(r.ledger);
 	rolling_restart(&r);
 	answered = soak_answered(r.ledger);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -179,6 +179,14 @@
  */
 void soak_check_recovered(struct soak_ledger *l);
 
+/**
+ * soak_check_evacuations() - end the evacuations and check their order
+ *
+ * To be called after the last fault. Every instance must have the state that
+ * was acknowledged last: no evacuation, then one, then none.
+ */
+void soak_check_evacuations(struct soak_ledger *l);
+
 /** soak_check_log() - compare the endpoints' log with the answers */
 void soak_check_log(struct soak_ledger *l, const char *log);
 
