--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -19,6 +19,11 @@
  * the end of its log: a few commands with retries.
  */
 #define STEP_DOWN_US (1000 * LWS_US_PER_MS)
+/*
+ * Commits that the next primary may lack when the present one is asked to step
+ * down: some round trips of a busy group.
+ */
+#define STEP_DOWN_MISSING_MAX 32U
 
 enum phase {
 	/** no attempt in progress */
@@ -52,6 +57,7 @@
 	char addr[FLEET_ADDR_MAX];
 	bool present;
 	bool leaving;
+	bool evacuated;
 	bool claims_primary;
 	bool command_sent;
 	uint64_t command_sent_us;
@@ -65,13 +71,15 @@
 	struct fleet_group group;
 	uint32_t sync_replicas;
 	uint32_t domains;
+	/* Endpoints in evacuated domains, as bits of their index in @group. */
+	uint32_t evacuated;
 	enum phase phase;
 	uint64_t fencing_token;
 	uint64_t pause_term;
 	char choice[FLEET_NAME_MAX];
 	uint64_t phase_since_us;
 	uint64_t last_attempt_us;
-	/* The attempt started because the primary is suspect or leaving. */
+	/* The attempt started because the primary must not stay. */
 	bool primary_unwanted;
 	/* It leaves, so it can be asked to step down. */
 	bool planned;
@@ -175,6 +183,29 @@
 	return s->group.primary_term && strcmp(s->group.primary, m->id) == 0;
 }
 
+/* Whether another endpoint, outside of evacuated domains, can take over. */
+static bool has_candidate_outside(const struct managed_failover *s)
+{
+	for (uint32_t i = 0; i < s->members_count; i++) {
+		const struct member *m = &s->members[i];
+
+		if (m->present && !m->evacuated && !is_primary(s, m))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether the primary has to move out of an evacuated domain. Without a
+ * candidate outside it stays: an attempt would only interrupt replication.
+ */
+static bool must_evacuate(struct managed_failover *s)
+{
+	const struct member *primary = find_member(s, s->group.primary);
+
+	return primary && primary->evacuated && has_candidate_outside(s);
+}
+
 /* The endpoint with the newest term among those that report to be primary. */
 static struct member *find_newest_primary(struct managed_failover *s)
 {
@@ -222,7 +253,7 @@
 	struct managed_failover_action *a;
 
 	s->fencing_token = s->group.term + 1;
-	s->planned = strcmp(reason, "primary_leaving") == 0;
+	s->planned = strcmp(reason, "primary_leaving") == 0 || must_evacuate(s);
 	s->primary_unwanted =
 		s->planned || strcmp(reason, "primary_suspect") == 0;
 	s->choice[0] = '\0';
@@ -250,15 +281,27 @@
 		send_command(s, m, now_us, kind, s->pause_term);
 }
 
-/* As send_if_due(), for answers on which callers without a primary wait. */
-static void send_often(struct managed_failover *s, struct member *m,
-		       uint64_t now_us, enum endpoint_command_kind kind)
+/* Whether to ask an endpoint again for a change that is expected soon. */
+static bool poll_due(const struct managed_failover *s, const struct member *m,
+		     uint64_t now_us)
 {
-	if (!m->command_sent ||
-	    now_us - m->command_sent_us >= s->params.command_retry_us / 5)
+	return !m->command_sent ||
+	       now_us - m->command_sent_us >= s->params.command_retry_us / 5;
+}
+
+static void poll(struct managed_failover *s, struct member *m, uint64_t now_us,
+		 enum endpoint_command_kind kind)
+{
+	if (poll_due(s, m, now_us))
 		send_command(s, m, now_us, kind, s->pause_term);
 }
 
+static void poll_members(struct managed_failover *s, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < s->members_count; i++)
+		poll(s, &s->members[i], now_us, COMMAND_STATUS);
+}
+
 static void commit_primary(struct managed_failover *s, uint64_t now_us,
 			   const char *id)
 {
@@ -293,6 +336,8 @@
 
 	if (cmp)
 		return cmp > 0;
+	if (a->evacuated != b->evacuated)
+		return b->evacuated;
 	return a->present && !b->present;
 }
 
@@ -306,7 +351,8 @@
 /*
  * The paused replica that received most, or a former primary that has even
  * more. NULL while so few replicas are paused that it may lack an acknowledged
- * commit.
+ * commit. NULL also if only replicas in evacuated domains received most: none
+ * of these is promoted, and any other may lack an acknowledged commit.
  */
 static struct member *choose_safe(struct managed_failover *s)
 {
@@ -326,6 +372,8 @@
 		if (!best || more_recent(m, best))
 			best = m;
 	}
+	if (best && best->evacuated && !is_primary(s, best))
+		return NULL;
 	return missing <= missing_max ? best : NULL;
 }
 
@@ -342,6 +390,28 @@
 		LWS_STR_COPY(a->endpoint, m->id);
 }
 
+/*
+ * Whether a replica that may take over has received the log of the primary,
+ * except for its last @missing_max commits.
+ */
+static bool log_is_copied(const struct managed_failover *s,
+			  const struct member *primary, uint64_t missing_max)
+{
+	struct log_position end = primary->status.received;
+
+	for (uint32_t i = 0; i < s->members_count; i++) {
+		const struct member *m = &s->members[i];
+		struct log_position received = m->status.received;
+
+		if (m == primary || !m->answered || m->evacuated)
+			continue;
+		received.number += missing_max;
+		if (log_position_cmp(received, end) >= 0)
+			return true;
+	}
+	return false;
+}
+
 /* Whether a primary that leaves may still answer and then step down. */
 static bool awaits_primary(struct managed_failover *s, uint64_t now_us)
 {
@@ -361,7 +431,7 @@
 		struct member *m = &s->members[i];
 
 		if (!m->answered && is_primary(s, m))
-			send_often(s, m, now_us, COMMAND_STATUS);
+			poll(s, m, now_us, COMMAND_STATUS);
 		else if (!m->answered)
 			send_if_due(s, m, now_us, COMMAND_STATUS);
 		if (is_primary(s, m))
@@ -394,6 +464,15 @@
 		request_promotion(s, now_us, newest_primary);
 		return;
 	}
+	/*
+	 * Without a replica that is nearly up to date, demoting the primary
+	 * would only interrupt writes.
+	 */
+	if (s->planned && newest_primary &&
+	    !log_is_copied(s, newest_primary, STEP_DOWN_MISSING_MAX)) {
+		poll_members(s, now_us);
+		return;
+	}
 	s->pause_term = newest_term(s) + 1;
 	enter_phase(s, now_us,
 		    newest_primary && is_primary(s, newest_primary)
@@ -401,21 +480,6 @@
 			    : PHASE_PAUSE);
 }
 
-/* Whether a replica has the whole log of the former primary. */
-static bool log_is_copied(const struct managed_failover *s,
-			  const struct member *primary)
-{
-	for (uint32_t i = 0; i < s->members_count; i++) {
-		const struct member *m = &s->members[i];
-
-		if (m != primary && m->answered &&
-		    log_position_cmp(m->status.received,
-				     primary->status.received) >= 0)
-			return true;
-	}
-	return false;
-}
-
 /*
  * Demotes a primary that answers before another endpoint is chosen. Load
  * pattern: the endpoints of a group are replaced one after the other while the
@@ -427,22 +491,44 @@
 	struct member *primary = find_member(s, s->group.primary);
 
 	if (!primary || now_us - s->phase_since_us >= STEP_DOWN_US ||
-	    (has_stepped_down(s, primary) && log_is_copied(s, primary))) {
+	    (has_stepped_down(s, primary) && log_is_copied(s, primary, 0))) {
 		enter_phase(s, now_us, PHASE_PAUSE);
 		return;
 	}
 	if (!has_stepped_down(s, primary)) {
-		send_often(s, primary, now_us, COMMAND_STEP_DOWN);
+		poll(s, primary, now_us, COMMAND_STEP_DOWN);
 		return;
 	}
+	poll_members(s, now_us);
+}
+
+/*
+ * Whether to let a replica outside of evacuated domains go on receiving, so
+ * that it catches up with the replicas in evacuated domains, which are paused
+ * first: paused together, one of those might have received most, and no replica
+ * could be promoted. At most @sync_replicas - 1 of them may stay unpaused.
+ */
+static bool has_to_catch_up(struct managed_failover *s, const struct member *m)
+{
+	const struct member *primary = find_member(s, s->group.primary);
+	uint32_t unpaused_max = s->sync_replicas ? s->sync_replicas - 1 : 0;
+	uint32_t unpaused = 0;
+
+	/* A primary that has stepped down sends nothing that it could receive. */
+	if (m->evacuated || (primary && has_stepped_down(s, primary)))
+		return false;
 	for (uint32_t i = 0; i < s->members_count; i++) {
-		struct member *m = &s->members[i];
+		const struct member *other = &s->members[i];
 
-		if (m != primary && (!m->command_sent ||
-				     now_us - m->command_sent_us >=
-					     s->params.command_retry_us / 5))
-			send_command(s, m, now_us, COMMAND_STATUS, 0);
+		if (!other->evacuated || is_primary(s, other))
+			continue;
+		if (!other->paused)
+			unpaused++;
+		else if (log_position_cmp(other->status.received,
+					  m->status.received) > 0)
+			return true;
 	}
+	return unpaused > unpaused_max;
 }
 
 static void pause_replicas(struct managed_failover *s, uint64_t now_us)
@@ -452,8 +538,12 @@
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		struct member *m = &s->members[i];
 
-		if (!is_primary(s, m) && !m->paused)
+		if (is_primary(s, m) || m->paused)
+			continue;
+		if (!has_to_catch_up(s, m))
 			send_if_due(s, m, now_us, COMMAND_PAUSE);
+		else
+			poll(s, m, now_us, COMMAND_STATUS);
 	}
 	choice = choose_safe(s);
 	if (choice)
@@ -470,7 +560,7 @@
 		return;
 	}
 	if (m)
-		send_often(s, m, now_us, COMMAND_STATUS);
+		poll(s, m, now_us, COMMAND_STATUS);
 }
 
 /* Reasons to start an attempt */
@@ -545,6 +635,8 @@
 		return "primary_gone";
 	if (primary->leaving)
 		return "primary_leaving";
+	if (must_evacuate(s))
+		return "primary_evacuated";
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		if (s->members[i].claims_primary && !primary->claims_primary &&
 		    s->members[i].present)
@@ -553,9 +645,16 @@
 	return primary_suspected(s, now_us) ? "primary_suspect" : NULL;
 }
 
-/* Whether a replica can take over; without one, no attempt starts. */
-static bool has_candidate(const struct managed_failover *s)
+/*
+ * Whether a replica can take over; without one, no attempt starts. An
+ * unfinished attempt, or one after an endpoint became primary, may end without
+ * a promotion of a replica, so it needs none outside of evacuated domains.
+ */
+static bool has_candidate(const struct managed_failover *s, const char *reason)
 {
+	if (s->evacuated && strcmp(reason, "unfinished") != 0 &&
+	    strcmp(reason, "another_claims") != 0)
+		return has_candidate_outside(s);
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		if (s->members[i].present && !is_primary(s, &s->members[i]))
 			return true;
@@ -571,7 +670,7 @@
 		return;
 	reason = reason_to_start(s, now_us);
 	probe_primary(s, now_us);
-	if (!reason || (s->group.primary_term && !has_candidate(s)))
+	if (!reason || (s->group.primary_term && !has_candidate(s, reason)))
 		return;
 	start_attempt(s, now_us, reason);
 }
@@ -643,6 +742,7 @@
 		LWS_STR_COPY(m->addr, group->endpoint[i].addr);
 		m->present = group->endpoint[i].present;
 		m->leaving = group->endpoint[i].leaving;
+		m->evacuated = s->evacuated & (1U << i);
 	}
 	if (s->phase == PHASE_COMMIT_TOKEN && group->term >= s->fencing_token) {
 		if (group->term == s->fencing_token)
@@ -665,6 +765,12 @@
 	managed_failover_tick(s, now_us);
 }
 
+void managed_failover_set_evacuated(struct managed_failover *s,
+				    uint32_t endpoints)
+{
+	s->evacuated = endpoints;
+}
+
 void managed_failover_set_domains(struct managed_failover *s, uint32_t domains)
 {
 	s->domains = domains;
--- a/lib/session/holders.c
+++ b/lib/session/holders.c
@@ -71,14 +71,19 @@
 	h->region = regions_bit(regions, from->failure_domain);
 }
 
-/* Returns the regions of the group's endpoints. */
-static uint64_t endpoint_regions(const struct fleet_group *group,
+/* Returns the regions of the group's endpoints that may get work. */
+static uint64_t endpoint_regions(const struct fleet *fleet,
+				 const struct fleet_group *group,
 				 const struct regions *regions)
 {
 	uint64_t set = 0;
 
-	for (uint32_t i = 0; i < group->count; i++)
-		set |= regions_bit(regions, group->endpoint[i].failure_domain);
+	for (uint32_t i = 0; i < group->count; i++) {
+		const char *domain = group->endpoint[i].failure_domain;
+
+		if (!fleet_domain_evacuated(fleet, domain))
+			set |= regions_bit(regions, domain);
+	}
 	return set;
 }
 
@@ -96,6 +101,7 @@
 		uint64_t value = score(instance->name, key);
 
 		if (!may_hold(instance) ||
+		    fleet_domain_evacuated(fleet, instance->failure_domain) ||
 		    regions_bit(r, instance->failure_domain) != region ||
 		    (best && value <= best_score))
 			continue;
@@ -149,15 +155,17 @@
 {
 	uint64_t key = XXH64(group->name, strlen(group->name), 0);
 	uint64_t wanted = regions_count(regions) > 1
-				  ? endpoint_regions(group, regions)
+				  ? endpoint_regions(fleet, group, regions)
 				  : 0;
 	struct scored in_domain[FLEET_ENDPOINTS_MAX] = { 0 };
 	struct scored domains[FLEET_ENDPOINTS_MAX];
 	struct scored chosen[HOLDERS_PER_GROUP];
 	struct scored all[HOLDERS_RANKED];
+	struct scored evacuated[HOLDERS_RANKED];
 	uint32_t domains_count = 0;
 	uint32_t all_count = 0;
 	uint32_t chosen_count;
+	uint32_t evacuated_count = 0;
 
 	for (uint32_t i = 0; i < fleet->instances_count; i++) {
 		const struct fleet_instance *instance = &fleet->instances[i];
@@ -166,6 +174,12 @@
 
 		if (!may_hold(instance))
 			continue;
+		/* Its endpoint of the group gets no statements. */
+		if (fleet_domain_evacuated(fleet, instance->failure_domain)) {
+			insert(evacuated, &evacuated_count, HOLDERS_RANKED,
+			       new);
+			continue;
+		}
 		insert(all, &all_count, HOLDERS_RANKED, new);
 		e = endpoint_in(group, instance->failure_domain);
 		if (e < group->count &&
@@ -184,6 +198,8 @@
 		append(out, chosen[i].instance, regions);
 	for (uint32_t i = 0; i < all_count; i++)
 		append(out, all[i].instance, regions);
+	for (uint32_t i = 0; i < evacuated_count; i++)
+		append(out, evacuated[i].instance, regions);
 }
 
 uint32_t holders_index(const struct holders *h, const char *name)
--- a/lib/session/holders.h
+++ b/lib/session/holders.h
@@ -70,6 +70,7 @@
  * one domain takes only one holder. With more than one region, each region with
  * an endpoint has one of them, as far as HOLDERS_PER_GROUP allows: operations
  * then need not cross regions, and an isolated region still has a holder.
+ * Instances in evacuated failure domains come last.
  */
 void holders_rank(struct holders *out, const struct fleet *fleet,
 		  const struct fleet_group *group,
