Close weak checks of home regions found by breaking mechanisms

Twelve mechanisms of home regions and of the preference were broken one at a time on a scratch copy. Five were not found: the holder's own check, the sender's check of holders, the wait for a connection in the own region, the expected wait, and the check of a transaction's connection.

The simulation now counts operations that were sent to, or taken by, a holder outside of the home regions; new cases restrict a database to the other region while transactions are open, and overload the only endpoint of a home region; the bound on reads that cross is tighter.

--- a/tests/support_pool.c
+++ b/tests/support_pool.c
@@ -185,13 +185,17 @@
 	return !home || !*home || (region && strchr(home, *region));
 }
 
-static void check_region(struct pool_sim *sim, const struct link *l)
+static bool is_home(const struct pool_sim *sim, const char *domain)
 {
-	const char *region =
-		regions_of(&sim->regions, domain_of(sim, l->endpoint));
+	const char *region = regions_of(&sim->regions, domain);
+
+	return home_allows(sim->database_home, region) &&
+	       home_allows(sim->customer_home, region);
+}
 
-	if (!home_allows(sim->database_home, region) ||
-	    !home_allows(sim->customer_home, region)) {
+static void check_region(struct pool_sim *sim, const struct link *l)
+{
+	if (!is_home(sim, domain_of(sim, l->endpoint))) {
 		sim->outside_home++;
 		sim->outside_home_current += l->instance->outdated ? 0 : 1;
 	}
@@ -831,6 +835,9 @@
 			ch->held = pooler_open_forwarded(
 				ch->to->pooler, sim->now_us, op, ch,
 				&refused.forward.reason);
+		if (ch->held && !ch->to->outdated &&
+		    !is_home(sim, ch->to->failure_domain))
+			sim->held_outside++;
 		if (ch->held)
 			pooler_statement(ch->to->pooler, sim->now_us, ch->held,
 					 &op->statement);
@@ -951,6 +958,9 @@
 		ch->from->sim->channels_in_region++;
 	else
 		ch->from->sim->channels_across++;
+	if (!instance->outdated &&
+	    !is_home(instance->sim, ch->to->failure_domain))
+		instance->sim->forwarded_outside++;
 	await_reply(ch);
 	channel_send(ch, true, &msg);
 	return ch;
@@ -1500,6 +1510,8 @@
 		sum.forward_lost += s->forward_lost;
 		sum.held += s->held;
 		sum.crossed_region += s->crossed_region;
+		for (uint32_t k = 0; k < STATEMENT_E_COUNT; k++)
+			sum.refused[k] += s->refused[k];
 	}
 	return sum;
 }
--- a/tests/support_pool.h
+++ b/tests/support_pool.h
@@ -157,6 +157,12 @@
 	 */
 	uint64_t outside_home;
 	uint64_t outside_home_current;
+	/*
+	 * Operations sent to a holder outside of these by an instance with this
+	 * configuration, and taken by one.
+	 */
+	uint64_t forwarded_outside;
+	uint64_t held_outside;
 	/* Statements by whether instance and endpoint are in one region. */
 	uint64_t in_region;
 	uint64_t across_regions;
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -344,6 +344,13 @@
 	pool_sim_run(sim, APPLY_US);
 }
 
+/* Transactions are open at the primary, which is in the other region. */
+static void restrict_to_south(struct pool_sim *sim)
+{
+	pool_sim_configure(sim, "s", NULL, true, true);
+	pool_sim_run(sim, APPLY_US);
+}
+
 static void restrict_customers(struct pool_sim *sim)
 {
 	pool_sim_configure(sim, NULL, "n", true, true);
@@ -501,6 +508,14 @@
 	  REGIONS_DIRECT,
 	  { 0.9, 0.6, 0.8 },
 	  NULL },
+	{ "direct/restricted-away",
+	  TWO_REGIONS,
+	  NULL,
+	  NULL,
+	  restrict_to_south,
+	  REGIONS_DIRECT,
+	  { 0, 0.3, 0 },
+	  "primary_outside_home_regions" },
 	{ "direct/cut",
 	  TWO_REGIONS,
 	  NULL,
@@ -589,6 +604,14 @@
 	  REGIONS_FORWARD,
 	  { 0.9, 0.6, 0.8 },
 	  NULL },
+	{ "forward/restricted-away",
+	  TWO_REGIONS,
+	  NULL,
+	  NULL,
+	  restrict_to_south,
+	  REGIONS_FORWARD,
+	  { 0, 0.3, 0 },
+	  "primary_outside_home_regions" },
 	{ "forward/customers-restricted-later",
 	  TWO_REGIONS,
 	  NULL,
@@ -685,10 +708,14 @@
 	memset(sim->tallies, 0, sizeof(sim->tallies));
 	sim->outside_home = 0;
 	sim->outside_home_current = 0;
+	sim->forwarded_outside = 0;
+	sim->held_outside = 0;
 	sim->refused_late = 0;
 	pool_sim_run(sim, 5 * S);
 	g_assert_true(pool_sim_guarantees_hold(sim));
 	g_assert_cmpuint(sim->outside_home_current, ==, 0);
+	g_assert_cmpuint(sim->forwarded_outside, ==, 0);
+	g_assert_cmpuint(sim->held_outside, ==, 0);
 	if (!(c->flags & REGIONS_OLD_HOLDERS))
 		g_assert_cmpuint(sim->outside_home, ==, 0);
 	check_reasons(sim, c);
@@ -759,7 +786,41 @@
 		       channels[0], channels[1], statements[0], statements[1]);
 	g_assert_cmpuint(channels[0], >, 500);
 	g_assert_cmpuint(channels[1], ==, 0);
-	g_assert_cmpuint(statements[1] * 5, <, statements[0]);
+	g_assert_cmpuint(statements[1] * 8, <, statements[0]);
+}
+
+/*
+ * Only one of three endpoints may serve the reads, and they come faster than it
+ * serves them: the expected wait counts only this one, so that what cannot be
+ * served in time is refused early.
+ */
+static void test_expected_wait_in_home(void)
+{
+	uint64_t refused = 0;
+	uint64_t late = 0;
+
+	for (uint64_t seed = 1; seed <= SEEDS / 3; seed++) {
+		struct pool_sim_params params = pool_sim_moorings(seed);
+		struct pool_sim *sim;
+
+		params.regions = TWO_REGIONS;
+		params.database_home = "s";
+		params.classes[0] = params.classes[1];
+		params.classes[0].transaction_percent = 0;
+		params.classes[0].per_s = 250;
+		params.classes_count = 1;
+		sim = pool_sim_create(&params);
+		pool_sim_run(sim, 8 * S);
+		refused += pool_sim_stats(sim).refused[STATEMENT_E_BUSY];
+		late += sim->refused_late;
+		g_assert_cmpuint(sim->outside_home, ==, 0);
+		pool_sim_free(sim);
+	}
+	g_test_message("%" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
+		       " refused late",
+		       late, refused);
+	g_assert_cmpuint(refused, >, 100);
+	g_assert_cmpuint(late * 5, <, refused);
 }
 
 /*
@@ -915,6 +976,8 @@
 	}
 	g_test_add_func("/pooler/regions/own-region", test_own_region);
 	g_test_add_func("/pooler/regions/one-region", test_one_region);
+	g_test_add_func("/pooler/regions/expected-wait-in-home",
+			test_expected_wait_in_home);
 	for (size_t i = 0; i < G_N_ELEMENTS(day_cases); i++) {
 		g_autofree char *path =
 			g_strdup_printf("/pooler/day/%s", day_cases[i].name);
