--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -1152,10 +1152,8 @@
 	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
 
 	while (g_get_monotonic_time() < until) {
-		g_autofree char *got = NULL;
-
 		g_clear_pointer(&c->error, g_free);
-		got = query(c, "WRITE bed north");
+		g_free(query(c, "WRITE bed north"));
 		if (c->error && strstr(c->error, reason))
 			return;
 		g_usleep(50 * 1000);
