Ask a primary to step down only once its successor is up to date

Cause: /managed-failover/evacuation/replica-outside-behind needed two promotions: the replica lacked some commits that nobody sent after the demotion. Change: at most one commit, on its way, may be missing.

--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -21,9 +21,9 @@
 #define STEP_DOWN_US (1000 * LWS_US_PER_MS)
 /*
  * Commits that the next primary may lack when the present one is asked to step
- * down: some round trips of a busy group.
+ * down: those that are on their way.
  */
-#define STEP_DOWN_MISSING_MAX 32U
+#define STEP_DOWN_MISSING_MAX 1U
 
 enum phase {
 	/** no attempt in progress */
