--- a/lib/admit/admission.c
+++ b/lib/admit/admission.c
@@ -70,6 +70,20 @@
 	       !rate_bucket_answered_since(item->bucket, item->entered_us);
 }
 
+/*
+ * Whether the request can only get a token that this instance's share accrues,
+ * and that comes too late.
+ */
+static bool share_too_slow(const struct admission_item *item, uint64_t now_us,
+			   uint64_t wait_us)
+{
+	const struct rate_bucket *bucket = item->bucket;
+
+	return rate_bucket_unresponsive(bucket) &&
+	       rate_bucket_share_wait_us(
+		       bucket, now_us, atomic_load(&bucket->waiting)) > wait_us;
+}
+
 enum admission_verdict admission_enter(struct admission *a, uint64_t now_us,
 				       struct admission_item *item)
 {
@@ -85,7 +99,7 @@
 	    rate_bucket_take(item->bucket, now_us))
 		return ADMISSION_PASS;
 	if (queue_full(item) || others_starved(item, now_us) ||
-	    rate_bucket_unresponsive(item->bucket))
+	    share_too_slow(item, now_us, half < max ? half : max))
 		return ADMISSION_REFUSE;
 	item->entered_us = now_us;
 	item->give_up_us = now_us + half;
@@ -165,8 +179,12 @@
 {
 	uint64_t ahead = atomic_load(&item->bucket->waiting) + 1;
 	uint64_t rate = item->rate_per_s ? item->rate_per_s : 1;
+	uint64_t share_milli = atomic_load(&item->bucket->share_milli);
 	uint64_t ms = ahead * 1000 / rate;
 
+	if (share_milli && rate_bucket_unresponsive(item->bucket))
+		ms = ahead * 1000 * RATE_SHARE_UNIT / share_milli;
+
 	return ms > ADMISSION_RETRY_MIN_MS ? (uint32_t)ms
 					   : ADMISSION_RETRY_MIN_MS;
 }
--- a/lib/admit/rate_allocator.c
+++ b/lib/admit/rate_allocator.c
@@ -47,6 +47,7 @@
 	struct holding *slots[HOLDING_SLOTS];
 	struct holding *oldest;
 	struct holding *newest;
+	struct rate_share_table shares;
 };
 
 /* An instance that may hold tokens. */
@@ -54,12 +55,15 @@
 	uint64_t instance;
 	/* The instance has sent a message since this allocator took over. */
 	bool reported;
+	/* Its removal may have been proposed until then. */
+	uint64_t leaving_until_us;
 };
 
 struct rate_allocator {
 	struct rate_allocator_params params;
 	uint64_t created_us;
 	bool assume_all_outstanding;
+	bool assume_all_shared;
 	/* Sorted by the hash of the instance. */
 	uint32_t members_count;
 	uint32_t unreported_count;
@@ -73,6 +77,11 @@
 	return ra->params.ttl_us * (100 + ra->params.drift_percent) / 100;
 }
 
+static uint64_t padded_share_us(const struct rate_allocator *ra)
+{
+	return ra->params.share_us * (100 + ra->params.drift_percent) / 100;
+}
+
 struct rate_allocator *rate_allocator_create(
 	void *mem_ctx, const struct rate_allocator_params *params,
 	uint64_t now_us)
@@ -202,10 +211,99 @@
 	return ra->assume_all_outstanding || sum > b->burst ? b->burst : sum;
 }
 
+/* Shares */
+
+static uint64_t min_u64(uint64_t a, uint64_t b)
+{
+	return a < b ? a : b;
+}
+
+static uint64_t minus(uint64_t a, uint64_t b)
+{
+	return a > b ? a - b : 0;
+}
+
+static uint64_t rate_milli(const struct global_bucket *b)
+{
+	return (uint64_t)b->rate_per_s * RATE_SHARE_UNIT;
+}
+
+/* Sum of the shares that are assigned at most. */
+static uint64_t shares_max_milli(const struct rate_allocator *ra,
+				 const struct global_bucket *b)
+{
+	return rate_milli(b) * RATE_SHARE_ASSIGNED_PERCENT /
+	       (100 + ra->params.drift_percent);
+}
+
+static uint64_t share_max_milli(const struct global_bucket *b)
+{
+	return rate_milli(b) * RATE_SHARE_MAX_PERCENT / 100;
+}
+
+static uint64_t caps_max(const struct global_bucket *b)
+{
+	return (uint64_t)b->burst * RATE_SHARE_CAPS_PERCENT / 100;
+}
+
+static uint64_t cap_max(const struct global_bucket *b)
+{
+	uint64_t max = (uint64_t)b->burst * RATE_SHARE_CAP_MAX_PERCENT / 100;
+
+	return max ? max : 1;
+}
+
+static bool may_assume_shares(const struct rate_allocator *ra, uint64_t now_us)
+{
+	return ra->unreported_count &&
+	       now_us < ra->created_us + padded_share_us(ra);
+}
+
+/* Shares that instances which have not reported may have. */
+static uint64_t assumed_milli(const struct rate_allocator *ra,
+			      const struct global_bucket *b, uint64_t now_us)
+{
+	if (!may_assume_shares(ra, now_us))
+		return 0;
+	if (ra->assume_all_shared)
+		return minus(rate_milli(b), b->shares.milli_per_s);
+	return min_u64(ra->unreported_count * share_max_milli(b),
+		       minus(shares_max_milli(ra, b), b->shares.milli_per_s));
+}
+
+static uint64_t assumed_caps(const struct rate_allocator *ra,
+			     const struct global_bucket *b, uint64_t now_us)
+{
+	if (!may_assume_shares(ra, now_us))
+		return 0;
+	if (ra->assume_all_shared)
+		return minus(b->burst, b->shares.caps);
+	return min_u64(ra->unreported_count * cap_max(b),
+		       minus(caps_max(b), b->shares.caps));
+}
+
+/* Rate that the shares leave; they may accrue by clocks that run fast. */
+static uint64_t growth_milli(const struct rate_allocator *ra,
+			     const struct global_bucket *b, uint64_t now_us)
+{
+	uint64_t shared = b->shares.milli_per_s + assumed_milli(ra, b, now_us);
+
+	return minus(rate_milli(b),
+		     (shared * (100 + ra->params.drift_percent) + 99) / 100);
+}
+
+/* Tokens of the burst that instances hold, or may accrue, or may hold. */
+static uint64_t taken_tokens(const struct rate_allocator *ra,
+			     const struct global_bucket *b, uint64_t now_us)
+{
+	return b->outstanding + assumed_outstanding(ra, b, now_us) +
+	       b->shares.caps + assumed_caps(ra, b, now_us);
+}
+
 static void cap_level(const struct rate_allocator *ra, struct global_bucket *b,
 		      uint64_t now_us)
 {
-	uint64_t out = b->outstanding + assumed_outstanding(ra, b, now_us);
+	uint64_t out = taken_tokens(ra, b, now_us);
 	uint64_t room = b->burst > out ? b->burst - out : 0;
 
 	if (b->level_millionths > room * MILLIONTHS)
@@ -220,33 +318,50 @@
 	/* An hour of refill exceeds any permitted burst. */
 	if (dt > 3600 * LWS_US_PER_S)
 		dt = 3600 * LWS_US_PER_S;
-	b->level_millionths += dt * b->rate_per_s;
+	b->level_millionths +=
+		dt * growth_milli(ra, b, b->filled_us) / RATE_SHARE_UNIT;
 	/* Tokens outstanding now have been outstanding since filled_us. */
 	cap_level(ra, b, b->filled_us);
 	b->filled_us = until_us > b->filled_us ? until_us : b->filled_us;
 	cap_level(ra, b, b->filled_us);
 }
 
+/* The next time after the last fill at which something expires. */
+static uint64_t next_expiry_us(const struct rate_allocator *ra,
+			       const struct global_bucket *b)
+{
+	const uint64_t assumed_until_us[] = {
+		ra->created_us + padded_ttl_us(ra),
+		ra->created_us + padded_share_us(ra),
+	};
+	uint64_t next = rate_share_next_expiry_us(&b->shares);
+
+	if (b->oldest)
+		next = min_u64(next, b->oldest->expires_us);
+	for (int i = 0; i < 2; i++) {
+		if (assumed_until_us[i] > b->filled_us)
+			next = min_u64(next, assumed_until_us[i]);
+	}
+	return next;
+}
+
 /*
  * A token that is no longer outstanding may have been spent just before. The
  * level may grow in its place only from that time on. Therefore every change of
- * the outstanding tokens must follow a fill, and expiries are processed one by
- * one.
+ * the outstanding tokens and of the shares must follow a fill, and expiries are
+ * processed one by one.
  */
 static void fill(const struct rate_allocator *ra, struct global_bucket *b,
 		 uint64_t now_us)
 {
-	uint64_t assumed_until_us = ra->created_us + padded_ttl_us(ra);
+	uint64_t next;
 
-	while (b->oldest && b->oldest->expires_us <= now_us) {
-		if (assumed_until_us > b->filled_us &&
-		    assumed_until_us < b->oldest->expires_us)
-			fill_until(ra, b, assumed_until_us);
-		fill_until(ra, b, b->oldest->expires_us);
-		drop_holding(b, b->oldest);
+	while ((next = next_expiry_us(ra, b)) <= now_us) {
+		fill_until(ra, b, next);
+		while (b->oldest && b->oldest->expires_us <= next)
+			drop_holding(b, b->oldest);
+		rate_share_drop_expired(&b->shares, next);
 	}
-	if (assumed_until_us > b->filled_us && assumed_until_us <= now_us)
-		fill_until(ra, b, assumed_until_us);
 	fill_until(ra, b, now_us);
 }
 
@@ -263,6 +378,11 @@
 	ra->assume_all_outstanding = true;
 }
 
+void rate_allocator_assume_shared(struct rate_allocator *ra)
+{
+	ra->assume_all_shared = true;
+}
+
 static int compare_members(const void *a, const void *b)
 {
 	uint64_t x = ((const struct member *)a)->instance;
@@ -296,6 +416,7 @@
 
 		next[i].instance = instances[i];
 		next[i].reported = old && old->reported;
+		next[i].leaving_until_us = old ? old->leaving_until_us : 0;
 		unreported += next[i].reported ? 0 : 1;
 	}
 	qsort(next, count, sizeof(*next), compare_members);
@@ -437,3 +558,69 @@
 		granted += take_credit(b, h, request->want - granted);
 	return granted;
 }
+
+/* Shares */
+
+struct rate_share rate_allocator_share(struct rate_allocator *ra,
+				       uint64_t now_us,
+				       const struct rate_share_sender *sender,
+				       const struct rate_share_report *report)
+{
+	struct global_bucket *b = find_bucket(ra, report->held.customer);
+	struct rate_share share = { .customer = report->held.customer };
+	const struct member *member = find_member(ra, sender->instance);
+	struct rate_share_entry *entry;
+	struct rate_share_limits limits;
+
+	if (!ra->params.share_us || !b || !member)
+		return share;
+	fill(ra, b, now_us);
+	entry = rate_share_report(b, &b->shares, sender,
+				  now_us + padded_share_us(ra), report, &share);
+	if (!entry || now_us < member->leaving_until_us)
+		return share;
+	limits = (struct rate_share_limits){
+		.milli_per_s = minus(shares_max_milli(ra, b),
+				     assumed_milli(ra, b, now_us)),
+		.max_milli_per_s = share_max_milli(b),
+		.caps = minus(caps_max(b), assumed_caps(ra, b, now_us)),
+		.max_cap = cap_max(b),
+		.room = minus(b->burst,
+			      taken_tokens(ra, b, now_us) - b->shares.caps),
+	};
+	share = rate_share_assign(&b->shares, entry, &limits);
+	cap_level(ra, b, now_us);
+	return share;
+}
+
+bool rate_allocator_may_remove(struct rate_allocator *ra, uint64_t now_us,
+			       uint64_t instance)
+{
+	struct member *member = find_member(ra, instance);
+
+	if (!ra->params.share_us || !member)
+		return true;
+	if (!member->reported && may_assume_shares(ra, now_us))
+		return false;
+	fill_all(ra, now_us);
+	for (struct global_bucket *b = ra->buckets; b; b = b->next_of_all) {
+		if (rate_share_in_force(&b->shares, instance))
+			return false;
+	}
+	member->leaving_until_us = now_us + RATE_REMOVAL_US;
+	return true;
+}
+
+void rate_allocator_stats(const struct rate_allocator *ra, uint64_t now_us,
+			  struct rate_allocator_stats *stats)
+{
+	*stats = (struct rate_allocator_stats){ 0 };
+	for (const struct global_bucket *b = ra->buckets; b;
+	     b = b->next_of_all) {
+		uint64_t shared =
+			b->shares.milli_per_s + assumed_milli(ra, b, now_us);
+
+		stats->assigned_milli += shared;
+		stats->unassigned_milli += minus(rate_milli(b), shared);
+	}
+}
--- a/lib/admit/rate_allocator.h
+++ b/lib/admit/rate_allocator.h
@@ -1,8 +1,11 @@
 #ifndef RATE_ALLOCATOR_H
 #define RATE_ALLOCATOR_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
+#include "rate_share.h"
+
 /**
  * DOC: Rate allocator: grants the tokens of fleet-wide rate limits.
  *
@@ -22,6 +25,13 @@
  * predecessor: until those have expired, it assumes that each member that has
  * not reported to it yet holds that maximum.
  *
+ * With shares (rate_share.h), level + outstanding + caps of the shares in force
+ * <= burst, and the level grows with the rate that the shares leave. Shares are
+ * counted with the drift of clocks, since an instance accrues by its own clock.
+ * For instances that have not reported to it, a new allocator counts what they
+ * may have: together the part of the rate that is assigned at most, each
+ * RATE_SHARE_MAX_PERCENT of the rate.
+ *
  * The caller must ensure that two allocators never grant at the same time
  * (raft_lease_held()), and must pass the agreed members of the fleet.
  */
@@ -38,6 +48,8 @@
  * @over_percent: tolerance: the fleet may exceed rate * window_s + burst by
  *                this percentage plus @over_tokens in any window
  * @over_tokens: tokens that the tolerance adds to @over_percent
+ * @share_us: term of a share, counted from the sending of its request; 0 for no
+ *            shares
  *
  * A new allocator may grant half of the tolerance before its level has grown,
  * so two failovers fit into one window. For strict limits, @over_percent and
@@ -49,6 +61,7 @@
 	uint32_t window_s;
 	uint32_t over_percent;
 	uint32_t over_tokens;
+	uint64_t share_us;
 };
 
 /**
@@ -82,6 +95,15 @@
  */
 void rate_allocator_assume_outstanding(struct rate_allocator *ra);
 
+/**
+ * rate_allocator_assume_shared() - assume that instances which have not
+ * reported have shares of the whole rate and burst
+ *
+ * Must be called right after rate_allocator_create() if limits were changed so
+ * recently that shares based on the earlier limits may be in force.
+ */
+void rate_allocator_assume_shared(struct rate_allocator *ra);
+
 /**
  * rate_allocator_set_members() - set the instances that may hold tokens
  * @ra: rate allocator
@@ -134,4 +156,49 @@
 			      uint64_t instance, uint64_t incarnation,
 			      uint64_t seq, const struct rate_request *request);
 
+/**
+ * rate_allocator_share() - handle the report of a share and renew it
+ * @ra: rate allocator
+ * @now_us: current time
+ * @sender: the message with the report
+ * @report: report, also if no share is held
+ *
+ * Must be called for all reports of a message before
+ * rate_allocator_mark_reported().
+ *
+ * Return: the share that replaces the reported one; its term starts at the
+ * sending of the message. The same share for a repeated message.
+ */
+struct rate_share rate_allocator_share(struct rate_allocator *ra,
+				       uint64_t now_us,
+				       const struct rate_share_sender *sender,
+				       const struct rate_share_report *report);
+
+/**
+ * rate_allocator_may_remove() - whether an instance may leave the members
+ *
+ * A new allocator counts the shares of members only, so an instance that may
+ * have a share must stay a member. If it may leave, it gets no share for
+ * RATE_REMOVAL_US, in which its removal must be committed.
+ */
+bool rate_allocator_may_remove(struct rate_allocator *ra, uint64_t now_us,
+			       uint64_t instance);
+
+/* Longer than the leader lease, without which nothing is committed. */
+#define RATE_REMOVAL_US 1000000ULL
+
+/**
+ * struct rate_allocator_stats - sums over all customers, in thousandths of a
+ * token per second
+ * @assigned_milli: shares in force, or assumed to be
+ * @unassigned_milli: the rest of the rates
+ */
+struct rate_allocator_stats {
+	uint64_t assigned_milli;
+	uint64_t unassigned_milli;
+};
+
+void rate_allocator_stats(const struct rate_allocator *ra, uint64_t now_us,
+			  struct rate_allocator_stats *stats);
+
 #endif
--- a/lib/admit/rate_bucket.c
+++ b/lib/admit/rate_bucket.c
@@ -20,13 +20,25 @@
 /* A bucket without arrivals for this long requests no more tokens. */
 #define IDLE_US (2 * LWS_US_PER_S)
 
+/* Demand for which a share is requested is smoothed over this time. */
+#define SHARE_SMOOTHING_US (2 * LWS_US_PER_S)
+/* Interval at which that demand is updated. */
+#define SHARE_DEMAND_US (100 * LWS_US_PER_MS)
+/*
+ * Below this demand, in thousandths per second, a share is given back: one
+ * request in 20 s. After the last request, a demand of 10 per second reaches it
+ * in 11 s; the allocator reduces the share meanwhile.
+ */
+#define SHARE_DEMAND_MIN 50U
+#define MILLIONTHS 1000000ULL
+
 /* Removes all tokens above @keep; returns their number. */
-static uint32_t drain(struct rate_bucket *bucket, int64_t keep)
+static uint32_t drain(_Atomic int64_t *tokens, int64_t keep)
 {
-	int64_t have = atomic_load(&bucket->tokens);
+	int64_t have = atomic_load(tokens);
 
 	while (have > keep) {
-		if (atomic_compare_exchange_weak(&bucket->tokens, &have, keep))
+		if (atomic_compare_exchange_weak(tokens, &have, keep))
 			return (uint32_t)(have - keep);
 	}
 	return 0;
@@ -37,6 +49,7 @@
 	uint32_t arrivals = atomic_exchange(&bucket->arrivals, 0);
 	uint32_t seen;
 
+	bucket->share_arrivals += arrivals;
 	if (arrivals || atomic_load(&bucket->waiting))
 		bucket->idle_since_us = now_us;
 	/*
@@ -60,6 +73,7 @@
 	uint32_t waiting;
 	int64_t target;
 	int64_t held;
+	int64_t spendable;
 
 	update_demand(bucket, now_us);
 	if (now_us >= bucket->expires_us) {
@@ -67,15 +81,16 @@
 		 * The rate allocator no longer counts expired tokens as
 		 * outstanding.
 		 */
-		drain(bucket, 0);
+		drain(&bucket->tokens, 0);
 		bucket->returned = 0;
 	}
 	waiting = atomic_load(&bucket->waiting);
 	target = ((int64_t)bucket->demand * DEMAND_TICKS + DEMAND_UNIT - 1) /
 			 DEMAND_UNIT +
 		 waiting;
-	bucket->returned += drain(bucket, target * 2);
+	bucket->returned += drain(&bucket->tokens, target * 2);
 	held = atomic_load(&bucket->tokens);
+	spendable = held + atomic_load(&bucket->share_tokens);
 	if (now_us - bucket->idle_since_us > IDLE_US && !held &&
 	    !bucket->returned)
 		return false;
@@ -83,7 +98,7 @@
 		return false;
 	*request = (struct rate_request){
 		.customer = bucket->customer,
-		.want = target > held ? (uint32_t)(target - held) : 0,
+		.want = target > spendable ? (uint32_t)(target - spendable) : 0,
 		.held = (uint32_t)held,
 		.returned = bucket->returned,
 	};
@@ -104,3 +119,136 @@
 		atomic_store(&bucket->starved_us, 0);
 	atomic_fetch_add(&bucket->tokens, granted);
 }
+
+/* Shares */
+
+static void end_share(struct rate_bucket *bucket)
+{
+	atomic_store(&bucket->share_until_us, 0);
+	atomic_store(&bucket->share_milli, 0);
+	drain(&bucket->share_tokens, 0);
+	bucket->share_after_accrual = 0;
+	bucket->share_fraction = 0;
+	bucket->share_cap = 0;
+	bucket->share_ended = true;
+}
+
+static void publish_next(struct rate_bucket *bucket)
+{
+	uint64_t milli = atomic_load(&bucket->share_milli);
+
+	atomic_store(&bucket->share_next_us,
+		     bucket->share_accrued_us +
+			     (MILLIONTHS - bucket->share_fraction) *
+				     RATE_SHARE_UNIT / (milli ? milli : 1));
+}
+
+bool rate_bucket_accrue(struct rate_bucket *bucket, uint64_t now_us)
+{
+	uint64_t milli = atomic_load(&bucket->share_milli);
+	uint64_t cap = bucket->share_cap * MILLIONTHS;
+	uint64_t full;
+	uint64_t gain;
+	int64_t whole;
+
+	if (!bucket->share_until_us)
+		return false;
+	if (now_us >= bucket->share_until_us) {
+		end_share(bucket);
+		return false;
+	}
+	/*
+	 * Tokens may have been spent just now, when the cap had been reached
+	 * long before. Therefore what accrues is limited by the highest number
+	 * of tokens since the last accrual.
+	 */
+	full = (uint64_t)bucket->share_after_accrual * MILLIONTHS +
+	       bucket->share_fraction;
+	gain = (now_us - bucket->share_accrued_us) * milli / RATE_SHARE_UNIT;
+	if (gain > cap - full)
+		gain = cap - full;
+	bucket->share_accrued_us = now_us;
+	bucket->share_fraction += gain;
+	whole = (int64_t)(bucket->share_fraction / MILLIONTHS);
+	bucket->share_fraction %= MILLIONTHS;
+	bucket->share_accrued += (uint64_t)whole;
+	if (whole) {
+		atomic_store(&bucket->starved_us, 0);
+		atomic_fetch_add(&bucket->share_tokens, whole);
+	}
+	bucket->share_after_accrual = atomic_load(&bucket->share_tokens);
+	publish_next(bucket);
+	return bucket->share_after_accrual > 0 && atomic_load(&bucket->waiting);
+}
+
+static void update_share_demand(struct rate_bucket *bucket, uint64_t now_us)
+{
+	uint64_t dt = now_us - bucket->share_demand_us;
+	uint64_t old = bucket->share_demand_milli;
+	uint64_t seen;
+
+	if (!bucket->share_demand_us) {
+		bucket->share_demand_us = now_us;
+		return;
+	}
+	if (dt < SHARE_DEMAND_US)
+		return;
+	if (dt > SHARE_SMOOTHING_US)
+		dt = SHARE_SMOOTHING_US;
+	seen = bucket->share_arrivals * MILLIONTHS * RATE_SHARE_UNIT / dt;
+	bucket->share_demand_milli =
+		(uint32_t)((old * SHARE_SMOOTHING_US + seen * dt) /
+			   (SHARE_SMOOTHING_US + dt));
+	bucket->share_demand_us = now_us;
+	bucket->share_arrivals = 0;
+}
+
+bool rate_bucket_report_share(struct rate_bucket *bucket, uint64_t now_us,
+			      struct rate_share_report *report)
+{
+	bool has_share;
+
+	rate_bucket_accrue(bucket, now_us);
+	update_share_demand(bucket, now_us);
+	if (bucket->share_demand_milli < SHARE_DEMAND_MIN) {
+		bucket->share_demand_milli = 0;
+		if (bucket->share_until_us)
+			end_share(bucket);
+	}
+	has_share = bucket->share_until_us != 0;
+	if (!has_share && !bucket->share_demand_milli && !bucket->share_ended)
+		return false;
+	bucket->share_ended = false;
+	*report = (struct rate_share_report){
+		.demand_milli = bucket->share_demand_milli,
+		.held = { .customer = bucket->customer },
+	};
+	if (has_share) {
+		report->held.milli_per_s = atomic_load(&bucket->share_milli);
+		report->held.cap = bucket->share_cap;
+	}
+	return true;
+}
+
+void rate_bucket_set_share(struct rate_bucket *bucket, uint64_t now_us,
+			   uint64_t until_us, const struct rate_share *share)
+{
+	rate_bucket_accrue(bucket, now_us);
+	if (now_us >= until_us)
+		return;
+	if (!share->milli_per_s || !share->cap) {
+		if (bucket->share_until_us)
+			end_share(bucket);
+		return;
+	}
+	if (!bucket->share_until_us)
+		bucket->share_accrued_us = now_us;
+	bucket->share_cap = share->cap;
+	drain(&bucket->share_tokens, share->cap);
+	bucket->share_after_accrual = atomic_load(&bucket->share_tokens);
+	if (bucket->share_after_accrual >= share->cap)
+		bucket->share_fraction = 0;
+	atomic_store(&bucket->share_milli, share->milli_per_s);
+	atomic_store(&bucket->share_until_us, until_us);
+	publish_next(bucket);
+}
--- a/lib/admit/rate_bucket.h
+++ b/lib/admit/rate_bucket.h
@@ -36,12 +36,26 @@
  * @starved_us: time at which a request last waited for a token without
  *              success; 0 if tokens have been granted since
  * @contact: of the rate client; NULL without a client
+ * @share_tokens: accrued tokens of the share that can be spent
+ * @share_until_us: end of the share's term; 0 without a share
+ * @share_milli: thousandths of a token that accrue per second
+ * @share_next_us: when the next token accrues
  * @demand: moving average of requests per tick, in thousandths
  * @returned: tokens to give back with the next token request
  * @idle_since_us: time of the last tick that saw requests
+ * @share_cap: maximum of @share_tokens
+ * @share_after_accrual: @share_tokens after the last accrual
+ * @share_fraction: part of the next token, in millionths
+ * @share_accrued_us: time until which the share has accrued
+ * @share_ended: the share has ended since the last report
+ * @share_seq: sequence number of the reply that named the share last
+ * @share_arrivals: requests since @share_demand_us
+ * @share_demand_us: when @share_demand_milli was last updated
+ * @share_demand_milli: moving average of the requests, in thousandths per
+ *                      second
+ * @share_accrued: number of tokens that have accrued since the start
  *
- * Only the thread of the rate client uses @demand, @returned and
- * @idle_since_us.
+ * Only the thread of the rate client uses the members from @demand on.
  */
 struct rate_bucket {
 	uint64_t customer;
@@ -50,13 +64,40 @@
 	_Atomic uint32_t waiting;
 	_Atomic uint64_t expires_us;
 	_Atomic uint64_t starved_us;
+	_Atomic int64_t share_tokens;
+	_Atomic uint64_t share_until_us;
+	_Atomic uint32_t share_milli;
+	_Atomic uint64_t share_next_us;
 	const struct rate_contact *contact;
 
 	uint32_t demand;
 	uint32_t returned;
 	uint64_t idle_since_us;
+	uint32_t share_cap;
+	int64_t share_after_accrual;
+	uint64_t share_fraction;
+	uint64_t share_accrued_us;
+	bool share_ended;
+	uint64_t share_seq;
+	uint32_t share_arrivals;
+	uint64_t share_demand_us;
+	uint32_t share_demand_milli;
+	uint64_t share_accrued;
 };
 
+static inline bool rate_bucket_take_from(_Atomic int64_t *tokens)
+{
+	int64_t have = atomic_load_explicit(tokens, memory_order_acquire);
+
+	while (have > 0) {
+		if (atomic_compare_exchange_weak_explicit(
+			    tokens, &have, have - 1, memory_order_acq_rel,
+			    memory_order_relaxed))
+			return true;
+	}
+	return false;
+}
+
 /**
  * rate_bucket_take() - spend one token
  * @bucket: token bucket
@@ -67,19 +108,14 @@
  */
 static inline bool rate_bucket_take(struct rate_bucket *bucket, uint64_t now_us)
 {
-	int64_t have =
-		atomic_load_explicit(&bucket->tokens, memory_order_acquire);
-
-	if (now_us >=
-	    atomic_load_explicit(&bucket->expires_us, memory_order_relaxed))
-		return false;
-	while (have > 0) {
-		if (atomic_compare_exchange_weak_explicit(
-			    &bucket->tokens, &have, have - 1,
-			    memory_order_acq_rel, memory_order_relaxed))
-			return true;
-	}
-	return false;
+	/* Granted tokens first: they expire earlier than a share. */
+	if (now_us < atomic_load_explicit(&bucket->expires_us,
+					  memory_order_relaxed) &&
+	    rate_bucket_take_from(&bucket->tokens))
+		return true;
+	return now_us < atomic_load_explicit(&bucket->share_until_us,
+					     memory_order_relaxed) &&
+	       rate_bucket_take_from(&bucket->share_tokens);
 }
 
 /** rate_bucket_unresponsive() - whether the rate allocator does not answer */
@@ -100,18 +136,53 @@
 	       atomic_load(&bucket->contact->answered_us) >= since_us;
 }
 
+/*
+ * A request that waits for a token of a share waits at most this long: the wait
+ * of a statement.
+ */
+#define RATE_BUCKET_SHARE_WAIT_US 200000ULL
+
+/**
+ * rate_bucket_share_wait_us() - time until the share has a token
+ * @bucket: token bucket
+ * @now_us: current time
+ * @ahead: tokens that others take before
+ *
+ * Return: the time, UINT64_MAX if that is after the share's term.
+ */
+static inline uint64_t rate_bucket_share_wait_us(
+	const struct rate_bucket *bucket, uint64_t now_us, uint32_t ahead)
+{
+	uint64_t until_us = atomic_load(&bucket->share_until_us);
+	uint64_t milli = atomic_load(&bucket->share_milli);
+	uint64_t at_us = atomic_load(&bucket->share_next_us);
+
+	if (now_us >= until_us || !milli)
+		return UINT64_MAX;
+	at_us += ahead * 1000000ULL * RATE_SHARE_UNIT / milli;
+	if (at_us >= until_us)
+		return UINT64_MAX;
+	return at_us > now_us ? at_us - now_us : 0;
+}
+
 /**
  * rate_bucket_cut_off() - whether a request could not get a token
  *
- * Return: true if there is no token and the rate allocator does not answer.
+ * Return: true if there is no token, the rate allocator does not answer, and
+ * the share, if any, accrues none in time.
  */
 static inline bool rate_bucket_cut_off(const struct rate_bucket *bucket,
 				       uint64_t now_us)
 {
-	bool spendable = atomic_load(&bucket->tokens) > 0 &&
-			 now_us < atomic_load(&bucket->expires_us);
+	bool spendable = (atomic_load(&bucket->tokens) > 0 &&
+			  now_us < atomic_load(&bucket->expires_us)) ||
+			 (atomic_load(&bucket->share_tokens) > 0 &&
+			  now_us < atomic_load(&bucket->share_until_us));
 
-	return !spendable && rate_bucket_unresponsive(bucket);
+	return !spendable && rate_bucket_unresponsive(bucket) &&
+	       rate_bucket_share_wait_us(bucket, now_us,
+					 atomic_load(&bucket->waiting)) >
+		       RATE_BUCKET_SHARE_WAIT_US;
 }
 
 /**
@@ -141,4 +212,41 @@
 void rate_bucket_add(struct rate_bucket *bucket, uint64_t now_us,
 		     uint64_t sent_us, uint64_t ttl_us, uint32_t granted);
 
+/**
+ * rate_bucket_accrue() - add the tokens that the share has accrued
+ *
+ * After the end of its term, the share and its tokens are discarded. Called by
+ * the thread of the rate client only.
+ *
+ * Return: true if there are tokens for waiting requests.
+ */
+bool rate_bucket_accrue(struct rate_bucket *bucket, uint64_t now_us);
+
+/**
+ * rate_bucket_report_share() - update the demand and report the share
+ * @bucket: token bucket
+ * @now_us: current time
+ * @report: result
+ *
+ * Gives back a share that is not used. Called by the thread of the rate client
+ * only, after rate_bucket_tick().
+ *
+ * Return: true if @report must be sent.
+ */
+bool rate_bucket_report_share(struct rate_bucket *bucket, uint64_t now_us,
+			      struct rate_share_report *report);
+
+/**
+ * rate_bucket_set_share() - replace the share
+ * @bucket: token bucket
+ * @now_us: current time
+ * @until_us: end of the term
+ * @share: new share; 0 per second to end the present one
+ *
+ * Tokens that have accrued are kept up to the new cap. Called by the thread of
+ * the rate client only.
+ */
+void rate_bucket_set_share(struct rate_bucket *bucket, uint64_t now_us,
+			   uint64_t until_us, const struct rate_share *share);
+
 #endif
--- a/lib/admit/rate_client.c
+++ b/lib/admit/rate_client.c
@@ -32,6 +32,10 @@
 	struct rate_contact contact;
 	struct rate_request *requests;
 	uint32_t requests_room;
+	bool use_shares;
+	struct rate_share_report *reports;
+	uint32_t reports_count;
+	uint32_t reports_room;
 };
 
 struct rate_client *rate_client_create(void *mem_ctx)
@@ -76,11 +80,59 @@
 
 void rate_client_return_tokens(struct rate_client *c)
 {
-	for (struct bucket_node *node = c->all; node; node = node->next_of_all)
+	for (struct bucket_node *node = c->all; node;
+	     node = node->next_of_all) {
 		node->bucket.demand = 0;
+		node->bucket.share_demand_milli = 0;
+		node->bucket.share_arrivals = 0;
+	}
 	c->tick_us = 0;
 }
 
+void rate_client_use_shares(struct rate_client *c)
+{
+	c->use_shares = true;
+}
+
+bool rate_client_accrue(struct rate_client *c, uint64_t now_us)
+{
+	bool usable = false;
+
+	if (!c->use_shares)
+		return false;
+	for (struct bucket_node *node = c->all; node; node = node->next_of_all)
+		usable |= rate_bucket_accrue(&node->bucket, now_us);
+	return usable;
+}
+
+const struct rate_share_report *rate_client_shares(const struct rate_client *c,
+						   uint32_t *count)
+{
+	*count = c->reports_count;
+	return c->reports;
+}
+
+bool rate_client_unresponsive(const struct rate_client *c)
+{
+	return atomic_load(&c->contact.unresponsive);
+}
+
+void rate_client_stats(const struct rate_client *c, uint64_t now_us,
+		       struct rate_client_stats *stats)
+{
+	*stats = (struct rate_client_stats){ 0 };
+	for (const struct bucket_node *node = c->all; node;
+	     node = node->next_of_all) {
+		const struct rate_bucket *b = &node->bucket;
+
+		stats->accrued += b->share_accrued;
+		if (now_us >= atomic_load(&b->share_until_us))
+			continue;
+		stats->shares++;
+		stats->share_milli += atomic_load(&b->share_milli);
+	}
+}
+
 static bool is_due(const struct rate_client *c, uint64_t now_us)
 {
 	uint64_t since = now_us - c->tick_us;
@@ -101,6 +153,29 @@
 	return c->requests != NULL;
 }
 
+static bool make_reports_room(struct rate_client *c)
+{
+	c->reports_count = 0;
+	if (!c->use_shares || (c->reports && c->reports_room >= c->count))
+		return true;
+	talloc_free(c->reports);
+	c->reports_room = c->count * 2 + 1;
+	c->reports = talloc_array(c, struct rate_share_report, c->reports_room);
+	return c->reports != NULL;
+}
+
+static void report_shares(struct rate_client *c, uint64_t now_us)
+{
+	if (!c->use_shares)
+		return;
+	for (struct bucket_node *node = c->all; node;
+	     node = node->next_of_all) {
+		if (rate_bucket_report_share(&node->bucket, now_us,
+					     &c->reports[c->reports_count]))
+			c->reports_count++;
+	}
+}
+
 const struct rate_request *rate_client_step(struct rate_client *c,
 					    uint64_t now_us, uint64_t *seq,
 					    uint32_t *count)
@@ -110,7 +185,7 @@
 	if (c->unanswered_us &&
 	    now_us - c->unanswered_us > RATE_CLIENT_UNRESPONSIVE_US)
 		atomic_store(&c->contact.unresponsive, true);
-	if (!is_due(c, now_us) || !make_room(c))
+	if (!is_due(c, now_us) || !make_room(c) || !make_reports_room(c))
 		return NULL;
 	c->tick_us = now_us;
 	c->wanted = false;
@@ -120,7 +195,8 @@
 		if (rate_bucket_tick(&node->bucket, now_us, &c->requests[n]))
 			n++;
 	}
-	if (!n && !c->new_allocator) {
+	report_shares(c, now_us);
+	if (!n && !c->reports_count && !c->new_allocator) {
 		/* No message is sent, so no reply can be missing. */
 		c->unanswered_us = 0;
 		atomic_store(&c->contact.unresponsive, false);
@@ -164,3 +240,29 @@
 	}
 	return usable;
 }
+
+void rate_client_take_shares(struct rate_client *c, uint64_t now_us,
+			     uint64_t seq, uint64_t share_us,
+			     const struct rate_share *shares, uint32_t count)
+{
+	const struct rate_share none = { 0 };
+
+	if (!c->use_shares || !c->awaiting_reply || seq != c->seq)
+		return;
+	for (uint32_t i = 0; share_us && i < count; i++) {
+		struct rate_bucket *bucket =
+			rate_client_bucket(c, shares[i].customer);
+
+		if (!bucket)
+			continue;
+		bucket->share_seq = seq;
+		rate_bucket_set_share(bucket, now_us, c->sent_us + share_us,
+				      &shares[i]);
+	}
+	for (struct bucket_node *node = c->all; node;
+	     node = node->next_of_all) {
+		if (node->bucket.share_seq != seq)
+			rate_bucket_set_share(&node->bucket, now_us, UINT64_MAX,
+					      &none);
+	}
+}
--- a/lib/admit/rate_client.h
+++ b/lib/admit/rate_client.h
@@ -64,6 +64,68 @@
  */
 void rate_client_new_allocator(struct rate_client *c, uint64_t now_us);
 
+/**
+ * rate_client_use_shares() - report demand, so that the allocator assigns
+ * shares of the rates
+ */
+void rate_client_use_shares(struct rate_client *c);
+
+/**
+ * rate_client_accrue() - add the tokens that the shares have accrued
+ *
+ * Return: true if there are tokens for waiting requests.
+ */
+bool rate_client_accrue(struct rate_client *c, uint64_t now_us);
+
+/**
+ * rate_client_shares() - reports that belong to the message of the last
+ * rate_client_step()
+ * @c: rate client
+ * @count: set to the number of reports
+ *
+ * Return: the reports, valid until the next rate_client_step().
+ */
+const struct rate_share_report *rate_client_shares(const struct rate_client *c,
+						   uint32_t *count);
+
+/**
+ * rate_client_take_shares() - handle the shares of a reply
+ * @c: rate client
+ * @now_us: current time
+ * @seq: sequence number of the message that is answered
+ * @share_us: term of the shares, counted from the sending of the message
+ * @shares: shares; those that are not listed end
+ * @count: number of @shares
+ *
+ * Must be called before rate_client_reply(), also without shares: an allocator
+ * of an earlier version does not count the shares of its predecessor.
+ */
+void rate_client_take_shares(struct rate_client *c, uint64_t now_us,
+			     uint64_t seq, uint64_t share_us,
+			     const struct rate_share *shares, uint32_t count);
+
+/**
+ * struct rate_client_stats - sums over all customers
+ * @shares: shares in force
+ * @share_milli: thousandths of a token that they accrue per second
+ * @accrued: tokens that have accrued since the start
+ */
+struct rate_client_stats {
+	uint64_t shares;
+	uint64_t share_milli;
+	uint64_t accrued;
+};
+
+void rate_client_stats(const struct rate_client *c, uint64_t now_us,
+		       struct rate_client_stats *stats);
+
+/**
+ * rate_client_unresponsive() - whether the rate allocator does not answer
+ *
+ * Meanwhile only accrued tokens are spent.
+ */
+bool rate_client_unresponsive(const struct rate_client *c);
+
 /** rate_client_return_tokens() - give all tokens back with the next request */
 void rate_client_return_tokens(struct rate_client *c);
 
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -295,6 +295,8 @@
 	d->control_queue = message_queue_create(c, ev, c);
 	if (!c->fleet || !c->sync_log || !c->rate_client || !d->control_queue)
 		rc = LWS_E_NOMEM;
+	if (!rc && d->settings.rate_share_ms)
+		rate_client_use_shares(c->rate_client);
 	if (!rc && d->settings.data)
 		rc = control_log_open(c);
 	if (!rc)
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -161,6 +161,8 @@
 
 	/* Rate limit tokens of this instance. */
 	struct rate_client *rate_client;
+	/* The rate allocator does not answer; shares are spent meanwhile. */
+	bool spends_shares;
 	/* Callers of the statement protocol; NULL if it is not served. */
 	struct session_server *session_server;
 	/* Reads that wait until the local state is confirmed, oldest first. */
--- a/lib/daemon/control_leader.c
+++ b/lib/daemon/control_leader.c
@@ -5,6 +5,7 @@
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
+#include "session_token.h"
 
 /* Bound on how much the clock rates of two instances differ. */
 #define DRIFT_PERCENT 10
@@ -22,6 +23,7 @@
 		.window_s = c->daemon->settings.rate_window_s,
 		.over_percent = c->daemon->settings.rate_over_percent,
 		.over_tokens = c->daemon->settings.rate_over_tokens,
+		.share_us = c->daemon->settings.rate_share_ms * LWS_US_PER_MS,
 	};
 	struct leader_state *leader = talloc_zero(c, struct leader_state);
 
@@ -41,6 +43,9 @@
 	if (now_us - c->config_applied_us <=
 	    rates.ttl_us * (100 + DRIFT_PERCENT) / 100)
 		rate_allocator_assume_outstanding(leader->allocator);
+	if (now_us - c->config_applied_us <=
+	    rates.share_us * (100 + DRIFT_PERCENT) / 100)
+		rate_allocator_assume_shared(leader->allocator);
 	return leader;
 }
 
@@ -338,14 +343,27 @@
 
 /* Timer */
 
+/* An instance that may have a share of a rate stays until its term has ended.
+ */
+static bool may_propose(struct control *c, const struct fleet_command *command,
+			uint64_t now_us)
+{
+	return command->type != FLEET_INSTANCE_LEAVE ||
+	       rate_allocator_may_remove(
+		       c->leader->allocator, now_us,
+		       session_name_hash(command->instance.name));
+}
+
 void control_leader_tick(struct control *c, uint64_t now_us)
 {
 	struct leader_state *l = c->leader;
 	struct fleet_command command;
 	uint32_t domains;
 
-	while (instances_command(l->instances, now_us, c->fleet, &command))
-		propose_as_leader(c, &command);
+	while (instances_command(l->instances, now_us, c->fleet, &command)) {
+		if (may_propose(c, &command, now_us))
+			propose_as_leader(c, &command);
+	}
 	while (lease_expired(l->leases, now_us, c->fleet, &command))
 		propose_as_leader(c, &command);
 	repair_voters(c, now_us);
--- a/lib/daemon/control_rates.c
+++ b/lib/daemon/control_rates.c
@@ -3,6 +3,7 @@
 
 #include "control.h"
 #include "lws_error.h"
+#include "lws_str.h"
 #include "lws_time.h"
 #include "session_token.h"
 
@@ -53,6 +54,44 @@
 	return c->daemon->settings.rate_ttl_ms * LWS_US_PER_MS;
 }
 
+static uint64_t share_us(const struct control *c)
+{
+	return c->daemon->settings.rate_share_ms * LWS_US_PER_MS;
+}
+
+/* Decides all shares of a message; returns an array of rate->shares_count. */
+static struct wire_rate_share *assign_shares(struct control *c, uint64_t now_us,
+					     const struct wire_hello *hello,
+					     const struct wire_rate *rate)
+{
+	struct wire_rate_share *shares = talloc_zero_array(
+		c, struct wire_rate_share, rate->shares_count + 1);
+	struct rate_share_sender sender = {
+		.instance = session_name_hash(hello->name),
+		.incarnation = hello->incarnation,
+		.seq = rate->seq,
+	};
+
+	for (uint32_t i = 0; shares && i < rate->shares_count; i++) {
+		const struct wire_rate_share *from = &rate->shares[i];
+		struct rate_share_report report = {
+			.demand_milli = from->demand_milli,
+			.held = { .customer = from->customer,
+				  .milli_per_s = from->milli_per_s,
+				  .cap = from->cap },
+		};
+		struct rate_share share = rate_allocator_share(
+			c->leader->allocator, now_us, &sender, &report);
+
+		shares[i] =
+			(struct wire_rate_share){ .customer = from->customer,
+						  .milli_per_s =
+							  share.milli_per_s,
+						  .cap = share.cap };
+	}
+	return shares;
+}
+
 void control_rates_request(struct control *c, struct peer *peer,
 			   const struct wire_rate *rate)
 {
@@ -61,6 +100,7 @@
 	struct wire_msg msg = { .type = WIRE_RATE_REPLY,
 				.rate = { .seq = rate->seq,
 					  .ttl_us = ttl_us(c),
+					  .share_us = share_us(c),
 					  .count = rate->count } };
 
 	/*
@@ -84,31 +124,55 @@
 			session_name_hash(hello->name), hello->incarnation,
 			rate->seq, &request);
 	}
+	msg.rate.shares = assign_shares(c, now_us, hello, rate);
+	msg.rate.shares_count = msg.rate.shares ? rate->shares_count : 0;
 	/*
 	 * A request with the maximum number of items may lack customers of
 	 * which the sender has tokens.
 	 */
-	if (rate->count < WIRE_ITEMS_MAX)
+	if (rate->count + rate->shares_count < WIRE_RATE_MAX)
 		rate_allocator_mark_reported(c->leader->allocator, now_us,
 					     session_name_hash(hello->name));
 	peer_send(peer, &msg);
+	talloc_free(msg.rate.shares);
 	talloc_free(msg.rate.items);
 }
 
 /* Requesting and spending tokens */
 
-static void take_grants(struct control *c, uint64_t seq, uint64_t ttl,
-			const struct rate_grant *grants, uint32_t count)
+static void notify_waiting(struct control *c)
 {
-	if (!rate_client_reply(c->rate_client, lws_time_now_us(), seq, ttl,
-			       grants, count))
-		return;
 	for (uint32_t i = 0; i < c->daemon->settings.workers; i++)
 		worker_tokens_granted(c->daemon->workers[i]);
 	if (c->session_server)
 		session_server_tokens_granted(c->session_server);
 }
 
+static void take_shares(struct control *c, const struct wire_rate *rate)
+{
+	struct rate_share *shares =
+		talloc_zero_array(c, struct rate_share, rate->shares_count + 1);
+
+	for (uint32_t i = 0; shares && i < rate->shares_count; i++)
+		shares[i] = (struct rate_share){
+			.customer = rate->shares[i].customer,
+			.milli_per_s = rate->shares[i].milli_per_s,
+			.cap = rate->shares[i].cap,
+		};
+	rate_client_take_shares(c->rate_client, lws_time_now_us(), rate->seq,
+				rate->share_us, shares,
+				shares ? rate->shares_count : 0);
+	talloc_free(shares);
+}
+
+static void take_grants(struct control *c, uint64_t seq, uint64_t ttl,
+			const struct rate_grant *grants, uint32_t count)
+{
+	if (rate_client_reply(c->rate_client, lws_time_now_us(), seq, ttl,
+			      grants, count))
+		notify_waiting(c);
+}
+
 void control_rates_reply(struct control *c, const struct wire_rate *rate)
 {
 	struct rate_grant *grants =
@@ -119,10 +183,52 @@
 			.customer = rate->items[i].customer,
 			.tokens = rate->items[i].amount,
 		};
+	take_shares(c, rate);
 	take_grants(c, rate->seq, rate->ttl_us, grants, rate->count);
 	talloc_free(grants);
 }
 
+/* The reports of the message that rate_client_step() has prepared. */
+static struct wire_rate_share *share_reports(struct control *c, uint32_t max,
+					     uint32_t *count)
+{
+	const struct rate_share_report *reports =
+		rate_client_shares(c->rate_client, count);
+	struct wire_rate_share *shares;
+
+	if (*count > max)
+		*count = max;
+	shares = talloc_zero_array(c, struct wire_rate_share, *count + 1);
+	if (!shares)
+		*count = 0;
+	for (uint32_t i = 0; i < *count; i++)
+		shares[i] = (struct wire_rate_share){
+			.customer = reports[i].held.customer,
+			.demand_milli = reports[i].demand_milli,
+			.milli_per_s = reports[i].held.milli_per_s,
+			.cap = reports[i].held.cap,
+		};
+	return shares;
+}
+
+/* Shares from the rate allocator of this instance. */
+static void share_with_self(struct control *c, uint64_t now_us, uint64_t seq)
+{
+	struct wire_hello self = { .incarnation = c->daemon->incarnation };
+	struct wire_rate rate = { .seq = seq, .share_us = share_us(c) };
+	struct wire_rate_share *reports =
+		share_reports(c, UINT32_MAX, &rate.shares_count);
+
+	LWS_STR_COPY(self.name, c->daemon->settings.name);
+	rate.shares = reports;
+	rate.shares = assign_shares(c, now_us, &self, &rate);
+	if (!rate.shares)
+		rate.shares_count = 0;
+	take_shares(c, &rate);
+	talloc_free(rate.shares);
+	talloc_free(reports);
+}
+
 static void request_from_self(struct control *c, uint64_t now_us, uint64_t seq,
 			      const struct rate_request *requests,
 			      uint32_t count)
@@ -138,6 +244,7 @@
 				session_name_hash(c->daemon->settings.name),
 				c->daemon->incarnation, seq, &requests[i]),
 		};
+	share_with_self(c, now_us, seq);
 	rate_allocator_mark_reported(
 		c->leader->allocator, now_us,
 		session_name_hash(c->daemon->settings.name));
@@ -154,7 +261,7 @@
 				.rate = { .seq = seq } };
 
 	msg.rate.items = talloc_zero_array(c, struct wire_rate_item, count + 1);
-	msg.rate.count = count < WIRE_ITEMS_MAX ? count : WIRE_ITEMS_MAX;
+	msg.rate.count = count < WIRE_RATE_MAX ? count : WIRE_RATE_MAX;
 	for (uint32_t i = 0; i < msg.rate.count; i++)
 		msg.rate.items[i] = (struct wire_rate_item){
 			.customer = requests[i].customer,
@@ -162,18 +269,44 @@
 			.held = requests[i].held,
 			.returned = requests[i].returned,
 		};
+	msg.rate.shares = share_reports(c, WIRE_RATE_MAX - msg.rate.count,
+					&msg.rate.shares_count);
 	peer_send(peer, &msg);
+	talloc_free(msg.rate.shares);
 	talloc_free(msg.rate.items);
 }
 
+/* Logs when this instance starts and ends to live on its shares. */
+static void log_shares(struct control *c, uint64_t now_us)
+{
+	struct rate_client_stats stats;
+	bool unresponsive = rate_client_unresponsive(c->rate_client);
+
+	if (unresponsive == c->spends_shares || !share_us(c))
+		return;
+	rate_client_stats(c->rate_client, now_us, &stats);
+	if (unresponsive && !stats.shares)
+		return;
+	c->spends_shares = unresponsive;
+	lws_log_info(c->daemon->log,
+		     unresponsive ? "rate_shares_only" : "rate_shares_renewed",
+		     "{s:I,s:I,s:I}", "shares", (json_int_t)stats.shares,
+		     "milli_per_s", (json_int_t)stats.share_milli, "accrued",
+		     (json_int_t)stats.accrued);
+}
+
 void control_rates_tick(struct control *c, uint64_t now_us)
 {
+	bool accrued = rate_client_accrue(c->rate_client, now_us);
 	uint64_t seq;
 	uint32_t count;
 	const struct rate_request *requests =
 		rate_client_step(c->rate_client, now_us, &seq, &count);
 	struct peer *peer;
 
+	log_shares(c, now_us);
+	if (accrued)
+		notify_waiting(c);
 	if (!requests)
 		return;
 	if (c->leader && raft_lease_held(c->raft, now_us)) {
--- a/lib/daemon/metrics.c
+++ b/lib/daemon/metrics.c
@@ -69,6 +69,26 @@
 	}
 }
 
+static void put_rate_shares(struct byte_buffer *out, struct control *c,
+			    uint64_t now_us)
+{
+	struct rate_client_stats client;
+	struct rate_allocator_stats allocator;
+
+	if (!c->daemon->settings.rate_share_ms)
+		return;
+	rate_client_stats(c->rate_client, now_us, &client);
+	metrics_put(out, "rate_shares", client.shares);
+	metrics_put(out, "rate_share_milli_per_s", client.share_milli);
+	metrics_put(out, "rate_share_tokens", client.accrued);
+	if (!c->leader)
+		return;
+	rate_allocator_stats(c->leader->allocator, now_us, &allocator);
+	metrics_put(out, "rate_assigned_milli_per_s", allocator.assigned_milli);
+	metrics_put(out, "rate_unassigned_milli_per_s",
+		    allocator.unassigned_milli);
+}
+
 static void put_control(struct byte_buffer *out, struct control *c)
 {
 	uint64_t now_us = lws_time_now_us();
@@ -84,6 +104,7 @@
 		    confirmed_us ? now_us - confirmed_us : UINT64_MAX);
 	metrics_put(out, "leads", c->leader != NULL);
 	metrics_put(out, "proposals_waiting", c->proposals != NULL);
+	put_rate_shares(out, c, now_us);
 	if (!c->raft)
 		return;
 	metrics_put(out, "log_term", raft_term(c->raft));
--- a/lib/daemon/settings.h
+++ b/lib/daemon/settings.h
@@ -38,6 +38,7 @@
  * @rate_over_percent: maximum excess in a window, in percent of the requests
  *                     that rate and burst allow
  * @rate_over_tokens: further excess in a window, in requests
+ * @rate_share_ms: term of shares of the rates, 0 for no shares
  * @election_ms: shortest time without contact to the leader before an election
  * @probe_ms: interval of probes to an unresponsive primary
  * @suspect_ms: time without an answer after which an endpoint is suspected
@@ -74,6 +75,7 @@
 	uint32_t rate_window_s;
 	uint32_t rate_over_percent;
 	uint32_t rate_over_tokens;
+	uint32_t rate_share_ms;
 	uint32_t election_ms;
 	uint32_t probe_ms;
 	uint32_t suspect_ms;
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -213,34 +213,83 @@
 
 /* Token requests */
 
+/* Customer of the item that precedes the shares. */
+#define RATE_SHARES_FOLLOW 0
+
 static void rate_pack(struct pack_writer *w, const struct wire_rate *rate)
 {
+	uint32_t count = rate->count;
+
+	if (rate->shares_count)
+		count += 1 + rate->shares_count;
 	pack_u64(w, rate->seq);
 	pack_u64(w, rate->ttl_us);
-	pack_array(w, rate->count * 4);
+	pack_array(w, count * 4);
 	for (uint32_t i = 0; i < rate->count; i++) {
 		pack_u64(w, rate->items[i].customer);
 		pack_u64(w, rate->items[i].amount);
 		pack_u64(w, rate->items[i].held);
 		pack_u64(w, rate->items[i].returned);
 	}
+	if (!rate->shares_count)
+		return;
+	pack_u64(w, RATE_SHARES_FOLLOW);
+	pack_u64(w, rate->share_us);
+	pack_u64(w, 0);
+	pack_u64(w, 0);
+	for (uint32_t i = 0; i < rate->shares_count; i++) {
+		pack_u64(w, ~rate->shares[i].customer);
+		pack_u64(w, rate->shares[i].demand_milli);
+		pack_u64(w, rate->shares[i].milli_per_s);
+		pack_u64(w, rate->shares[i].cap);
+	}
+}
+
+static void rate_shares_unpack(struct pack_reader *in, void *mem_ctx,
+			       struct wire_rate *rate, uint32_t count)
+{
+	rate->shares =
+		talloc_zero_array(mem_ctx, struct wire_rate_share, count + 1);
+	if (!rate->shares) {
+		in->rc = LWS_E_NOMEM;
+		return;
+	}
+	rate->shares_count = count;
+	for (uint32_t i = 0; i < count; i++) {
+		rate->shares[i].customer = ~pack_read_u64(in);
+		rate->shares[i].demand_milli = (uint32_t)pack_read_u64(in);
+		rate->shares[i].milli_per_s = (uint32_t)pack_read_u64(in);
+		rate->shares[i].cap = (uint32_t)pack_read_u64(in);
+	}
 }
 
 static void rate_unpack(struct pack_reader *r, void *mem_ctx,
 			struct wire_rate *rate)
 {
 	struct pack_reader in;
+	uint32_t count;
 
 	rate->seq = pack_read_u64(r);
 	rate->ttl_us = pack_read_u64(r);
-	rate->count = wire_enter_list(r, &in, 4, WIRE_ITEMS_MAX);
-	rate->items = talloc_zero_array(mem_ctx, struct wire_rate_item,
-					rate->count + 1);
-	for (uint32_t i = 0; i < rate->count; i++) {
-		rate->items[i].customer = pack_read_u64(&in);
-		rate->items[i].amount = (uint32_t)pack_read_u64(&in);
-		rate->items[i].held = (uint32_t)pack_read_u64(&in);
-		rate->items[i].returned = (uint32_t)pack_read_u64(&in);
+	count = wire_enter_list(r, &in, 4, WIRE_ITEMS_MAX);
+	rate->items =
+		talloc_zero_array(mem_ctx, struct wire_rate_item, count + 1);
+	for (uint32_t i = 0; i < count; i++) {
+		struct wire_rate_item item = {
+			.customer = pack_read_u64(&in),
+		};
+
+		if (item.customer == RATE_SHARES_FOLLOW) {
+			rate->share_us = pack_read_u64(&in);
+			(void)pack_read_u64(&in);
+			(void)pack_read_u64(&in);
+			rate_shares_unpack(&in, mem_ctx, rate, count - i - 1);
+			break;
+		}
+		item.amount = (uint32_t)pack_read_u64(&in);
+		item.held = (uint32_t)pack_read_u64(&in);
+		item.returned = (uint32_t)pack_read_u64(&in);
+		rate->items[rate->count++] = item;
 	}
 	wire_leave_list(r, &in);
 }
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -173,6 +173,21 @@
 	uint32_t returned;
 };
 
+/**
+ * struct wire_rate_share - share of one customer's rate
+ * @customer: hash of the customer's name
+ * @demand_milli: request: demand in thousandths of a token per second; reply: 0
+ * @milli_per_s: request: share that the sender has; reply: share that replaces
+ *               it
+ * @cap: maximum number of unspent tokens of that share
+ */
+struct wire_rate_share {
+	uint64_t customer;
+	uint32_t demand_milli;
+	uint32_t milli_per_s;
+	uint32_t cap;
+};
+
 /**
  * struct wire_rate - token request or its reply
  * @seq: increases with each request of one incarnation; repeated in the reply
@@ -180,14 +195,28 @@
  *          when the request was sent
  * @count: number of @items
  * @items: one item for each customer
+ * @share_us: reply: term of the shares, counted from the time when the request
+ *            was sent
+ * @shares_count: number of @shares; with the items at most WIRE_RATE_MAX
+ * @shares: one for each customer with a share or a demand
+ *
+ * Shares are sent as further items, after one with customer 0, and with
+ * inverted hashes of the customers. An instance of a version without shares
+ * reads them as requests for customers that it does not know.
  */
 struct wire_rate {
 	uint64_t seq;
 	uint64_t ttl_us;
 	uint32_t count;
 	struct wire_rate_item *items;
+	uint64_t share_us;
+	uint32_t shares_count;
+	struct wire_rate_share *shares;
 };
 
+/* Items and shares in one message; one item separates them. */
+#define WIRE_RATE_MAX (WIRE_ITEMS_MAX - 1U)
+
 /**
  * struct wire_report_item - state of a primary as observed by an instance
  * @group: group
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -20,6 +20,8 @@
 
 static struct wire_msg sample_message(enum wire_type type)
 {
+	static struct wire_rate_share shares[2] = { { 7, 8, 9, 1 },
+						    { UINT64_MAX, 1, 0, 0 } };
 	static struct wire_rate_item rates[2] = { { 7, 8, 9, 1 },
 						  { 1, 2, 3, 0 } };
 	static struct wire_report_item reports[1] = { { "g", "e", 3, true } };
@@ -76,7 +78,13 @@
 		break;
 	case WIRE_RATE_REQUEST:
 	case WIRE_RATE_REPLY:
-		m.rate = (struct wire_rate){ 1, 2, 2, rates };
+		m.rate = (struct wire_rate){ .seq = 1,
+					     .ttl_us = 2,
+					     .count = 2,
+					     .items = rates,
+					     .share_us = 3,
+					     .shares_count = 2,
+					     .shares = shares };
 		break;
 	case WIRE_REPORT:
 		m.report = (struct wire_report){ 1, 2, 1, reports };
