Tests: shares of rates, tokens of a share, takeover, bytes on the wire

Cases: a suspended holder, late accrual, a restarted holder, the removal of a member, a takeover with and without reports, a limit lowered while a holder is cut off, admission on shares, and the bytes of a token request.

The bound test now has clocks that are all fast or all slow and more load above the rate: without these, shares counted without drift were not found.

--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -208,6 +208,76 @@
 	talloc_free(mem);
 }
 
+struct rate_bytes_case {
+	const char *name;
+	uint32_t shares_count;
+	uint8_t bytes[32];
+	size_t len;
+};
+
+/*
+ * Guards against token requests that an instance of the version before shares
+ * does not understand: it reads lists with four numbers for each customer.
+ */
+static void test_wire_rate_bytes(void)
+{
+	static const struct rate_bytes_case cases[] = {
+		{ "without shares",
+		  0,
+		  { 0, 0, 0, 9, 0x94, WIRE_RATE_REQUEST, 1, 2, 0x94, 7, 8, 9,
+		    1 },
+		  13 },
+		{ "with a share",
+		  1,
+		  { 0,	  0,	0,    25,   0x94, WIRE_RATE_REQUEST,
+		    1,	  2,	0x9c, 7,    8,	  9,
+		    1,	  0,	3,    0,    0,	  0xcf,
+		    0xff, 0xff, 0xff, 0xff, 0xff, 0xff,
+		    0xff, 0xfa, 6,    4,    2 },
+		  29 },
+	};
+	struct wire_rate_item item = { 7, 8, 9, 1 };
+	struct wire_rate_share share = { 5, 6, 4, 2 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		void *mem = talloc_new(NULL);
+		struct wire_msg msg = {
+			.type = WIRE_RATE_REQUEST,
+			.rate = { .seq = 1,
+				  .ttl_us = 2,
+				  .count = 1,
+				  .items = &item,
+				  .share_us = 3,
+				  .shares_count = cases[i].shares_count,
+				  .shares = &share },
+		};
+		struct wire_msg *got;
+		uint8_t *frame;
+		size_t len;
+
+		g_test_message("%s", cases[i].name);
+		g_assert_cmpint(wire_encode(mem, &msg, &frame, &len), ==, 0);
+		g_assert_cmpmem(frame, len, cases[i].bytes, cases[i].len);
+		g_assert_cmpint(wire_decode(mem, frame + WIRE_HEADER_BYTES,
+					    len - WIRE_HEADER_BYTES, &got),
+				==, 0);
+		g_assert_cmpuint(got->rate.count, ==, 1);
+		g_assert_cmpuint(got->rate.items[0].returned, ==, 1);
+		g_assert_cmpuint(got->rate.shares_count, ==,
+				 cases[i].shares_count);
+		if (got->rate.shares_count) {
+			g_assert_cmpuint(got->rate.share_us, ==, 3);
+			g_assert_cmpuint(got->rate.shares[0].customer, ==, 5);
+			g_assert_cmpuint(got->rate.shares[0].demand_milli, ==,
+					 6);
+			g_assert_cmpuint(got->rate.shares[0].milli_per_s, ==,
+					 4);
+			g_assert_cmpuint(got->rate.shares[0].cap, ==, 2);
+		}
+		talloc_free(mem);
+	}
+}
+
 struct frame_case {
 	uint8_t bytes[6];
 	size_t len;
@@ -464,6 +534,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/codec/wire/forward", test_wire_forward);
 	g_test_add_func("/codec/wire/round-trip", test_wire_round_trip);
+	g_test_add_func("/codec/wire/rate-bytes", test_wire_rate_bytes);
 	g_test_add_func("/codec/wire/frame-length", test_frame_length);
 	g_test_add_func("/codec/wire/truncated", test_wire_truncated);
 	g_test_add_func("/codec/wire/mutations", test_wire_mutations);
--- a/tests/test_rate_shares.c
+++ b/tests/test_rate_shares.c
@@ -21,6 +21,9 @@
 #define TTL (600 * MS)
 #define TERM (4000 * MS)
 #define DRIFT 10
+/* Clock rates in percent, within DRIFT of the allocator's. */
+#define SKEW_FAST 9
+#define SKEW_SLOW (-8)
 /* A limit binds once all shares under earlier ones have ended. */
 #define LIMIT_DELAY (TERM * (100 + DRIFT) / 100 + 200 * MS)
 #define ELECTION (400 * MS)
@@ -559,8 +562,9 @@
 
 	set_weights(m, first, count);
 	m->load_per_s = 1 + (uint32_t)random_below(m, 2 * limit_now(m)->rate);
-	if (!random_below(m, 8))
-		m->load_per_s *= 5;
+	/* A bound is only reached by a load above the rate. */
+	if (!random_below(m, 3))
+		m->load_per_s += 3 * limit_now(m)->rate;
 }
 
 static void inject_fault(struct model *m)
@@ -603,6 +607,11 @@
 	}
 }
 
+static int random_skew(struct model *m)
+{
+	return (int)random_below(m, SKEW_FAST - SKEW_SLOW + 1) + SKEW_SLOW;
+}
+
 static uint64_t run_seed(uint64_t seed, bool limits_change)
 {
 	struct lws_rng rng = { .seed = seed };
@@ -617,8 +626,11 @@
 	m->loss = seed % 3 ? 0 : 20;
 	m->repeat = seed % 5 ? 0 : 20;
 	m->delay = seed % 7 ? 4 * MS : 150 * MS;
+	/* All clocks fast or slow adds up to most. */
 	for (uint32_t i = 0; i < m->count; i++)
-		m->nodes[i].skew = (int)random_below(m, 11) - 5;
+		m->nodes[i].skew = seed % 4 == 0   ? SKEW_FAST
+				   : seed % 4 == 1 ? SKEW_SLOW
+						   : random_skew(m);
 	m->load_per_s = 1 + rate * 5 / 8;
 	run(m, 1500 * MS);
 	for (int round = 0; round < 12; round++) {
@@ -792,6 +804,306 @@
 			 with.offered * c->refused_max);
 }
 
+/* Guards against a limit that is lowered and never binds. */
+static void test_limit_lowered(void)
+{
+	struct model *m = create_model(1, 9, 160, 160, TERM);
+	uint64_t shares = 0;
+	uint64_t spent;
+
+	m->load_per_s = 140;
+	run(m, 15000 * MS);
+	m->nodes[0].cut_off = true;
+	set_limit(m, 40, 40);
+	run(m, 300 * MS);
+	for (uint32_t i = 1; i < m->count; i++)
+		shares += atomic_load(&m->nodes[i].bucket->share_milli);
+	g_assert_cmpuint(shares, >, 0);
+	g_assert_cmpuint(shares, <=, 40 * RATE_SHARE_UNIT);
+	g_assert_cmpuint(atomic_load(&m->nodes[0].bucket->share_milli), >,
+			 10 * RATE_SHARE_UNIT);
+	run(m, LIMIT_DELAY);
+	spent = m->spent;
+	run(m, 5000 * MS);
+	g_assert_cmpuint(m->spent - spent, <=, 5 * 40 + 40);
+	g_assert_cmpuint(m->overdrawn, ==, 0);
+	destroy_model(m);
+}
+
+/* The tokens of a share */
+
+static const struct rate_share ten_per_s = { CUSTOMER, 10 * RATE_SHARE_UNIT,
+					     5 };
+
+static uint32_t take_all(struct rate_bucket *bucket, uint64_t now)
+{
+	uint32_t n = 0;
+
+	while (rate_bucket_take(bucket, now))
+		n++;
+	return n;
+}
+
+/*
+ * Guards against a process that was stopped and spends after the term, or gets
+ * tokens for the time in which it was stopped.
+ */
+static void test_suspended_holder(void)
+{
+	struct rate_bucket bucket = { .customer = CUSTOMER };
+	uint64_t now = 1000 * MS;
+	uint64_t until = now + TERM;
+
+	rate_bucket_set_share(&bucket, now, until, &ten_per_s);
+	rate_bucket_accrue(&bucket, now + 300 * MS);
+	g_assert_true(rate_bucket_take(&bucket, now + 300 * MS));
+	g_assert_false(rate_bucket_take(&bucket, until));
+	/* A renewal that was received meanwhile starts without tokens. */
+	rate_bucket_set_share(&bucket, until + 50 * MS, until + TERM,
+			      &ten_per_s);
+	g_assert_cmpuint(take_all(&bucket, until + 50 * MS), ==, 0);
+	rate_bucket_accrue(&bucket, until + 160 * MS);
+	g_assert_cmpuint(take_all(&bucket, until + 160 * MS), ==, 1);
+	/* A reply that arrives after its own term is ignored. */
+	rate_bucket_set_share(&bucket, until + 2 * TERM, until + TERM,
+			      &ten_per_s);
+	g_assert_cmpuint(take_all(&bucket, until + 2 * TERM), ==, 0);
+}
+
+/* Guards against tokens beyond the cap, if accrual is late. */
+static void test_accrual_cap(void)
+{
+	struct rate_bucket bucket = { .customer = CUSTOMER };
+	const struct rate_share lower = { CUSTOMER, 10 * RATE_SHARE_UNIT, 2 };
+	uint64_t now = 1000 * MS;
+
+	rate_bucket_set_share(&bucket, now, now + TERM, &ten_per_s);
+	rate_bucket_accrue(&bucket, now + 1000 * MS);
+	/* The bucket was full for a second when these were spent. */
+	g_assert_cmpuint(take_all(&bucket, now + 2000 * MS), ==, 5);
+	rate_bucket_accrue(&bucket, now + 2000 * MS);
+	g_assert_cmpuint(take_all(&bucket, now + 2000 * MS), ==, 0);
+	rate_bucket_accrue(&bucket, now + 2400 * MS);
+	rate_bucket_set_share(&bucket, now + 2400 * MS, now + TERM, &lower);
+	g_assert_cmpuint(take_all(&bucket, now + 2400 * MS), ==, 2);
+}
+
+/* The allocator */
+
+static struct rate_allocator *create_allocator(uint32_t members, uint64_t now)
+{
+	struct rate_allocator_params params = { .ttl_us = TTL,
+						.drift_percent = DRIFT,
+						.share_us = TERM };
+	struct rate_allocator *allocator =
+		rate_allocator_create(NULL, &params, now);
+	uint64_t instances[INSTANCES_MAX];
+
+	for (uint32_t i = 0; i < members; i++)
+		instances[i] = i + 1;
+	g_assert_cmpint(
+		rate_allocator_set_members(allocator, now, instances, members),
+		==, 0);
+	g_assert_cmpint(
+		rate_allocator_set_limit(allocator, now, CUSTOMER, 100, 100),
+		==, 0);
+	return allocator;
+}
+
+static struct rate_share report(struct rate_allocator *allocator, uint64_t now,
+				struct rate_share_sender sender,
+				uint32_t demand_per_s, struct rate_share held)
+{
+	struct rate_share_report r = { demand_per_s * RATE_SHARE_UNIT, held };
+	struct rate_share share;
+
+	r.held.customer = CUSTOMER;
+	share = rate_allocator_share(allocator, now, &sender, &r);
+	rate_allocator_mark_reported(allocator, now, sender.instance);
+	return share;
+}
+
+/* Guards against a share that stays assigned to a process that has ended. */
+static void test_restart_frees_share(void)
+{
+	uint64_t now = 1000 * MS;
+	struct rate_allocator *a = create_allocator(2, now);
+	const struct rate_share none = { 0 };
+	struct rate_share first;
+	struct rate_share second;
+
+	report(a, now, (struct rate_share_sender){ 2, 1, 1 }, 0, none);
+	report(a, now, (struct rate_share_sender){ 1, 1, 1 }, 0, none);
+	first = report(a, now, (struct rate_share_sender){ 1, 1, 2 }, 60, none);
+	g_assert_cmpuint(first.milli_per_s, ==, 50 * RATE_SHARE_UNIT);
+	g_assert_cmpuint(first.cap, >, 0);
+	/* A repeated message gets the same answer. */
+	g_assert_cmpuint(
+		report(a, now, (struct rate_share_sender){ 1, 1, 2 }, 60, none)
+			.milli_per_s,
+		==, first.milli_per_s);
+	second =
+		report(a, now, (struct rate_share_sender){ 2, 1, 2 }, 60, none);
+	g_assert_cmpuint(second.milli_per_s, <, 40 * RATE_SHARE_UNIT);
+	report(a, now, (struct rate_share_sender){ 1, 2, 1 }, 0, none);
+	second = report(a, now, (struct rate_share_sender){ 2, 1, 3 }, 60,
+			second);
+	g_assert_cmpuint(second.milli_per_s, ==, 50 * RATE_SHARE_UNIT);
+	talloc_free(a);
+}
+
+/*
+ * Guards against the removal of a member whose share a later allocator would
+ * not count.
+ */
+static void test_removal_waits(void)
+{
+	uint64_t now = 1000 * MS;
+	struct rate_allocator *a = create_allocator(2, now);
+	const struct rate_share none = { 0 };
+	uint64_t ended = now + TERM * (100 + DRIFT) / 100;
+
+	report(a, now, (struct rate_share_sender){ 1, 1, 1 }, 10, none);
+	g_assert_cmpuint(
+		report(a, now, (struct rate_share_sender){ 1, 1, 2 }, 10, none)
+			.milli_per_s,
+		==, 14 * RATE_SHARE_UNIT);
+	g_assert_false(rate_allocator_may_remove(a, now + TERM, 1));
+	/* The second has not reported, so it may have a share. */
+	g_assert_false(rate_allocator_may_remove(a, now + TERM, 2));
+	g_assert_true(rate_allocator_may_remove(a, ended, 1));
+	g_assert_true(rate_allocator_may_remove(a, ended, 2));
+	/* It returns before its removal is committed. */
+	g_assert_cmpuint(report(a, ended + 1,
+				(struct rate_share_sender){ 1, 1, 3 }, 10, none)
+				 .milli_per_s,
+			 ==, 0);
+	g_assert_cmpuint(report(a, ended + RATE_REMOVAL_US,
+				(struct rate_share_sender){ 1, 1, 4 }, 10, none)
+				 .milli_per_s,
+			 >, 0);
+	talloc_free(a);
+}
+
+struct takeover_case {
+	const char *name;
+	uint32_t reported;
+	bool limits_changed;
+	uint64_t after_us;
+	uint32_t granted_min;
+	uint32_t granted_max;
+};
+
+/*
+ * Guards against a new allocator that grants what instances without a report
+ * may spend, or that grants nothing because of one of them. Each of the four
+ * instances has 18 tokens per second; tokens of the predecessor have expired.
+ */
+static void test_takeover(void)
+{
+	static const struct takeover_case cases[] = {
+		/* 100 - 4 x 18 x 1.1 per second */
+		{ "all-reported", 4, false, 2000 * MS, 30, 42 },
+		/* 8 per second are never assigned. */
+		{ "three-reported", 3, false, 2000 * MS, 15, 30 },
+		{ "none-reported", 0, false, 2000 * MS, 0, 17 },
+		{ "three-limits-changed", 3, true, 2000 * MS, 0, 0 },
+		{ "all-limits-changed", 4, true, 2000 * MS, 30, 42 },
+	};
+	const struct rate_share held = { CUSTOMER, 18 * RATE_SHARE_UNIT, 12 };
+
+	for (size_t k = 0; k < G_N_ELEMENTS(cases); k++) {
+		uint64_t now = 1000 * MS;
+		struct rate_allocator *a = create_allocator(4, now);
+		struct rate_request request = { .customer = CUSTOMER,
+						.want = 100 };
+		uint32_t granted = 0;
+
+		if (cases[k].limits_changed)
+			rate_allocator_assume_shared(a);
+		for (uint32_t i = 1; i <= cases[k].reported; i++)
+			report(a, now, (struct rate_share_sender){ i, 1, 1 },
+			       13, held);
+		for (uint64_t at = 0; at <= cases[k].after_us; at += 100 * MS)
+			granted += rate_allocator_grant(a, now + at, 1, 1,
+							at + 1, &request);
+		g_test_message("%s: %u", cases[k].name, granted);
+		g_assert_cmpuint(granted, >=, cases[k].granted_min);
+		g_assert_cmpuint(granted, <=, cases[k].granted_max);
+		talloc_free(a);
+	}
+}
+
+/* Admission */
+
+struct admission_case {
+	const char *name;
+	uint32_t milli_per_s;
+	enum admission_verdict verdict;
+	uint32_t retry_ms;
+};
+
+/*
+ * Guards against refusals while a share accrues, and against waits that end in
+ * a refusal, when the allocator does not answer.
+ */
+static void test_admission(void)
+{
+	static const struct admission_case cases[] = {
+		{ "no share", 0, ADMISSION_REFUSE, 50 },
+		{ "token in time", 20 * RATE_SHARE_UNIT, ADMISSION_WAIT, 100 },
+		{ "token too late", 2 * RATE_SHARE_UNIT, ADMISSION_REFUSE,
+		  500 },
+	};
+
+	for (size_t k = 0; k < G_N_ELEMENTS(cases); k++) {
+		struct rate_client *client = rate_client_create(NULL);
+		struct admission *admission = admission_create(client);
+		struct rate_bucket *bucket =
+			rate_client_bucket(client, CUSTOMER);
+		const struct rate_share share = { CUSTOMER,
+						  cases[k].milli_per_s, 3 };
+		const struct rate_grant grant = { .customer = CUSTOMER };
+		struct admission_item item = { .bucket = bucket,
+					       .rate_per_s = 20,
+					       .wait_max_us = WAIT };
+		enum admission_verdict verdict;
+		uint64_t now = 1000 * MS;
+		uint64_t seq;
+		uint32_t count;
+
+		g_test_message("%s", cases[k].name);
+		rate_client_use_shares(client);
+		atomic_fetch_add(&bucket->arrivals, 10);
+		g_assert_nonnull(rate_client_step(client, now, &seq, &count));
+		rate_client_take_shares(client, now, seq, TERM, &share, 1);
+		rate_client_reply(client, now, seq, TTL, &grant, 1);
+		for (int i = 0; i < 100; i++) {
+			now += 10 * MS;
+			(void)rate_client_step(client, now, &seq, &count);
+		}
+		g_assert_true(rate_client_unresponsive(client));
+		rate_client_accrue(client, now);
+		(void)take_all(bucket, now);
+		rate_client_accrue(client, now);
+		g_assert_true(rate_bucket_cut_off(bucket, now) ==
+			      (cases[k].verdict == ADMISSION_REFUSE));
+		item.deadline_us = now + DEADLINE;
+		g_assert_cmpint(admission_enter(admission, now, &item), ==,
+				cases[k].verdict);
+		g_assert_cmpuint(admission_retry_ms(&item), ==,
+				 cases[k].retry_ms);
+		if (cases[k].verdict == ADMISSION_WAIT) {
+			now += 60 * MS;
+			g_assert_true(rate_client_accrue(client, now));
+			g_assert_true(admission_next(admission, now,
+						     &verdict) == &item);
+			g_assert_cmpint(verdict, ==, ADMISSION_PASS);
+		}
+		talloc_free(client);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -805,5 +1117,13 @@
 
 		g_test_add_data_func(path, &loss_cases[i], test_loss);
 	}
+	g_test_add_func("/rate-shares/limit-lowered", test_limit_lowered);
+	g_test_add_func("/rate-shares/suspended-holder", test_suspended_holder);
+	g_test_add_func("/rate-shares/accrual-cap", test_accrual_cap);
+	g_test_add_func("/rate-shares/restart-frees-share",
+			test_restart_frees_share);
+	g_test_add_func("/rate-shares/removal-waits", test_removal_waits);
+	g_test_add_func("/rate-shares/takeover", test_takeover);
+	g_test_add_func("/rate-shares/admission", test_admission);
 	return g_test_run();
 }
