Rates: shares accrue only while the allocator does not answer

Cause: in normal operation, shares took tokens from where they were needed. Of an even load without a fault, 12% of a customer with 16 operations per second at 9 instances was refused although an ideal bucket had a token, 0 without shares; of a burst of three times the load, 17% against 12%.

Change: a share is dormant until 0.5 s after the last answer. A request names the newest answer that its sender has received, so the allocator knows from when on the share may accrue, and grants the whole rate until then. Tokens that have accrued become granted ones with the next answer.

--- a/lib/admit/rate_allocator.c
+++ b/lib/admit/rate_allocator.c
@@ -304,18 +304,31 @@
 static uint64_t growth_milli(const struct rate_allocator *ra,
 			     const struct global_bucket *b, uint64_t now_us)
 {
-	uint64_t shared = b->shares.milli_per_s + assumed_milli(ra, b, now_us);
+	uint64_t shared =
+		b->shares.active_milli_per_s + assumed_milli(ra, b, now_us);
 
 	return minus(rate_milli(b),
 		     (shared * (100 + ra->params.drift_percent) + 99) / 100);
 }
 
+/*
+ * Tokens that can be granted so that all shares have room for their caps when
+ * they start to accrue.
+ */
+static uint64_t grantable(const struct rate_allocator *ra,
+			  const struct global_bucket *b, uint64_t now_us)
+{
+	return minus(b->burst,
+		     b->outstanding + assumed_outstanding(ra, b, now_us) +
+			     b->shares.caps + assumed_caps(ra, b, now_us));
+}
+
 /* Tokens of the burst that instances hold, or may accrue, or may hold. */
 static uint64_t taken_tokens(const struct rate_allocator *ra,
 			     const struct global_bucket *b, uint64_t now_us)
 {
 	return b->outstanding + assumed_outstanding(ra, b, now_us) +
-	       b->shares.caps + assumed_caps(ra, b, now_us);
+	       b->shares.active_caps + assumed_caps(ra, b, now_us);
 }
 
 static void cap_level(const struct rate_allocator *ra, struct global_bucket *b,
@@ -352,7 +365,7 @@
 		ra->created_us + padded_ttl_us(ra),
 		ra->created_us + padded_share_us(ra),
 	};
-	uint64_t next = rate_share_next_expiry_us(&b->shares);
+	uint64_t next = rate_share_next_us(&b->shares);
 
 	if (b->oldest)
 		next = min_u64(next, b->oldest->expires_us);
@@ -378,7 +391,7 @@
 		fill_until(ra, b, next);
 		while (b->oldest && b->oldest->expires_us <= next)
 			drop_holding(b, b->oldest);
-		rate_share_drop_expired(&b->shares, next);
+		rate_share_update(&b->shares, next);
 	}
 	fill_until(ra, b, now_us);
 }
@@ -570,6 +583,8 @@
 	granted = share_of(b, h);
 	if (granted > room_of(b, h))
 		granted = room_of(b, h);
+	if (granted > grantable(ra, b, now_us))
+		granted = (uint32_t)grantable(ra, b, now_us);
 	b->level_millionths -= granted * MILLIONTHS;
 	set_holding(b, h, h->outstanding + granted, h->want);
 	if (granted < request->want)
@@ -579,6 +594,30 @@
 
 /* Shares */
 
+uint64_t rate_allocator_id(const struct rate_allocator *ra)
+{
+	return ra->created_us;
+}
+
+/*
+ * When the share of an instance may start to accrue, if nothing more is
+ * received from it: RATE_SHARE_START_US by its clock after it received the
+ * reply that it names.
+ */
+static uint64_t share_active_us(const struct rate_allocator *ra,
+				uint64_t now_us,
+				const struct rate_share_stamp *answered)
+{
+	uint64_t start_us =
+		RATE_SHARE_START_US * (100 - ra->params.drift_percent) / 100;
+
+	if (answered->allocator != rate_allocator_id(ra) ||
+	    answered->handled_us > now_us ||
+	    now_us - answered->handled_us > RATE_SHARE_ANSWER_US)
+		return now_us;
+	return now_us + start_us - RATE_SHARE_ANSWER_US;
+}
+
 struct rate_share rate_allocator_share(struct rate_allocator *ra,
 				       uint64_t now_us,
 				       const struct rate_share_sender *sender,
@@ -589,14 +628,18 @@
 	const struct member *member = find_member(ra, sender->instance);
 	struct rate_share_entry *entry;
 	struct rate_share_limits limits;
+	struct rate_share_times times;
 	bool first;
 
 	if (!ra->params.share_us || !b || !member)
 		return share;
 	fill(ra, b, now_us);
-	entry = rate_share_report(b, &b->shares, sender,
-				  now_us + padded_share_us(ra), report, &share,
-				  &first);
+	times = (struct rate_share_times){
+		.active_us = share_active_us(ra, now_us, &sender->answered),
+		.expires_us = now_us + padded_share_us(ra),
+	};
+	entry = rate_share_report(b, &b->shares, sender, now_us, &times, report,
+				  &share, &first);
 	/*
 	 * The shares at the takeover were within the limits together, so those
 	 * of instances that have not reported are within the rest.
--- a/lib/admit/rate_allocator.h
+++ b/lib/admit/rate_allocator.h
@@ -25,8 +25,9 @@
  * predecessor: until those have expired, it assumes that each member that has
  * not reported to it yet holds that maximum.
  *
- * With shares (rate_share.h), level + outstanding + caps of the shares in force
- * <= burst, and the level grows with the rate that the shares leave. Shares are
+ * With shares (rate_share.h), level + outstanding + caps of the shares that may
+ * accrue <= burst, outstanding + all caps <= burst, and the level grows with
+ * the rate that the shares leave which may accrue. Shares are
  * counted with the drift of clocks, since an instance accrues by its own clock.
  * For instances that have not reported to it, a new allocator counts what they
  * may have: together the part of the rate that is assigned at most, each
@@ -156,6 +157,9 @@
 			      uint64_t instance, uint64_t incarnation,
 			      uint64_t seq, const struct rate_request *request);
 
+/** rate_allocator_id() - value of struct rate_share_stamp for this allocator */
+uint64_t rate_allocator_id(const struct rate_allocator *ra);
+
 /**
  * rate_allocator_share() - handle the report of a share and renew it
  * @ra: rate allocator
--- a/lib/admit/rate_bucket.c
+++ b/lib/admit/rate_bucket.c
@@ -40,8 +40,6 @@
  * request in 20 s.
  */
 #define SHARE_DEMAND_MIN 50U
-/* Two ticks: a request and its reply. */
-#define SHARE_SOON_MS 200U
 #define MILLIONTHS 1000000ULL
 
 /* Removes all tokens above @keep; returns their number. */
@@ -79,28 +77,12 @@
 		bucket->demand = 0;
 }
 
-/*
- * Tokens that the share has, or accrues in two ticks. Instances with a share
- * would otherwise hold as many granted tokens, and none would be left for new
- * demand elsewhere.
- */
-static int64_t share_tokens_soon(const struct rate_bucket *bucket)
-{
-	uint64_t milli = atomic_load(&bucket->share_milli);
-
-	return atomic_load(&bucket->share_tokens) +
-	       (int64_t)(milli * SHARE_SOON_MS / 1000 / RATE_SHARE_UNIT);
-}
-
 bool rate_bucket_tick(struct rate_bucket *bucket, uint64_t now_us,
 		      struct rate_request *request)
 {
 	uint32_t waiting;
 	int64_t target;
 	int64_t held;
-	int64_t spendable;
-	int64_t share;
-	int64_t keep;
 
 	update_demand(bucket, now_us);
 	if (now_us >= bucket->expires_us) {
@@ -115,11 +97,9 @@
 	target = ((int64_t)bucket->demand * DEMAND_TICKS + DEMAND_UNIT - 1) /
 			 DEMAND_UNIT +
 		 waiting;
-	share = share_tokens_soon(bucket);
-	keep = target * 2 > share ? target * 2 - share : 0;
-	bucket->returned += drain(&bucket->tokens, keep);
-	held = atomic_load(&bucket->tokens);
-	spendable = held + share;
+	bucket->returned += drain(&bucket->tokens, target * 2);
+	bucket->share_held = atomic_load(&bucket->share_tokens);
+	held = atomic_load(&bucket->tokens) + bucket->share_held;
 	if (now_us - bucket->idle_since_us > IDLE_US && !held &&
 	    !bucket->returned)
 		return false;
@@ -127,7 +107,7 @@
 		return false;
 	*request = (struct rate_request){
 		.customer = bucket->customer,
-		.want = target > spendable ? (uint32_t)(target - spendable) : 0,
+		.want = target > held ? (uint32_t)(target - held) : 0,
 		.held = (uint32_t)held,
 		.returned = bucket->returned,
 	};
@@ -186,6 +166,8 @@
 		end_share(bucket);
 		return false;
 	}
+	if (now_us < bucket->share_accrued_us)
+		return false;
 	/*
 	 * Tokens may have been spent just now, when the cap had been reached
 	 * long before. Therefore what accrues is limited by the highest number
@@ -297,21 +279,25 @@
 void rate_bucket_set_share(struct rate_bucket *bucket, uint64_t now_us,
 			   uint64_t until_us, const struct rate_share *share)
 {
+	uint32_t accrued;
+
 	rate_bucket_accrue(bucket, now_us);
 	if (now_us >= until_us)
 		return;
+	accrued = drain(&bucket->share_tokens, 0);
+	if (accrued > bucket->share_held)
+		accrued = (uint32_t)bucket->share_held;
+	atomic_fetch_add(&bucket->tokens, accrued);
+	bucket->share_held = 0;
+	bucket->share_after_accrual = 0;
+	bucket->share_fraction = 0;
 	if (!share->milli_per_s || !share->cap) {
 		if (bucket->share_until_us)
 			end_share(bucket);
 		return;
 	}
-	if (!bucket->share_until_us)
-		bucket->share_accrued_us = now_us;
 	bucket->share_cap = share->cap;
-	drain(&bucket->share_tokens, share->cap);
-	bucket->share_after_accrual = atomic_load(&bucket->share_tokens);
-	if (bucket->share_after_accrual >= share->cap)
-		bucket->share_fraction = 0;
+	bucket->share_accrued_us = now_us + RATE_SHARE_START_US;
 	atomic_store(&bucket->share_milli, share->milli_per_s);
 	atomic_store(&bucket->share_until_us, until_us);
 	publish_next(bucket);
--- a/lib/admit/rate_bucket.h
+++ b/lib/admit/rate_bucket.h
@@ -46,7 +46,8 @@
  * @share_cap: maximum of @share_tokens
  * @share_after_accrual: @share_tokens after the last accrual
  * @share_fraction: part of the next token, in millionths
- * @share_accrued_us: time until which the share has accrued
+ * @share_accrued_us: time until which the share has accrued, or when it starts
+ * @share_held: @share_tokens that the last request reported as held
  * @share_ended: the share has ended since the last report
  * @share_seq: sequence number of the reply that named the share last
  * @share_arrivals: requests since @share_demand_us
@@ -78,6 +79,7 @@
 	int64_t share_after_accrual;
 	uint64_t share_fraction;
 	uint64_t share_accrued_us;
+	int64_t share_held;
 	bool share_ended;
 	uint64_t share_seq;
 	uint32_t share_arrivals;
@@ -111,10 +113,6 @@
  */
 static inline bool rate_bucket_take(struct rate_bucket *bucket, uint64_t now_us)
 {
-	/*
-	 * The share first: it goes on accruing, while granted tokens that are
-	 * not needed can be given back.
-	 */
 	if (now_us < atomic_load_explicit(&bucket->share_until_us,
 					  memory_order_relaxed) &&
 	    rate_bucket_take_from(&bucket->share_tokens))
@@ -249,8 +247,9 @@
  * @until_us: end of the term
  * @share: new share; 0 per second to end the present one
  *
- * Tokens that have accrued are kept up to the new cap. Called by the thread of
- * the rate client only.
+ * The share becomes dormant. Tokens that have accrued and that the answered
+ * request reported become granted ones. Called by the thread of the rate client
+ * only, before rate_bucket_add().
  */
 void rate_bucket_set_share(struct rate_bucket *bucket, uint64_t now_us,
 			   uint64_t until_us, const struct rate_share *share);
--- a/lib/admit/rate_client.c
+++ b/lib/admit/rate_client.c
@@ -33,6 +33,7 @@
 	struct rate_request *requests;
 	uint32_t requests_room;
 	bool use_shares;
+	struct rate_share_stamp answered;
 	struct rate_share_report *reports;
 	uint32_t reports_count;
 	uint32_t reports_room;
@@ -74,6 +75,7 @@
 {
 	c->new_allocator = true;
 	c->allocator_since_us = now_us;
+	c->answered = (struct rate_share_stamp){ 0 };
 	c->awaiting_reply = false;
 	c->tick_us = 0;
 }
@@ -113,6 +115,11 @@
 	return c->reports;
 }
 
+struct rate_share_stamp rate_client_answered(const struct rate_client *c)
+{
+	return c->answered;
+}
+
 bool rate_client_unresponsive(const struct rate_client *c)
 {
 	return atomic_load(&c->contact.unresponsive);
@@ -244,12 +251,14 @@
 
 void rate_client_take_shares(struct rate_client *c, uint64_t now_us,
 			     uint64_t seq, uint64_t share_us,
+			     struct rate_share_stamp stamp,
 			     const struct rate_share *shares, uint32_t count)
 {
 	const struct rate_share none = { 0 };
 
 	if (!c->use_shares || !c->awaiting_reply || seq != c->seq)
 		return;
+	c->answered = stamp;
 	for (uint32_t i = 0; share_us && i < count; i++) {
 		struct rate_bucket *bucket =
 			rate_client_bucket(c, shares[i].customer);
--- a/lib/admit/rate_client.h
+++ b/lib/admit/rate_client.h
@@ -88,12 +88,16 @@
 const struct rate_share_report *rate_client_shares(const struct rate_client *c,
 						   uint32_t *count);
 
+/** rate_client_answered() - stamp of the newest reply, for the next message */
+struct rate_share_stamp rate_client_answered(const struct rate_client *c);
+
 /**
  * rate_client_take_shares() - handle the shares of a reply
  * @c: rate client
  * @now_us: current time
  * @seq: sequence number of the message that is answered
  * @share_us: term of the shares, counted from the sending of the message
+ * @stamp: stamp of the reply
  * @shares: shares; those that are not listed end
  * @count: number of @shares
  *
@@ -102,6 +106,7 @@
  */
 void rate_client_take_shares(struct rate_client *c, uint64_t now_us,
 			     uint64_t seq, uint64_t share_us,
+			     struct rate_share_stamp stamp,
 			     const struct rate_share *shares, uint32_t count);
 
 /**
--- a/lib/admit/rate_share.c
+++ b/lib/admit/rate_share.c
@@ -9,19 +9,19 @@
 #define HEADROOM_PERCENT 140U
 /*
  * Time in which a share fills its cap. With bursts of one second of rate, all
- * caps together take about 65% of a burst.
+ * caps together take about half of a burst.
  */
-#define CAP_MS 800U
+#define CAP_MS 600U
 
 struct rate_share_entry {
 	struct rate_share_entry *next_in_slot;
-	/* Ordered by expiry, which is the order of the renewals. */
 	struct rate_share_entry *prev;
 	struct rate_share_entry *next;
 	uint64_t instance;
 	uint64_t incarnation;
 	uint64_t seq;
-	uint64_t expires_us;
+	struct rate_share_times times;
+	bool active;
 	uint64_t want;
 	struct rate_share in_force;
 	struct rate_share answered;
@@ -34,6 +34,12 @@
 	t->milli_per_s -= e->in_force.milli_per_s;
 	t->caps += share.cap;
 	t->caps -= e->in_force.cap;
+	if (e->active) {
+		t->active_milli_per_s += share.milli_per_s;
+		t->active_milli_per_s -= e->in_force.milli_per_s;
+		t->active_caps += share.cap;
+		t->active_caps -= e->in_force.cap;
+	}
 	e->in_force = share;
 }
 
@@ -47,26 +53,43 @@
 
 static void list_remove(struct rate_share_table *t, struct rate_share_entry *e)
 {
+	struct rate_share_list *list = e->active ? &t->active : &t->dormant;
+
 	if (e->prev)
 		e->prev->next = e->next;
 	else
-		t->oldest = e->next;
+		list->oldest = e->next;
 	if (e->next)
 		e->next->prev = e->prev;
 	else
-		t->newest = e->prev;
+		list->newest = e->prev;
 	e->prev = NULL;
 	e->next = NULL;
 }
 
 static void list_append(struct rate_share_table *t, struct rate_share_entry *e)
 {
-	e->prev = t->newest;
-	if (t->newest)
-		t->newest->next = e;
+	struct rate_share_list *list = e->active ? &t->active : &t->dormant;
+
+	e->prev = list->newest;
+	if (list->newest)
+		list->newest->next = e;
 	else
-		t->oldest = e;
-	t->newest = e;
+		list->oldest = e;
+	list->newest = e;
+}
+
+/* Moves an entry to the end of the list that it belongs to now. */
+static void renew(struct rate_share_table *t, struct rate_share_entry *e,
+		  bool active)
+{
+	struct rate_share in_force = e->in_force;
+
+	set_in_force(t, e, (struct rate_share){ 0 });
+	list_remove(t, e);
+	e->active = active;
+	list_append(t, e);
+	set_in_force(t, e, in_force);
 }
 
 static struct rate_share_entry *find_entry(const struct rate_share_table *t,
@@ -112,7 +135,8 @@
 
 struct rate_share_entry *rate_share_report(
 	void *mem_ctx, struct rate_share_table *table,
-	const struct rate_share_sender *sender, uint64_t expires_us,
+	const struct rate_share_sender *sender, uint64_t now_us,
+	const struct rate_share_times *times,
 	const struct rate_share_report *report, struct rate_share *answered,
 	bool *first)
 {
@@ -134,9 +158,8 @@
 		return NULL;
 	}
 	e->seq = sender->seq;
-	e->expires_us = expires_us;
-	list_remove(table, e);
-	list_append(table, e);
+	e->times = *times;
+	renew(table, e, times->active_us <= now_us);
 	set_in_force(table, e, report->held);
 	set_want(table, e,
 		 (uint64_t)report->demand_milli * HEADROOM_PERCENT / 100);
@@ -229,15 +252,29 @@
 	return share;
 }
 
-uint64_t rate_share_next_expiry_us(const struct rate_share_table *table)
+uint64_t rate_share_next_us(const struct rate_share_table *table)
 {
-	return table->oldest ? table->oldest->expires_us : UINT64_MAX;
+	uint64_t next = UINT64_MAX;
+
+	if (table->dormant.oldest)
+		next = table->dormant.oldest->times.active_us;
+	if (table->active.oldest)
+		next = min_u64(next, table->active.oldest->times.expires_us);
+	return next;
 }
 
-void rate_share_drop_expired(struct rate_share_table *table, uint64_t now_us)
+/*
+ * A share that was active when it was reported may be in the list before one
+ * that expires earlier, which then counts a little longer.
+ */
+void rate_share_update(struct rate_share_table *table, uint64_t now_us)
 {
-	while (table->oldest && table->oldest->expires_us <= now_us)
-		drop_entry(table, table->oldest);
+	while (table->dormant.oldest &&
+	       table->dormant.oldest->times.active_us <= now_us)
+		renew(table, table->dormant.oldest, true);
+	while (table->active.oldest &&
+	       table->active.oldest->times.expires_us <= now_us)
+		drop_entry(table, table->active.oldest);
 }
 
 bool rate_share_in_force(const struct rate_share_table *table,
--- a/lib/daemon/control_rates.c
+++ b/lib/daemon/control_rates.c
@@ -54,6 +54,15 @@
 	return c->daemon->settings.rate_ttl_ms * LWS_US_PER_MS;
 }
 
+static struct rate_share_stamp stamp_now(const struct control *c,
+					 uint64_t now_us)
+{
+	return (struct rate_share_stamp){
+		.allocator = rate_allocator_id(c->leader->allocator),
+		.handled_us = now_us,
+	};
+}
+
 static uint64_t share_us(const struct control *c)
 {
 	return c->daemon->settings.rate_share_ms * LWS_US_PER_MS;
@@ -70,6 +79,7 @@
 		.instance = session_name_hash(hello->name),
 		.incarnation = hello->incarnation,
 		.seq = rate->seq,
+		.answered = rate->stamp,
 	};
 
 	for (uint32_t i = 0; shares && i < rate->shares_count; i++) {
@@ -126,6 +136,7 @@
 	}
 	msg.rate.shares = assign_shares(c, now_us, hello, rate);
 	msg.rate.shares_count = msg.rate.shares ? rate->shares_count : 0;
+	msg.rate.stamp = stamp_now(c, now_us);
 	/*
 	 * A request with the maximum number of items may lack customers of
 	 * which the sender has tokens.
@@ -160,7 +171,7 @@
 			.cap = rate->shares[i].cap,
 		};
 	rate_client_take_shares(c->rate_client, lws_time_now_us(), rate->seq,
-				rate->share_us, shares,
+				rate->share_us, rate->stamp, shares,
 				shares ? rate->shares_count : 0);
 	talloc_free(shares);
 }
@@ -215,7 +226,11 @@
 static void share_with_self(struct control *c, uint64_t now_us, uint64_t seq)
 {
 	struct wire_hello self = { .incarnation = c->daemon->incarnation };
-	struct wire_rate rate = { .seq = seq, .share_us = share_us(c) };
+	struct wire_rate rate = {
+		.seq = seq,
+		.share_us = share_us(c),
+		.stamp = rate_client_answered(c->rate_client),
+	};
 	struct wire_rate_share *reports =
 		share_reports(c, UINT32_MAX, &rate.shares_count);
 
@@ -224,6 +239,7 @@
 	rate.shares = assign_shares(c, now_us, &self, &rate);
 	if (!rate.shares)
 		rate.shares_count = 0;
+	rate.stamp = stamp_now(c, now_us);
 	take_shares(c, &rate);
 	talloc_free(rate.shares);
 	talloc_free(reports);
@@ -258,7 +274,9 @@
 				uint32_t count)
 {
 	struct wire_msg msg = { .type = WIRE_RATE_REQUEST,
-				.rate = { .seq = seq } };
+				.rate = { .seq = seq,
+					  .stamp = rate_client_answered(
+						  c->rate_client) } };
 
 	msg.rate.items = talloc_zero_array(c, struct wire_rate_item, count + 1);
 	msg.rate.count = count < WIRE_RATE_MAX ? count : WIRE_RATE_MAX;
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -235,8 +235,8 @@
 		return;
 	pack_u64(w, RATE_SHARES_FOLLOW);
 	pack_u64(w, rate->share_us);
-	pack_u64(w, 0);
-	pack_u64(w, 0);
+	pack_u64(w, rate->stamp.allocator);
+	pack_u64(w, rate->stamp.handled_us);
 	for (uint32_t i = 0; i < rate->shares_count; i++) {
 		pack_u64(w, ~rate->shares[i].customer);
 		pack_u64(w, rate->shares[i].demand_milli);
@@ -281,8 +281,8 @@
 
 		if (item.customer == RATE_SHARES_FOLLOW) {
 			rate->share_us = pack_read_u64(&in);
-			(void)pack_read_u64(&in);
-			(void)pack_read_u64(&in);
+			rate->stamp.allocator = pack_read_u64(&in);
+			rate->stamp.handled_us = pack_read_u64(&in);
 			rate_shares_unpack(&in, mem_ctx, rate, count - i - 1);
 			break;
 		}
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -8,6 +8,7 @@
 #include "fleet.h"
 #include "forward.h"
 #include "raft.h"
+#include "rate_share.h"
 
 /**
  * DOC: Messages between instances.
@@ -197,6 +198,7 @@
  * @items: one item for each customer
  * @share_us: reply: term of the shares, counted from the time when the request
  *            was sent
+ * @stamp: request: that of the newest reply; reply: that of the request
  * @shares_count: number of @shares; with the items at most WIRE_RATE_MAX
  * @shares: one for each customer with a share or a demand
  *
@@ -210,6 +212,7 @@
 	uint32_t count;
 	struct wire_rate_item *items;
 	uint64_t share_us;
+	struct rate_share_stamp stamp;
 	uint32_t shares_count;
 	struct wire_rate_share *shares;
 };
