--- a/tests/test_rate_shares.c
+++ b/tests/test_rate_shares.c
@@ -915,6 +915,20 @@
 	g_assert_cmpuint(take_all(&bucket, starts + 2000 * MS), ==, 0);
 }
 
+/* Guards against a cap on top of the granted tokens. */
+static void test_granted_count_towards_cap(void)
+{
+	struct rate_bucket bucket = { .customer = CUSTOMER };
+	uint64_t now = 1000 * MS;
+	uint64_t starts = now + RATE_SHARE_START_US;
+
+	rate_bucket_set_share(&bucket, now, now + TERM, &ten_per_s);
+	rate_bucket_add(&bucket, now, now, TERM, 3);
+	rate_bucket_accrue(&bucket, starts);
+	rate_bucket_accrue(&bucket, starts + 1000 * MS);
+	g_assert_cmpuint(take_all(&bucket, starts + 1000 * MS), ==, 5);
+}
+
 /*
  * Guards against accrued tokens that are lost, or counted twice, when the
  * allocator answers again: it counts only those that the request reported.
@@ -1041,6 +1055,84 @@
 	talloc_free(a);
 }
 
+/*
+ * Guards against granted tokens that take the room of a dormant share: when it
+ * starts to accrue, nothing can be taken back.
+ */
+static void test_caps_are_reserved(void)
+{
+	uint64_t now = 1000 * MS;
+	struct rate_allocator *a = create_allocator(6, now);
+	struct rate_request request = { .customer = CUSTOMER, .want = 100 };
+	const struct rate_share none = { 0 };
+	struct rate_share share;
+	uint32_t granted = 0;
+
+	for (uint64_t i = 6; i >= 1; i--)
+		share = report(a, now, message_of(i, 1, 1), 0, none);
+	share = report(a, now, message_of(1, 1, 2), 50, none);
+	g_assert_cmpuint(share.cap, >=, 20);
+	now += 5000 * MS;
+	/* It reports again, so its share does not end. */
+	share = report(a, now, message_of(1, 1, 3), 50, share);
+	for (uint64_t i = 2; i <= 6; i++) {
+		request.held = 0;
+		granted += rate_allocator_grant(a, now, i, 1, 2, &request);
+	}
+	g_assert_cmpuint(granted, >, 50);
+	g_assert_cmpuint(granted, <=, 100 - share.cap);
+	talloc_free(a);
+}
+
+struct dormant_case {
+	const char *name;
+	uint64_t allocator_offset;
+	uint64_t age_us;
+	bool dormant;
+};
+
+/*
+ * Guards against a share that counts as dormant although its holder may accrue:
+ * the request must name a recent answer of this allocator.
+ */
+static void test_dormant(void)
+{
+	static const struct dormant_case cases[] = {
+		{ "recent", 0, 100 * MS, true },
+		{ "old", 0, 300 * MS, false },
+		{ "other allocator", 1, 100 * MS, false },
+	};
+	const struct rate_share held = { CUSTOMER, 40 * RATE_SHARE_UNIT, 20 };
+
+	for (size_t k = 0; k < G_N_ELEMENTS(cases); k++) {
+		uint64_t now = 1000 * MS;
+		struct rate_allocator *a = create_allocator(2, now);
+		struct rate_request request = { .customer = CUSTOMER,
+						.want = 100 };
+		uint32_t granted = 0;
+
+		rate_allocator_mark_reported(a, now, 2);
+		for (uint64_t n = 1; n <= 20; n++) {
+			struct rate_share_sender sender = message_of(1, 1, n);
+
+			now += 100 * MS;
+			sender.answered = (struct rate_share_stamp){
+				rate_allocator_id(a) +
+					cases[k].allocator_offset,
+				now - cases[k].age_us
+			};
+			report(a, now, sender, 40, held);
+			granted +=
+				rate_allocator_grant(a, now, 2, 1, n, &request);
+		}
+		g_test_message("%s: %u", cases[k].name, granted);
+		/* 100 per second, or what 50 x 1.1 per second leave. */
+		g_assert_cmpuint(granted, >=, cases[k].dormant ? 180 : 80);
+		g_assert_cmpuint(granted, <=, cases[k].dormant ? 200 : 92);
+		talloc_free(a);
+	}
+}
+
 struct takeover_case {
 	const char *name;
 	uint32_t reported;
@@ -1177,6 +1269,11 @@
 	g_test_add_func("/rate-shares/limit-lowered", test_limit_lowered);
 	g_test_add_func("/rate-shares/suspended-holder", test_suspended_holder);
 	g_test_add_func("/rate-shares/accrual-cap", test_accrual_cap);
+	g_test_add_func("/rate-shares/granted-count-towards-cap",
+			test_granted_count_towards_cap);
+	g_test_add_func("/rate-shares/caps-are-reserved",
+			test_caps_are_reserved);
+	g_test_add_func("/rate-shares/dormant", test_dormant);
 	g_test_add_func("/rate-shares/answer-ends-accrual",
 			test_answer_ends_accrual);
 	g_test_add_func("/rate-shares/restart-frees-share",
