Test: statements are served while all control instances are suspended

/platform-daemon/no-leader guards against refusals within the rate after 0.6 s without an allocator, and expects the two log lines. The test of reserved caps now has a dormant share: before, it passed also without the reservation.

--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -1114,6 +1114,40 @@
 	return answer_of(c);
 }
 
+#define NO_LEADER_MS 2000
+
+/*
+ * All control instances are suspended: statements within the rate are served
+ * from the share of the instance, and the log tells from when to when. Without
+ * shares, all are refused from 0.6 s on.
+ */
+static void test_no_leader(void)
+{
+	struct test_fleet *f = fleet_start(3);
+	struct line_conn *c = open_session_at(f, 0);
+	gint64 until;
+
+	expect_eventually(c, "WRITE a b", "COMPLETE write-tag|READY I");
+	for (int n = 0; n < 60; n++) {
+		expect(c, "WRITE a b", "COMPLETE write-tag|READY I");
+		g_usleep(50 * 1000);
+	}
+	for (uint32_t i = 1; i <= f->controls; i++)
+		kill(f->pids[i], SIGSTOP);
+	until = g_get_monotonic_time() + NO_LEADER_MS * 1000;
+	while (g_get_monotonic_time() < until) {
+		expect(c, "WRITE a b", "COMPLETE write-tag|READY I");
+		g_usleep(50 * 1000);
+	}
+	for (uint32_t i = 1; i <= f->controls; i++)
+		kill(f->pids[i], SIGCONT);
+	expect_log_line(f, SESSION_HOST, "rate_shares_only", "\"shares\":1");
+	expect_log_line(f, SESSION_HOST, "rate_shares_renewed", "\"accrued\":");
+	expect_eventually(c, "WRITE a b", "COMPLETE write-tag|READY I");
+	close_line(c);
+	fleet_stop(f);
+}
+
 /* The logs show the cause of a failed statement under its id. */
 static void test_failures_logged(void)
 {
@@ -1192,6 +1226,7 @@
 			test_holder_suspended);
 	g_test_add_func("/platform-daemon/holder-stops", test_holder_stops);
 	g_test_add_func("/platform-daemon/leader-stalls", test_leader_stalls);
+	g_test_add_func("/platform-daemon/no-leader", test_no_leader);
 	g_test_add_func("/platform-daemon/voters", test_voters);
 	g_test_add_func("/platform-daemon/failures-logged",
 			test_failures_logged);
--- a/tests/test_rate_shares.c
+++ b/tests/test_rate_shares.c
@@ -1065,6 +1065,7 @@
 	struct rate_allocator *a = create_allocator(6, now);
 	struct rate_request request = { .customer = CUSTOMER, .want = 100 };
 	const struct rate_share none = { 0 };
+	struct rate_share_sender sender = message_of(1, 1, 3);
 	struct rate_share share;
 	uint32_t granted = 0;
 
@@ -1073,8 +1074,10 @@
 	share = report(a, now, message_of(1, 1, 2), 50, none);
 	g_assert_cmpuint(share.cap, >=, 20);
 	now += 5000 * MS;
-	/* It reports again, so its share does not end. */
-	share = report(a, now, message_of(1, 1, 3), 50, share);
+	/* It reports again, so its share does not end, and is dormant. */
+	sender.answered =
+		(struct rate_share_stamp){ rate_allocator_id(a), now };
+	share = report(a, now, sender, 50, share);
 	for (uint64_t i = 2; i <= 6; i++) {
 		request.held = 0;
 		granted += rate_allocator_grant(a, now, i, 1, 2, &request);
