--- a/tests/test_rate_shares.c
+++ b/tests/test_rate_shares.c
@@ -1184,6 +1184,57 @@
 	}
 }
 
+/*
+ * Guards against granting the caps that a member without a report may have:
+ * 30 of the burst of 100, which is filled within 0.1 s.
+ */
+static void test_assumed_caps(void)
+{
+	uint64_t now = 1000 * MS;
+	struct rate_allocator *a = create_allocator(5, now);
+	struct rate_request request = { .customer = CUSTOMER, .want = 100 };
+	uint32_t granted = 0;
+
+	g_assert_cmpint(rate_allocator_set_limit(a, now, CUSTOMER, 1000, 100),
+			==, 0);
+	for (uint64_t i = 1; i <= 4; i++)
+		rate_allocator_mark_reported(a, now, i);
+	now += 1500 * MS;
+	for (uint64_t i = 1; i <= 4; i++)
+		granted += rate_allocator_grant(a, now, i, 1, 1, &request);
+	g_assert_cmpuint(granted, >=, 60);
+	g_assert_cmpuint(granted, <=, 70);
+	talloc_free(a);
+}
+
+/*
+ * Guards against a share from a reply to an earlier message: the allocator has
+ * seen a later report and no longer counts that share.
+ */
+static void test_late_reply(void)
+{
+	struct rate_client *client = rate_client_create(NULL);
+	struct rate_bucket *bucket = rate_client_bucket(client, CUSTOMER);
+	const struct rate_share_stamp stamp = { 1, 1 };
+	uint64_t now = 1000 * MS;
+	uint64_t first;
+	uint64_t second;
+	uint32_t count;
+
+	rate_client_use_shares(client);
+	atomic_fetch_add(&bucket->arrivals, 10);
+	g_assert_nonnull(rate_client_step(client, now, &first, &count));
+	now += RATE_CLIENT_TIMEOUT_US;
+	atomic_fetch_add(&bucket->arrivals, 10);
+	g_assert_nonnull(rate_client_step(client, now, &second, &count));
+	rate_client_take_shares(client, now, first, TERM, stamp, &ten_per_s, 1);
+	g_assert_cmpuint(atomic_load(&bucket->share_until_us), ==, 0);
+	rate_client_take_shares(client, now, second, TERM, stamp, &ten_per_s,
+				1);
+	g_assert_cmpuint(atomic_load(&bucket->share_until_us), ==, now + TERM);
+	talloc_free(client);
+}
+
 /* Admission */
 
 struct admission_case {
@@ -1283,6 +1334,8 @@
 			test_restart_frees_share);
 	g_test_add_func("/rate-shares/removal-waits", test_removal_waits);
 	g_test_add_func("/rate-shares/takeover", test_takeover);
+	g_test_add_func("/rate-shares/assumed-caps", test_assumed_caps);
+	g_test_add_func("/rate-shares/late-reply", test_late_reply);
 	g_test_add_func("/rate-shares/admission", test_admission);
 	return g_test_run();
 }
