Test raced evacuations, a domain that is cut off, an endpoint that restarts

Also checks that what only an evacuated primary can run is refused within the objective. The check failed at first because it counted reads that wait for the staleness to be known; it now counts the class whose statements all run at the primary.

--- a/tests/support_pool.c
+++ b/tests/support_pool.c
@@ -990,7 +990,7 @@
 		sim->false_not_run++;
 	if (error == STATEMENT_E_BUSY &&
 	    sim->now_us - c->attempt_us > class->objective_ms * MS)
-		sim->refused_late++;
+		sim->refused_late[c->class]++;
 	if (no_effect && c->attempts <= RETRIES &&
 	    sim->now_us - c->first_us < class->budget_ms * MS / 2)
 		schedule(sim, 50 * MS + lws_rng_below(&sim->rng, 50 * MS),
--- a/tests/support_pool.h
+++ b/tests/support_pool.h
@@ -139,7 +139,7 @@
 	/* Reports of a suspect primary. */
 	uint64_t reports;
 	/* Refusals that took longer than the objective. */
-	uint64_t refused_late;
+	uint64_t refused_late[3];
 };
 
 /**
--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -914,6 +914,91 @@
 	fleet_stop(f);
 }
 
+struct evacuation_sender {
+	const struct test_fleet *f;
+	const char *path;
+	int host;
+	int refused;
+};
+
+static gpointer send_evacuations(gpointer data)
+{
+	struct evacuation_sender *s = data;
+
+	for (int i = 0; i < 20; i++)
+		s->refused += http(s->f, s->host, 8462, "POST", s->path, "",
+				   NULL) != 200;
+	return NULL;
+}
+
+/*
+ * Two operators begin and withdraw at the same time, at different instances:
+ * every request is acknowledged, and all instances agree afterwards.
+ */
+static void test_evacuation_raced(void)
+{
+	struct test_fleet *f = fleet_start(3);
+	struct evacuation_sender senders[] = {
+		{ f, "/v1/evacuations/z2/begin", 1, 0 },
+		{ f, "/v1/evacuations/z2/finish", 2, 0 },
+		{ f, "/v1/evacuations/z3/begin", 3, 0 },
+		{ f, "/v1/evacuations/z3/finish", 1, 0 },
+	};
+	GThread *threads[G_N_ELEMENTS(senders)];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(senders); i++)
+		threads[i] =
+			g_thread_new("operator", send_evacuations, &senders[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(senders); i++) {
+		g_thread_join(threads[i]);
+		g_assert_cmpint(senders[i].refused, ==, 0);
+	}
+	g_assert_cmpint(
+		http(f, 1, 8462, "POST", "/v1/evacuations/z2/begin", "", NULL),
+		==, 200);
+	g_assert_cmpint(
+		http(f, 2, 8462, "POST", "/v1/evacuations/z3/finish", "", NULL),
+		==, 200);
+	for (int i = 0; i <= (int)f->controls; i++) {
+		wait_for_evacuation(f, i ? i : SESSION_HOST, "z2", true);
+		wait_for_evacuation(f, i ? i : SESSION_HOST, "z3", false);
+	}
+	fleet_stop(f);
+}
+
+/*
+ * The instances of the domain are cut off, here suspended, when it is
+ * evacuated, one of them the leader: the others commit it and move the primary,
+ * and those inside learn of it when they are back.
+ */
+static void test_evacuation_domain_cut_off(void)
+{
+	struct test_fleet *f = fleet_start(3);
+	struct line_conn *c = open_session(f, "pay", "k1");
+	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
+	int status = 0;
+
+	expect(c, "WRITE bed leila", "COMPLETE write-tag|READY I");
+	kill(f->pids[1], SIGSTOP);
+	while (status != 200 && g_get_monotonic_time() < until) {
+		status = http(f, 2, 8462, "POST", "/v1/evacuations/z1/begin",
+			      "", NULL);
+		g_assert_true(status == 200 || status == 503);
+		g_usleep(20 * 1000);
+	}
+	g_assert_cmpint(status, ==, 200);
+	wait_for_evacuation(f, SESSION_HOST, "z1", true);
+	expect_control_log_line(f, "succession_started", "primary_evacuated");
+	expect_control_log_line(f, "promote_answered", "\"error\":\"ok\"");
+	expect_eventually(c, "WRITE bed abel", "COMPLETE write-tag|READY I");
+	expect_eventually(c, "READ bed",
+			  "DATAROW abel:-|COMPLETE read-tag|READY I");
+	kill(f->pids[1], SIGCONT);
+	wait_for_evacuation(f, 1, "z1", true);
+	close_line(c);
+	fleet_stop(f);
+}
+
 /*
  * Without a majority a request is not acknowledged, also if the domain is
  * unknown to the instance; sent again to a majority, it is.
@@ -1344,6 +1429,10 @@
 	g_test_add_func("/platform-daemon/leader-stalls", test_leader_stalls);
 	g_test_add_func("/platform-daemon/voters", test_voters);
 	g_test_add_func("/platform-daemon/evacuation", test_evacuation);
+	g_test_add_func("/platform-daemon/evacuation-raced",
+			test_evacuation_raced);
+	g_test_add_func("/platform-daemon/evacuation-domain-cut-off",
+			test_evacuation_domain_cut_off);
 	g_test_add_func("/platform-daemon/evacuation-without-majority",
 			test_evacuation_without_majority);
 	g_test_add_func("/platform-daemon/evacuation-leader-killed",
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -119,6 +119,27 @@
 	g_assert_cmpuint(sim->endpoints[1].connections, ==, 0);
 }
 
+/*
+ * An endpoint restarts while its domain is evacuated: it gets nothing either.
+ */
+static void restarted_evacuated_replica(struct pool_sim *sim)
+{
+	struct fleet_endpoint *e = &sim->fleet->groups[0].endpoint[1];
+	uint64_t before;
+
+	evacuated_replica(sim);
+	before = commands_at(sim, 1);
+	e->present = false;
+	pool_sim_fleet_changed(sim);
+	pool_sim_run(sim, 100 * MS);
+	e->present = true;
+	e->incarnation++;
+	pool_sim_fleet_changed(sim);
+	pool_sim_run(sim, 1000 * MS);
+	g_assert_cmpuint(commands_at(sim, 1), ==, before);
+	g_assert_cmpuint(sim->endpoints[1].connections, ==, 0);
+}
+
 /* After the end of an evacuation, the endpoint serves reads again. */
 static void restored_replica(struct pool_sim *sim)
 {
@@ -162,14 +183,18 @@
 	pool_sim_run(sim, 1200 * MS);
 	before = commands_at(sim, 0);
 	handshakes = sim->endpoints[0].handshakes;
-	sim->refused_late = 0;
+	sim->refused_late[0] = 0;
 	memset(sim->tallies, 0, sizeof(sim->tallies));
 	pool_sim_run(sim, 3000 * MS);
 	g_assert_cmpuint(commands_at(sim, 0), ==, before);
 	g_assert_cmpuint(sim->endpoints[0].handshakes, ==, handshakes);
 	g_assert_cmpuint(sim->endpoints[0].connections, ==, 0);
-	/* What only the primary can run is refused at once. */
+	/*
+	 * What only the primary can run is refused at once: all callers of the
+	 * first class are, whose reads run at the primary.
+	 */
 	g_assert_cmpuint(sim->tallies[0].refused, >, 0);
+	g_assert_cmpuint(sim->refused_late[0], ==, 0);
 	set_evacuated(sim, 0, false);
 	pool_sim_run(sim, 500 * MS);
 	g_assert_cmpuint(commands_at(sim, 0), >, before);
@@ -238,6 +263,7 @@
 	{ "unresponsive-primary", unresponsive_primary, 0.5 },
 	{ "departed-primary", departed_primary, 0 },
 	{ "evacuated-replica", evacuated_replica, 0.9 },
+	{ "restarted-evacuated-replica", restarted_evacuated_replica, 0.9 },
 	{ "restored-replica", restored_replica, 0.95 },
 	{ "evacuated-primary", evacuated_primary, 0.9 },
 	{ "evacuated-primary-without-successor",
