Managed failover: don't take an endpoint's role as the outcome of a call

Cause: after a promotion call without an answer, the attempt committed the primary as soon as the chosen endpoint reported to be primary. If it was primary before the call, or if an earlier call was unresolved, that does not show that the platform has seen the token: an earlier call for another endpoint could still be carried out after replication was resumed, and lose acknowledged commits.

Change: the role resolves a call only if the endpoint was no primary before and no earlier call was unresolved; otherwise the next attempt asks again with a higher token. Transactions at an evacuated primary end with the grace period also if their statements follow each other without a tick in between.

--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -71,6 +71,11 @@
 	bool primary_unwanted;
 	/* A promotion call has no known outcome; it may still take effect. */
 	bool unresolved_call;
+	/*
+	 * The chosen endpoint was no primary before the call, and no earlier
+	 * call was unresolved: once it is primary, the call has taken effect.
+	 */
+	bool role_resolves_call;
 	bool probe_failed;
 	uint64_t probe_us;
 	bool probing;
@@ -349,6 +354,8 @@
 	struct managed_failover_action *a;
 
 	LWS_STR_COPY(s->choice, m->id);
+	s->role_resolves_call =
+		!s->unresolved_call && !(m->answered && m->status.primary);
 	s->unresolved_call = true;
 	enter_phase(s, now_us, PHASE_PROMOTE);
 	a = push_action(s, MANAGED_FAILOVER_PROMOTE);
@@ -388,11 +395,11 @@
 	if (!s->group.primary_term || !replicas || answered < replicas)
 		return;
 	/*
-	 * The agreed primary reports to be primary and is neither suspect nor
-	 * leaving: promoting it again ends the unfinished attempt.
+	 * The agreed primary reports to be primary and may stay: promoting it
+	 * again ends the unfinished attempt.
 	 */
 	if (newest_primary && is_primary(s, newest_primary) &&
-	    !s->primary_unwanted) {
+	    !s->primary_unwanted && !must_evacuate(s)) {
 		request_promotion(s, now_us, newest_primary);
 		return;
 	}
@@ -447,13 +454,35 @@
 		request_promotion(s, now_us, choice);
 }
 
+/*
+ * While a promotion call may still take effect, the replicas stay paused: no
+ * commit may be acknowledged that its endpoint lacks.
+ */
+static void abandon_attempt(struct managed_failover *s, uint64_t now_us)
+{
+	if (!s->unresolved_call)
+		resume_all(s, now_us);
+	s->last_attempt_us = now_us;
+	enter_phase(s, now_us, PHASE_IDLE);
+}
+
 /* Asks the chosen endpoint for its role until it reports to be primary. */
 static void await_primary(struct managed_failover *s, uint64_t now_us)
 {
 	struct member *m = find_member(s, s->choice);
 
 	if (m && m->answered && m->status.primary) {
-		commit_primary(s, now_us, m->id);
+		if (s->role_resolves_call)
+			s->unresolved_call = false;
+		/*
+		 * The platform may not have seen the token of this call, and
+		 * still carry out an earlier one for another endpoint, so no
+		 * commit may be acknowledged yet.
+		 */
+		if (s->unresolved_call)
+			abandon_attempt(s, now_us);
+		else
+			commit_primary(s, now_us, m->id);
 		return;
 	}
 	if (m && poll_due(s, m, now_us))
@@ -572,18 +601,6 @@
 	start_attempt(s, now_us, reason);
 }
 
-/*
- * While a promotion call may still take effect, the replicas stay paused: no
- * commit may be acknowledged that its endpoint lacks.
- */
-static void abandon_attempt(struct managed_failover *s, uint64_t now_us)
-{
-	if (!s->unresolved_call)
-		resume_all(s, now_us);
-	s->last_attempt_us = now_us;
-	enter_phase(s, now_us, PHASE_IDLE);
-}
-
 void managed_failover_tick(struct managed_failover *s, uint64_t now_us)
 {
 	if (s->phase != PHASE_IDLE &&
--- a/lib/route/router.c
+++ b/lib/route/router.c
@@ -329,9 +329,11 @@
 static void submit_in_transaction(struct router *rt, uint64_t now_us,
 				  struct request *r)
 {
-	struct router_conn *c =
-		router_conn_of_transaction(rt, r->spec.transaction);
+	struct router_conn *c;
 
+	/* Its statements may follow each other without a tick in between. */
+	leave_evacuated_primary(rt, now_us);
+	c = router_conn_of_transaction(rt, r->spec.transaction);
 	if (!c) {
 		router_answer(rt, r, LWS_E_TX_UNKNOWN);
 		return;
--- a/lib/session/pooler_group.c
+++ b/lib/session/pooler_group.c
@@ -287,7 +287,7 @@
 /* Evacuation of failure domains */
 
 /* Ends a transaction whose connection runs no statement. */
-static void end_transaction(struct pool_conn *c, uint64_t now_us)
+void pool_end_transaction(struct pool_conn *c, uint64_t now_us)
 {
 	struct pool_session *s = c->session;
 	bool commit = s->busy && s->job.st.kind == STATEMENT_COMMIT;
@@ -320,7 +320,7 @@
 		next = c->next;
 		if (s && (c->state == CONN_PINNED ||
 			  (s->busy && s->job.place == JOB_RETRY_ON_CONN)))
-			end_transaction(c, now_us);
+			pool_end_transaction(c, now_us);
 	}
 }
 
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -561,6 +561,7 @@
 void pool_group_update(struct pool_group *g, uint64_t now_us,
 		       const struct fleet_group *state);
 void pool_report(struct pool_group *g, bool again);
+void pool_end_transaction(struct pool_conn *c, uint64_t now_us);
 void pool_update_evacuations(struct pooler *p, const struct fleet *fleet);
 
 #endif
--- a/lib/session/pooler_statement.c
+++ b/lib/session/pooler_statement.c
@@ -464,6 +464,12 @@
 		pooler_forward_statement(s, now_us);
 		return;
 	}
+	/* Its statements may follow each other without a tick in between. */
+	if (s->conn &&
+	    pool_is_past_evacuation_grace(s->conn->endpoint, now_us)) {
+		pool_end_transaction(s->conn, now_us);
+		return;
+	}
 	job->deadline_us = pooler_send_by_us(s);
 	if (s->conn) {
 		job->kind = JOB_IN_TRANSACTION;
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -492,6 +492,30 @@
 	tear_down(f);
 }
 
+/*
+ * The statements of a transaction follow each other without a pause: it still
+ * ends when the grace period of its evacuated primary is over.
+ */
+static void test_transaction_at_evacuated_primary(void)
+{
+	struct fixture *f = set_up(0);
+	struct router_request r;
+
+	begin(f, 77);
+	router_set_evacuated(f->rt, f->now, 1, f->now);
+	process_actions(f);
+	r = in_tx(f, ROUTER_WRITE, 77);
+	submit(f, &r);
+	done(f, ROUTER_DONE, 1, 1, 10);
+	f->now += 501 * MS;
+	f->execs = 0;
+	r = in_tx(f, ROUTER_WRITE, 77);
+	submit(f, &r);
+	g_assert_cmpuint(f->execs, ==, 0);
+	g_assert_cmpint(f->answer.rc, ==, LWS_E_TX_UNKNOWN);
+	tear_down(f);
+}
+
 static void test_disconnected_caller_rolls_back(void)
 {
 	struct fixture *f = set_up(0);
@@ -827,6 +851,7 @@
 	ADD("tx/lost-commit", test_lost_commit_is_unknown);
 	ADD("leaving", test_leaving_endpoint_gets_no_new_requests);
 	ADD("evacuated-replica", test_evacuated_replica);
+	ADD("tx/evacuated-primary", test_transaction_at_evacuated_primary);
 	for (size_t i = 0; i < G_N_ELEMENTS(evacuated_primary_cases); i++) {
 		g_autofree char *path =
 			g_strdup_printf("/router/evacuated-primary/%s",
