--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -50,6 +50,7 @@
 	bool command_sent;
 	uint64_t command_sent_us;
 	bool answered;
+	uint64_t answered_us;
 	bool paused;
 	struct endpoint_status status;
 };
@@ -372,6 +373,10 @@
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		struct member *m = &s->members[i];
 
+		/* An earlier call may have ended its role since. */
+		if (m->answered && m->status.primary &&
+		    now_us - m->answered_us >= s->params.command_retry_us)
+			m->answered = false;
 		if (!m->answered)
 			send_if_due(s, m, now_us, COMMAND_STATUS);
 		if (is_primary(s, m))
@@ -754,6 +759,7 @@
 		return;
 	}
 	m->answered = true;
+	m->answered_us = now_us;
 	m->status = *status;
 	if (kind == COMMAND_PAUSE && status->paused_below_term >= s->pause_term)
 		m->paused = true;
