--- a/tests/support_pool.h
+++ b/tests/support_pool.h
@@ -148,7 +148,7 @@
 	/* Reports of a suspect primary. */
 	uint64_t reports;
 	/* Refusals that took longer than the objective. */
-	uint64_t refused_late;
+	uint64_t refused_late[3];
 	struct regions regions;
 	/* Nothing passes between regions. */
 	bool regions_cut;
