Pooler: learn the capacity of endpoints (--capacity=learned)

Cause: endpoints of one group differ in speed, and the additive-increase limit neither places reads by speed nor notices that an endpoint slows down before it is full.

Change: lib/session/capacity learns, for each endpoint, a slowness relative to the group's usual service times and the number of own statements in progress that cause no queue.

--- a/bench/bench_pooler.c
+++ b/bench/bench_pooler.c
@@ -104,7 +104,7 @@
 
 static void measure(const char *deployment,
 		    struct pool_sim_params (*params_of)(uint64_t seed),
-		    enum load load)
+		    enum load load, enum capacity_mode capacity)
 {
 	struct pool_tally classes[3] = { { 0 } };
 	struct pool_tally others = { 0 };
@@ -118,6 +118,7 @@
 		struct pool_sim *sim;
 
 		params = params_of(seed);
+		params.capacity = capacity;
 		sim = pool_sim_create(&params);
 		pool_sim_run(sim, 2 * S);
 		memset(sim->tallies, 0, sizeof(sim->tallies));
@@ -161,8 +162,14 @@
 	if (sodium_init() < 0)
 		return 1;
 	for (enum load load = 0; load < LOAD_COUNT; load++) {
-		measure("abay", pool_sim_abay, load);
-		measure("refugio", pool_sim_refugio, load);
+		measure("abay", pool_sim_abay, load, CAPACITY_AIMD);
+		measure("refugio", pool_sim_refugio, load, CAPACITY_AIMD);
+		measure("abay_learned", pool_sim_abay, load, CAPACITY_LEARNED);
+		measure("refugio_learned", pool_sim_refugio, load,
+			CAPACITY_LEARNED);
+		measure("grown", pool_sim_moorings_grown, load, CAPACITY_AIMD);
+		measure("grown_learned", pool_sim_moorings_grown, load,
+			CAPACITY_LEARNED);
 	}
 	return any_failed;
 }
--- a/lib/daemon/session_server.c
+++ b/lib/daemon/session_server.c
@@ -679,6 +679,11 @@
 	metrics_put(out, name, stats->running);
 	snprintf(name, sizeof(name), "endpoint_limit{%s}", labels);
 	metrics_put(out, name, (uint64_t)stats->limit);
+	if (stats->slowness > 0) {
+		snprintf(name, sizeof(name), "endpoint_slowness_permille{%s}",
+			 labels);
+		metrics_put(out, name, (uint64_t)(stats->slowness * 1000));
+	}
 	metrics_put_histogram(out, "endpoint_answered_us", labels,
 			      stats->answered_us);
 }
@@ -730,6 +735,8 @@
 		.suspect_us = s->suspect_ms * LWS_US_PER_MS,
 		.leaving_grace_us = s->leave_ms * LWS_US_PER_MS,
 		.customer_bound = true,
+		.capacity = s->capacity,
+		.replacement_min_us = s->replacement_min_ms * LWS_US_PER_MS,
 		.seed = c->daemon->incarnation,
 	};
 	struct pooler_ops ops = {
--- a/lib/daemon/settings.c
+++ b/lib/daemon/settings.c
@@ -19,6 +19,7 @@
 	SETTING_TEXT,
 	SETTING_NUMBER,
 	SETTING_LEVEL,
+	SETTING_CAPACITY,
 };
 
 /*
@@ -94,6 +95,12 @@
 	  SETTING_NUMBER, AT(suspect_ms), 20, 60000 },
 	{ "drain-ms", "N", "Limit for a graceful shutdown (10000)",
 	  SETTING_NUMBER, AT(drain_ms), 100, 600000 },
+	{ "capacity", "METHOD",
+	  "Limit of statements at an endpoint: aimd or learned (aimd)",
+	  SETTING_CAPACITY, AT(capacity), 0, 0 },
+	{ "replacement-min-ms", "N",
+	  "A lost primary is not replaced faster than this; 0: unknown (0)",
+	  SETTING_NUMBER, AT(replacement_min_ms), 0, 60000 },
 	{ "log-level", "LEVEL", "error, warn, info or debug (info)",
 	  SETTING_LEVEL, AT(log_level), 0, 0 },
 };
@@ -121,6 +128,17 @@
 	return 0;
 }
 
+static int set_capacity(struct settings *s, const char *value)
+{
+	if (strcmp(value, "aimd") == 0)
+		s->capacity = CAPACITY_AIMD;
+	else if (strcmp(value, "learned") == 0)
+		s->capacity = CAPACITY_LEARNED;
+	else
+		return LWS_E_ARGUMENT;
+	return 0;
+}
+
 static int set_one(struct settings *s, const struct setting *setting,
 		   const char *value)
 {
@@ -141,6 +159,8 @@
 		return set_number(s, setting, value);
 	case SETTING_LEVEL:
 		return lws_log_parse_level(value, &s->log_level);
+	case SETTING_CAPACITY:
+		return set_capacity(s, value);
 	}
 	*text_of(s, setting) = value;
 	return 0;
@@ -154,6 +174,7 @@
 		[SETTING_ADDRESS] = "an IP address and a port, IP:PORT",
 		[SETTING_TEXT] = "a non-empty text",
 		[SETTING_LEVEL] = "error, warn, info or debug",
+		[SETTING_CAPACITY] = "aimd or learned",
 	};
 
 	if (setting->kind == SETTING_NUMBER)
--- a/lib/daemon/settings.h
+++ b/lib/daemon/settings.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "capacity.h"
 #include "lws_log.h"
 
 /**
@@ -51,6 +52,8 @@
  * @bootstrap_from_seeds: the instances of @control bootstrap a new cluster
  *                        without an operator if the data directories of all
  *                        of them are empty
+ * @capacity: how the limit of statements in progress at an endpoint is found
+ * @replacement_min_ms: a primary is not replaced faster than this; 0: unknown
  * @voters: number of control instances that vote; 0: keep those of the
  *          bootstrap
  */
@@ -83,6 +86,8 @@
 	const char *statement_listen;
 	const char *metrics_listen;
 	bool bootstrap_from_seeds;
+	enum capacity_mode capacity;
+	uint32_t replacement_min_ms;
 	uint32_t voters;
 };
 
--- a/lib/session/pooler.c
+++ b/lib/session/pooler.c
@@ -465,6 +465,7 @@
 			.running = e->running,
 			.limit = e->limit,
 			.service_us = e->service_us,
+			.slowness = e->capacity.slowness,
 			.answered_us = &e->answered_us,
 		};
 		return true;
--- a/lib/session/pooler.h
+++ b/lib/session/pooler.h
@@ -1,6 +1,7 @@
 #ifndef POOLER_H
 #define POOLER_H
 
+#include "capacity.h"
 #include "catalog.h"
 #include "fleet.h"
 #include "forward.h"
@@ -48,6 +49,10 @@
  *                    this instance learned that it leaves, then none, even if
  *                    there is no successor; 0 for no limit
  * @customer_bound: a connection serves only the customer it was opened for
+ * @capacity: how the limit of statements in progress at an endpoint is found
+ * @replacement_min_us: a primary is not replaced faster than this after this
+ *                      instance noticed its loss; 0 if unknown. Used only with
+ *                      CAPACITY_LEARNED.
  * @seed: seed for jitter
  */
 struct pooler_params {
@@ -57,6 +62,8 @@
 	uint64_t suspect_us;
 	uint64_t leaving_grace_us;
 	bool customer_bound;
+	enum capacity_mode capacity;
+	uint64_t replacement_min_us;
 	uint64_t seed;
 };
 
@@ -319,6 +326,8 @@
  * @running: number of statements in progress
  * @limit: maximum number of concurrent statements and connection openings
  * @service_us: moving average of the service time of a statement
+ * @slowness: learned service time relative to the group's usual one, 0 if
+ *            unknown or not learned
  * @answered_us: service times of the statements that it did not refuse to run
  */
 struct pooler_endpoint_stats {
@@ -330,6 +339,7 @@
 	uint32_t running;
 	double limit;
 	uint64_t service_us;
+	double slowness;
 	const struct lws_histogram *answered_us;
 };
 
--- a/lib/session/pooler_answers.c
+++ b/lib/session/pooler_answers.c
@@ -16,13 +16,19 @@
 		e->limit = POOL_LIMIT_MIN;
 }
 
-static void record_service_time(struct pool_conn *conn, uint64_t now_us)
+static void record_service_time(struct pool_conn *conn, uint64_t now_us,
+				enum statement_error error)
 {
 	struct pool_endpoint *e = conn->endpoint;
 	uint64_t took = now_us - conn->sent_us;
 
-	if (took > conn->session->objective_ms * LWS_US_PER_MS *
-			   POOL_SLOW_PERCENT / 100) {
+	if (pool_learns(e->group)) {
+		pool_learn_answer(conn, now_us, error);
+		/* The time of an error says nothing about the speed. */
+		if (error)
+			return;
+	} else if (took > conn->session->objective_ms * LWS_US_PER_MS *
+				  POOL_SLOW_PERCENT / 100) {
 		lower_limit(e, now_us);
 	} else {
 		e->limit += POOL_LIMIT_INCREASE;
@@ -51,7 +57,10 @@
 
 	switch (error) {
 	case STATEMENT_E_BUSY:
-		lower_limit(e, now_us);
+		if (pool_learns(e->group))
+			pool_learn_refusal(e, now_us);
+		else
+			lower_limit(e, now_us);
 		e->busy_pause_us =
 			next_pause_us(e->busy_pause_us, POOL_BUSY_PAUSE_US,
 				      POOL_BUSY_PAUSE_MAX_US);
@@ -150,7 +159,7 @@
 
 	if (conn->step == STEP_STATEMENT) {
 		if (!statement_error_not_run(result->error))
-			record_service_time(conn, now_us);
+			record_service_time(conn, now_us, result->error);
 		pooler_job_result(s, now_us, result);
 		return;
 	}
--- a/lib/session/pooler_conns.c
+++ b/lib/session/pooler_conns.c
@@ -232,6 +232,7 @@
 {
 	conn->expected += count;
 	conn->sent_us = now_us;
+	conn->in_progress = conn->endpoint->running + conn->endpoint->opening;
 	ops_of(conn)->send(ops_of(conn)->private_data, conn->link, commands,
 			   count);
 }
--- a/lib/session/pooler_dispatch.c
+++ b/lib/session/pooler_dispatch.c
@@ -53,14 +53,15 @@
 {
 	const struct pooler *p = e->group->pooler;
 	uint64_t service = e->service_us ? e->service_us : POOL_SERVICE_US;
-	uint64_t cost = service * (e->running + 1);
+	uint64_t cost = pool_learns(e->group) ? pool_learned_cost(e, s)
+					      : service * (e->running + 1);
 
 	if (strcmp(e->failure_domain, p->params.failure_domain) != 0)
 		cost += POOL_OTHER_DOMAIN_US;
 	if (!pool_find_idle(e, s->customer, 0))
 		cost += POOL_HANDSHAKE_US;
 	/* The primary also serves the writes, so a read costs more there. */
-	if (e == e->group->primary)
+	if (e == e->group->primary && !pool_learns(e->group))
 		cost += service;
 	return cost;
 }
@@ -159,7 +160,8 @@
 			bool lagging = pool_is_lagging(e, &s->job);
 
 			if ((tried & (1U << i)) ||
-			    !pool_can_read(e, &s->job, now_us))
+			    !pool_can_read(e, &s->job, now_us) ||
+			    pool_is_reserved(e, s, now_us))
 				continue;
 			if (!best || lagging < best_lagging ||
 			    (lagging == best_lagging &&
@@ -278,7 +280,8 @@
 			       ? s
 			       : NULL;
 	if (!pool_find_min_position(s) || !pool_can_read(e, &s->job, now_us) ||
-	    (e == g->primary && replica_can_read(g, &s->job, now_us)))
+	    (e == g->primary && replica_can_read(g, &s->job, now_us)) ||
+	    pool_is_reserved(e, s, now_us))
 		return NULL;
 	return s;
 }
--- a/lib/session/pooler_group.c
+++ b/lib/session/pooler_group.c
@@ -50,6 +50,8 @@
 		return NULL;
 	e->group = g;
 	e->limit = POOL_LIMIT_INITIAL;
+	e->logged_limit = POOL_LIMIT_INITIAL;
+	capacity_init(&e->capacity);
 	LWS_STR_COPY(e->id, id);
 	g->endpoints[g->endpoints_count++] = e;
 	return e;
@@ -62,6 +64,10 @@
 	    e->incarnation != from->incarnation) {
 		LWS_STR_COPY(e->addr, from->addr);
 		e->incarnation = from->incarnation;
+		if (pool_learns(e->group)) {
+			capacity_reset_speed(&e->capacity);
+			e->limit = e->capacity.limit;
+		}
 		e->fail_until_us = 0;
 		e->failures = 0;
 		e->suspect = false;
@@ -70,6 +76,7 @@
 	LWS_STR_COPY(e->failure_domain, from->failure_domain);
 	e->known = true;
 	e->present = from->present;
+	capacity_set_slots(&e->capacity, from->slots);
 	if (!from->leaving)
 		e->leaving_since_us = 0;
 	else if (!e->leaving_since_us)
@@ -124,6 +131,7 @@
 		if (primary != g->primary)
 			abort_open_transactions(g, now_us);
 		g->primary = primary;
+		g->primary_lost_us = primary ? 0 : now_us;
 		g->primary_term = state ? state->primary_term : 0;
 		if (primary) {
 			primary->suspect = false;
@@ -255,5 +263,6 @@
 	}
 	watch_primary(g, now_us);
 	free_removed(g);
+	pool_refuse_hopeless(g, now_us);
 	pool_dispatch(g, now_us);
 }
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -2,6 +2,7 @@
 #define POOLER_INTERNAL_H
 
 #include "admission.h"
+#include "capacity.h"
 #include "fair_queue.h"
 #include "holders.h"
 #include "lws_rng.h"
@@ -87,6 +88,12 @@
 #define POOL_REUSE_MIN_LEFT_PERCENT 40
 /* Part of its timeout that a statement may wait before it is sent. */
 #define POOL_WAIT_PERCENT 60
+/*
+ * A queued statement is refused only if even this part of its expected wait is
+ * too long: the expected wait is an estimate, and what could be served must not
+ * be refused.
+ */
+#define POOL_CERTAIN_PERCENT 50
 /*
  * Shortest pause after an endpoint refused a connection for lack of capacity:
  * the duration of about ten statements. A random time below this is added.
@@ -184,6 +191,11 @@
 	enum conn_step step;
 	/* Number of unanswered commands. */
 	uint32_t expected;
+	/*
+	 * Statements and connection openings of this instance at the endpoint
+	 * when the last command was sent.
+	 */
+	uint32_t in_progress;
 	struct pool_session *session;
 	char customer[CATALOG_NAME_MAX];
 	/* Session values and prepared statements set on the connection. */
@@ -204,6 +216,8 @@
  * @opening, @running: number of connections in CONN_OPENING, CONN_RUNNING
  * @service_us: moving average of the service time of a statement
  * @limit: concurrency limit for statements and connection openings
+ * @capacity: what is learned about it, with CAPACITY_LEARNED
+ * @logged_limit, @logged_us: @limit at the last log line about it, and its time
  * @full_until_us: end of the pause of openings after a refusal for lack of
  *                 capacity
  * @busy_until_us: end of the pause of statements after the endpoint answered
@@ -236,6 +250,9 @@
 	struct lws_histogram answered_us;
 	double limit;
 	uint64_t limit_lowered_us;
+	struct capacity capacity;
+	double logged_limit;
+	uint64_t logged_us;
 	uint64_t full_until_us;
 	uint64_t busy_until_us;
 	uint64_t busy_pause_us;
@@ -282,6 +299,14 @@
 	struct pool_endpoint *endpoints[FLEET_ENDPOINTS_MAX];
 	struct pool_endpoint *primary;
 	uint64_t primary_term;
+	/* When this instance learned that there is no primary; 0 if there is.
+	 */
+	uint64_t primary_lost_us;
+	struct capacity_kinds kinds;
+	/* Arrivals of statements that only the primary can run. */
+	uint64_t primary_arrived_us;
+	uint64_t primary_interval_us;
+	uint32_t primary_priority_class;
 	uint32_t samples_count;
 	uint32_t samples_next;
 	struct pool_position_sample samples[POOL_POSITION_SAMPLES];
@@ -446,6 +471,8 @@
 /* pooler_statement.c: checks before a statement is queued */
 void pooler_refuse_queue_full(struct pool_session *s, uint64_t now_us,
 			      uint64_t wait_us);
+void pooler_refuse_replacement(struct pool_session *s, uint64_t now_us,
+			       uint64_t wait_us);
 void pooler_requeue(struct pool_session *s, uint64_t now_us);
 struct pool_group *pooler_group_of(struct pooler *p, const char *name);
 enum statement_error pooler_check_access(struct pool_session *s,
@@ -515,6 +542,21 @@
 int pool_enqueue(struct pool_session *s, uint64_t now_us,
 		 uint64_t *expected_us);
 void pool_move_late(struct pool_group *g, uint64_t now_us);
+/* Refuses queued statements that are known not to be served in time. */
+void pool_refuse_hopeless(struct pool_group *g, uint64_t now_us);
+
+/* pooler_capacity.c: decisions by learned capacity */
+bool pool_learns(const struct pool_group *g);
+void pool_learn_answer(struct pool_conn *conn, uint64_t now_us,
+		       enum statement_error error);
+void pool_learn_refusal(struct pool_endpoint *e, uint64_t now_us);
+void pool_learn_arrival(const struct pool_session *s, uint64_t now_us);
+uint64_t pool_learned_cost(const struct pool_endpoint *e,
+			   const struct pool_session *s);
+bool pool_is_reserved(const struct pool_endpoint *e,
+		      const struct pool_session *s, uint64_t now_us);
+/* Returns 0 if the primary may be back in time, else when to retry. */
+uint64_t pool_replacement_us(const struct pool_session *s, uint64_t now_us);
 
 /* pooler_dispatch.c: choice of the next statement and of its endpoint */
 bool pool_is_lagging(const struct pool_endpoint *e, const struct pool_job *job);
--- a/lib/session/pooler_queue.c
+++ b/lib/session/pooler_queue.c
@@ -23,19 +23,22 @@
 }
 
 /**
- * struct capacity - capacity of the endpoints that may serve a statement
+ * struct usable_capacity - capacity of the endpoints that may serve a statement
  * @limit: sum of their concurrency limits
  * @service_us: longest of their service times
+ * @per_us: statements that they answer per microsecond; 0 if not learned
  */
-struct capacity {
+struct usable_capacity {
 	double limit;
 	uint64_t service_us;
+	double per_us;
 };
 
-static struct capacity capacity_for(const struct pool_session *s)
+static struct usable_capacity capacity_for(const struct pool_session *s)
 {
 	const struct pool_group *g = s->job.group;
-	struct capacity sum = { 0 };
+	struct usable_capacity sum = { 0 };
+	bool learns = pool_learns(g);
 
 	for (uint32_t i = 0; i < g->endpoints_count; i++) {
 		const struct pool_endpoint *e = g->endpoints[i];
@@ -43,14 +46,18 @@
 		if (!may_serve(s, e))
 			continue;
 		sum.limit += e->limit;
+		if (learns && e->service_us)
+			sum.per_us += e->limit / (double)e->service_us;
 		if (e->service_us > sum.service_us)
 			sum.service_us = e->service_us;
 	}
 	return sum;
 }
 
-static uint64_t expected_wait_us(struct capacity c, uint64_t ahead)
+static uint64_t expected_wait_us(struct usable_capacity c, uint64_t ahead)
 {
+	if (c.per_us > 0)
+		return (uint64_t)((double)ahead / c.per_us);
 	return c.limit > 0
 		       ? (uint64_t)((double)(ahead * c.service_us) / c.limit)
 		       : 0;
@@ -114,12 +121,13 @@
 {
 	struct pool_job *job = &s->job;
 	struct pool_group *g = job->group;
-	struct capacity capacity;
+	struct usable_capacity capacity;
 	uint64_t start_us;
 	bool late;
 
 	if (job->anywhere)
 		(void)pool_find_min_position(s);
+	pool_learn_arrival(s, now_us);
 	capacity = capacity_for(s);
 	*expected_us = expected_wait_us(
 		capacity, count_ahead(s, queue_in(&g->in_time, s)));
@@ -164,6 +172,66 @@
 	}
 }
 
+/* Takes a queued statement out of its queue, to refuse it. */
+static void unqueue(struct pool_session *s)
+{
+	fair_queue_remove(s->job.queue, &s->job.item);
+	s->job.place = JOB_NONE;
+}
+
+/* Refuses those that wait for a primary that cannot be replaced in time. */
+static void refuse_unreplaced(struct fair_queue *q, uint64_t now_us)
+{
+	struct fair_queue_item *items[FAIR_QUEUE_LIST_MAX];
+	uint32_t n = fair_queue_list(q, items, FAIR_QUEUE_LIST_MAX);
+
+	for (uint32_t i = 0; i < n; i++) {
+		struct pool_session *s = pool_session_of(items[i]);
+		uint64_t wait_us = pool_replacement_us(s, now_us);
+
+		if (!wait_us)
+			continue;
+		unqueue(s);
+		pooler_refuse_replacement(s, now_us, wait_us);
+	}
+}
+
+/* Refuses those whose turn comes after their latest start. */
+static void refuse_too_late(struct fair_queue *q, uint64_t before,
+			    uint64_t now_us)
+{
+	struct fair_queue_item *items[FAIR_QUEUE_LIST_MAX];
+	uint32_t n = fair_queue_list(q, items, FAIR_QUEUE_LIST_MAX);
+
+	for (uint32_t i = 0; i < n; i++) {
+		struct pool_session *s = pool_session_of(items[i]);
+		uint64_t expected_us =
+			expected_wait_us(capacity_for(s), before + i);
+
+		if (now_us + expected_us * POOL_CERTAIN_PERCENT / 100 <=
+		    s->job.deadline_us)
+			continue;
+		unqueue(s);
+		pooler_refuse_queue_full(s, now_us, expected_us);
+	}
+}
+
+void pool_refuse_hopeless(struct pool_group *g, uint64_t now_us)
+{
+	uint64_t before = 0;
+
+	if (!pool_learns(g))
+		return;
+	for (uint32_t i = 0; i < POOL_PRIORITY_CLASSES; i++) {
+		refuse_unreplaced(g->in_time.at_primary[i], now_us);
+		refuse_unreplaced(g->late.at_primary[i], now_us);
+		before += count_queues(&g->in_time, i);
+		refuse_too_late(g->late.at_primary[i], before, now_us);
+		refuse_too_late(g->late.anywhere[i], before, now_us);
+		before += count_queues(&g->late, i);
+	}
+}
+
 void pool_move_late(struct pool_group *g, uint64_t now_us)
 {
 	for (uint32_t i = 0; i < POOL_PRIORITY_CLASSES; i++) {
--- a/lib/session/pooler_statement.c
+++ b/lib/session/pooler_statement.c
@@ -197,6 +197,19 @@
 		      text);
 }
 
+/* The primary cannot be replaced before the statement's latest start. */
+void pooler_refuse_replacement(struct pool_session *s, uint64_t now_us,
+			       uint64_t wait_us)
+{
+	char text[64];
+
+	snprintf(text, sizeof(text),
+		 "primary is being replaced, retry in %" PRIu64 " ms",
+		 (uint64_t)(wait_us / LWS_US_PER_MS));
+	pooler_refuse(s, now_us, STATEMENT_E_BUSY, pooler_state_after_error(s),
+		      text);
+}
+
 static void enqueue(struct pool_session *s, uint64_t now_us)
 {
 	struct pool_job *job = &s->job;
@@ -204,6 +217,11 @@
 	uint64_t wait_us;
 
 	job->anywhere = may_read_anywhere(s);
+	wait_us = pool_replacement_us(s, now_us);
+	if (wait_us) {
+		pooler_refuse_replacement(s, now_us, wait_us);
+		return;
+	}
 	job->place = JOB_QUEUED;
 	switch (pool_enqueue(s, now_us, &wait_us)) {
 	case 0:
--- a/tests/support_pool.c
+++ b/tests/support_pool.c
@@ -319,7 +319,10 @@
 		}
 		if (c->runs > 1)
 			sim->double_writes++;
-		answer(sim, l, STATEMENT_E_NONE, "ok");
+		answer(sim, l,
+		       l->endpoint->fails_fast ? STATEMENT_E_OTHER
+					       : STATEMENT_E_NONE,
+		       "ok");
 	}
 	while (!g_queue_is_empty(l->endpoint->waiting) &&
 	       l->endpoint->running < sim->params.slots) {
@@ -332,6 +335,20 @@
 	free_command(cmd);
 }
 
+/* Time for the work of a statement with those that run now. */
+static uint64_t pool_work_us(const struct pool_endpoint_model *e,
+			     uint32_t slots, uint64_t work_us)
+{
+	double us = (double)work_us * (e->slow_factor ? e->slow_factor : 1);
+	double free_slots = slots * e->slows_from_percent / 100.0;
+
+	if (e->speed > 0)
+		us /= e->speed;
+	if (free_slots > 0 && e->running > free_slots)
+		us *= e->running / free_slots;
+	return (uint64_t)us;
+}
+
 static void start_run(struct pool_sim *sim, struct command *cmd)
 {
 	struct link *l = cmd->link;
@@ -351,7 +368,9 @@
 	if (is_commit(cmd))
 		work_us = 1 * MS;
 	work_us = work_us / 2 + lws_rng_below(&sim->rng, work_us + 1);
-	schedule(sim, work_us * (e->slow_factor ? e->slow_factor : 1), end_run,
+	if (e->fails_fast)
+		work_us = 1 * MS;
+	schedule(sim, pool_work_us(e, sim->params.slots, work_us), end_run,
 		 cmd);
 }
 
@@ -1215,11 +1234,15 @@
 {
 	struct pool_sim_instance *instance =
 		g_new0(struct pool_sim_instance, 1);
-	struct pooler_params params = { .key_fresh_us = 3000 * MS,
-					.suspect_us = 400 * MS,
-					.leaving_grace_us = 1000 * MS,
-					.customer_bound = true,
-					.seed = sim->params.seed + i };
+	struct pooler_params params = {
+		.key_fresh_us = 3000 * MS,
+		.suspect_us = 400 * MS,
+		.leaving_grace_us = 1000 * MS,
+		.customer_bound = true,
+		.capacity = sim->params.capacity,
+		.replacement_min_us = sim->params.replacement_min_ms * MS,
+		.seed = sim->params.seed + i
+	};
 	struct pooler_ops ops = {
 		.private_data = instance,
 		.connect = op_connect,
--- a/tests/support_pool.h
+++ b/tests/support_pool.h
@@ -61,6 +61,8 @@
 	uint32_t large_percent;
 	/* Operations go through holders. */
 	bool forwards;
+	enum capacity_mode capacity;
+	uint32_t replacement_min_ms;
 };
 
 /**
@@ -85,6 +87,15 @@
 	bool unresponsive;
 	bool refuses_connections;
 	uint32_t slow_factor;
+	/* Relative speed; 0 counts as 1. */
+	double speed;
+	/*
+	 * With more statements in progress than this part of the slots, the
+	 * endpoint runs no more statements per second; 0 for all slots.
+	 */
+	uint32_t slows_from_percent;
+	/* Answers each statement with an error after 1 ms. */
+	bool fails_fast;
 	uint32_t lag_ms;
 	uint32_t running;
 	uint32_t connections;
