--- a/lib/session/pooler_dispatch.c
+++ b/lib/session/pooler_dispatch.c
@@ -53,7 +53,8 @@
 {
 	const struct pooler *p = e->group->pooler;
 	uint64_t service = e->service_us ? e->service_us : POOL_SERVICE_US;
-	uint64_t cost = service * (e->running + 1);
+	uint64_t cost = pool_learns(e->group) ? pool_learned_cost(e, s)
+					      : service * (e->running + 1);
 
 	if (pooler_crosses_region(p, e->region))
 		cost += POOL_OTHER_REGION_US;
@@ -62,7 +63,7 @@
 	if (!pool_find_idle(e, s->customer, 0))
 		cost += POOL_HANDSHAKE_US;
 	/* The primary also serves the writes, so a read costs more there. */
-	if (e == e->group->primary)
+	if (e == e->group->primary && !pool_learns(e->group))
 		cost += service;
 	return cost;
 }
@@ -223,7 +224,8 @@
 
 			if ((tried & (1U << i)) ||
 			    waits_for_own_region(s, e, now_us) ||
-			    !pool_can_read(e, &s->job, now_us))
+			    !pool_can_read(e, &s->job, now_us) ||
+			    pool_is_reserved(e, s, now_us))
 				continue;
 			if (!best || lagging < best_lagging ||
 			    (lagging == best_lagging &&
@@ -352,7 +354,8 @@
 			       : NULL;
 	if (!pool_find_min_position(s) || !pool_can_read(e, &s->job, now_us) ||
 	    (e == g->primary && replica_can_read(g, &s->job, now_us)) ||
-	    pooler_prefers_other(s, e, now_us))
+	    pooler_prefers_other(s, e, now_us) ||
+	    pool_is_reserved(e, s, now_us))
 		return NULL;
 	return s;
 }
