--- a/lib/admit/rate_share.h
+++ b/lib/admit/rate_share.h
@@ -18,8 +18,8 @@
  * that may be in force. A share is in force from the reply that assigns it
  * until the padded term has passed since that reply, or until a later request
  * reports a lower one. Between two requests, the higher of the reported and the
- * assigned share counts. It counts as dormant for RATE_SHARE_DORMANT_US after
- * a request which shows that its sender has had a recent answer.
+ * assigned share counts. It counts as dormant for a while after a request which
+ * shows that its sender has had a recent answer.
  */
 
 /* Time without an answer after which a share starts to accrue. Shorter than the
