Cold endpoints: configuration, settings and replicated state

Cause: an endpoint is slow for a while after its start, and nothing told the instances so.

Change: a group of the catalog may have cold_start_ms and cold_per_s_milli, which are packed as one more item after the groups and so also reach patches. Heartbeats may have cold_left_ms; the leader turns it into a command only when it makes an endpoint cold or warm, extends the known period, or replaces the mark of a restored failure domain (fleet_mark_cold()).

--- a/lib/config/catalog.c
+++ b/lib/config/catalog.c
@@ -8,6 +8,7 @@
 
 #define DATABASE_FIELDS 9
 #define GROUP_FIELDS 3
+#define GROUP_COLD_FIELDS 2
 #define CUSTOMER_FIELDS 4
 
 /* Sorting and validation */
@@ -129,6 +130,13 @@
 	return -1;
 }
 
+bool catalog_limits_cold(const struct catalog *catalog, const char *group)
+{
+	int32_t at = catalog ? catalog_find_group(catalog, group) : -1;
+
+	return at >= 0 && catalog->groups[at].cold_per_s_milli;
+}
+
 const struct catalog_customer *catalog_find_key(const struct catalog *catalog,
 						const uint8_t *hash)
 {
@@ -152,9 +160,25 @@
 
 /* Encoding */
 
+static bool has_cold_limit(const struct catalog *catalog)
+{
+	for (uint32_t i = 0; i < catalog->groups_count; i++) {
+		if (catalog->groups[i].cold_start_ms ||
+		    catalog->groups[i].cold_per_s_milli)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * The limits of cold endpoints are one more item after the groups, so that
+ * instances of the previous version can read a catalog without such limits.
+ */
 static void groups_pack(struct pack_writer *w, const struct catalog *catalog)
 {
-	pack_array(w, catalog->groups_count * GROUP_FIELDS);
+	bool cold = has_cold_limit(catalog);
+
+	pack_array(w, catalog->groups_count * GROUP_FIELDS + cold);
 	for (uint32_t i = 0; i < catalog->groups_count; i++) {
 		const struct catalog_group *g = &catalog->groups[i];
 
@@ -162,6 +186,13 @@
 		pack_u64(w, g->connections_max);
 		pack_u64(w, g->sync_replicas);
 	}
+	if (!cold)
+		return;
+	pack_array(w, catalog->groups_count * GROUP_COLD_FIELDS);
+	for (uint32_t i = 0; i < catalog->groups_count; i++) {
+		pack_u64(w, catalog->groups[i].cold_start_ms);
+		pack_u64(w, catalog->groups[i].cold_per_s_milli);
+	}
 }
 
 static void database_pack(struct pack_writer *w,
@@ -234,13 +265,33 @@
 		r->rc = LWS_E_WIRE_FORMAT;
 }
 
+static void cold_limits_unpack(struct pack_reader *r, struct catalog *c)
+{
+	struct pack_reader in;
+
+	if (pack_reader_enter(r, &in)) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	for (uint32_t i = 0; i < c->groups_count; i++) {
+		c->groups[i].cold_start_ms = (uint32_t)pack_read_u64(&in);
+		c->groups[i].cold_per_s_milli = (uint32_t)pack_read_u64(&in);
+	}
+	leave_records(r, &in);
+}
+
 static void groups_unpack(struct pack_reader *r, struct catalog *c)
 {
 	struct pack_reader in;
+	bool cold;
 
-	if (!enter_records(r, &in, GROUP_FIELDS, CATALOG_GROUPS_MAX,
-			   &c->groups_count))
+	if (pack_reader_enter(r, &in) || in.count % GROUP_FIELDS > 1 ||
+	    in.count / GROUP_FIELDS > CATALOG_GROUPS_MAX) {
+		r->rc = LWS_E_WIRE_FORMAT;
 		return;
+	}
+	c->groups_count = in.count / GROUP_FIELDS;
+	cold = in.count % GROUP_FIELDS == 1;
 	c->groups =
 		talloc_zero_array(c, struct catalog_group, c->groups_count + 1);
 	for (uint32_t i = 0; i < c->groups_count; i++) {
@@ -250,6 +301,8 @@
 		g->connections_max = (uint32_t)pack_read_u64(&in);
 		g->sync_replicas = (uint32_t)pack_read_u64(&in);
 	}
+	if (cold)
+		cold_limits_unpack(&in, c);
 	leave_records(r, &in);
 }
 
--- a/lib/config/catalog.h
+++ b/lib/config/catalog.h
@@ -65,11 +65,16 @@
  * @connections_max: connections that one endpoint accepts, over all instances
  * @sync_replicas: replicas that have received a commit when the primary
  *                 acknowledges it
+ * @cold_start_ms: an endpoint is slow for this long after its start
+ * @cold_per_s_milli: requests in 1,000 seconds that a cold endpoint takes, over
+ *                    all instances; 0 for no limit
  */
 struct catalog_group {
 	char name[CATALOG_NAME_MAX];
 	uint32_t connections_max;
 	uint32_t sync_replicas;
+	uint32_t cold_start_ms;
+	uint32_t cold_per_s_milli;
 };
 
 /**
@@ -137,6 +142,11 @@
 /** catalog_find_group() - index of a group, -1 if none has the name */
 int32_t catalog_find_group(const struct catalog *catalog, const char *name);
 
+/**
+ * catalog_limits_cold() - whether a group limits the requests of cold endpoints
+ */
+bool catalog_limits_cold(const struct catalog *catalog, const char *group);
+
 /** catalog_find_key() - customer of a key hash, NULL if it is not in force */
 const struct catalog_customer *catalog_find_key(const struct catalog *catalog,
 						const uint8_t *hash);
--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -94,7 +94,8 @@
 	       strcmp(a->failure_domain, b->failure_domain) == 0 &&
 	       a->present == b->present && a->leaving == b->leaving &&
 	       a->member == b->member && a->slots == b->slots &&
-	       a->incarnation == b->incarnation;
+	       a->incarnation == b->incarnation &&
+	       a->cold_index == b->cold_index;
 }
 
 bool fleet_group_same(const struct fleet_group *a, const struct fleet_group *b)
@@ -464,6 +465,51 @@
 	return true;
 }
 
+/*
+ * Takes over an announced cold period. An announcement without one leaves the
+ * state as it is, unless the endpoint has started again.
+ */
+static void set_cold(struct fleet_endpoint *endpoint,
+		     const struct fleet_endpoint *announced, uint64_t index)
+{
+	bool restarted = endpoint->incarnation != announced->incarnation;
+
+	if (!announced->cold_reported && !(restarted && endpoint->cold_left_ms))
+		return;
+	if (announced->cold_left_ms || endpoint->cold_left_ms)
+		endpoint->cold_index = index;
+	endpoint->cold_left_ms = announced->cold_left_ms;
+	endpoint->cold_reported = announced->cold_reported;
+}
+
+uint32_t fleet_mark_cold(struct fleet *fleet, uint64_t index,
+			 const char *failure_domain)
+{
+	uint32_t marked = 0;
+
+	for (uint32_t g = 0; fleet->catalog && g < fleet->groups_count; g++) {
+		struct fleet_group *group = &fleet->groups[g];
+		int32_t at = catalog_find_group(fleet->catalog, group->name);
+		const struct catalog_group *limits =
+			at < 0 ? NULL : &fleet->catalog->groups[at];
+
+		if (!limits || !limits->cold_per_s_milli ||
+		    !limits->cold_start_ms)
+			continue;
+		for (uint32_t i = 0; i < group->count; i++) {
+			struct fleet_endpoint *e = &group->endpoint[i];
+
+			if (strcmp(e->failure_domain, failure_domain) != 0)
+				continue;
+			e->cold_left_ms = limits->cold_start_ms;
+			e->cold_reported = false;
+			e->cold_index = index;
+			marked++;
+		}
+	}
+	return marked;
+}
+
 static int apply_join(struct fleet *fleet, const struct fleet_command *command)
 {
 	const struct fleet_endpoint *announced = &command->endpoint.endpoint;
@@ -482,9 +528,12 @@
 			return LWS_E_QUEUE_FULL;
 		*endpoint = *announced;
 		endpoint->member = false;
+		endpoint->cold_left_ms = 0;
+		endpoint->cold_index = 0;
 	}
 	if (announcement_is_stale(endpoint, announced))
 		return LWS_E_VERSION_CONFLICT;
+	set_cold(endpoint, announced, fleet->applied_index);
 	endpoint->slots = announced->slots;
 	endpoint->incarnation = announced->incarnation;
 	endpoint->seq = announced->seq;
--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -44,6 +44,10 @@
  * @incarnation: increases with each start of the endpoint, 0 if not reported
  * @seq: sequence number, within @incarnation, of the announcement that set
  *       @present
+ * @cold_left_ms: for how long the endpoint stays slow, as of the last change
+ * @cold_reported: the endpoint itself reported @cold_left_ms
+ * @cold_index: log position of the last change of @cold_left_ms, 0 if it was
+ *              never set; not used in announcements
  */
 struct fleet_endpoint {
 	char id[FLEET_NAME_MAX];
@@ -55,6 +59,9 @@
 	uint32_t slots;
 	uint64_t incarnation;
 	uint64_t seq;
+	uint32_t cold_left_ms;
+	bool cold_reported;
+	uint64_t cold_index;
 };
 
 /**
@@ -361,6 +368,21 @@
 struct fleet_endpoint *fleet_find_endpoint(const struct fleet_group *group,
 					   const char *id);
 
+/**
+ * fleet_mark_cold() - mark the endpoints of a failure domain as cold
+ * @fleet: state
+ * @index: log position of the command that is being applied
+ * @failure_domain: failure domain that was evacuated until now
+ *
+ * Marks each endpoint whose group limits the requests of cold endpoints, for
+ * the time that the group needs after a start. What the endpoint announces
+ * next takes the place of this time.
+ *
+ * Return: number of endpoints that were marked.
+ */
+uint32_t fleet_mark_cold(struct fleet *fleet, uint64_t index,
+			 const char *failure_domain);
+
 /** fleet_key_withdrawn() - whether a key was withdrawn, which is permanent */
 bool fleet_key_withdrawn(const struct fleet *fleet, const uint8_t *hash);
 
--- a/lib/control/fleet_pack.c
+++ b/lib/control/fleet_pack.c
@@ -11,7 +11,10 @@
 static void endpoint_pack(struct pack_writer *w,
 			  const struct fleet_endpoint *endpoint)
 {
-	pack_array(w, 9);
+	bool cold = endpoint->cold_left_ms || endpoint->cold_reported ||
+		    endpoint->cold_index;
+
+	pack_array(w, cold ? 12 : 9);
 	pack_str(w, endpoint->id);
 	pack_str(w, endpoint->addr);
 	pack_str(w, endpoint->failure_domain);
@@ -21,6 +24,12 @@
 	pack_u64(w, endpoint->slots);
 	pack_u64(w, endpoint->incarnation);
 	pack_u64(w, endpoint->seq);
+	/* Instances of the previous version read endpoints without these. */
+	if (!cold)
+		return;
+	pack_u64(w, endpoint->cold_left_ms);
+	pack_bool(w, endpoint->cold_reported);
+	pack_u64(w, endpoint->cold_index);
 }
 
 static void endpoint_unpack(struct pack_reader *r,
@@ -43,6 +52,11 @@
 	endpoint->slots = (uint32_t)pack_read_u64(&in);
 	endpoint->incarnation = pack_read_u64(&in);
 	endpoint->seq = pack_read_u64(&in);
+	if (in.next < in.count) {
+		endpoint->cold_left_ms = (uint32_t)pack_read_u64(&in);
+		endpoint->cold_reported = pack_read_bool(&in);
+		endpoint->cold_index = pack_read_u64(&in);
+	}
 	if (pack_reader_end(&in))
 		r->rc = LWS_E_WIRE_FORMAT;
 }
--- a/lib/daemon/operator.c
+++ b/lib/daemon/operator.c
@@ -231,6 +231,10 @@
 		return;
 	}
 	LWS_STR_COPY(item.group, a->group);
+	if (!catalog_limits_cold(c->fleet->catalog, a->group)) {
+		item.endpoint.cold_reported = false;
+		item.endpoint.cold_left_ms = 0;
+	}
 	if (c->leader) {
 		control_leader_announce(c, &item);
 	} else if (peer) {
@@ -253,6 +257,8 @@
 	LWS_STR_COPY(command.endpoint.group, a->group);
 	command.endpoint.endpoint = a->endpoint;
 	command.endpoint.endpoint.leaving = true;
+	command.endpoint.endpoint.cold_reported = false;
+	command.endpoint.endpoint.cold_left_ms = 0;
 	propose(c, &command, private_data, done);
 }
 
--- a/lib/daemon/settings.h
+++ b/lib/daemon/settings.h
@@ -38,6 +38,9 @@
  * @rate_over_percent: maximum excess in a window, in percent of the requests
  *                     that rate and burst allow
  * @rate_over_tokens: further excess in a window, in requests
+ * @cold_excess_percent: a cold endpoint gets at most this percentage of the
+ *                       requests per second that it takes, plus @cold_slack
+ * @cold_slack: further requests in one second
  * @election_ms: shortest time without contact to the leader before an election
  * @probe_ms: interval of probes to an unresponsive primary
  * @suspect_ms: time without an answer after which an endpoint is suspected
@@ -74,6 +77,8 @@
 	uint32_t rate_window_s;
 	uint32_t rate_over_percent;
 	uint32_t rate_over_tokens;
+	uint32_t cold_excess_percent;
+	uint32_t cold_slack;
 	uint32_t election_ms;
 	uint32_t probe_ms;
 	uint32_t suspect_ms;
--- a/lib/membership/lease.c
+++ b/lib/membership/lease.c
@@ -10,11 +10,19 @@
 /* Minimum interval between two proposals for the same endpoint. */
 #define PROPOSE_INTERVAL_US (500 * LWS_US_PER_MS)
 
+/*
+ * An announced cold period that ends later than the known one by this much was
+ * extended. Less can be the delay of the announcement.
+ */
+#define COLD_TOLERANCE_US (1000 * LWS_US_PER_MS)
+
 struct lease {
 	char group[FLEET_NAME_MAX];
 	char id[FLEET_NAME_MAX];
 	uint64_t expires_us;
 	uint64_t proposed_us;
+	/* End of the cold period that was proposed last, 0 for none. */
+	uint64_t cold_until_us;
 };
 
 struct lease_table {
@@ -83,6 +91,26 @@
 	command->endpoint.endpoint = *endpoint;
 }
 
+/*
+ * Load pattern: endpoints send heartbeats every second, each with the time that
+ * is left of the cold period. Only changes that instances cannot know by
+ * counting down may become commands.
+ */
+static bool cold_changed(const struct lease *lease, uint64_t now_us,
+			 const struct fleet_endpoint *known,
+			 const struct fleet_endpoint *endpoint)
+{
+	uint64_t until_us = now_us + endpoint->cold_left_ms * LWS_US_PER_MS;
+
+	if (!endpoint->cold_reported)
+		return false;
+	if (!endpoint->cold_left_ms || !known->cold_left_ms)
+		return endpoint->cold_left_ms != known->cold_left_ms;
+	/* A restored failure domain marks its endpoints without a report. */
+	return !known->cold_reported ||
+	       until_us > lease->cold_until_us + COLD_TOLERANCE_US;
+}
+
 int lease_announce(struct lease_table *t, uint64_t now_us,
 		   const struct fleet *fleet, const char *group,
 		   const struct fleet_endpoint *endpoint, bool leaving,
@@ -92,6 +120,7 @@
 	const struct fleet_endpoint *known =
 		g ? fleet_find_endpoint(g, endpoint->id) : NULL;
 	struct lease *lease = find(t, group, endpoint->id);
+	bool cold = catalog_limits_cold(fleet->catalog, group);
 	bool same = known && known->present &&
 		    strcmp(known->addr, endpoint->addr) == 0 &&
 		    known->slots == endpoint->slots &&
@@ -114,6 +143,8 @@
 	if (!lease)
 		return LWS_E_NOMEM;
 	lease->expires_us = now_us + lease_ms * LWS_US_PER_MS;
+	if (same && cold && cold_changed(lease, now_us, known, endpoint))
+		same = false;
 	if (leaving ? !(known && known->present) : same)
 		return 0;
 	if (lease->proposed_us &&
@@ -124,6 +155,11 @@
 		     leaving ? FLEET_ENDPOINT_LEAVE : FLEET_ENDPOINT_JOIN,
 		     group, endpoint);
 	command->endpoint.endpoint.leaving = leaving;
+	lease->cold_until_us = now_us + endpoint->cold_left_ms * LWS_US_PER_MS;
+	if (!cold || leaving) {
+		command->endpoint.endpoint.cold_reported = false;
+		command->endpoint.endpoint.cold_left_ms = 0;
+	}
 	return 1;
 }
 
--- a/lib/membership/lease.h
+++ b/lib/membership/lease.h
@@ -10,7 +10,9 @@
  *
  * The leader keeps renewals in memory. Only joins, leaves and announcements
  * with a new address, slots or incarnation become commands of the replicated
- * log. A new leader grants one lease of LEASE_MAX_MS to every present endpoint.
+ * log, and those that turn an endpoint cold or warm or extend its cold period,
+ * if its group limits the requests of cold endpoints. A new leader grants one
+ * lease of LEASE_MAX_MS to every present endpoint.
  */
 
 #define LEASE_MIN_MS 200U
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -284,10 +284,21 @@
 /* Number of values per announcement. */
 #define ANNOUNCE_FIELDS 12
 
+static bool reports_cold(const struct wire_announce *announce)
+{
+	for (uint32_t i = 0; i < announce->count; i++) {
+		if (announce->items[i].endpoint.cold_reported)
+			return true;
+	}
+	return false;
+}
+
 static void announce_pack(struct pack_writer *w,
 			  const struct wire_announce *announce)
 {
-	pack_array(w, announce->count * ANNOUNCE_FIELDS);
+	bool cold = reports_cold(announce);
+
+	pack_array(w, announce->count * ANNOUNCE_FIELDS + cold);
 	for (uint32_t i = 0; i < announce->count; i++) {
 		const struct wire_announce_item *item = &announce->items[i];
 
@@ -304,6 +315,32 @@
 		pack_u64(w, item->endpoint.seq);
 		pack_bool(w, item->claims_primary);
 	}
+	/* Instances of the previous version read announcements without this. */
+	if (!cold)
+		return;
+	pack_array(w, announce->count * 2);
+	for (uint32_t i = 0; i < announce->count; i++) {
+		pack_bool(w, announce->items[i].endpoint.cold_reported);
+		pack_u64(w, announce->items[i].endpoint.cold_left_ms);
+	}
+}
+
+static void announced_cold_unpack(struct pack_reader *r,
+				  struct wire_announce *announce)
+{
+	struct pack_reader in;
+
+	if (pack_reader_enter(r, &in)) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	for (uint32_t i = 0; i < announce->count; i++) {
+		struct fleet_endpoint *e = &announce->items[i].endpoint;
+
+		e->cold_reported = pack_read_bool(&in);
+		e->cold_left_ms = (uint32_t)pack_read_u64(&in);
+	}
+	wire_leave_list(r, &in);
 }
 
 static void announce_unpack(struct pack_reader *r, void *mem_ctx,
@@ -311,8 +348,12 @@
 {
 	struct pack_reader in;
 
-	announce->count =
-		wire_enter_list(r, &in, ANNOUNCE_FIELDS, WIRE_ITEMS_MAX);
+	if (pack_reader_enter(r, &in) || in.count % ANNOUNCE_FIELDS > 1 ||
+	    in.count / ANNOUNCE_FIELDS > WIRE_ITEMS_MAX) {
+		r->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	announce->count = in.count / ANNOUNCE_FIELDS;
 	announce->items = talloc_zero_array(mem_ctx, struct wire_announce_item,
 					    announce->count + 1);
 	for (uint32_t i = 0; i < announce->count; i++) {
@@ -332,6 +373,8 @@
 		item->endpoint.seq = pack_read_u64(&in);
 		item->claims_primary = pack_read_bool(&in);
 	}
+	if (in.count % ANNOUNCE_FIELDS)
+		announced_cold_unpack(&in, announce);
 	wire_leave_list(r, &in);
 }
 
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -219,7 +219,8 @@
 /**
  * struct wire_announce_item - announcement of one endpoint
  * @group: group
- * @endpoint: ID, address, failure domain, slots, incarnation, sequence number
+ * @endpoint: ID, address, failure domain, slots, incarnation, sequence number,
+ *            cold period
  * @leaving: it requests that no new work is sent to it
  * @lease_ms: how long the announcement is valid
  * @log_term: term of its log
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -363,6 +363,119 @@
 	talloc_free(fleet);
 }
 
+static struct fleet *fleet_with_cold_limits(void)
+{
+	struct fleet *fleet = fleet_create(NULL);
+	struct catalog *c = talloc_zero(fleet, struct catalog);
+
+	c->version = 1;
+	c->groups_count = 2;
+	c->groups = talloc_zero_array(c, struct catalog_group, 2);
+	LWS_STR_COPY(c->groups[0].name, "g");
+	c->groups[0].cold_start_ms = 30000;
+	c->groups[0].cold_per_s_milli = 20000;
+	LWS_STR_COPY(c->groups[1].name, "unlimited");
+	c->groups[1].cold_start_ms = 30000;
+	fleet->catalog = c;
+	return fleet;
+}
+
+struct cold_step {
+	/* Announced; an incarnation of 0: failure domain "d" is restored. */
+	uint64_t incarnation;
+	bool reported;
+	uint32_t left_ms;
+	/* Afterwards. */
+	uint32_t state_left_ms;
+	/* Step of the last change, from 1; 0 for none. */
+	uint64_t changed;
+};
+
+static const struct cold_step cold_steps[] = {
+	{ 1, false, 0, 0, 0 },
+	{ 1, true, 0, 0, 0 },
+	{ 1, true, 5000, 5000, 3 },
+	/* Not reported: the state stays. */
+	{ 1, false, 0, 5000, 3 },
+	{ 1, true, 0, 0, 5 },
+	{ 0, false, 0, 30000, 6 },
+	{ 1, false, 0, 30000, 6 },
+	/* Restored again: counted from its beginning again. */
+	{ 0, false, 0, 30000, 8 },
+	{ 1, true, 12000, 12000, 9 },
+	/* Another process, which reports nothing, is not cold. */
+	{ 2, false, 0, 0, 10 },
+};
+
+/*
+ * The cold period of an endpoint, also across snapshots. Guards against a
+ * period that a restored snapshot or a repeated value makes end too early.
+ */
+static void test_cold(void)
+{
+	struct fleet *fleet = fleet_with_cold_limits();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cold_steps); i++) {
+		const struct cold_step *s = &cold_steps[i];
+		struct fleet_command command = { .type = FLEET_ENDPOINT_JOIN };
+		struct fleet_endpoint *e = &command.endpoint.endpoint;
+		struct pack_writer w;
+		struct fleet_command copy;
+
+		LWS_STR_COPY(command.endpoint.group, "g");
+		LWS_STR_COPY(e->id, "e");
+		LWS_STR_COPY(e->failure_domain, "d");
+		e->incarnation = s->incarnation;
+		e->cold_reported = s->reported;
+		e->cold_left_ms = s->left_ms;
+		pack_writer_init(&w);
+		fleet_command_pack(&w, &command);
+		g_assert_cmpint(fleet_command_unpack(NULL,
+						     (uint8_t *)w.buf.data,
+						     w.buf.size, &copy),
+				==, 0);
+		pack_writer_clear(&w);
+		if (s->incarnation)
+			g_assert_cmpint(fleet_apply(fleet, i + 1, &copy).rc, ==,
+					0);
+		else
+			g_assert_cmpuint(fleet_mark_cold(fleet, i + 1, "d"), ==,
+					 1);
+		fleet = through_snapshot(fleet);
+		e = &fleet->groups[0].endpoint[0];
+		g_assert_cmpuint(e->cold_left_ms, ==, s->state_left_ms);
+		g_assert_cmpuint(e->cold_index, ==, s->changed);
+	}
+	talloc_free(fleet);
+}
+
+/*
+ * Restoring a failure domain marks its endpoints, those of other domains and
+ * of groups without a limit not.
+ */
+static void test_mark_cold(void)
+{
+	struct fleet *fleet = fleet_with_cold_limits();
+	static const char *const groups[] = { "g", "g", "unlimited" };
+	static const char *const domains[] = { "d1", "d2", "d1" };
+
+	for (uint32_t i = 0; i < 3; i++) {
+		struct fleet_command c = { .type = FLEET_ENDPOINT_JOIN };
+
+		LWS_STR_COPY(c.endpoint.group, groups[i]);
+		LWS_STR_COPY(c.endpoint.endpoint.id, i == 1 ? "b" : "a");
+		LWS_STR_COPY(c.endpoint.endpoint.failure_domain, domains[i]);
+		fleet_apply(fleet, i + 1, &c);
+	}
+	g_assert_cmpuint(fleet_mark_cold(fleet, 4, "d3"), ==, 0);
+	g_assert_cmpuint(fleet_mark_cold(fleet, 4, "d1"), ==, 1);
+	g_assert_cmpuint(fleet->groups[0].endpoint[0].cold_left_ms, ==, 30000);
+	g_assert_cmpuint(fleet->groups[0].endpoint[0].cold_index, ==, 4);
+	g_assert_cmpuint(fleet->groups[0].endpoint[1].cold_left_ms, ==, 0);
+	g_assert_cmpuint(fleet->groups[1].endpoint[0].cold_left_ms, ==, 0);
+	talloc_free(fleet);
+}
+
 /* The audit trail has only the start of a key's hash, never the key. */
 static void test_audit(void)
 {
@@ -399,5 +512,7 @@
 	g_test_add_func("/fleet/audit", test_audit);
 	g_test_add_func("/fleet/announcements", test_announcements);
 	g_test_add_func("/fleet/catalog", test_catalog);
+	g_test_add_func("/fleet/cold", test_cold);
+	g_test_add_func("/fleet/mark-cold", test_mark_cold);
 	return g_test_run();
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -454,6 +454,124 @@
 	talloc_free(catalog);
 }
 
+struct cold_case {
+	const char *fields;
+	int rc;
+	uint32_t start_ms;
+	uint32_t per_s_milli;
+};
+
+static const struct cold_case cold_cases[] = {
+	{ "", 0, 0, 0 },
+	{ ",\"cold_start_s\":30,\"cold_per_s\":20", 0, 30000, 20000 },
+	{ ",\"cold_start_s\":2.5,\"cold_per_s\":0.3", 0, 2500, 300 },
+	{ ",\"cold_per_s\":1.15", 0, 0, 1150 },
+	/* A positive rate never turns into "no limit". */
+	{ ",\"cold_per_s\":0.0001", 0, 0, 1 },
+	{ ",\"cold_start_s\":0,\"cold_per_s\":0", 0, 0, 0 },
+	{ ",\"cold_per_s\":0.0", 0, 0, 0 },
+	{ ",\"cold_per_s\":-1", LWS_E_CONFIG_VALUE, 0, 0 },
+	{ ",\"cold_start_s\":-0.5", LWS_E_CONFIG_VALUE, 0, 0 },
+	{ ",\"cold_per_s\":\"20\"", LWS_E_CONFIG_VALUE, 0, 0 },
+	{ ",\"cold_per_s\":null", LWS_E_CONFIG_VALUE, 0, 0 },
+	{ ",\"cold_start_s\":true", LWS_E_CONFIG_VALUE, 0, 0 },
+	{ ",\"cold_start_s\":[30]", LWS_E_CONFIG_VALUE, 0, 0 },
+	{ ",\"cold_start_s\":1e12", LWS_E_CONFIG_VALUE, 0, 0 },
+};
+
+/*
+ * Limits of cold endpoints: decoded, packed and, from a catalog without them,
+ * patched. Guards against losing them on the way to an instance.
+ */
+static void test_cold_limits(void)
+{
+	struct catalog *bare = NULL;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cold_cases); i++) {
+		const struct cold_case *c = &cold_cases[i];
+		g_autofree char *body = g_strdup_printf(
+			"{\"version\":%zu,\"routes\":[],\"services\":["
+			"{\"name\":\"g1\"},{\"name\":\"g2\"%s}]}",
+			i + 1, c->fields);
+		struct catalog *catalog = NULL;
+		struct catalog *copy = NULL;
+		struct pack_writer w;
+		const char *reason;
+
+		g_assert_cmpint(platform_decode_catalog(
+					NULL, (const uint8_t *)body,
+					strlen(body), &catalog, &reason),
+				==, c->rc);
+		if (c->rc)
+			continue;
+		if (!bare)
+			bare = catalog;
+		for (int patch = 0; patch < 2; patch++) {
+			pack_writer_init(&w);
+			if (patch)
+				catalog_patch_pack(&w, bare, catalog);
+			else
+				catalog_pack(&w, catalog);
+			g_assert_cmpint(
+				patch ? catalog_patch_apply(
+						NULL, bare,
+						(uint8_t *)w.buf.data,
+						w.buf.size, &copy)
+				      : catalog_unpack(NULL,
+						       (uint8_t *)w.buf.data,
+						       w.buf.size, &copy),
+				==, 0);
+			pack_writer_clear(&w);
+			g_assert_cmpuint(copy->groups_count, ==, 2);
+			g_assert_cmpuint(copy->groups[0].cold_per_s_milli, ==,
+					 0);
+			g_assert_cmpuint(copy->groups[1].cold_start_ms, ==,
+					 c->start_ms);
+			g_assert_cmpuint(copy->groups[1].cold_per_s_milli, ==,
+					 c->per_s_milli);
+			talloc_free(copy);
+		}
+		if (catalog != bare)
+			talloc_free(catalog);
+	}
+	talloc_free(bare);
+}
+
+/*
+ * A catalog without limits of cold endpoints has the bytes that the previous
+ * version wrote and reads; a catalog with them is unreadable to it.
+ */
+static void test_catalog_bytes(void)
+{
+	struct catalog_group groups[] = {
+		{ .name = "g1", .connections_max = 21, .sync_replicas = 1 }
+	};
+	struct catalog catalog = { .version = 7,
+				   .transaction_idle_ms = 3000,
+				   .groups_count = 1,
+				   .groups = groups };
+	struct pack_writer now;
+	struct pack_writer before;
+
+	pack_writer_init(&now);
+	pack_writer_init(&before);
+	catalog_pack(&now, &catalog);
+	pack_array(&before, 6);
+	pack_u64(&before, 7);
+	pack_u64(&before, 3000);
+	pack_array(&before, 3);
+	pack_str(&before, "g1");
+	pack_u64(&before, 21);
+	pack_u64(&before, 1);
+	pack_array(&before, 0);
+	pack_array(&before, 0);
+	pack_array(&before, 0);
+	g_assert_cmpmem(now.buf.data, now.buf.size, before.buf.data,
+			before.buf.size);
+	pack_writer_clear(&now);
+	pack_writer_clear(&before);
+}
+
 #define HEARTBEAT(more)                                                   \
 	"{\"service\":\"g1\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\"," \
 	"\"slots\":2,\"state\":\"ready\",\"db_role\":\"replica\","        \
@@ -504,6 +622,44 @@
 	}
 }
 
+struct cold_heartbeat_case {
+	const char *body;
+	int rc;
+	bool reported;
+	uint32_t left_ms;
+};
+
+/* A heartbeat without the field says nothing; 0 says that it is warm. */
+static const struct cold_heartbeat_case cold_heartbeat_cases[] = {
+	{ HEARTBEAT(""), 0, false, 0 },
+	{ HEARTBEAT(",\"cold_left_ms\":5000"), 0, true, 5000 },
+	{ HEARTBEAT(",\"cold_left_ms\":0"), 0, true, 0 },
+	/* Rounded up: the cold period must not end too early. */
+	{ HEARTBEAT(",\"cold_left_ms\":1200.25"), 0, true, 1201 },
+	{ HEARTBEAT(",\"cold_left_ms\":\"5\""), LWS_E_BODY_FORMAT, false, 0 },
+	{ HEARTBEAT(",\"cold_left_ms\":null"), LWS_E_BODY_FORMAT, false, 0 },
+	{ HEARTBEAT(",\"cold_left_ms\":false"), LWS_E_BODY_FORMAT, false, 0 },
+	{ HEARTBEAT(",\"cold_left_ms\":-5"), LWS_E_BODY_FORMAT, false, 0 },
+	{ HEARTBEAT(",\"cold_left_ms\":1e12"), LWS_E_BODY_FORMAT, false, 0 },
+};
+
+static void test_cold_heartbeats(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(cold_heartbeat_cases); i++) {
+		const struct cold_heartbeat_case *c = &cold_heartbeat_cases[i];
+		struct operator_announcement a;
+
+		g_assert_cmpint(platform_decode_announcement(
+					"i-7", (const uint8_t *)c->body,
+					strlen(c->body), &a),
+				==, c->rc);
+		if (c->rc)
+			continue;
+		g_assert_true(a.endpoint.cold_reported == c->reported);
+		g_assert_cmpuint(a.endpoint.cold_left_ms, ==, c->left_ms);
+	}
+}
+
 /* Settings */
 
 #define SETTINGS                                      \
@@ -536,6 +692,12 @@
 	{ SETTINGS "bounds.quota_excess=0.1\n", 0, NULL },
 	{ SETTINGS "bounds.quota_excess=2\n", LWS_E_CONFIG_VALUE,
 	  "bounds.quota_excess" },
+	{ SETTINGS "bounds.cold_excess=-1\n", LWS_E_CONFIG_VALUE,
+	  "bounds.cold_excess" },
+	{ SETTINGS "bounds.cold_excess=nan\n", LWS_E_CONFIG_VALUE,
+	  "bounds.cold_excess" },
+	{ SETTINGS "bounds.cold_slack=many\n", LWS_E_CONFIG_VALUE,
+	  "bounds.cold_slack" },
 };
 
 static void test_settings(void)
@@ -563,10 +725,20 @@
 	g_assert_cmpstr(s.core.control, ==,
 			"10.1.0.28:7560,10.2.0.26:7560,10.3.0.43:7560");
 	g_assert_cmpstr(s.core.peer_listen, ==, "10.1.0.26:7560");
+	g_assert_cmpuint(s.core.cold_excess_percent, ==, 150);
+	g_assert_cmpuint(s.core.cold_slack, ==, 5);
 	g_assert_cmpuint(s.core.voters, ==, 5);
 	g_assert_true(s.core.bootstrap_from_seeds);
 	g_assert_cmpuint(s.core.key_fresh_ms, <, 4000);
 	g_assert_null(s.core.statement_listen);
+	g_assert_cmpint(platform_settings_parse(&s,
+						SETTINGS
+						"bounds.cold_excess=2.25\n"
+						"bounds.cold_slack=3.5\n",
+						reason, sizeof(reason)),
+			==, 0);
+	g_assert_cmpuint(s.core.cold_excess_percent, ==, 225);
+	g_assert_cmpuint(s.core.cold_slack, ==, 3);
 }
 
 /*
@@ -656,7 +828,10 @@
 	g_test_add_func("/platform/replies", test_replies);
 	g_test_add_func("/platform/catalog", test_catalog);
 	g_test_add_func("/platform/catalog-values", test_catalog_values);
+	g_test_add_func("/platform/cold-limits", test_cold_limits);
+	g_test_add_func("/platform/catalog-bytes", test_catalog_bytes);
 	g_test_add_func("/platform/announcements", test_heartbeats);
+	g_test_add_func("/platform/cold-announcements", test_cold_heartbeats);
 	g_test_add_func("/platform/settings", test_settings);
 	g_test_add_func("/platform/mutations", test_mutations);
 	g_test_add_func("/platform/json-mutations", test_json_mutations);
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -431,6 +431,90 @@
 	talloc_free(fleet);
 }
 
+struct cold_announcement {
+	uint64_t after_ms;
+	bool reported;
+	uint32_t left_ms;
+	/* A command follows; without a limit of the group, none does. */
+	bool command;
+};
+
+static const struct cold_announcement cold_announcements[] = {
+	{ 0, true, 5000, true },
+	/* Heartbeats that only count down. */
+	{ 1000, true, 4000, false },
+	{ 1000, true, 3400, false },
+	{ 1000, false, 0, false },
+	{ 1000, true, 1000, false },
+	/* Warm. */
+	{ 1000, true, 0, true },
+	{ 1000, true, 0, false },
+	/* Cold again, and longer than the state says. */
+	{ 1000, true, 5000, true },
+	{ 1000, true, 9000, true },
+	{ 1000, true, 8000, false },
+	{ 1000, true, 0, true },
+};
+
+/*
+ * Guards against a log that grows with heartbeats, and against a cold period
+ * that was extended without the instances knowing it. Without a limit in the
+ * catalog, the commands have the bytes of the previous version.
+ */
+static void test_cold_announcements(void)
+{
+	for (int limited = 0; limited < 2; limited++) {
+		struct fleet *fleet = fleet_create(NULL);
+		uint64_t now = 100 * LWS_US_PER_S;
+		struct lease_table *t = lease_create(NULL, fleet, now);
+		struct catalog *catalog = talloc_zero(fleet, struct catalog);
+
+		catalog->groups_count = 1;
+		catalog->groups =
+			talloc_zero_array(catalog, struct catalog_group, 1);
+		LWS_STR_COPY(catalog->groups[0].name, "g");
+		catalog->groups[0].cold_per_s_milli = limited ? 20000 : 0;
+		fleet->catalog = catalog;
+		for (size_t i = 0; i < G_N_ELEMENTS(cold_announcements); i++) {
+			const struct cold_announcement *a =
+				&cold_announcements[i];
+			struct fleet_endpoint e = endpoint("1.1.1.1:1");
+			struct fleet_command c;
+			int rc;
+
+			now += a->after_ms * MS;
+			e.seq = i;
+			e.cold_reported = a->reported;
+			e.cold_left_ms = a->left_ms;
+			rc = lease_announce(t, now, fleet, "g", &e, false, 1000,
+					    &c);
+			g_assert_cmpint(rc, ==,
+					(limited ? a->command : !i) ? 1 : 0);
+			if (!rc)
+				continue;
+			g_assert_true(c.endpoint.endpoint.cold_reported ==
+				      (limited && a->reported));
+			g_assert_cmpuint(c.endpoint.endpoint.cold_left_ms, ==,
+					 limited ? a->left_ms : 0);
+			fleet_apply(fleet, fleet->applied_index + 1, &c);
+			/* A mark without a report is replaced at once. */
+			if (limited &&
+			    i + 1 == G_N_ELEMENTS(cold_announcements)) {
+				catalog->groups[0].cold_start_ms = 30000;
+				fleet_mark_cold(fleet, 99, "d1");
+				e.cold_left_ms = 12000;
+				g_assert_cmpint(
+					lease_announce(t, now + LWS_US_PER_S,
+						       fleet, "g", &e, false,
+						       1000, &c),
+					==, 1);
+			}
+		}
+		talloc_free(t);
+		talloc_free(fleet);
+	}
+}
+
 struct announce_case {
 	const char *group;
 	const char *id;
@@ -502,6 +586,8 @@
 	g_test_add_func("/membership/leases", test_leases);
 	g_test_add_func("/membership/bad-announcements",
 			test_bad_announcements);
+	g_test_add_func("/membership/cold-announcements",
+			test_cold_announcements);
 	g_test_add_func("/membership/instances", test_instances);
 	return g_test_run();
 }
