Cold endpoints: send no more requests than the budget allows

Cause: an endpoint that has just started got the load of a warm one and was slow for longer.

Change: the rate allocator grants the requests to each endpoint of a group with cold_per_s from a strict bucket, without a credit at a takeover and with thousandths of a request in the rate. The pooler takes a token for every statement, BEGIN and COMMIT that it sends to a cold endpoint, also for its own leadership checks. Open transactions wait for their next token within their own time and come before queued statements. Reads prefer warm endpoints and spare a cold primary. The expected wait of the queue knows the budget. An endpoint to which connections were lost counts as cold until an announcement, an answer on an older connection, or two heartbeat intervals show otherwise. Metrics and log lines show cold endpoints and their requests.

--- a/lib/admit/rate_allocator.c
+++ b/lib/admit/rate_allocator.c
@@ -37,6 +37,8 @@
 	struct global_bucket *next_of_all;
 	uint64_t customer;
 	uint32_t rate_per_s;
+	/* Thousandths of a token per second that come on top of rate_per_s. */
+	uint32_t rate_milli;
 	uint32_t burst;
 	uint64_t level_millionths;
 	/* Tokens that a new allocator may still grant beyond its level. */
@@ -220,7 +222,7 @@
 	/* An hour of refill exceeds any permitted burst. */
 	if (dt > 3600 * LWS_US_PER_S)
 		dt = 3600 * LWS_US_PER_S;
-	b->level_millionths += dt * b->rate_per_s;
+	b->level_millionths += dt * b->rate_per_s + dt * b->rate_milli / 1000;
 	/* Tokens outstanding now have been outstanding since filled_us. */
 	cap_level(ra, b, b->filled_us);
 	b->filled_us = until_us > b->filled_us ? until_us : b->filled_us;
@@ -348,6 +350,21 @@
 	return 0;
 }
 
+int rate_allocator_set_strict_limit(struct rate_allocator *ra, uint64_t now_us,
+				    uint64_t key, uint64_t rate_milli,
+				    uint32_t burst)
+{
+	int rc = rate_allocator_set_limit(ra, now_us, key,
+					  (uint32_t)(rate_milli / 1000), burst);
+	struct global_bucket *b = find_bucket(ra, key);
+
+	if (rc)
+		return rc;
+	b->rate_milli = (uint32_t)(rate_milli % 1000);
+	b->credit = 0;
+	return 0;
+}
+
 /* Divides scarce tokens in proportion to what the instances want. */
 static uint32_t share_of(const struct global_bucket *b, const struct holding *h)
 {
--- a/lib/admit/rate_allocator.h
+++ b/lib/admit/rate_allocator.h
@@ -117,6 +117,16 @@
 			     uint64_t customer, uint32_t rate_per_s,
 			     uint32_t burst);
 
+/**
+ * rate_allocator_set_strict_limit() - set a limit that is never exceeded
+ *
+ * As rate_allocator_set_limit(), but the rate is in thousandths of a token per
+ * second, and a new allocator grants nothing beyond the level of the bucket.
+ */
+int rate_allocator_set_strict_limit(struct rate_allocator *ra, uint64_t now_us,
+				    uint64_t key, uint64_t rate_milli,
+				    uint32_t burst);
+
 /**
  * rate_allocator_grant() - handle one token request
  * @ra: rate allocator
--- a/lib/daemon/control_rates.c
+++ b/lib/daemon/control_rates.c
@@ -1,6 +1,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "cold_limit.h"
 #include "control.h"
 #include "lws_error.h"
 #include "lws_time.h"
@@ -15,6 +16,30 @@
 
 /* Granting tokens, at the leader */
 
+/*
+ * Sets the buckets of all endpoints, not only of those known to be cold: an
+ * instance may have lost its connections to an endpoint that restarts.
+ */
+static void set_cold_limits(struct control *c, uint64_t now_us,
+			    const struct catalog_group *limits)
+{
+	const struct settings *settings = &c->daemon->settings;
+	const struct fleet_group *group =
+		fleet_find_group(c->fleet, limits->name);
+	struct cold_budget budget = cold_budget(limits->cold_per_s_milli,
+						settings->cold_excess_percent,
+						settings->cold_slack);
+	char name[COLD_LIMIT_NAME_MAX];
+
+	for (uint32_t i = 0; group && i < group->count; i++) {
+		cold_limit_name(group->name, group->endpoint[i].id, name,
+				sizeof(name));
+		(void)rate_allocator_set_strict_limit(
+			c->leader->allocator, now_us, session_name_hash(name),
+			budget.rate_milli, budget.burst);
+	}
+}
+
 void control_rates_set(struct control *c, uint64_t now_us)
 {
 	const struct cfg *cfg = c->fleet->cfg;
@@ -46,6 +71,10 @@
 			session_name_hash(catalog->customers[i].name),
 			catalog->customers[i].rate_per_s,
 			catalog->customers[i].burst);
+	for (uint32_t i = 0; catalog && i < catalog->groups_count; i++) {
+		if (catalog->groups[i].cold_per_s_milli)
+			set_cold_limits(c, now_us, &catalog->groups[i]);
+	}
 }
 
 static uint64_t ttl_us(const struct control *c)
--- a/lib/daemon/session_server.c
+++ b/lib/daemon/session_server.c
@@ -679,6 +679,13 @@
 	metrics_put(out, name, stats->running);
 	snprintf(name, sizeof(name), "endpoint_limit{%s}", labels);
 	metrics_put(out, name, (uint64_t)stats->limit);
+	if (stats->limits_cold) {
+		snprintf(name, sizeof(name), "endpoint_cold{%s}", labels);
+		metrics_put(out, name, stats->cold);
+		snprintf(name, sizeof(name), "endpoint_cold_statements{%s}",
+			 labels);
+		metrics_put(out, name, stats->cold_statements);
+	}
 	metrics_put_histogram(out, "endpoint_answered_us", labels,
 			      stats->answered_us);
 }
--- a/lib/session/pooler.c
+++ b/lib/session/pooler.c
@@ -233,6 +233,8 @@
 		else
 			pooler_refuse_rate(s, now_us);
 	}
+	for (uint32_t i = 0; i < p->groups_count; i++)
+		pool_cold_granted(p->groups[i], now_us);
 }
 
 /*
@@ -251,6 +253,10 @@
 		pooler_forward_expired(s, now_us);
 		return;
 	}
+	if (job->place == JOB_WAITS_FOR_COLD) {
+		pool_cold_give_up(s, now_us);
+		return;
+	}
 	if (job->place == JOB_RETRY_ON_CONN &&
 	    job->st.kind == STATEMENT_COMMIT) {
 		pooler_release_conn(s, now_us, TRANSACTION_OPEN);
@@ -290,6 +296,8 @@
 	}
 	if (job->place == JOB_RETRY_ON_CONN && now_us >= job->retry_at_us)
 		pool_start(s, s->conn, now_us);
+	else if (job->place == JOB_WAITS_FOR_COLD)
+		pool_cold_retry(s, now_us);
 }
 
 static void tick_idle(struct pool_session *s, uint64_t now_us)
@@ -407,6 +415,7 @@
 		if (!g)
 			continue;
 		g->connections_max = from->connections_max;
+		g->cold_per_s_milli = from->cold_per_s_milli;
 		pooler_forward_update(p, g,
 				      fleet_find_group(fleet, from->name));
 		pool_group_update(g, now_us,
@@ -418,6 +427,13 @@
 void pooler_set_confirmed(struct pooler *p, uint64_t confirmed_us)
 {
 	p->confirmed_us = confirmed_us;
+	for (uint32_t i = 0; i < p->groups_count; i++) {
+		struct pool_group *g = p->groups[i];
+
+		for (uint32_t k = 0; k < g->endpoints_count; k++)
+			cold_limit_confirmed(&g->endpoints[k]->cold,
+					     confirmed_us);
+	}
 }
 
 void pooler_resend_reports(struct pooler *p)
@@ -466,6 +482,9 @@
 			.limit = e->limit,
 			.service_us = e->service_us,
 			.answered_us = &e->answered_us,
+			.limits_cold = e->cold.per_s_milli != 0,
+			.cold = e->cold.was_cold,
+			.cold_statements = e->cold.sent,
 		};
 		return true;
 	}
--- a/lib/session/pooler.h
+++ b/lib/session/pooler.h
@@ -70,8 +70,10 @@
  * @waited_us: time since the statement arrived; without meaning for the event
  *             "transaction_ended", which has no statement
  * @age_us: time since the keys were last confirmed, 0 if never; for the event
- *          "transaction_ended", how long the transaction was idle
- * @attempts: how many times the statement was sent
+ *          "transaction_ended", how long the transaction was idle; for
+ *          "endpoint_warm", how long the endpoint was cold
+ * @attempts: how many times the statement was sent; for "endpoint_warm", how
+ *            many requests were sent to the endpoint while it was cold
  * @version: catalog version in force
  */
 struct pooler_event {
@@ -320,6 +322,9 @@
  * @limit: maximum number of concurrent statements and connection openings
  * @service_us: moving average of the service time of a statement
  * @answered_us: service times of the statements that it did not refuse to run
+ * @limits_cold: its group limits the requests of cold endpoints
+ * @cold: it is cold
+ * @cold_statements: requests sent to it while it was cold
  */
 struct pooler_endpoint_stats {
 	const char *group;
@@ -331,6 +336,9 @@
 	double limit;
 	uint64_t service_us;
 	const struct lws_histogram *answered_us;
+	bool limits_cold;
+	bool cold;
+	uint64_t cold_statements;
 };
 
 /** pooler_endpoint() - read endpoint @nth, from 0; false past the last */
--- a/lib/session/pooler_answers.c
+++ b/lib/session/pooler_answers.c
@@ -108,7 +108,9 @@
 	const struct pool_group *g = e->group;
 
 	if (!s->job.anywhere)
-		return e == g->primary;
+		return e == g->primary &&
+		       pool_cold_may_send((struct pool_endpoint *)e, &s->job,
+					  now_us);
 	return pool_find_min_position(s) && pool_can_read(e, &s->job, now_us);
 }
 
@@ -181,6 +183,7 @@
 	struct pool_group *g = e->group;
 
 	e->last_contact_us = now_us;
+	cold_limit_answered(&e->cold, conn->established_us);
 	if (result->position.term || result->position.number)
 		e->position = result->position;
 	if (conn->expected)
@@ -227,6 +230,7 @@
 
 	(void)p;
 	conn->established = true;
+	conn->established_us = now_us;
 	conn->endpoint->last_contact_us = now_us;
 	pool_send(conn, now_us, &open, 1);
 }
@@ -241,6 +245,7 @@
 	bool sent = running && conn->step == STEP_STATEMENT;
 
 	(void)p;
+	cold_limit_lost(&e->cold, now_us);
 	if (conn->state == CONN_OPENING) {
 		e->failures++;
 		e->fail_pause_us =
--- a/lib/session/pooler_conns.c
+++ b/lib/session/pooler_conns.c
@@ -91,6 +91,7 @@
 	if (!conn->link) {
 		talloc_free(conn);
 		e->fail_until_us = now_us + POOL_FAIL_PAUSE_US;
+		cold_limit_lost(&e->cold, now_us);
 		return NULL;
 	}
 	conn->next = e->conns;
--- a/lib/session/pooler_dispatch.c
+++ b/lib/session/pooler_dispatch.c
@@ -113,7 +113,10 @@
 	    ((job->lagging_endpoints & pool_endpoint_bit(e)) ||
 	     now_us < e->lag_until_us || e->running || e->opening))
 		return false;
-	return now_us >= e->busy_until_us && now_us >= e->fail_until_us;
+	if (now_us < e->busy_until_us || now_us < e->fail_until_us)
+		return false;
+	return !pool_cold_spares_primary(e, job, now_us) &&
+	       pool_cold_may_send((struct pool_endpoint *)e, job, now_us);
 }
 
 /*
@@ -148,24 +151,29 @@
 					    uint64_t now_us)
 {
 	uint32_t tried = 0;
+	bool opens_warm = false;
 
 	for (uint32_t round = 0; round < g->endpoints_count; round++) {
 		struct pool_endpoint *best = NULL;
 		bool best_lagging = false;
+		bool best_cold = false;
 		struct pool_conn *conn;
 
 		for (uint32_t i = 0; i < g->endpoints_count; i++) {
 			struct pool_endpoint *e = g->endpoints[i];
 			bool lagging = pool_is_lagging(e, &s->job);
+			bool cold = pool_is_cold(e, now_us);
 
-			if ((tried & (1U << i)) ||
+			if ((tried & (1U << i)) || (cold && opens_warm) ||
 			    !pool_can_read(e, &s->job, now_us))
 				continue;
 			if (!best || lagging < best_lagging ||
-			    (lagging == best_lagging &&
+			    (lagging == best_lagging && cold < best_cold) ||
+			    (lagging == best_lagging && cold == best_cold &&
 			     cost_of(e, s) < cost_of(best, s))) {
 				best = e;
 				best_lagging = lagging;
+				best_cold = cold;
 			}
 		}
 		if (!best)
@@ -173,6 +181,10 @@
 		conn = pool_conn_for(best, s, now_us);
 		if (conn)
 			return conn;
+		/* A connection to a warm endpoint opens sooner than a cold
+		 * endpoint answers.
+		 */
+		opens_warm |= !best_cold && s->job.opening;
 		tried |= pool_endpoint_bit(best);
 	}
 	return NULL;
@@ -203,6 +215,10 @@
 	s->job.wait_reason = "primary_busy";
 	if (now_us < e->busy_until_us)
 		return NULL;
+	if (!pool_cold_may_send(e, &s->job, now_us)) {
+		s->job.wait_reason = "primary_cold";
+		return NULL;
+	}
 	return pool_conn_for(e, s, now_us);
 }
 
@@ -251,6 +267,19 @@
 	return false;
 }
 
+/* Returns true if an endpoint that is not cold can serve the read. */
+static bool warm_can_read(const struct pool_group *g,
+			  const struct pool_job *job, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < g->endpoints_count; i++) {
+		const struct pool_endpoint *e = g->endpoints[i];
+
+		if (!pool_is_cold(e, now_us) && pool_can_read(e, job, now_us))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Returns the next queued statement of the connection's customer if this
  * endpoint may serve it now, NULL otherwise.
@@ -274,11 +303,13 @@
 		return e == g->primary && !e->suspect &&
 				       !is_past_leaving_grace(e, now_us) &&
 				       now_us >= e->read_only_until_us &&
-				       now_us >= e->busy_until_us
+				       now_us >= e->busy_until_us &&
+				       !pool_is_cold(e, now_us)
 			       ? s
 			       : NULL;
 	if (!pool_find_min_position(s) || !pool_can_read(e, &s->job, now_us) ||
-	    (e == g->primary && replica_can_read(g, &s->job, now_us)))
+	    (e == g->primary && replica_can_read(g, &s->job, now_us)) ||
+	    (pool_is_cold(e, now_us) && warm_can_read(g, &s->job, now_us)))
 		return NULL;
 	return s;
 }
@@ -350,6 +381,8 @@
 	for (struct pool_conn *c = e->conns; c; c = c->next) {
 		if (c->state != CONN_IDLE)
 			continue;
+		if (!pool_cold_take(e, now_us))
+			return;
 		g->leadership_conn = c;
 		g->leadership_check_due = false;
 		pool_set_state(c, CONN_CHECKING_LEADERSHIP);
--- a/lib/session/pooler_group.c
+++ b/lib/session/pooler_group.c
@@ -67,6 +67,9 @@
 		e->suspect = false;
 		close_idle(e, now_us);
 	}
+	e->cold.per_s_milli = e->group->cold_per_s_milli;
+	cold_limit_learn(&e->cold, now_us, from->incarnation,
+			 from->cold_left_ms, from->cold_index);
 	LWS_STR_COPY(e->failure_domain, from->failure_domain);
 	e->known = true;
 	e->present = from->present;
@@ -256,4 +259,5 @@
 	watch_primary(g, now_us);
 	free_removed(g);
 	pool_dispatch(g, now_us);
+	pool_cold_tick(g, now_us);
 }
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -2,6 +2,7 @@
 #define POOLER_INTERNAL_H
 
 #include "admission.h"
+#include "cold_limit.h"
 #include "fair_queue.h"
 #include "holders.h"
 #include "lws_rng.h"
@@ -193,6 +194,7 @@
 	struct pool_session *opener;
 	/* COMMAND_OPEN was sent, but may still be unanswered. */
 	bool established;
+	uint64_t established_us;
 	uint64_t sent_us;
 	uint64_t idle_since_us;
 };
@@ -219,6 +221,9 @@
  * @last_contact_us: time of the last answer or established connection
  * @suspect_since_us: when it last became suspect
  * @leaving_since_us: when this instance learned that it leaves; 0 if it stays
+ * @cold: limit of the requests that it gets while it is cold
+ * @cold_since_us: when it turned cold
+ * @cold_sent_before: requests sent to it while it was cold, until then
  */
 struct pool_endpoint {
 	struct pool_group *group;
@@ -250,6 +255,9 @@
 	uint64_t leaving_since_us;
 	bool suspect;
 	uint64_t suspect_since_us;
+	struct cold_limit cold;
+	uint64_t cold_since_us;
+	uint64_t cold_sent_before;
 };
 
 /** struct pool_position_sample - log position of the primary at some time */
@@ -275,6 +283,8 @@
 	uint32_t connections_max;
 	/* This instance's share of the connections of each endpoint. */
 	uint32_t connections_share;
+	/* Requests that a cold endpoint takes; 0 for no limit. */
+	uint32_t cold_per_s_milli;
 	/* Operations go through the holders of the group. */
 	bool forwards;
 	struct holders holders;
@@ -315,6 +325,8 @@
 	JOB_ON_CONN,
 	/** waits to be sent again on the transaction's connection */
 	JOB_RETRY_ON_CONN,
+	/** waits on its connection for a token of the cold endpoint */
+	JOB_WAITS_FOR_COLD,
 	/** a holder runs the statement */
 	JOB_FORWARDED,
 };
@@ -344,6 +356,8 @@
 	/* Latest time to send it; once sent, latest time of the answer. */
 	uint64_t deadline_us;
 	uint64_t retry_at_us;
+	/* JOB_WAITS_FOR_COLD: only the statement itself is left to be sent. */
+	bool set_up;
 	uint32_t attempts;
 	/* Endpoints behind min_position, as bits of pool_endpoint_bit(). */
 	uint32_t lagging_endpoints;
@@ -529,6 +543,22 @@
 		       struct pool_conn *conn, uint64_t now_us);
 void pool_check_primary(struct pool_group *g, uint64_t now_us);
 
+/* pooler_cold.c: requests to cold endpoints */
+bool pool_is_cold(const struct pool_endpoint *e, uint64_t now_us);
+bool pool_cold_may_send(struct pool_endpoint *e, const struct pool_job *job,
+			uint64_t now_us);
+bool pool_cold_take(struct pool_endpoint *e, uint64_t now_us);
+void pool_cold_wait(struct pool_session *s, bool set_up);
+void pool_cold_retry(struct pool_session *s, uint64_t now_us);
+void pool_cold_give_up(struct pool_session *s, uint64_t now_us);
+bool pool_cold_spares_primary(const struct pool_endpoint *e,
+			      const struct pool_job *job, uint64_t now_us);
+uint64_t pool_cold_request_us(const struct pool_endpoint *e, uint64_t now_us);
+uint32_t pool_cold_waiting(const struct pool_endpoint *e);
+bool pool_cold_cut_off(const struct pool_endpoint *e, uint64_t now_us);
+void pool_cold_tick(struct pool_group *g, uint64_t now_us);
+void pool_cold_granted(struct pool_group *g, uint64_t now_us);
+
 /* pooler_group.c: endpoints of a group, failure detection of the primary */
 void pool_group_tick(struct pool_group *g, uint64_t now_us);
 void pool_group_update(struct pool_group *g, uint64_t now_us,
--- a/lib/session/pooler_outcome.c
+++ b/lib/session/pooler_outcome.c
@@ -51,6 +51,12 @@
 {
 	struct pool_job *job = &s->job;
 
+	if (!sent && job->place == JOB_WAITS_FOR_COLD &&
+	    job->st.kind == STATEMENT_COMMIT) {
+		pooler_refuse(s, now_us, STATEMENT_E_ABORTED, TRANSACTION_NONE,
+			      "the connection was lost before the commit");
+		return;
+	}
 	if (!sent) {
 		pooler_not_started(s, now_us, STATEMENT_E_NONE, NULL);
 		return;
--- a/lib/session/pooler_queue.c
+++ b/lib/session/pooler_queue.c
@@ -13,6 +13,11 @@
 				       offsetof(struct pool_session, job));
 }
 
+/* Most statements at a primary come after a BEGIN. */
+#define REQUESTS_AT_PRIMARY 2
+/* Longer than any statement may wait. */
+#define CUT_OFF_WAIT_US (3600 * LWS_US_PER_S)
+
 /* Returns true if the endpoint may serve the statement, as far as is known. */
 static bool may_serve(const struct pool_session *s,
 		      const struct pool_endpoint *e)
@@ -26,34 +31,65 @@
  * struct capacity - capacity of the endpoints that may serve a statement
  * @limit: sum of their concurrency limits
  * @service_us: longest of their service times
+ * @cold_per_s: requests that they take, if all of them are cold; 0 if not
+ * @cold_requests: requests that a queued statement needs, at least
+ * @cold_ahead: requests of open transactions that wait for a token there
+ * @cut_off: all of them are cold, and the rate allocator, which grants requests
+ *           to them, does not answer
  */
 struct capacity {
 	double limit;
 	uint64_t service_us;
+	double cold_per_s;
+	uint64_t cold_requests;
+	uint64_t cold_ahead;
+	bool cut_off;
 };
 
-static struct capacity capacity_for(const struct pool_session *s)
+static struct capacity capacity_for(const struct pool_session *s,
+				    uint64_t now_us)
 {
 	const struct pool_group *g = s->job.group;
 	struct capacity sum = { 0 };
+	struct capacity cold = {
+		.cold_requests = s->job.anywhere ? 1 : REQUESTS_AT_PRIMARY,
+		.cut_off = true,
+	};
 
 	for (uint32_t i = 0; i < g->endpoints_count; i++) {
 		const struct pool_endpoint *e = g->endpoints[i];
 
+		struct capacity *c = &sum;
+
 		if (!may_serve(s, e))
 			continue;
-		sum.limit += e->limit;
-		if (e->service_us > sum.service_us)
-			sum.service_us = e->service_us;
+		if (pool_is_cold(e, now_us)) {
+			c = &cold;
+			c->cut_off &= pool_cold_cut_off(e, now_us);
+			c->cold_ahead += pool_cold_waiting(e);
+			c->cold_per_s +=
+				(double)LWS_US_PER_S /
+				(double)pool_cold_request_us(e, now_us);
+		}
+		c->limit += e->limit;
+		if (e->service_us > c->service_us)
+			c->service_us = e->service_us;
 	}
-	return sum;
+	return sum.limit > 0 || cold.limit <= 0 ? sum : cold;
 }
 
 static uint64_t expected_wait_us(struct capacity c, uint64_t ahead)
 {
-	return c.limit > 0
-		       ? (uint64_t)((double)(ahead * c.service_us) / c.limit)
-		       : 0;
+	double wait_us =
+		c.limit > 0 ? (double)(ahead * c.service_us) / c.limit : 0;
+	uint64_t requests = ahead * c.cold_requests + c.cold_ahead;
+	double cold_us = c.cold_per_s > 0 ? (double)(requests * LWS_US_PER_S) /
+						    c.cold_per_s
+					  : 0;
+
+	if (c.cut_off)
+		return CUT_OFF_WAIT_US;
+	return (uint64_t)(cold_us > wait_us ? cold_us : wait_us);
 }
 
 static uint32_t count_queues(const struct pool_queues *queues,
@@ -81,9 +117,9 @@
 
 /* Expected wait in the late queue, which is served after the in-time queues. */
 static uint64_t expected_late_us(const struct pool_session *s,
-				 const struct fair_queue *late)
+				 const struct fair_queue *late, uint64_t now_us)
 {
-	return expected_wait_us(capacity_for(s),
+	return expected_wait_us(capacity_for(s, now_us),
 				count_ahead(s, late) +
 					count_queues(&s->job.group->in_time,
 						     s->priority_class));
@@ -120,7 +156,7 @@
 
 	if (job->anywhere)
 		(void)pool_find_min_position(s);
-	capacity = capacity_for(s);
+	capacity = capacity_for(s, now_us);
 	*expected_us = expected_wait_us(
 		capacity, count_ahead(s, queue_in(&g->in_time, s)));
 	if (now_us + *expected_us > job->deadline_us)
@@ -145,7 +181,7 @@
 
 	while ((item = fair_queue_expired(from, now_us))) {
 		struct pool_session *s = pool_session_of(item);
-		uint64_t expected_us = expected_late_us(s, to);
+		uint64_t expected_us = expected_late_us(s, to, now_us);
 
 		item->deadline_us = s->job.deadline_us;
 		s->job.queue = to;
--- a/lib/session/pooler_send.c
+++ b/lib/session/pooler_send.c
@@ -86,6 +86,10 @@
 					    .id = job->st.id,
 					    .value = job->st.raw };
 
+	if (!pool_cold_take(conn->endpoint, now_us)) {
+		pool_cold_wait(s, true);
+		return;
+	}
 	if (job->st.kind == STATEMENT_EXECUTE) {
 		command.kind = COMMAND_EXECUTE;
 		command.name = prepared_name(job);
@@ -133,6 +137,10 @@
 	conn->session = s;
 	pool_set_state(conn, CONN_RUNNING);
 	conn->step = STEP_SETUP;
+	if (needs_begin(&s->job) && !pool_cold_take(conn->endpoint, now_us)) {
+		pool_cold_wait(s, false);
+		return;
+	}
 	n = setup_commands(s, conn, commands);
 	/*
 	 * BEGIN is sent without waiting for the answers to the setup commands,
--- a/tests/support_pool.c
+++ b/tests/support_pool.c
@@ -4,10 +4,13 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "cold_limit.h"
 #include "holders.h"
 #include "key_table.h"
 #include "lws_error.h"
 #include "lws_str.h"
+#include "rate_client.h"
+#include "session_token.h"
 #include "wire.h"
 
 #define MS LWS_US_PER_MS
@@ -31,6 +34,8 @@
 	uint32_t number;
 	/* Until when each other instance counts as unusable. */
 	uint64_t lost_until_us[POOL_INSTANCES_MAX];
+	/* Tokens of cold endpoints. */
+	struct rate_client *rates;
 	char failure_domain[FLEET_NAME_MAX];
 };
 
@@ -40,6 +45,8 @@
 	struct pool_conn *conn;
 	struct pool_endpoint_model *endpoint;
 	bool closed;
+	/* The endpoint has ended; its instance does not know it yet. */
+	bool broken;
 	bool up;
 	bool open;
 	bool transaction;
@@ -193,7 +200,7 @@
 {
 	struct answer *a;
 
-	if (l->endpoint->unresponsive)
+	if (l->endpoint->unresponsive || l->broken)
 		return;
 	a = g_new0(struct answer, 1);
 	a->link = l;
@@ -304,7 +311,7 @@
 
 	l->endpoint->running--;
 	l->busy = false;
-	if (!l->closed) {
+	if (!l->closed && !l->broken) {
 		if (is_commit(cmd)) {
 			if (l->writes)
 				commit(sim, l, c);
@@ -481,7 +488,7 @@
 	while (!l->busy && !g_queue_is_empty(l->commands)) {
 		struct command *cmd = g_queue_pop_head(l->commands);
 
-		if (l->closed) {
+		if (l->closed || l->broken) {
 			free_command(cmd);
 		} else if (cmd->command.kind == COMMAND_FORWARD ||
 			   cmd->command.kind == COMMAND_EXECUTE) {
@@ -495,15 +502,24 @@
 	}
 }
 
+/* Commands that count towards the limit of a cold endpoint. */
+static bool is_counted(enum endpoint_command_kind kind)
+{
+	return kind == COMMAND_BEGIN || kind == COMMAND_BEGIN_READ ||
+	       kind == COMMAND_FORWARD || kind == COMMAND_EXECUTE;
+}
+
 static void on_arrival(struct pool_sim *sim, void *arg)
 {
 	struct command *cmd = arg;
 	struct link *l = cmd->link;
 
-	if (l->endpoint->unresponsive || l->closed) {
+	if (l->endpoint->unresponsive || l->closed || l->broken) {
 		free_command(cmd);
 		return;
 	}
+	if (sim->allocator && is_counted(cmd->command.kind))
+		g_array_append_val(l->endpoint->arrivals, sim->now_us);
 	g_queue_push_tail(l->commands, cmd);
 	run_commands(sim, l);
 }
@@ -539,7 +555,7 @@
 {
 	struct link *l = arg;
 
-	if (!l->closed && l->endpoint->refuses_connections)
+	if (!l->closed && (l->endpoint->refuses_connections || l->broken))
 		pooler_conn_closed(l->instance->pooler, sim->now_us, l->conn);
 	else if (!l->closed && !l->endpoint->unresponsive)
 		pooler_conn_established(l->instance->pooler, sim->now_us,
@@ -564,6 +580,10 @@
 	l->commands = g_queue_new();
 	l->refs = 2;
 	l->endpoint->connections++;
+	if (sim->allocator) {
+		l->refs++;
+		g_ptr_array_add(sim->links, l);
+	}
 	schedule(sim, 2 * sim->params.hop_us, on_established, l);
 	return l;
 }
@@ -638,6 +658,11 @@
 	struct pool_sim_instance *instance = private_data;
 	struct pool_sim *sim = instance->sim;
 
+	if (strlen(name) >= CATALOG_NAME_MAX || strchr(name, '/'))
+		return instance->rates
+			       ? rate_client_bucket(instance->rates,
+						    session_name_hash(name))
+			       : NULL;
 	if (sim->faults[instance->number] == POOL_INSTANCE_CUT_OFF)
 		return &sim->empty_bucket;
 	for (uint32_t i = 0; i < POOL_CUSTOMERS; i++) {
@@ -649,7 +674,185 @@
 
 static void op_tokens_wanted(void *private_data)
 {
-	(void)private_data;
+	struct pool_sim_instance *instance = private_data;
+
+	if (instance->rates)
+		rate_client_tokens_wanted(instance->rates);
+}
+
+/* Token requests for cold endpoints */
+
+#define RATE_TTL_US (600 * MS)
+#define RATE_DRIFT_PERCENT 10
+
+struct rate_message {
+	struct pool_sim_instance *instance;
+	uint64_t allocator_nr;
+	uint64_t seq;
+	uint32_t count;
+	struct rate_request requests[POOL_ENDPOINTS];
+	struct rate_grant grants[POOL_ENDPOINTS];
+};
+
+static bool is_cut_off(const struct pool_sim_instance *instance)
+{
+	return instance->sim->faults[instance->number] == POOL_INSTANCE_CUT_OFF;
+}
+
+static void on_rate_reply(struct pool_sim *sim, void *arg)
+{
+	struct rate_message *m = arg;
+
+	if (!is_cut_off(m->instance) &&
+	    rate_client_reply(m->instance->rates, sim->now_us, m->seq,
+			      RATE_TTL_US, m->grants, m->count))
+		pooler_tokens_granted(m->instance->pooler, sim->now_us);
+	g_free(m);
+}
+
+static void on_rate_request(struct pool_sim *sim, void *arg)
+{
+	struct rate_message *m = arg;
+	uint64_t id = m->instance->number + 1;
+
+	if (m->allocator_nr != sim->allocator_nr || is_cut_off(m->instance)) {
+		g_free(m);
+		return;
+	}
+	for (uint32_t i = 0; i < m->count; i++)
+		m->grants[i] = (struct rate_grant){
+			.customer = m->requests[i].customer,
+			.tokens = rate_allocator_grant(sim->allocator,
+						       sim->now_us, id, 1,
+						       m->seq, &m->requests[i]),
+		};
+	rate_allocator_mark_reported(sim->allocator, sim->now_us, id);
+	schedule(sim, sim->params.hop_us, on_rate_reply, m);
+}
+
+static void request_tokens(struct pool_sim_instance *instance)
+{
+	struct pool_sim *sim = instance->sim;
+	struct rate_message *m;
+	uint64_t seq;
+	uint32_t count;
+	const struct rate_request *requests =
+		rate_client_step(instance->rates, sim->now_us, &seq, &count);
+
+	if (!requests || is_cut_off(instance))
+		return;
+	g_assert_cmpuint(count, <=, POOL_ENDPOINTS);
+	m = g_new0(struct rate_message, 1);
+	m->instance = instance;
+	m->allocator_nr = sim->allocator_nr;
+	m->seq = seq;
+	m->count = count;
+	for (uint32_t i = 0; i < count; i++)
+		m->requests[i] = requests[i];
+	schedule(sim, sim->params.hop_us, on_rate_request, m);
+}
+
+void pool_sim_new_allocator(struct pool_sim *sim)
+{
+	struct rate_allocator_params params = {
+		.ttl_us = RATE_TTL_US,
+		.drift_percent = RATE_DRIFT_PERCENT,
+		/* A credit at a takeover must not reach cold endpoints. */
+		.window_s = 5,
+		.over_percent = 10,
+		.over_tokens = 20,
+	};
+	struct cold_budget budget =
+		cold_budget(sim->params.cold_per_s_milli,
+			    POOL_COLD_EXCESS_PERCENT, POOL_COLD_SLACK);
+	uint64_t members[POOL_INSTANCES_MAX];
+
+	talloc_free(sim->allocator);
+	sim->allocator = rate_allocator_create(NULL, &params, sim->now_us);
+	sim->allocator_nr++;
+	for (uint32_t i = 0; i < sim->params.instances; i++) {
+		members[i] = i + 1;
+		rate_client_new_allocator(sim->instances[i]->rates,
+					  sim->now_us);
+	}
+	g_assert_cmpint(rate_allocator_set_members(sim->allocator, sim->now_us,
+						   members,
+						   sim->params.instances),
+			==, 0);
+	for (uint32_t i = 0; i < POOL_ENDPOINTS; i++) {
+		char name[COLD_LIMIT_NAME_MAX];
+
+		cold_limit_name(GROUP, sim->endpoints[i].id, name,
+				sizeof(name));
+		g_assert_cmpint(rate_allocator_set_strict_limit(
+					sim->allocator, sim->now_us,
+					session_name_hash(name),
+					budget.rate_milli, budget.burst),
+				==, 0);
+	}
+}
+
+static void on_broken(struct pool_sim *sim, void *arg)
+{
+	struct link *l = arg;
+
+	if (!l->closed && l->conn)
+		pooler_conn_closed(l->instance->pooler, sim->now_us, l->conn);
+	link_unref(l);
+}
+
+void pool_sim_restart(struct pool_sim *sim, uint32_t endpoint)
+{
+	for (uint32_t i = 0; i < sim->links->len; i++) {
+		struct link *l = g_ptr_array_index(sim->links, i);
+
+		if (l->closed || l->broken ||
+		    l->endpoint != &sim->endpoints[endpoint])
+			continue;
+		l->broken = true;
+		l->refs++;
+		schedule(sim, sim->params.hop_us, on_broken, l);
+	}
+}
+
+void pool_sim_set_cold(struct pool_sim *sim, uint32_t endpoint,
+		       uint32_t cold_left_ms)
+{
+	struct fleet_endpoint *e = &sim->fleet->groups[0].endpoint[endpoint];
+
+	e->cold_left_ms = cold_left_ms;
+	e->cold_index++;
+	pool_sim_fleet_changed(sim);
+}
+
+void pool_sim_announce(struct pool_sim *sim, uint32_t endpoint,
+		       uint32_t cold_left_ms)
+{
+	sim->fleet->groups[0].endpoint[endpoint].incarnation++;
+	pool_sim_set_cold(sim, endpoint, cold_left_ms);
+}
+
+uint32_t pool_sim_max_per_s(const struct pool_sim *sim, uint32_t endpoint,
+			    uint64_t since_us)
+{
+	const GArray *at = sim->endpoints[endpoint].arrivals;
+	uint32_t first = 0;
+	uint32_t max = 0;
+
+	for (uint32_t i = 0; i < at->len; i++) {
+		uint64_t now_us = g_array_index(at, uint64_t, i);
+
+		if (now_us < since_us) {
+			first = i + 1;
+			continue;
+		}
+		while (g_array_index(at, uint64_t, first) + LWS_US_PER_S <=
+		       now_us)
+			first++;
+		if (i + 1 - first > max)
+			max = i + 1 - first;
+	}
+	return max;
 }
 
 static void op_report(void *private_data, const char *group,
@@ -665,8 +868,10 @@
 
 static void op_event(void *private_data, const struct pooler_event *event)
 {
-	(void)private_data;
-	(void)event;
+	struct pool_sim_instance *instance = private_data;
+
+	instance->sim->cold_events += !strcmp(event->event, "endpoint_cold");
+	instance->sim->warm_events += !strcmp(event->event, "endpoint_warm");
 }
 
 /* Operations that instances forward to each other */
@@ -1106,6 +1311,8 @@
 
 	pooler_set_confirmed(instance->pooler, sim->now_us);
 	pooler_tick(instance->pooler, sim->now_us);
+	if (instance->rates)
+		request_tokens(instance);
 	schedule(sim, TICK_US, on_tick, instance);
 }
 
@@ -1137,6 +1344,7 @@
 	LWS_STR_COPY(c->groups[0].name, GROUP);
 	c->groups[0].connections_max = sim->params.connections_max;
 	c->groups[0].sync_replicas = 1;
+	c->groups[0].cold_per_s_milli = sim->params.cold_per_s_milli;
 	c->databases_count = sim->params.classes_count;
 	c->databases = talloc_zero_array(c, struct catalog_database,
 					 c->databases_count);
@@ -1242,6 +1450,8 @@
 		 i % 4);
 	instance->sim = sim;
 	instance->number = i;
+	if (sim->params.cold_per_s_milli)
+		instance->rates = rate_client_create(NULL);
 	instance->pooler = pooler_create(NULL, &params, &ops);
 	pooler_set_confirmed(instance->pooler, sim->now_us);
 	sim->instances[i] = instance;
@@ -1266,6 +1476,8 @@
 		snprintf(sim->endpoints[i].id, FLEET_NAME_MAX, "e%u", i);
 		sim->endpoints[i].lag_ms = params->lag_ms;
 		sim->endpoints[i].waiting = g_queue_new();
+		sim->endpoints[i].arrivals =
+			g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	}
 	for (uint32_t i = 0; i < POOL_CUSTOMERS; i++) {
 		sim->token_buckets[i] = g_new0(struct rate_bucket, 1);
@@ -1275,6 +1487,9 @@
 	sim->empty_bucket.contact = &no_contact;
 	for (uint32_t i = 0; i < params->instances; i++)
 		make_instance(sim, i);
+	sim->links = g_ptr_array_new();
+	if (params->cold_per_s_milli)
+		pool_sim_new_allocator(sim);
 	pool_sim_promote(sim, 0);
 	for (uint32_t class = 0; class < params->classes_count; class ++) {
 		struct source *s = g_new0(struct source, 1);
--- a/tests/support_pool.h
+++ b/tests/support_pool.h
@@ -61,6 +61,8 @@
 	uint32_t large_percent;
 	/* Operations go through holders. */
 	bool forwards;
+	/* Requests that a cold endpoint takes; 0 for no limit. */
+	uint32_t cold_per_s_milli;
 };
 
 /**
@@ -93,6 +95,8 @@
 	uint64_t busy_answers;
 	uint64_t lagging_answers;
 	GQueue *waiting;
+	/* Arrival times of statements, BEGINs and COMMITs. */
+	GArray *arrivals;
 };
 
 /** enum pool_instance_fault - faults of an instance that tests set */
@@ -117,6 +121,13 @@
 	struct pool_endpoint_model endpoints[POOL_ENDPOINTS];
 	struct rate_bucket *token_buckets[POOL_CUSTOMERS];
 	struct rate_bucket empty_bucket;
+	/* Grants the requests to cold endpoints; NULL without a limit. */
+	struct rate_allocator *allocator;
+	uint64_t allocator_nr;
+	GPtrArray *links;
+	/* Log lines about endpoints that turn cold or warm. */
+	uint32_t cold_events;
+	uint32_t warm_events;
 	uint64_t term;
 	GArray *commits;
 	struct pool_tally tallies[3];
@@ -160,6 +171,34 @@
 /** pool_sim_fleet_changed() - pass the cluster state to all instances */
 void pool_sim_fleet_changed(struct pool_sim *sim);
 
+/*
+ * Limit of the requests that a cold endpoint may get in any second, in
+ * simulations, with 20 requests per second.
+ */
+#define POOL_COLD_PER_S 20
+#define POOL_COLD_EXCESS_PERCENT 150
+#define POOL_COLD_SLACK 5
+#define POOL_COLD_MAX_PER_S \
+	(POOL_COLD_PER_S * POOL_COLD_EXCESS_PERCENT / 100 + POOL_COLD_SLACK)
+
+/** pool_sim_restart() - break all connections of an endpoint */
+void pool_sim_restart(struct pool_sim *sim, uint32_t endpoint);
+
+/** pool_sim_announce() - a started endpoint announces itself as cold */
+void pool_sim_announce(struct pool_sim *sim, uint32_t endpoint,
+		       uint32_t cold_left_ms);
+
+/** pool_sim_set_cold() - change the cold period in the state */
+void pool_sim_set_cold(struct pool_sim *sim, uint32_t endpoint,
+		       uint32_t cold_left_ms);
+
+/** pool_sim_new_allocator() - replace the rate allocator of cold endpoints */
+void pool_sim_new_allocator(struct pool_sim *sim);
+
+/** pool_sim_max_per_s() - most requests in any second since a time */
+uint32_t pool_sim_max_per_s(const struct pool_sim *sim, uint32_t endpoint,
+			    uint64_t since_us);
+
 /** pool_sim_stats() - sum of the counters of all instances */
 struct pooler_stats pool_sim_stats(const struct pool_sim *sim);
 
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -307,6 +307,174 @@
 	pool_sim_free(sim);
 }
 
+/* Cold endpoints */
+
+#define COLD_LEFT_MS 4000
+
+static struct pool_sim_params cold_params(uint64_t seed)
+{
+	struct pool_sim_params params = pool_sim_refugio(seed);
+
+	params.cold_per_s_milli = POOL_COLD_PER_S * 1000;
+	return params;
+}
+
+static void cold_replica(struct pool_sim *sim)
+{
+	sim->endpoints[1].slow_factor = 5;
+	pool_sim_set_cold(sim, 1, COLD_LEFT_MS);
+}
+
+/* A primary that started again and announced itself at once. */
+static void cold_primary(struct pool_sim *sim)
+{
+	sim->endpoints[0].slow_factor = 5;
+	pool_sim_restart(sim, 0);
+	pool_sim_announce(sim, 0, COLD_LEFT_MS);
+}
+
+static void cold_all(struct pool_sim *sim)
+{
+	for (uint32_t i = 0; i < POOL_ENDPOINTS; i++) {
+		pool_sim_restart(sim, i);
+		pool_sim_announce(sim, i, COLD_LEFT_MS);
+	}
+}
+
+static void cold_unannounced(struct pool_sim *sim)
+{
+	pool_sim_restart(sim, 0);
+	pool_sim_run(sim, 1500 * MS);
+	pool_sim_announce(sim, 0, COLD_LEFT_MS - 1500);
+}
+
+/* As above, but it also refuses connections while it starts. */
+static void cold_refuses_first(struct pool_sim *sim)
+{
+	sim->endpoints[0].refuses_connections = true;
+	pool_sim_restart(sim, 0);
+	pool_sim_run(sim, 500 * MS);
+	sim->endpoints[0].refuses_connections = false;
+	pool_sim_run(sim, 1000 * MS);
+	pool_sim_announce(sim, 0, COLD_LEFT_MS - 1500);
+}
+
+static void cold_new_allocators(struct pool_sim *sim)
+{
+	cold_primary(sim);
+	for (uint32_t i = 0; i < 5; i++) {
+		pool_sim_run(sim, 500 * MS);
+		pool_sim_new_allocator(sim);
+	}
+}
+
+/* Four of nine instances have no contact, with the tokens they hold. */
+static void cold_cut_off(struct pool_sim *sim)
+{
+	cold_primary(sim);
+	pool_sim_run(sim, 500 * MS);
+	for (uint32_t i = 0; i < 4; i++)
+		sim->faults[i] = POOL_INSTANCE_CUT_OFF;
+}
+
+/* The period is set again before it ends, as after an evacuation. */
+static void cold_again(struct pool_sim *sim)
+{
+	pool_sim_set_cold(sim, 0, 1000);
+	pool_sim_run(sim, 900 * MS);
+	pool_sim_set_cold(sim, 0, COLD_LEFT_MS);
+}
+
+struct cold_case {
+	const char *name;
+	fault_fn fault;
+	/* Endpoint whose requests are counted. */
+	uint32_t endpoint;
+	/* Minimum scores while the endpoint is cold. */
+	double min_score[3];
+};
+
+/*
+ * "hold" and the writes of "note" need the primary, which takes 20 requests
+ * per second of the 150 that they send.
+ */
+static const struct cold_case cold_cases[] = {
+	{ "replica", cold_replica, 1, { 0.95, 0.9, 0.9 } },
+	{ "primary", cold_primary, 0, { 0, 0.8, 0.6 } },
+	{ "all", cold_all, 2, { 0, 0, 0 } },
+	{ "unannounced", cold_unannounced, 0, { 0, 0.8, 0.6 } },
+	{ "refuses-first", cold_refuses_first, 0, { 0, 0.8, 0.6 } },
+	{ "new-allocators", cold_new_allocators, 0, { 0, 0.8, 0.6 } },
+	{ "cut-off", cold_cut_off, 0, { 0, 0, 0 } },
+	{ "cold-again", cold_again, 0, { 0, 0.8, 0.6 } },
+};
+
+/*
+ * A cold endpoint gets at most its requests in any second, and what it can run
+ * is run: some statements of a cold primary are served, reads go elsewhere.
+ * Guards also against an endpoint that stays limited after it is warm.
+ */
+static void run_cold(const struct cold_case *c,
+		     const struct pool_sim_params *params,
+		     struct pool_tally *sums)
+{
+	struct pool_sim *sim = pool_sim_create(params);
+	struct pool_tally tallies[3];
+	uint64_t from_us;
+	uint32_t max_per_s;
+	uint32_t requests;
+
+	pool_sim_run(sim, 2 * S);
+	/* In flight when the endpoint turns cold. */
+	from_us = sim->now_us + 2 * params->hop_us + 1;
+	memset(sim->tallies, 0, sizeof(sim->tallies));
+	c->fault(sim);
+	pool_sim_run(sim, from_us + (COLD_LEFT_MS - 100) * MS - sim->now_us);
+	max_per_s = pool_sim_max_per_s(sim, c->endpoint, from_us);
+	requests = sim->endpoints[c->endpoint].arrivals->len;
+	memcpy(tallies, sim->tallies, sizeof(tallies));
+	if (g_test_verbose())
+		g_printerr("%s seed %" G_GUINT64_FORMAT ": %u in a second, "
+			   "scores %.2f %.2f %.2f, refused late %" //
+			   G_GUINT64_FORMAT "\n",
+			   c->name, params->seed, max_per_s,
+			   pool_sim_score(&tallies[0]),
+			   pool_sim_score(&tallies[1]),
+			   pool_sim_score(&tallies[2]), sim->refused_late);
+	g_assert_cmpuint(max_per_s, <=, POOL_COLD_MAX_PER_S);
+	g_assert_cmpuint(sim->cold_events, >, 0);
+	for (uint32_t i = 0; i < 3; i++)
+		pool_tally_add(&sums[i], &tallies[i]);
+	/* Warm again. */
+	memset(sim->faults, 0, sizeof(sim->faults));
+	sim->endpoints[c->endpoint].slow_factor = 0;
+	pool_sim_run(sim, 2 * S);
+	memset(sim->tallies, 0, sizeof(sim->tallies));
+	pool_sim_run(sim, 3 * S);
+	g_assert_cmpuint(sim->warm_events, >, 0);
+	g_assert_cmpuint(sim->endpoints[c->endpoint].arrivals->len, >,
+			 requests);
+	for (uint32_t i = 0; i < 3; i++)
+		g_assert_cmpfloat(pool_sim_score(&sim->tallies[i]), >=, 0.85);
+	g_assert_true(pool_sim_guarantees_hold(sim));
+	pool_sim_free(sim);
+}
+
+static void test_cold(gconstpointer data)
+{
+	const struct cold_case *c = data;
+	struct pool_tally sums[3] = { { 0 } };
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct pool_sim_params params = cold_params(seed);
+
+		run_cold(c, &params, sums);
+	}
+	for (uint32_t i = 0; i < 3; i++)
+		g_assert_cmpfloat(pool_sim_score(&sums[i]), >=,
+				  c->min_score[i]);
+}
+
 /* Days: disturbances one after the other, at seeded times */
 
 #define DAY_DISTURBANCES 8
@@ -416,6 +584,12 @@
 		g_test_add_data_func(path, &forward_cases[i],
 				     test_forward_fault);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(cold_cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/pooler/cold/%s", cold_cases[i].name);
+
+		g_test_add_data_func(path, &cold_cases[i], test_cold);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(day_cases); i++) {
 		g_autofree char *path =
 			g_strdup_printf("/pooler/day/%s", day_cases[i].name);
