--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -501,7 +501,8 @@
 
 			if (strcmp(e->failure_domain, failure_domain) != 0)
 				continue;
-			e->cold_left_ms = limits->cold_start_ms;
+			if (e->cold_left_ms < limits->cold_start_ms)
+				e->cold_left_ms = limits->cold_start_ms;
 			e->cold_reported = false;
 			e->cold_index = index;
 			marked++;
--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -375,8 +375,8 @@
  * @failure_domain: failure domain that was evacuated until now
  *
  * Marks each endpoint whose group limits the requests of cold endpoints, for
- * the time that the group needs after a start. What the endpoint announces
- * next takes the place of this time.
+ * the time that the group needs after a start, or for the last known time if
+ * that is longer. What the endpoint announces next takes the place of it.
  *
  * Return: number of endpoints that were marked.
  */
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -403,8 +403,15 @@
 	/* Restored again: counted from its beginning again. */
 	{ 0, false, 0, 30000, 8 },
 	{ 1, true, 12000, 12000, 9 },
+	/* It turned cold while it was evacuated, for a longer time. */
+	{ 1, true, 40000, 40000, 10 },
+	{ 0, false, 0, 40000, 11 },
+	{ 1, true, 38000, 38000, 12 },
+	{ 0, false, 0, 38000, 13 },
+	{ 1, true, 3000, 3000, 14 },
+	{ 0, false, 0, 30000, 15 },
 	/* Another process, which reports nothing, is not cold. */
-	{ 2, false, 0, 0, 10 },
+	{ 2, false, 0, 0, 16 },
 };
 
 /*
