--- a/lib/session/pooler_cold.c
+++ b/lib/session/pooler_cold.c
@@ -197,6 +197,13 @@
 		p->ops.tokens_wanted(p->ops.private_data);
 }
 
+/* Requests no more tokens for the endpoint. */
+void pool_cold_forget(struct pool_endpoint *e)
+{
+	if (e->cold.bucket)
+		atomic_store(&e->cold.bucket->waiting, 0);
+}
+
 void pool_cold_tick(struct pool_group *g, uint64_t now_us)
 {
 	for (uint32_t i = 0; i < g->endpoints_count; i++) {
@@ -205,8 +212,8 @@
 
 		if (cold != e->cold.was_cold) {
 			log_change(e, now_us, cold);
-			if (!cold && e->cold.bucket)
-				atomic_store(&e->cold.bucket->waiting, 0);
+			if (!cold)
+				pool_cold_forget(e);
 		}
 		if (cold)
 			want_tokens(e);
--- a/lib/session/pooler_group.c
+++ b/lib/session/pooler_group.c
@@ -33,6 +33,7 @@
 	for (uint32_t i = 0; i < g->endpoints_count; i++) {
 		if (g->endpoints[i]->known || g->endpoints[i]->conns)
 			continue;
+		pool_cold_forget(g->endpoints[i]);
 		talloc_free(g->endpoints[i]);
 		g->endpoints[i--] = g->endpoints[--g->endpoints_count];
 		g->endpoints[g->endpoints_count] = NULL;
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -557,6 +557,7 @@
 uint32_t pool_cold_waiting(const struct pool_endpoint *e);
 bool pool_cold_cut_off(const struct pool_endpoint *e, uint64_t now_us);
 void pool_cold_tick(struct pool_group *g, uint64_t now_us);
+void pool_cold_forget(struct pool_endpoint *e);
 void pool_cold_granted(struct pool_group *g, uint64_t now_us);
 
 /* pooler_group.c: endpoints of a group, failure detection of the primary */
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -206,6 +206,63 @@
 	int rc;
 };
 
+/*
+ * Announcements with cold periods, beside some without. Guards against a leader
+ * that cannot read them, and, without any, against bytes that an instance of
+ * the previous version cannot read.
+ */
+static void test_announce_cold(void)
+{
+	for (uint32_t reported = 0; reported < 3; reported++) {
+		struct wire_announce_item items[2] = {
+			{ .group = "g",
+			  .endpoint = { .id = "a", .addr = "1.2.3.4:5" } },
+			{ .group = "g",
+			  .endpoint = { .id = "b",
+					.addr = "1.2.3.4:6",
+					.cold_left_ms = 7 } },
+		};
+		struct wire_msg m = { .type = WIRE_ANNOUNCE,
+				      .announce = { 2, items } };
+		struct pack_reader r;
+		struct pack_reader type;
+		struct pack_reader list;
+		struct wire_msg *copy;
+		uint8_t *frame;
+		size_t len;
+
+		items[0].endpoint.cold_reported = reported == 2;
+		items[1].endpoint.cold_reported = reported >= 1;
+		g_assert_cmpint(wire_encode(NULL, &m, &frame, &len), ==, 0);
+		g_assert_cmpint(wire_decode(NULL, frame + WIRE_HEADER_BYTES,
+					    len - WIRE_HEADER_BYTES, &copy),
+				==, 0);
+		g_assert_cmpuint(copy->announce.count, ==, 2);
+		for (uint32_t i = 0; i < 2; i++) {
+			const struct fleet_endpoint *e =
+				&copy->announce.items[i].endpoint;
+
+			g_assert_true(e->cold_reported ==
+				      items[i].endpoint.cold_reported);
+			g_assert_cmpuint(
+				e->cold_left_ms, ==,
+				reported ? items[i].endpoint.cold_left_ms : 0);
+			g_assert_cmpstr(e->id, ==, items[i].endpoint.id);
+		}
+		/* The list of the previous version had 12 items for each. */
+		g_assert_cmpint(pack_reader_init(&r, frame + WIRE_HEADER_BYTES,
+						 len - WIRE_HEADER_BYTES),
+				==, 0);
+		type = r;
+		(void)pack_read_u64(&type);
+		g_assert_cmpint(pack_reader_enter(&type, &list), ==, 0);
+		g_assert_cmpuint(list.count, ==, reported ? 25 : 24);
+		pack_reader_clear(&r);
+		talloc_free(copy);
+		talloc_free(frame);
+	}
+}
+
 static void test_frame_length(void)
 {
 	static const struct frame_case cases[] = {
@@ -456,6 +513,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/codec/wire/forward", test_wire_forward);
 	g_test_add_func("/codec/wire/round-trip", test_wire_round_trip);
+	g_test_add_func("/codec/announce-cold", test_announce_cold);
 	g_test_add_func("/codec/wire/frame-length", test_frame_length);
 	g_test_add_func("/codec/wire/truncated", test_wire_truncated);
 	g_test_add_func("/codec/wire/mutations", test_wire_mutations);
