Cold endpoints: a test with real processes

Change: the platform stand-in's endpoints can report that they are cold for a time after their start (--cold-ms). /platform-daemon/cold-primary checks the path from configuration and heartbeats over the rate allocator to the pooler: at most 11 writes in any second while the primary is cold, all of them once it is warm, and the metrics.

--- a/programs/platform_standin/main.c
+++ b/programs/platform_standin/main.c
@@ -30,6 +30,8 @@
 	{ "return-ms", 'r', "N", 0,
 	  "Restart a crashed endpoint after N ms (never)", 0 },
 	{ "lag-ms", 'd', "N", 0, "Replicas apply commits N ms late (20)", 0 },
+	{ "cold-ms", 'c', "N", 0,
+	  "Endpoints report that they are cold for N ms after a start (0)", 0 },
 	{ "work-ms", 'w', "N", 0, "Accepted, but not used", 0 },
 	{ 0 },
 };
@@ -63,6 +65,9 @@
 	case 'd':
 		p->lag_ms = (uint32_t)strtoul(arg, NULL, 10);
 		return 0;
+	case 'c':
+		p->cold_ms = (uint32_t)strtoul(arg, NULL, 10);
+		return 0;
 	case 'w':
 		p->work_ms = (uint32_t)strtoul(arg, NULL, 10);
 		return 0;
--- a/programs/platform_standin/platform_standin.c
+++ b/programs/platform_standin/platform_standin.c
@@ -53,6 +53,7 @@
 	uint64_t received;
 	uint64_t seq;
 	uint64_t born_ms;
+	uint64_t started_us;
 	uint32_t announce_index;
 	struct session *sessions;
 };
@@ -526,6 +527,7 @@
 	e->draining = false;
 	e->seq = 0;
 	e->born_ms += 1000;
+	e->started_us = lws_time_now_us();
 	catch_up(e);
 }
 
@@ -666,6 +668,15 @@
 		e->announce_index++;
 }
 
+static uint32_t cold_left_ms(const struct endpoint *e)
+{
+	uint64_t passed_ms =
+		(lws_time_now_us() - e->started_us) / LWS_US_PER_MS;
+	uint32_t cold_ms = e->standin->params.cold_ms;
+
+	return passed_ms < cold_ms ? cold_ms - (uint32_t)passed_ms : 0;
+}
+
 static void announce(struct endpoint *e)
 {
 	struct standin *s = e->standin;
@@ -688,10 +699,10 @@
 	snprintf(body, sizeof(body),
 		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z%d\","
 		 "\"version\":\"v1\",\"slots\":3,\"state\":\"%s\","
-		 "\"cold_left_ms\":0,\"db_role\":\"%s\",\"seq\":%" PRIu64
+		 "\"cold_left_ms\":%u,\"db_role\":\"%s\",\"seq\":%" PRIu64
 		 ",\"born\":%" PRIu64 "}",
 		 s->params.group, e->advertised, (int)(e - s->endpoints) + 1,
-		 e->draining ? "draining" : "ready",
+		 e->draining ? "draining" : "ready", cold_left_ms(e),
 		 e->primary ? "primary" : "replica", ++e->seq, e->born_ms);
 	if (http1_call_start(s, s->ev, &call))
 		e->announce_index++;
@@ -731,6 +742,7 @@
 	e->term = 1;
 	e->primary = i == 0;
 	e->born_ms = 1700000000000 + (uint64_t)i;
+	e->started_us = lws_time_now_us();
 	snprintf(e->id, sizeof(e->id), "e%d", i);
 	e->fd = sock_listen(addr, e->addr);
 	return e->fd >= 0 &&
--- a/programs/platform_standin/platform_standin.h
+++ b/programs/platform_standin/platform_standin.h
@@ -26,6 +26,7 @@
  *             draining one is replaced after a multiple of it; 0: never
  * @lag_ms: replicas apply a commit this late
  * @work_ms: accepted, but not used
+ * @cold_ms: an endpoint reports that it is cold for this long after a start
  */
 struct standin_params {
 	const char *group;
@@ -36,6 +37,7 @@
 	uint32_t return_ms;
 	uint32_t lag_ms;
 	uint32_t work_ms;
+	uint32_t cold_ms;
 };
 
 /**
--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -56,6 +56,8 @@
 };
 
 static int next_net = 1;
+/* How long endpoints are cold after their start. */
+static uint32_t cold_ms;
 
 /* Processes */
 
@@ -110,7 +112,8 @@
 	g_autofree char *announce =
 		g_strdup_printf("--announce=%s.1:8462,%s.2:8462,%s.3:8462",
 				f->net, f->net, f->net);
-	char *argv[] = { path, listen, promote, announce, NULL };
+	g_autofree char *cold = g_strdup_printf("--cold-ms=%u", cold_ms);
+	char *argv[] = { path, listen, promote, announce, cold, NULL };
 
 	spawn(f, STANDIN_HOST, argv);
 }
@@ -725,6 +728,88 @@
  * An endpoint left and a key was withdrawn. After a restart of all processes
  * from their files, neither is used again.
  */
+#define COLD_MS 8000
+/* 4 x 1.5 + 5: requests to the cold primary in one second. */
+#define COLD_PER_S 4
+#define COLD_MAX_PER_S 11
+
+static uint64_t cold_metric(const struct test_fleet *f, const char *name)
+{
+	g_autofree char *line =
+		g_strdup_printf("lws_%s{group=\"g1\",endpoint=\"e0\"} ", name);
+	g_autofree char *text = NULL;
+	const char *at;
+
+	g_assert_cmpint(
+		http(f, SESSION_HOST, 9464, "GET", "/metrics", "", &text), ==,
+		200);
+	at = strstr(text, line);
+	return at ? g_ascii_strtoull(at + strlen(line), NULL, 10) : 0;
+}
+
+static void wait_for_cold(const struct test_fleet *f, uint64_t cold)
+{
+	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
+
+	while (cold_metric(f, "endpoint_cold") != cold) {
+		g_assert_cmpint(g_get_monotonic_time(), <, until);
+		g_usleep(20 * 1000);
+	}
+}
+
+/*
+ * A primary that reports that it is cold gets only its requests from real
+ * processes, and everything once it is warm. Guards against a limit that is
+ * lost between the configuration, the heartbeats, the rate allocator and the
+ * pooler.
+ */
+static void test_cold_primary(void)
+{
+	struct test_fleet *f;
+	g_autofree char *plain = config_of(6, "\"k1\"");
+	g_auto(GStrv) parts = g_strsplit(plain, "\"sync_replicas\"", 2);
+	g_autofree char *config =
+		g_strdup_printf("%s\"cold_start_s\":%d,\"cold_per_s\":%d.0,"
+				"\"sync_replicas\"%s",
+				parts[0], COLD_MS / 1000, COLD_PER_S, parts[1]);
+	g_autoptr(GArray) answered = g_array_new(FALSE, FALSE, sizeof(gint64));
+	struct line_conn *c;
+	gint64 from_us;
+	uint64_t sent;
+
+	cold_ms = COLD_MS;
+	f = fleet_start(3);
+	cold_ms = 0;
+	g_assert_cmpint(replace_config(f, config), ==, 200);
+	wait_for_cold(f, 1);
+	c = open_session(f, "pay", "k1");
+	from_us = g_get_monotonic_time();
+	while (g_get_monotonic_time() < from_us + 2500 * 1000) {
+		g_autofree char *got = query(c, "WRITE bed leila");
+		gint64 now_us = g_get_monotonic_time();
+
+		if (strcmp(got, "COMPLETE write-tag|READY I") == 0)
+			g_array_append_val(answered, now_us);
+	}
+	g_assert_cmpuint(cold_metric(f, "endpoint_cold"), ==, 1);
+	g_assert_cmpuint(answered->len, >, 0);
+	for (uint32_t i = COLD_MAX_PER_S; i < answered->len; i++)
+		g_assert_cmpint(g_array_index(answered, gint64, i) -
+					g_array_index(answered, gint64,
+						      i - COLD_MAX_PER_S),
+				>=, G_USEC_PER_SEC);
+	sent = cold_metric(f, "endpoint_cold_statements");
+	g_assert_cmpuint(sent, >=, answered->len);
+	wait_for_cold(f, 0);
+	from_us = g_get_monotonic_time();
+	for (uint32_t i = 0; i < 4 * COLD_MAX_PER_S; i++)
+		expect(c, "WRITE bed leila", "COMPLETE write-tag|READY I");
+	g_assert_cmpint(g_get_monotonic_time() - from_us, <,
+			2 * G_USEC_PER_SEC);
+	close_line(c);
+	fleet_stop(f);
+}
+
 static void test_restart_keeps_removals(void)
 {
 	struct test_fleet *f = fleet_start(3);
@@ -1182,6 +1267,7 @@
 	g_test_add_func("/platform-daemon/stop", test_stop);
 	g_test_add_func("/platform-daemon/announcement-registered",
 			test_announcement_registered);
+	g_test_add_func("/platform-daemon/cold-primary", test_cold_primary);
 	g_test_add_func("/platform-daemon/forwarding", test_forwarding);
 	g_test_add_func("/platform-daemon/forward-malformed",
 			test_forward_malformed);
