--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -392,6 +392,8 @@
 	uint32_t endpoint;
 	/* Minimum scores while the endpoint is cold. */
 	double min_score[3];
+	/* Operations go through holders. */
+	bool forwards;
 };
 
 /*
@@ -399,14 +401,16 @@
  * per second of the 150 that they send.
  */
 static const struct cold_case cold_cases[] = {
-	{ "replica", cold_replica, 1, { 0.95, 0.9, 0.9 } },
-	{ "primary", cold_primary, 0, { 0, 0.8, 0.6 } },
-	{ "all", cold_all, 2, { 0, 0, 0 } },
-	{ "unannounced", cold_unannounced, 0, { 0, 0.8, 0.6 } },
-	{ "refuses-first", cold_refuses_first, 0, { 0, 0.8, 0.6 } },
-	{ "new-allocators", cold_new_allocators, 0, { 0, 0.8, 0.6 } },
-	{ "cut-off", cold_cut_off, 0, { 0, 0, 0 } },
-	{ "cold-again", cold_again, 0, { 0, 0.8, 0.6 } },
+	{ "replica", cold_replica, 1, { 0.95, 0.9, 0.9 }, false },
+	{ "primary", cold_primary, 0, { 0, 0.8, 0.6 }, false },
+	{ "all", cold_all, 2, { 0, 0, 0 }, false },
+	{ "unannounced", cold_unannounced, 0, { 0, 0.8, 0.6 }, false },
+	{ "refuses-first", cold_refuses_first, 0, { 0, 0.8, 0.6 }, false },
+	{ "new-allocators", cold_new_allocators, 0, { 0, 0.8, 0.6 }, false },
+	{ "cut-off", cold_cut_off, 0, { 0, 0, 0 }, false },
+	{ "cold-again", cold_again, 0, { 0, 0.8, 0.6 }, false },
+	{ "holders", cold_primary, 0, { 0, 0.8, 0.6 }, true },
+	{ "holders-unannounced", cold_unannounced, 0, { 0, 0.8, 0.6 }, true },
 };
 
 /*
@@ -468,6 +472,10 @@
 	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
 		struct pool_sim_params params = cold_params(seed);
 
+		if (c->forwards) {
+			params = forwarding_params(seed);
+			params.cold_per_s_milli = POOL_COLD_PER_S * 1000;
+		}
 		run_cold(c, &params, sums);
 	}
 	for (uint32_t i = 0; i < 3; i++)
