--- a/lib/session/pooler_dispatch.c
+++ b/lib/session/pooler_dispatch.c
@@ -181,7 +181,8 @@
 		conn = pool_conn_for(best, s, now_us);
 		if (conn)
 			return conn;
-		/* A connection to a warm endpoint opens sooner than a cold
+		/*
+		 * A connection to a warm endpoint opens sooner than a cold
 		 * endpoint answers.
 		 */
 		opens_warm |= !best_cold && s->job.opening;
