--- a/lib/admit/rate_allocator.c
+++ b/lib/admit/rate_allocator.c
@@ -38,8 +38,11 @@
 	struct global_bucket *next_in_slot;
 	struct global_bucket *next_of_all;
 	uint64_t customer;
-	uint32_t rate_per_s;
+	/* Thousandths of a token per second. */
+	uint64_t rate_milli;
 	uint32_t burst;
+	/* Never exceeded: no credit and no shares. */
+	bool strict;
 	uint64_t level_millionths;
 	/* Tokens that a new allocator may still grant beyond its level. */
 	uint64_t credit;
@@ -230,16 +233,11 @@
 	return a > b ? a - b : 0;
 }
 
-static uint64_t rate_milli(const struct global_bucket *b)
-{
-	return (uint64_t)b->rate_per_s * RATE_SHARE_UNIT;
-}
-
 /* Sum of the shares that are assigned at most. */
 static uint64_t shares_max_milli(const struct rate_allocator *ra,
 				 const struct global_bucket *b)
 {
-	return rate_milli(b) * RATE_SHARE_ASSIGNED_PERCENT /
+	return b->rate_milli * RATE_SHARE_ASSIGNED_PERCENT /
 	       (100 + ra->params.drift_percent);
 }
 
@@ -252,7 +250,7 @@
 {
 	bool scarce = b->wants * MILLIONTHS > b->level_millionths;
 
-	return rate_milli(b) *
+	return b->rate_milli *
 	       (scarce ? RATE_SHARE_SCARCE_PERCENT
 		       : RATE_SHARE_ASSIGNED_PERCENT) /
 	       (100 + ra->params.drift_percent);
@@ -260,7 +258,7 @@
 
 static uint64_t share_max_milli(const struct global_bucket *b)
 {
-	return rate_milli(b) * RATE_SHARE_MAX_PERCENT / 100;
+	return b->rate_milli * RATE_SHARE_MAX_PERCENT / 100;
 }
 
 static uint64_t caps_max(const struct global_bucket *b)
@@ -286,20 +284,27 @@
 	return max ? max : 1;
 }
 
-static bool may_assume_shares(const struct rate_allocator *ra, uint64_t now_us)
+/* Whether shares may be in force that were not reported to this allocator. */
+static bool may_lack_reports(const struct rate_allocator *ra, uint64_t now_us)
 {
 	return ra->unreported_count &&
 	       now_us < ra->created_us + padded_share_us(ra);
 }
 
+static bool may_assume_shares(const struct rate_allocator *ra,
+			      const struct global_bucket *b, uint64_t now_us)
+{
+	return !b->strict && may_lack_reports(ra, now_us);
+}
+
 /* Shares that instances which have not reported may have. */
 static uint64_t assumed_milli(const struct rate_allocator *ra,
 			      const struct global_bucket *b, uint64_t now_us)
 {
-	if (!may_assume_shares(ra, now_us))
+	if (!may_assume_shares(ra, b, now_us))
 		return 0;
 	if (ra->assume_all_shared)
-		return rate_milli(b);
+		return b->rate_milli;
 	return min_u64(ra->unreported_count * share_max_milli(b),
 		       minus(shares_max_milli(ra, b), b->known_milli));
 }
@@ -307,7 +312,7 @@
 static uint64_t assumed_caps(const struct rate_allocator *ra,
 			     const struct global_bucket *b, uint64_t now_us)
 {
-	if (!may_assume_shares(ra, now_us))
+	if (!may_assume_shares(ra, b, now_us))
 		return 0;
 	if (ra->assume_all_shared)
 		return b->burst;
@@ -322,7 +327,7 @@
 	uint64_t shared =
 		b->shares.active_milli_per_s + assumed_milli(ra, b, now_us);
 
-	return minus(rate_milli(b),
+	return minus(b->rate_milli,
 		     (shared * (100 + ra->params.drift_percent) + 99) / 100);
 }
 
@@ -516,6 +521,15 @@
 	return (allowed * p->over_percent / 100 + p->over_tokens) / 2;
 }
 
+static void change_limit(struct rate_allocator *ra, struct global_bucket *b,
+			 uint64_t now_us, uint64_t rate_milli, uint32_t burst)
+{
+	fill(ra, b, now_us);
+	b->rate_milli = rate_milli;
+	b->burst = burst;
+	cap_level(ra, b, now_us);
+}
+
 int rate_allocator_set_limit(struct rate_allocator *ra, uint64_t now_us,
 			     uint64_t customer, uint32_t rate_per_s,
 			     uint32_t burst)
@@ -528,10 +542,24 @@
 			return LWS_E_NOMEM;
 		b->credit = takeover_credit(ra, rate_per_s, burst);
 	}
-	fill(ra, b, now_us);
-	b->rate_per_s = rate_per_s;
-	b->burst = burst;
-	cap_level(ra, b, now_us);
+	change_limit(ra, b, now_us, (uint64_t)rate_per_s * RATE_SHARE_UNIT,
+		     burst);
+	return 0;
+}
+
+int rate_allocator_set_strict_limit(struct rate_allocator *ra, uint64_t now_us,
+				    uint64_t key, uint64_t rate_milli,
+				    uint32_t burst)
+{
+	struct global_bucket *b = find_bucket(ra, key);
+
+	if (!b) {
+		b = make_bucket(ra, key, now_us);
+		if (!b)
+			return LWS_E_NOMEM;
+		b->strict = true;
+	}
+	change_limit(ra, b, now_us, rate_milli, burst);
 	return 0;
 }
 
@@ -687,7 +715,7 @@
 	struct rate_share_times times;
 	bool first;
 
-	if (!ra->params.share_us || !b || !member)
+	if (!ra->params.share_us || !b || b->strict || !member)
 		return share;
 	fill(ra, b, now_us);
 	times = (struct rate_share_times){
@@ -727,7 +755,7 @@
 
 	if (!ra->params.share_us || !member)
 		return true;
-	if (!member->reported && may_assume_shares(ra, now_us))
+	if (!member->reported && may_lack_reports(ra, now_us))
 		return false;
 	fill_all(ra, now_us);
 	for (struct global_bucket *b = ra->buckets; b; b = b->next_of_all) {
@@ -747,7 +775,10 @@
 		uint64_t shared =
 			b->shares.milli_per_s + assumed_milli(ra, b, now_us);
 
+		/* The bucket of an endpoint, not of a customer. */
+		if (b->strict)
+			continue;
 		stats->assigned_milli += shared;
-		stats->unassigned_milli += minus(rate_milli(b), shared);
+		stats->unassigned_milli += minus(b->rate_milli, shared);
 	}
 }
--- a/lib/admit/rate_bucket.c
+++ b/lib/admit/rate_bucket.c
@@ -262,6 +262,8 @@
 {
 	bool has_share;
 
+	if (atomic_load(&bucket->strict))
+		return false;
 	rate_bucket_accrue(bucket, now_us);
 	update_share_demand(bucket, now_us);
 	if (bucket->share_demand_milli < SHARE_DEMAND_MIN) {
--- a/lib/session/pooler_group.c
+++ b/lib/session/pooler_group.c
@@ -33,6 +33,7 @@
 	for (uint32_t i = 0; i < g->endpoints_count; i++) {
 		if (g->endpoints[i]->known || g->endpoints[i]->conns)
 			continue;
+		pool_cold_forget(g->endpoints[i]);
 		talloc_free(g->endpoints[i]);
 		g->endpoints[i--] = g->endpoints[--g->endpoints_count];
 		g->endpoints[g->endpoints_count] = NULL;
@@ -102,6 +103,9 @@
 		e->suspect = false;
 		close_idle(e, now_us);
 	}
+	e->cold.per_s_milli = e->group->cold_per_s_milli;
+	cold_limit_learn(&e->cold, now_us, from->incarnation,
+			 from->cold_left_ms, from->cold_index);
 	LWS_STR_COPY(e->failure_domain, from->failure_domain);
 	e->region = regions_bit(e->group->pooler->params.regions,
 				from->failure_domain);
@@ -314,6 +318,17 @@
 	struct pool_conn *next;
 
 	close_idle(e, now_us);
+	for (struct pool_conn *c = e->conns; c; c = next) {
+		struct pool_session *s = c->session;
+
+		next = c->next;
+		/* A replica gets no more reads, also before the grace ends. */
+		if (s && s->busy && s->job.place == JOB_WAITS_FOR_COLD &&
+		    s->job.kind != JOB_IN_TRANSACTION) {
+			pool_cold_withdraw(s, now_us);
+			next = e->conns;
+		}
+	}
 	if (!pool_is_past_evacuation_grace(e, now_us))
 		return;
 	for (struct pool_conn *c = e->conns; c; c = next) {
@@ -321,7 +336,8 @@
 
 		next = c->next;
 		if (s && (c->state == CONN_PINNED ||
-			  (s->busy && s->job.place == JOB_RETRY_ON_CONN)))
+			  (s->busy && (s->job.place == JOB_RETRY_ON_CONN ||
+				       s->job.place == JOB_WAITS_FOR_COLD))))
 			end_transaction(c, now_us);
 	}
 }
@@ -385,4 +401,5 @@
 	watch_primary(g, now_us);
 	free_removed(g);
 	pool_dispatch(g, now_us);
+	pool_cold_tick(g, now_us);
 }
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -202,7 +202,7 @@
 	}
 }
 
-/* Catalogs: packed form and patches, with and without home regions */
+/* Catalogs: packed form and patches, home regions, limits of cold endpoints */
 
 /* A catalog: databases "a" and "b", customers "t" and "u", in this order. */
 struct regions_case {
@@ -213,50 +213,155 @@
 	/* First byte of the packed catalog and of the patch: items, + 0x90. */
 	uint8_t catalog_head;
 	uint8_t patch_head;
+	/* Requests in 1,000 s that cold endpoints take, 0 for no limit. */
+	uint32_t cold_before;
+	uint32_t cold_after;
 };
 
 static const struct regions_case regions_cases[] = {
-	{ "none", { "", "", "", "" }, { "", "", "", "" }, 0x96, 0x99 },
+	{ "none", { "", "", "", "" }, { "", "", "", "" }, 0x96, 0x99, 0, 0 },
 	{ "database-restricted",
 	  { "", "", "", "" },
 	  { "n", "", "", "" },
 	  0x97,
-	  0x9a },
+	  0x9a,
+	  0,
+	  0 },
 	{ "database-freed",
 	  { "n", "", "", "" },
 	  { "", "", "", "" },
 	  0x96,
-	  0x99 },
+	  0x99,
+	  0,
+	  0 },
 	{ "database-moved",
 	  { "n", "s", "", "" },
 	  { "s", "s", "", "" },
 	  0x97,
-	  0x9a },
+	  0x9a,
+	  0,
+	  0 },
 	{ "database-unchanged",
 	  { "ns", "", "", "" },
 	  { "ns", "", "", "" },
 	  0x97,
-	  0x99 },
+	  0x99,
+	  0,
+	  0 },
 	{ "customer-restricted",
 	  { "", "", "", "" },
 	  { "", "", "", "ns" },
 	  0x97,
-	  0x9a },
+	  0x9a,
+	  0,
+	  0 },
 	{ "customer-freed",
 	  { "n", "", "s", "" },
 	  { "n", "", "", "" },
 	  0x97,
-	  0x99 },
+	  0x99,
+	  0,
+	  0 },
 	{ "customer-unchanged",
 	  { "", "", "s", "" },
 	  { "n", "", "s", "" },
 	  0x97,
-	  0x9a },
+	  0x9a,
+	  0,
+	  0 },
 	{ "shorter-list",
 	  { "nsw", "", "", "" },
 	  { "ns", "", "", "" },
 	  0x97,
-	  0x9a },
+	  0x9a,
+	  0,
+	  0 },
+	{ "cold-set",
+	  { "", "", "", "" },
+	  { "", "", "", "" },
+	  0x96,
+	  0x99,
+	  0,
+	  300 },
+	{ "cold-removed",
+	  { "", "", "", "" },
+	  { "", "", "", "" },
+	  0x96,
+	  0x99,
+	  300,
+	  0 },
+	{ "cold-and-database-restricted",
+	  { "", "", "", "" },
+	  { "n", "", "", "" },
+	  0x97,
+	  0x9a,
+	  300,
+	  300 },
+	{ "cold-and-database-freed",
+	  { "n", "", "", "" },
+	  { "", "", "", "" },
+	  0x96,
+	  0x99,
+	  300,
+	  300 },
+	{ "cold-set-both-restricted",
+	  { "", "", "", "" },
+	  { "n", "", "s", "" },
+	  0x97,
+	  0x9a,
+	  0,
+	  300 },
+	{ "cold-set-both-freed",
+	  { "n", "", "s", "" },
+	  { "", "", "", "" },
+	  0x96,
+	  0x99,
+	  0,
+	  300 },
+	{ "cold-removed-both-restricted",
+	  { "", "", "", "" },
+	  { "n", "", "s", "" },
+	  0x97,
+	  0x9a,
+	  300,
+	  0 },
+	/* The patch has no database, and all customers. */
+	{ "cold-set-database-unchanged",
+	  { "n", "", "", "" },
+	  { "n", "", "", "" },
+	  0x97,
+	  0x99,
+	  0,
+	  300 },
+	{ "cold-set-customer-unchanged",
+	  { "", "", "s", "" },
+	  { "", "", "s", "" },
+	  0x97,
+	  0x9a,
+	  0,
+	  300 },
+	{ "cold-removed-customer-unchanged",
+	  { "", "", "s", "" },
+	  { "", "", "s", "" },
+	  0x97,
+	  0x9a,
+	  300,
+	  0 },
+	{ "cold-changed-both-unchanged",
+	  { "n", "", "s", "" },
+	  { "n", "", "s", "" },
+	  0x97,
+	  0x9a,
+	  300,
+	  500 },
+	/* The tables of groups and customers are unchanged. */
+	{ "cold-unchanged-both-unchanged",
+	  { "n", "", "s", "" },
+	  { "n", "", "s", "" },
+	  0x97,
+	  0x99,
+	  300,
+	  300 },
 };
 
 static void add_regions(struct catalog_regions *list, const char *letters)
@@ -269,7 +374,8 @@
 }
 
 static struct catalog *make_catalog(void *mem, uint64_t version,
-				    const char *const *regions)
+				    const char *const *regions,
+				    uint32_t cold_per_s_milli)
 {
 	struct catalog *c = talloc_zero(mem, struct catalog);
 	const char *reason;
@@ -280,6 +386,8 @@
 	c->groups = talloc_zero_array(c, struct catalog_group, 2);
 	strcpy(c->groups[0].name, "g");
 	c->groups[0].connections_max = 21;
+	c->groups[0].cold_start_ms = cold_per_s_milli ? 30000 : 0;
+	c->groups[0].cold_per_s_milli = cold_per_s_milli;
 	c->databases_count = 2;
 	c->databases = talloc_zero_array(c, struct catalog_database, 3);
 	c->customers_count = 2;
@@ -315,6 +423,10 @@
 	g_autoptr(GBytes) b = packed(got);
 
 	g_assert_true(g_bytes_equal(a, b));
+	g_assert_cmpuint(got->groups[0].cold_start_ms, ==,
+			 wanted->groups[0].cold_start_ms);
+	g_assert_cmpuint(got->groups[0].cold_per_s_milli, ==,
+			 wanted->groups[0].cold_per_s_milli);
 	for (uint32_t i = 0; i < 2; i++) {
 		g_assert_cmpuint(got->databases[i].home_regions.count, ==,
 				 wanted->databases[i].home_regions.count);
@@ -324,16 +436,18 @@
 }
 
 /*
- * Guards against a restriction that is lost, or outlives its removal, in the
- * packed form or in a patch; and against sections in the form that instances of
+ * Guards against a restriction or a limit of cold endpoints that is lost, or
+ * outlives its removal, in the packed form or in a patch, each alone and both
+ * together; and against sections in the form that instances of
  * older versions read when there are no home regions.
  */
 static void test_home_regions(gconstpointer data)
 {
 	const struct regions_case *c = data;
 	void *mem = talloc_new(NULL);
-	struct catalog *before = make_catalog(mem, 1, c->before);
-	struct catalog *after = make_catalog(mem, 2, c->after);
+	struct catalog *before =
+		make_catalog(mem, 1, c->before, c->cold_before);
+	struct catalog *after = make_catalog(mem, 2, c->after, c->cold_after);
 	g_autoptr(GBytes) bytes = packed(after);
 	struct catalog *copy;
 	struct pack_writer w;
@@ -364,7 +478,7 @@
 		"9601cd0bb893a1671500dc0012a1610000cd032000000000c2a1620000cd03"
 		"2000000000c298a174050000a17505000090";
 	void *mem = talloc_new(NULL);
-	g_autoptr(GBytes) bytes = packed(make_catalog(mem, 1, none));
+	g_autoptr(GBytes) bytes = packed(make_catalog(mem, 1, none, 0));
 	g_autoptr(GString) got = g_string_new(NULL);
 	const uint8_t *at;
 	size_t len;
@@ -376,6 +490,46 @@
 	talloc_free(mem);
 }
 
+/*
+ * The packed forms with limits of cold endpoints, home regions and both, byte
+ * for byte: instances of this version must be able to read each other's.
+ */
+static void test_catalog_combined_bytes(void)
+{
+#define COLD "94a167150092cd7530cd4e20"
+#define TABLES                                                           \
+	"dc0012a1610000cd032000000000c2a1620000cd032000000000c298a17405" \
+	"0000a17505000090"
+#define HOME "93ac686f6d655f726567696f6e7392a16191a16e90"
+	static const struct {
+		const char *regions[4];
+		uint32_t cold_per_s_milli;
+		const char *hex;
+	} cases[] = {
+		{ { "", "", "", "" }, 20000, "9601cd0bb8" COLD TABLES },
+		{ { "n", "", "", "" }, 0, "9701cd0bb893a1671500" TABLES HOME },
+		{ { "n", "", "", "" }, 20000, "9701cd0bb8" COLD TABLES HOME },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		void *mem = talloc_new(NULL);
+		g_autoptr(GBytes) bytes = packed(make_catalog(
+			mem, 1, cases[i].regions, cases[i].cold_per_s_milli));
+		g_autoptr(GString) got = g_string_new(NULL);
+		const uint8_t *at;
+		size_t len;
+
+		at = g_bytes_get_data(bytes, &len);
+		for (size_t k = 0; k < len; k++)
+			g_string_append_printf(got, "%02x", at[k]);
+		g_assert_cmpstr(got->str, ==, cases[i].hex);
+		talloc_free(mem);
+	}
+#undef COLD
+#undef TABLES
+#undef HOME
+}
+
 /* A section of a later version is skipped; a malformed list is refused. */
 static void test_catalog_sections(void)
 {
@@ -409,7 +563,7 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		void *mem = talloc_new(NULL);
-		g_autoptr(GBytes) bytes = packed(make_catalog(mem, 1, none));
+		g_autoptr(GBytes) bytes = packed(make_catalog(mem, 1, none, 0));
 		g_autoptr(GByteArray) all = g_byte_array_new();
 		struct catalog *copy = NULL;
 		const uint8_t *at;
@@ -445,6 +599,8 @@
 				     test_home_regions);
 	}
 	g_test_add_func("/config/catalog-bytes", test_catalog_bytes);
+	g_test_add_func("/config/catalog-combined-bytes",
+			test_catalog_combined_bytes);
 	g_test_add_func("/config/catalog-sections", test_catalog_sections);
 	g_test_add_func("/config/merge", test_merge_keeps_the_rest);
 	g_test_add_func("/config/mutations", test_mutations);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -363,30 +363,52 @@
 	talloc_free(fleet);
 }
 
+static struct fleet *fleet_with_cold_limits(void)
+{
+	struct fleet *fleet = fleet_create(NULL);
+	struct catalog *c = talloc_zero(fleet, struct catalog);
+
+	c->version = 1;
+	c->groups_count = 2;
+	c->groups = talloc_zero_array(c, struct catalog_group, 2);
+	LWS_STR_COPY(c->groups[0].name, "g");
+	c->groups[0].cold_start_ms = 30000;
+	c->groups[0].cold_per_s_milli = 20000;
+	LWS_STR_COPY(c->groups[1].name, "unlimited");
+	c->groups[1].cold_start_ms = 30000;
+	fleet->catalog = c;
+	return fleet;
+}
+
 struct evacuation_step {
 	enum fleet_command_type type;
 	const char *domain;
 	/* Evacuated domains afterwards, in order. */
 	const char *after;
+	/* The endpoint in the domain is marked as cold. */
+	bool marks;
 };
 
 /*
  * Applied in order to one state, with a snapshot after each: requests that are
  * repeated, that race with the opposite one, or that concern several domains
- * are all acknowledged, and the last one for a domain counts.
+ * are all acknowledged, and the last one for a domain counts. Only a restored
+ * domain that was evacuated has its endpoint marked as cold: guards against a
+ * repeated request that makes the cold period start again.
  */
 static const struct evacuation_step evacuation_steps[] = {
-	{ FLEET_DOMAIN_RESTORE, "a", "" },
-	{ FLEET_DOMAIN_EVACUATE, "a", "a" },
-	{ FLEET_DOMAIN_EVACUATE, "a", "a" },
-	{ FLEET_DOMAIN_EVACUATE, "b", "a b" },
-	{ FLEET_DOMAIN_EVACUATE, "c", "a b c" },
-	{ FLEET_DOMAIN_RESTORE, "b", "a c" },
-	{ FLEET_DOMAIN_RESTORE, "b", "a c" },
-	{ FLEET_DOMAIN_EVACUATE, "b", "a c b" },
-	{ FLEET_DOMAIN_RESTORE, "b", "a c" },
-	{ FLEET_DOMAIN_RESTORE, "a", "c" },
-	{ FLEET_DOMAIN_RESTORE, "c", "" },
+	{ FLEET_DOMAIN_RESTORE, "a", "", false },
+	{ FLEET_DOMAIN_EVACUATE, "a", "a", false },
+	{ FLEET_DOMAIN_EVACUATE, "a", "a", false },
+	{ FLEET_DOMAIN_EVACUATE, "b", "a b", false },
+	{ FLEET_DOMAIN_EVACUATE, "c", "a b c", false },
+	{ FLEET_DOMAIN_RESTORE, "b", "a c", true },
+	{ FLEET_DOMAIN_RESTORE, "b", "a c", false },
+	{ FLEET_DOMAIN_EVACUATE, "b", "a c b", false },
+	{ FLEET_DOMAIN_RESTORE, "b", "a c", true },
+	{ FLEET_DOMAIN_RESTORE, "a", "c", true },
+	{ FLEET_DOMAIN_RESTORE, "c", "", true },
+	{ FLEET_DOMAIN_RESTORE, "c", "", false },
 };
 
 static char *evacuated_names(const struct fleet *fleet)
@@ -417,10 +439,37 @@
 	return out;
 }
 
+/* Cold endpoints of group "g", which each domain has one of. */
+static void check_marks(struct fleet *fleet, const uint64_t *marked)
+{
+	const struct fleet_group *group = fleet_find_group(fleet, "g");
+
+	g_assert_cmpuint(group->count, ==, 3);
+	for (uint32_t i = 0; i < 3; i++) {
+		const struct fleet_endpoint *e = &group->endpoint[i];
+
+		g_assert_cmpuint(e->cold_left_ms, ==, marked[i] ? 30000 : 0);
+		g_assert_cmpuint(e->cold_index, ==, marked[i]);
+	}
+	g_assert_cmpuint(
+		fleet_find_group(fleet, "unlimited")->endpoint[0].cold_index,
+		==, 0);
+}
+
 static void test_evacuations(void)
 {
-	struct fleet *fleet = fleet_create(NULL);
+	struct fleet *fleet = fleet_with_cold_limits();
+	uint64_t marked[3] = { 0 };
+	uint64_t index = 0;
 
+	for (uint32_t i = 0; i < 4; i++) {
+		struct fleet_command join = { .type = FLEET_ENDPOINT_JOIN };
+
+		LWS_STR_COPY(join.endpoint.group, i < 3 ? "g" : "unlimited");
+		join.endpoint.endpoint.id[0] = (char)('0' + i);
+		join.endpoint.endpoint.failure_domain[0] = (char)('a' + i % 3);
+		g_assert_cmpint(fleet_apply(fleet, ++index, &join).rc, ==, 0);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(evacuation_steps); i++) {
 		const struct evacuation_step *s = &evacuation_steps[i];
 		struct fleet_command command = { .type = s->type };
@@ -430,8 +479,12 @@
 		LWS_STR_COPY(command.domain, s->domain);
 		LWS_STR_COPY(command.who, "ops");
 		command = logged(&command);
-		g_assert_cmpint(fleet_apply(fleet, i + 1, &command).rc, ==, 0);
+		g_assert_cmpint(fleet_apply(fleet, ++index, &command).rc, ==,
+				0);
+		if (s->marks)
+			marked[s->domain[0] - 'a'] = index;
 		fleet = through_snapshot(fleet);
+		check_marks(fleet, marked);
 		names = evacuated_names(fleet);
 		g_assert_cmpstr(names, ==, s->after);
 		audit = g_strdup_printf("domain %s %s", s->domain,
@@ -517,6 +570,109 @@
 	talloc_free(fleet);
 }
 
+struct cold_step {
+	/* Announced; an incarnation of 0: failure domain "d" is restored. */
+	uint64_t incarnation;
+	bool reported;
+	uint32_t left_ms;
+	/* Afterwards. */
+	uint32_t state_left_ms;
+	/* Step of the last change, from 1; 0 for none. */
+	uint64_t changed;
+};
+
+static const struct cold_step cold_steps[] = {
+	{ 1, false, 0, 0, 0 },
+	{ 1, true, 0, 0, 0 },
+	{ 1, true, 5000, 5000, 3 },
+	/* Not reported: the state stays. */
+	{ 1, false, 0, 5000, 3 },
+	{ 1, true, 0, 0, 5 },
+	{ 0, false, 0, 30000, 6 },
+	{ 1, false, 0, 30000, 6 },
+	/* Restored again: counted from its beginning again. */
+	{ 0, false, 0, 30000, 8 },
+	{ 1, true, 12000, 12000, 9 },
+	/* It turned cold while it was evacuated, for a longer time. */
+	{ 1, true, 40000, 40000, 10 },
+	{ 0, false, 0, 40000, 11 },
+	{ 1, true, 38000, 38000, 12 },
+	{ 0, false, 0, 38000, 13 },
+	{ 1, true, 3000, 3000, 14 },
+	{ 0, false, 0, 30000, 15 },
+	/* Another process, which reports nothing, is not cold. */
+	{ 2, false, 0, 0, 16 },
+};
+
+/*
+ * The cold period of an endpoint, also across snapshots. Guards against a
+ * period that a restored snapshot or a repeated value makes end too early.
+ */
+static void test_cold(void)
+{
+	struct fleet *fleet = fleet_with_cold_limits();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cold_steps); i++) {
+		const struct cold_step *s = &cold_steps[i];
+		struct fleet_command command = { .type = FLEET_ENDPOINT_JOIN };
+		struct fleet_endpoint *e = &command.endpoint.endpoint;
+		struct pack_writer w;
+		struct fleet_command copy;
+
+		LWS_STR_COPY(command.endpoint.group, "g");
+		LWS_STR_COPY(e->id, "e");
+		LWS_STR_COPY(e->failure_domain, "d");
+		e->incarnation = s->incarnation;
+		e->cold_reported = s->reported;
+		e->cold_left_ms = s->left_ms;
+		pack_writer_init(&w);
+		fleet_command_pack(&w, &command);
+		g_assert_cmpint(fleet_command_unpack(NULL,
+						     (uint8_t *)w.buf.data,
+						     w.buf.size, &copy),
+				==, 0);
+		pack_writer_clear(&w);
+		if (s->incarnation)
+			g_assert_cmpint(fleet_apply(fleet, i + 1, &copy).rc, ==,
+					0);
+		else
+			g_assert_cmpuint(fleet_mark_cold(fleet, i + 1, "d"), ==,
+					 1);
+		fleet = through_snapshot(fleet);
+		e = &fleet->groups[0].endpoint[0];
+		g_assert_cmpuint(e->cold_left_ms, ==, s->state_left_ms);
+		g_assert_cmpuint(e->cold_index, ==, s->changed);
+	}
+	talloc_free(fleet);
+}
+
+/*
+ * Restoring a failure domain marks its endpoints, those of other domains and
+ * of groups without a limit not.
+ */
+static void test_mark_cold(void)
+{
+	struct fleet *fleet = fleet_with_cold_limits();
+	static const char *const groups[] = { "g", "g", "unlimited" };
+	static const char *const domains[] = { "d1", "d2", "d1" };
+
+	for (uint32_t i = 0; i < 3; i++) {
+		struct fleet_command c = { .type = FLEET_ENDPOINT_JOIN };
+
+		LWS_STR_COPY(c.endpoint.group, groups[i]);
+		LWS_STR_COPY(c.endpoint.endpoint.id, i == 1 ? "b" : "a");
+		LWS_STR_COPY(c.endpoint.endpoint.failure_domain, domains[i]);
+		fleet_apply(fleet, i + 1, &c);
+	}
+	g_assert_cmpuint(fleet_mark_cold(fleet, 4, "d3"), ==, 0);
+	g_assert_cmpuint(fleet_mark_cold(fleet, 4, "d1"), ==, 1);
+	g_assert_cmpuint(fleet->groups[0].endpoint[0].cold_left_ms, ==, 30000);
+	g_assert_cmpuint(fleet->groups[0].endpoint[0].cold_index, ==, 4);
+	g_assert_cmpuint(fleet->groups[0].endpoint[1].cold_left_ms, ==, 0);
+	g_assert_cmpuint(fleet->groups[1].endpoint[0].cold_left_ms, ==, 0);
+	talloc_free(fleet);
+}
+
 /* The audit trail has only the start of a key's hash, never the key. */
 static void test_audit(void)
 {
@@ -557,5 +713,7 @@
 	g_test_add_func("/fleet/evacuations-in-snapshots",
 			test_evacuations_in_snapshots);
 	g_test_add_func("/fleet/domain-present", test_domain_present);
+	g_test_add_func("/fleet/cold", test_cold);
+	g_test_add_func("/fleet/mark-cold", test_mark_cold);
 	return g_test_run();
 }
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -995,6 +995,273 @@
 	}
 }
 
+/* Cold endpoints */
+
+#define COLD_LEFT_MS 4000
+
+static struct pool_sim_params cold_params(uint64_t seed)
+{
+	struct pool_sim_params params = pool_sim_refugio(seed);
+
+	params.cold_per_s_milli = POOL_COLD_PER_S * 1000;
+	return params;
+}
+
+static void cold_replica(struct pool_sim *sim)
+{
+	sim->endpoints[1].slow_factor = 5;
+	pool_sim_set_cold(sim, 1, COLD_LEFT_MS);
+}
+
+/* A primary that started again and announced itself at once. */
+static void cold_primary(struct pool_sim *sim)
+{
+	sim->endpoints[0].slow_factor = 5;
+	pool_sim_restart(sim, 0);
+	pool_sim_announce(sim, 0, COLD_LEFT_MS);
+}
+
+static void cold_all(struct pool_sim *sim)
+{
+	for (uint32_t i = 0; i < POOL_ENDPOINTS; i++) {
+		pool_sim_restart(sim, i);
+		pool_sim_announce(sim, i, COLD_LEFT_MS);
+	}
+}
+
+static void cold_unannounced(struct pool_sim *sim)
+{
+	pool_sim_restart(sim, 0);
+	pool_sim_run(sim, 1500 * MS);
+	pool_sim_announce(sim, 0, COLD_LEFT_MS - 1500);
+}
+
+/* As above, but it also refuses connections while it starts. */
+static void cold_refuses_first(struct pool_sim *sim)
+{
+	sim->endpoints[0].refuses_connections = true;
+	pool_sim_restart(sim, 0);
+	pool_sim_run(sim, 500 * MS);
+	sim->endpoints[0].refuses_connections = false;
+	pool_sim_run(sim, 1000 * MS);
+	pool_sim_announce(sim, 0, COLD_LEFT_MS - 1500);
+}
+
+static void cold_new_allocators(struct pool_sim *sim)
+{
+	cold_primary(sim);
+	for (uint32_t i = 0; i < 5; i++) {
+		pool_sim_run(sim, 500 * MS);
+		pool_sim_new_allocator(sim);
+	}
+}
+
+/* Four of nine instances have no contact, with the tokens they hold. */
+static void cold_cut_off(struct pool_sim *sim)
+{
+	cold_primary(sim);
+	pool_sim_run(sim, 500 * MS);
+	for (uint32_t i = 0; i < 4; i++)
+		sim->faults[i] = POOL_INSTANCE_CUT_OFF;
+}
+
+/* The period is set again before it ends, as after an evacuation. */
+static void cold_again(struct pool_sim *sim)
+{
+	pool_sim_set_cold(sim, 0, 1000);
+	pool_sim_run(sim, 900 * MS);
+	pool_sim_set_cold(sim, 0, COLD_LEFT_MS);
+}
+
+struct cold_case {
+	const char *name;
+	fault_fn fault;
+	/* Endpoint whose requests are counted. */
+	uint32_t endpoint;
+	/* Minimum scores while the endpoint is cold. */
+	double min_score[3];
+	/* Operations go through holders. */
+	bool forwards;
+};
+
+/*
+ * "hold" and the writes of "note" need the primary, which takes 20 requests
+ * per second of the 150 that they send.
+ */
+static const struct cold_case cold_cases[] = {
+	{ "replica", cold_replica, 1, { 0.95, 0.9, 0.9 }, false },
+	{ "primary", cold_primary, 0, { 0, 0.8, 0.6 }, false },
+	{ "all", cold_all, 2, { 0, 0, 0 }, false },
+	{ "unannounced", cold_unannounced, 0, { 0, 0.8, 0.6 }, false },
+	{ "refuses-first", cold_refuses_first, 0, { 0, 0.8, 0.6 }, false },
+	{ "new-allocators", cold_new_allocators, 0, { 0, 0.8, 0.6 }, false },
+	{ "cut-off", cold_cut_off, 0, { 0, 0, 0 }, false },
+	{ "cold-again", cold_again, 0, { 0, 0.8, 0.6 }, false },
+	{ "holders", cold_primary, 0, { 0, 0.8, 0.6 }, true },
+	{ "holders-unannounced", cold_unannounced, 0, { 0, 0.8, 0.6 }, true },
+};
+
+/*
+ * A cold endpoint gets at most its requests in any second, and what it can run
+ * is run: some statements of a cold primary are served, reads go elsewhere.
+ * Guards also against an endpoint that stays limited after it is warm.
+ */
+static void run_cold(const struct cold_case *c,
+		     const struct pool_sim_params *params,
+		     struct pool_tally *sums)
+{
+	struct pool_sim *sim = pool_sim_create(params);
+	struct pool_tally tallies[3];
+	uint64_t from_us;
+	uint32_t max_per_s;
+	uint32_t requests;
+
+	pool_sim_run(sim, 2 * S);
+	/* In flight when the endpoint turns cold. */
+	from_us = sim->now_us + 2 * params->hop_us + 1;
+	memset(sim->tallies, 0, sizeof(sim->tallies));
+	c->fault(sim);
+	pool_sim_run(sim, from_us + (COLD_LEFT_MS - 100) * MS - sim->now_us);
+	max_per_s = pool_sim_max_per_s(sim, c->endpoint, from_us);
+	requests = sim->endpoints[c->endpoint].arrivals->len;
+	memcpy(tallies, sim->tallies, sizeof(tallies));
+	if (g_test_verbose())
+		g_printerr("%s seed %" G_GUINT64_FORMAT ": %u in a second, "
+			   "scores %.2f %.2f %.2f, refused late %" //
+			   G_GUINT64_FORMAT "\n",
+			   c->name, params->seed, max_per_s,
+			   pool_sim_score(&tallies[0]),
+			   pool_sim_score(&tallies[1]),
+			   pool_sim_score(&tallies[2]), sim->refused_late);
+	g_assert_cmpuint(max_per_s, <=, POOL_COLD_MAX_PER_S);
+	g_assert_cmpuint(sim->cold_events, >, 0);
+	for (uint32_t i = 0; i < 3; i++)
+		pool_tally_add(&sums[i], &tallies[i]);
+	/* Warm again. */
+	memset(sim->faults, 0, sizeof(sim->faults));
+	sim->endpoints[c->endpoint].slow_factor = 0;
+	pool_sim_run(sim, 2 * S);
+	memset(sim->tallies, 0, sizeof(sim->tallies));
+	pool_sim_run(sim, 3 * S);
+	g_assert_cmpuint(sim->warm_events, >, 0);
+	g_assert_cmpuint(sim->endpoints[c->endpoint].arrivals->len, >,
+			 requests);
+	for (uint32_t i = 0; i < 3; i++)
+		g_assert_cmpfloat(pool_sim_score(&sim->tallies[i]), >=, 0.85);
+	g_assert_true(pool_sim_guarantees_hold(sim));
+	pool_sim_free(sim);
+}
+
+static void test_cold(gconstpointer data)
+{
+	const struct cold_case *c = data;
+	struct pool_tally sums[3] = { { 0 } };
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct pool_sim_params params = cold_params(seed);
+
+		if (c->forwards) {
+			params = forwarding_params(seed);
+			params.cold_per_s_milli = POOL_COLD_PER_S * 1000;
+		}
+		run_cold(c, &params, sums);
+	}
+	for (uint32_t i = 0; i < 3; i++)
+		g_assert_cmpfloat(pool_sim_score(&sums[i]), >=,
+				  c->min_score[i]);
+}
+
+/*
+ * Only the cold primary is in the home region of the database: reads use its
+ * budget. Guards against reads that are kept for endpoints that may not run
+ * them.
+ */
+static void test_cold_home_region(void)
+{
+	for (uint64_t seed = 1; seed <= SEEDS / 3; seed++) {
+		/* Without holders, leadership checks use up the budget. */
+		struct pool_sim_params params = forwarding_params(seed);
+		struct pool_sim *sim;
+		uint64_t from_us;
+
+		params.cold_per_s_milli = POOL_COLD_PER_S * 1000;
+		params.regions = "d0=n,d1=s,d2=s,d3=s";
+		params.database_home = "n";
+		params.classes[0] = params.classes[1];
+		params.classes[0].transaction_percent = 0;
+		params.classes_count = 1;
+		sim = pool_sim_create(&params);
+		pool_sim_run(sim, 2 * S);
+		from_us = sim->now_us + 2 * params.hop_us + 1;
+		cold_primary(sim);
+		pool_sim_run(sim, 500 * MS);
+		memset(sim->tallies, 0, sizeof(sim->tallies));
+		pool_sim_run(sim, 3 * S);
+		g_assert_cmpuint(sim->outside_home, ==, 0);
+		g_assert_cmpuint(pool_sim_max_per_s(sim, 0, from_us), <=,
+				 POOL_COLD_MAX_PER_S);
+		g_test_message("seed %" G_GUINT64_FORMAT ": %" G_GUINT64_FORMAT
+			       " served in time, %" G_GUINT64_FORMAT
+			       " late, %" G_GUINT64_FORMAT
+			       " refused, %" G_GUINT64_FORMAT " failed, at %u",
+			       seed, sim->tallies[0].in_objective,
+			       sim->tallies[0].late, sim->tallies[0].refused,
+			       sim->tallies[0].failed,
+			       pool_sim_max_per_s(sim, 0, from_us));
+		g_assert_cmpuint(sim->tallies[0].in_objective +
+					 sim->tallies[0].late,
+				 >, 0);
+		pool_sim_free(sim);
+	}
+}
+
+/*
+ * The endpoint turns cold while its domain is evacuated. Statements that wait
+ * there for a token must not be sent after the grace period, nor may reads wait
+ * for it while others can serve them.
+ */
+static void test_cold_evacuated(void)
+{
+	for (uint64_t seed = 1; seed <= SEEDS / 3; seed++) {
+		for (uint32_t endpoint = 0; endpoint < 2; endpoint++) {
+			struct pool_sim_params params = cold_params(seed);
+			struct pool_sim *sim = pool_sim_create(&params);
+			uint64_t from_us;
+			uint64_t before;
+
+			pool_sim_run(sim, 2 * S);
+			from_us = sim->now_us + 2 * params.hop_us + 1;
+			sim->endpoints[endpoint].slow_factor = 5;
+			pool_sim_set_cold(sim, endpoint, 6000);
+			pool_sim_run(sim, 300 * MS);
+			set_evacuated(sim, endpoint, true);
+			pool_sim_run(sim, 1400 * MS);
+			before = commands_at(sim, endpoint);
+			memset(sim->tallies, 0, sizeof(sim->tallies));
+			pool_sim_run(sim, 2 * S);
+			g_assert_cmpuint(commands_at(sim, endpoint), ==,
+					 before);
+			/* Without a primary, the age of replicas is unknown. */
+			if (endpoint == 1)
+				g_assert_cmpfloat(
+					pool_sim_score(&sim->tallies[1]), >=,
+					0.8);
+			set_evacuated(sim, endpoint, false);
+			pool_sim_run(sim, 1500 * MS);
+			/* A cold replica gets no reads while others are warm.
+			 */
+			if (endpoint == 0)
+				g_assert_cmpuint(commands_at(sim, endpoint), >,
+						 before);
+			g_assert_cmpuint(
+				pool_sim_max_per_s(sim, endpoint, from_us), <=,
+				POOL_COLD_MAX_PER_S);
+			g_assert_true(pool_sim_guarantees_hold(sim));
+			pool_sim_free(sim);
+		}
+	}
+}
+
 /* Days: disturbances one after the other, at seeded times */
 
 #define DAY_DISTURBANCES 8
@@ -1114,6 +1381,14 @@
 	g_test_add_func("/pooler/regions/one-region", test_one_region);
 	g_test_add_func("/pooler/regions/expected-wait-in-home",
 			test_expected_wait_in_home);
+	for (size_t i = 0; i < G_N_ELEMENTS(cold_cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/pooler/cold/%s", cold_cases[i].name);
+
+		g_test_add_data_func(path, &cold_cases[i], test_cold);
+	}
+	g_test_add_func("/pooler/cold/home-region", test_cold_home_region);
+	g_test_add_func("/pooler/cold/evacuated", test_cold_evacuated);
 	for (size_t i = 0; i < G_N_ELEMENTS(day_cases); i++) {
 		g_autofree char *path =
 			g_strdup_printf("/pooler/day/%s", day_cases[i].name);
