--- a/lib/admit/rate_bucket.h
+++ b/lib/admit/rate_bucket.h
@@ -36,6 +36,8 @@
  * @starved_us: time at which a request last waited for a token without
  *              success; 0 if tokens have been granted since
  * @contact: of the rate client; NULL without a client
+ * @strict: the limit is never exceeded: no share is requested, see
+ *          rate_allocator_set_strict_limit()
  * @share_tokens: accrued tokens of the share that can be spent
  * @share_until_us: end of the share's term; 0 without a share
  * @share_milli: thousandths of a token that accrue per second
@@ -71,6 +73,7 @@
 	_Atomic uint32_t share_milli;
 	_Atomic uint64_t share_next_us;
 	const struct rate_contact *contact;
+	atomic_bool strict;
 
 	uint32_t demand;
 	uint32_t returned;
