--- a/lib/admit/rate_allocator.c
+++ b/lib/admit/rate_allocator.c
@@ -10,6 +10,8 @@
 #define MILLIONTHS 1000000ULL
 #define HOLDING_SLOTS 128
 #define BUCKET_SLOTS 1024
+/* Once caps have limited a grant, they stay reduced for this long. */
+#define PRESSED_US (5 * LWS_US_PER_S)
 
 /*
  * Tokens of one customer that one instance may still hold. The holdings of a
@@ -36,8 +38,11 @@
 	struct global_bucket *next_in_slot;
 	struct global_bucket *next_of_all;
 	uint64_t customer;
-	uint32_t rate_per_s;
+	/* Thousandths of a token per second. */
+	uint64_t rate_milli;
 	uint32_t burst;
+	/* Never exceeded: no credit and no shares. */
+	bool strict;
 	uint64_t level_millionths;
 	/* Tokens that a new allocator may still grant beyond its level. */
 	uint64_t credit;
@@ -47,6 +52,12 @@
 	struct holding *slots[HOLDING_SLOTS];
 	struct holding *oldest;
 	struct holding *newest;
+	struct rate_share_table shares;
+	/* What members reported first, while others had not reported. */
+	uint64_t known_milli;
+	/* When the room that is reserved for caps last limited a grant. */
+	uint64_t pressed_us;
+	uint64_t known_caps;
 };
 
 /* An instance that may hold tokens. */
@@ -54,12 +65,15 @@
 	uint64_t instance;
 	/* The instance has sent a message since this allocator took over. */
 	bool reported;
+	/* Its removal may have been proposed until then. */
+	uint64_t leaving_until_us;
 };
 
 struct rate_allocator {
 	struct rate_allocator_params params;
 	uint64_t created_us;
 	bool assume_all_outstanding;
+	bool assume_all_shared;
 	/* Sorted by the hash of the instance. */
 	uint32_t members_count;
 	uint32_t unreported_count;
@@ -73,6 +87,11 @@
 	return ra->params.ttl_us * (100 + ra->params.drift_percent) / 100;
 }
 
+static uint64_t padded_share_us(const struct rate_allocator *ra)
+{
+	return ra->params.share_us * (100 + ra->params.drift_percent) / 100;
+}
+
 struct rate_allocator *rate_allocator_create(
 	void *mem_ctx, const struct rate_allocator_params *params,
 	uint64_t now_us)
@@ -202,10 +221,160 @@
 	return ra->assume_all_outstanding || sum > b->burst ? b->burst : sum;
 }
 
+/* Shares */
+
+static uint64_t min_u64(uint64_t a, uint64_t b)
+{
+	return a < b ? a : b;
+}
+
+static uint64_t minus(uint64_t a, uint64_t b)
+{
+	return a > b ? a - b : 0;
+}
+
+/* Sum of the shares that are assigned at most. */
+static uint64_t shares_max_milli(const struct rate_allocator *ra,
+				 const struct global_bucket *b)
+{
+	return b->rate_milli * RATE_SHARE_ASSIGNED_PERCENT /
+	       (100 + ra->params.drift_percent);
+}
+
+/*
+ * Sum of the shares that are assigned now. Load pattern: demand shifts to
+ * instances that have no share yet.
+ */
+static uint64_t shares_now_milli(const struct rate_allocator *ra,
+				 const struct global_bucket *b)
+{
+	bool scarce = b->wants * MILLIONTHS > b->level_millionths;
+
+	return b->rate_milli *
+	       (scarce ? RATE_SHARE_SCARCE_PERCENT
+		       : RATE_SHARE_ASSIGNED_PERCENT) /
+	       (100 + ra->params.drift_percent);
+}
+
+static uint64_t share_max_milli(const struct global_bucket *b)
+{
+	return b->rate_milli * RATE_SHARE_MAX_PERCENT / 100;
+}
+
+static uint64_t caps_max(const struct global_bucket *b)
+{
+	return (uint64_t)b->burst * RATE_SHARE_CAPS_PERCENT / 100;
+}
+
+/*
+ * Caps that are assigned now. Load pattern: a small customer, whose tokens are
+ * needed at more instances than there are tokens beside the caps.
+ */
+static uint64_t caps_now(const struct global_bucket *b, uint64_t now_us)
+{
+	bool pressed = b->pressed_us && now_us - b->pressed_us < PRESSED_US;
+
+	return pressed ? caps_max(b) / 2 : caps_max(b);
+}
+
+static uint64_t cap_max(const struct global_bucket *b)
+{
+	uint64_t max = (uint64_t)b->burst * RATE_SHARE_CAP_MAX_PERCENT / 100;
+
+	return max ? max : 1;
+}
+
+/* Whether shares may be in force that were not reported to this allocator. */
+static bool may_lack_reports(const struct rate_allocator *ra, uint64_t now_us)
+{
+	return ra->unreported_count &&
+	       now_us < ra->created_us + padded_share_us(ra);
+}
+
+static bool may_assume_shares(const struct rate_allocator *ra,
+			      const struct global_bucket *b, uint64_t now_us)
+{
+	return !b->strict && may_lack_reports(ra, now_us);
+}
+
+/* Shares that instances which have not reported may have. */
+static uint64_t assumed_milli(const struct rate_allocator *ra,
+			      const struct global_bucket *b, uint64_t now_us)
+{
+	if (!may_assume_shares(ra, b, now_us))
+		return 0;
+	if (ra->assume_all_shared)
+		return b->rate_milli;
+	return min_u64(ra->unreported_count * share_max_milli(b),
+		       minus(shares_max_milli(ra, b), b->known_milli));
+}
+
+static uint64_t assumed_caps(const struct rate_allocator *ra,
+			     const struct global_bucket *b, uint64_t now_us)
+{
+	if (!may_assume_shares(ra, b, now_us))
+		return 0;
+	if (ra->assume_all_shared)
+		return b->burst;
+	return min_u64(ra->unreported_count * cap_max(b),
+		       minus(caps_max(b), b->known_caps));
+}
+
+/* Rate that the shares leave; they may accrue by clocks that run fast. */
+static uint64_t growth_milli(const struct rate_allocator *ra,
+			     const struct global_bucket *b, uint64_t now_us)
+{
+	uint64_t shared =
+		b->shares.active_milli_per_s + assumed_milli(ra, b, now_us);
+
+	return minus(b->rate_milli,
+		     (shared * (100 + ra->params.drift_percent) + 99) / 100);
+}
+
+static const struct holding *peek_holding(const struct global_bucket *b,
+					  uint64_t instance)
+{
+	const struct holding *h = b->slots[instance % HOLDING_SLOTS];
+
+	while (h && h->instance != instance)
+		h = h->next_in_slot;
+	return h;
+}
+
+/* What an instance may accrue beyond the tokens that it holds. */
+static uint64_t cap_beyond_held(const void *private_data, uint64_t instance,
+				uint32_t cap)
+{
+	const struct holding *h = peek_holding(private_data, instance);
+
+	return minus(cap, h ? h->outstanding : 0);
+}
+
+/*
+ * Tokens that can be granted so that all shares have room for their caps when
+ * they start to accrue.
+ */
+static uint64_t grantable(const struct rate_allocator *ra,
+			  const struct global_bucket *b, uint64_t now_us)
+{
+	return minus(b->burst,
+		     b->outstanding + assumed_outstanding(ra, b, now_us) +
+			     assumed_caps(ra, b, now_us) +
+			     rate_share_each(&b->shares, cap_beyond_held, b));
+}
+
+/* Tokens of the burst that instances hold, or may accrue, or may hold. */
+static uint64_t taken_tokens(const struct rate_allocator *ra,
+			     const struct global_bucket *b, uint64_t now_us)
+{
+	return b->outstanding + assumed_outstanding(ra, b, now_us) +
+	       b->shares.active_caps + assumed_caps(ra, b, now_us);
+}
+
 static void cap_level(const struct rate_allocator *ra, struct global_bucket *b,
 		      uint64_t now_us)
 {
-	uint64_t out = b->outstanding + assumed_outstanding(ra, b, now_us);
+	uint64_t out = taken_tokens(ra, b, now_us);
 	uint64_t room = b->burst > out ? b->burst - out : 0;
 
 	if (b->level_millionths > room * MILLIONTHS)
@@ -220,33 +389,50 @@
 	/* An hour of refill exceeds any permitted burst. */
 	if (dt > 3600 * LWS_US_PER_S)
 		dt = 3600 * LWS_US_PER_S;
-	b->level_millionths += dt * b->rate_per_s;
+	b->level_millionths +=
+		dt * growth_milli(ra, b, b->filled_us) / RATE_SHARE_UNIT;
 	/* Tokens outstanding now have been outstanding since filled_us. */
 	cap_level(ra, b, b->filled_us);
 	b->filled_us = until_us > b->filled_us ? until_us : b->filled_us;
 	cap_level(ra, b, b->filled_us);
 }
 
+/* The next time after the last fill at which something expires. */
+static uint64_t next_expiry_us(const struct rate_allocator *ra,
+			       const struct global_bucket *b)
+{
+	const uint64_t assumed_until_us[] = {
+		ra->created_us + padded_ttl_us(ra),
+		ra->created_us + padded_share_us(ra),
+	};
+	uint64_t next = rate_share_next_us(&b->shares);
+
+	if (b->oldest)
+		next = min_u64(next, b->oldest->expires_us);
+	for (int i = 0; i < 2; i++) {
+		if (assumed_until_us[i] > b->filled_us)
+			next = min_u64(next, assumed_until_us[i]);
+	}
+	return next;
+}
+
 /*
  * A token that is no longer outstanding may have been spent just before. The
  * level may grow in its place only from that time on. Therefore every change of
- * the outstanding tokens must follow a fill, and expiries are processed one by
- * one.
+ * the outstanding tokens and of the shares must follow a fill, and expiries are
+ * processed one by one.
  */
 static void fill(const struct rate_allocator *ra, struct global_bucket *b,
 		 uint64_t now_us)
 {
-	uint64_t assumed_until_us = ra->created_us + padded_ttl_us(ra);
+	uint64_t next;
 
-	while (b->oldest && b->oldest->expires_us <= now_us) {
-		if (assumed_until_us > b->filled_us &&
-		    assumed_until_us < b->oldest->expires_us)
-			fill_until(ra, b, assumed_until_us);
-		fill_until(ra, b, b->oldest->expires_us);
-		drop_holding(b, b->oldest);
+	while ((next = next_expiry_us(ra, b)) <= now_us) {
+		fill_until(ra, b, next);
+		while (b->oldest && b->oldest->expires_us <= next)
+			drop_holding(b, b->oldest);
+		rate_share_update(&b->shares, next);
 	}
-	if (assumed_until_us > b->filled_us && assumed_until_us <= now_us)
-		fill_until(ra, b, assumed_until_us);
 	fill_until(ra, b, now_us);
 }
 
@@ -263,6 +449,11 @@
 	ra->assume_all_outstanding = true;
 }
 
+void rate_allocator_assume_shared(struct rate_allocator *ra)
+{
+	ra->assume_all_shared = true;
+}
+
 static int compare_members(const void *a, const void *b)
 {
 	uint64_t x = ((const struct member *)a)->instance;
@@ -296,6 +487,7 @@
 
 		next[i].instance = instances[i];
 		next[i].reported = old && old->reported;
+		next[i].leaving_until_us = old ? old->leaving_until_us : 0;
 		unreported += next[i].reported ? 0 : 1;
 	}
 	qsort(next, count, sizeof(*next), compare_members);
@@ -329,6 +521,15 @@
 	return (allowed * p->over_percent / 100 + p->over_tokens) / 2;
 }
 
+static void change_limit(struct rate_allocator *ra, struct global_bucket *b,
+			 uint64_t now_us, uint64_t rate_milli, uint32_t burst)
+{
+	fill(ra, b, now_us);
+	b->rate_milli = rate_milli;
+	b->burst = burst;
+	cap_level(ra, b, now_us);
+}
+
 int rate_allocator_set_limit(struct rate_allocator *ra, uint64_t now_us,
 			     uint64_t customer, uint32_t rate_per_s,
 			     uint32_t burst)
@@ -341,10 +542,24 @@
 			return LWS_E_NOMEM;
 		b->credit = takeover_credit(ra, rate_per_s, burst);
 	}
-	fill(ra, b, now_us);
-	b->rate_per_s = rate_per_s;
-	b->burst = burst;
-	cap_level(ra, b, now_us);
+	change_limit(ra, b, now_us, (uint64_t)rate_per_s * RATE_SHARE_UNIT,
+		     burst);
+	return 0;
+}
+
+int rate_allocator_set_strict_limit(struct rate_allocator *ra, uint64_t now_us,
+				    uint64_t key, uint64_t rate_milli,
+				    uint32_t burst)
+{
+	struct global_bucket *b = find_bucket(ra, key);
+
+	if (!b) {
+		b = make_bucket(ra, key, now_us);
+		if (!b)
+			return LWS_E_NOMEM;
+		b->strict = true;
+	}
+	change_limit(ra, b, now_us, rate_milli, burst);
 	return 0;
 }
 
@@ -361,6 +576,13 @@
 	return (uint32_t)part;
 }
 
+static uint64_t own_cap_beyond_held(const struct global_bucket *b,
+				    const struct holding *h)
+{
+	return minus(rate_share_cap_of(&b->shares, h->instance),
+		     h->outstanding);
+}
+
 static uint32_t room_of(const struct global_bucket *b, const struct holding *h)
 {
 	uint32_t max = holding_max(b);
@@ -401,6 +623,21 @@
 	return part;
 }
 
+static uint32_t limit_to_room(const struct rate_allocator *ra,
+			      struct global_bucket *b, const struct holding *h,
+			      uint64_t now_us, uint32_t tokens)
+{
+	uint64_t room;
+
+	if (!tokens)
+		return 0;
+	room = grantable(ra, b, now_us) + own_cap_beyond_held(b, h);
+	if (tokens <= room)
+		return tokens;
+	b->pressed_us = now_us;
+	return (uint32_t)room;
+}
+
 uint32_t rate_allocator_grant(struct rate_allocator *ra, uint64_t now_us,
 			      uint64_t instance, uint64_t incarnation,
 			      uint64_t seq, const struct rate_request *request)
@@ -431,9 +668,117 @@
 	granted = share_of(b, h);
 	if (granted > room_of(b, h))
 		granted = room_of(b, h);
+	granted = limit_to_room(ra, b, h, now_us, granted);
 	b->level_millionths -= granted * MILLIONTHS;
 	set_holding(b, h, h->outstanding + granted, h->want);
 	if (granted < request->want)
 		granted += take_credit(b, h, request->want - granted);
 	return granted;
 }
+
+/* Shares */
+
+uint64_t rate_allocator_id(const struct rate_allocator *ra)
+{
+	return ra->created_us;
+}
+
+/*
+ * When the share of an instance may start to accrue, if nothing more is
+ * received from it: RATE_SHARE_START_US by its clock after it received the
+ * reply that it names.
+ */
+static uint64_t share_active_us(const struct rate_allocator *ra,
+				uint64_t now_us,
+				const struct rate_share_stamp *answered)
+{
+	uint64_t start_us =
+		RATE_SHARE_START_US * (100 - ra->params.drift_percent) / 100;
+
+	if (answered->allocator != rate_allocator_id(ra) ||
+	    answered->handled_us > now_us ||
+	    now_us - answered->handled_us > RATE_SHARE_ANSWER_US)
+		return now_us;
+	return now_us + start_us - RATE_SHARE_ANSWER_US;
+}
+
+struct rate_share rate_allocator_share(struct rate_allocator *ra,
+				       uint64_t now_us,
+				       const struct rate_share_sender *sender,
+				       const struct rate_share_report *report)
+{
+	struct global_bucket *b = find_bucket(ra, report->held.customer);
+	struct rate_share share = { .customer = report->held.customer };
+	const struct member *member = find_member(ra, sender->instance);
+	struct rate_share_entry *entry;
+	struct rate_share_limits limits;
+	struct rate_share_times times;
+	bool first;
+
+	if (!ra->params.share_us || !b || b->strict || !member)
+		return share;
+	fill(ra, b, now_us);
+	times = (struct rate_share_times){
+		.active_us = share_active_us(ra, now_us, &sender->answered),
+		.expires_us = now_us + padded_share_us(ra),
+	};
+	entry = rate_share_report(b, &b->shares, sender, now_us, &times, report,
+				  &share, &first);
+	/*
+	 * The shares at the takeover were within the limits together, so those
+	 * of instances that have not reported are within the rest.
+	 */
+	if (first && !member->reported) {
+		b->known_milli += report->held.milli_per_s;
+		b->known_caps += report->held.cap;
+	}
+	if (!entry || now_us < member->leaving_until_us)
+		return share;
+	limits = (struct rate_share_limits){
+		.milli_per_s = minus(shares_now_milli(ra, b),
+				     assumed_milli(ra, b, now_us)),
+		.max_milli_per_s = share_max_milli(b),
+		.caps = minus(caps_now(b, now_us), assumed_caps(ra, b, now_us)),
+		.max_cap = cap_max(b),
+		.room = minus(b->burst,
+			      taken_tokens(ra, b, now_us) - b->shares.caps),
+	};
+	share = rate_share_assign(&b->shares, entry, &limits);
+	cap_level(ra, b, now_us);
+	return share;
+}
+
+bool rate_allocator_may_remove(struct rate_allocator *ra, uint64_t now_us,
+			       uint64_t instance)
+{
+	struct member *member = find_member(ra, instance);
+
+	if (!ra->params.share_us || !member)
+		return true;
+	if (!member->reported && may_lack_reports(ra, now_us))
+		return false;
+	fill_all(ra, now_us);
+	for (struct global_bucket *b = ra->buckets; b; b = b->next_of_all) {
+		if (rate_share_in_force(&b->shares, instance))
+			return false;
+	}
+	member->leaving_until_us = now_us + RATE_REMOVAL_US;
+	return true;
+}
+
+void rate_allocator_stats(const struct rate_allocator *ra, uint64_t now_us,
+			  struct rate_allocator_stats *stats)
+{
+	*stats = (struct rate_allocator_stats){ 0 };
+	for (const struct global_bucket *b = ra->buckets; b;
+	     b = b->next_of_all) {
+		uint64_t shared =
+			b->shares.milli_per_s + assumed_milli(ra, b, now_us);
+
+		/* The bucket of an endpoint, not of a customer. */
+		if (b->strict)
+			continue;
+		stats->assigned_milli += shared;
+		stats->unassigned_milli += minus(b->rate_milli, shared);
+	}
+}
--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -62,6 +62,7 @@
 	bool command_sent;
 	uint64_t command_sent_us;
 	bool answered;
+	uint64_t answered_us;
 	bool paused;
 	struct endpoint_status status;
 };
@@ -85,6 +86,11 @@
 	bool planned;
 	/* A promotion call has no known outcome; it may still take effect. */
 	bool unresolved_call;
+	/*
+	 * The chosen endpoint was no primary before the call, and no earlier
+	 * call was unresolved: once it is primary, the call has taken effect.
+	 */
+	bool role_resolves_call;
 	bool probe_failed;
 	uint64_t probe_us;
 	bool probing;
@@ -383,6 +389,8 @@
 	struct managed_failover_action *a;
 
 	LWS_STR_COPY(s->choice, m->id);
+	s->role_resolves_call =
+		!s->unresolved_call && !(m->answered && m->status.primary);
 	s->unresolved_call = true;
 	enter_phase(s, now_us, PHASE_PROMOTE);
 	a = push_action(s, MANAGED_FAILOVER_PROMOTE);
@@ -430,6 +438,10 @@
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		struct member *m = &s->members[i];
 
+		/* An earlier call may have ended its role since. */
+		if (m->answered && m->status.primary &&
+		    now_us - m->answered_us >= s->params.command_retry_us)
+			m->answered = false;
 		if (!m->answered && is_primary(s, m))
 			poll(s, m, now_us, COMMAND_STATUS);
 		else if (!m->answered)
@@ -456,11 +468,11 @@
 	    awaits_primary(s, now_us))
 		return;
 	/*
-	 * The agreed primary reports to be primary and is neither suspect nor
-	 * leaving: promoting it again ends the unfinished attempt.
+	 * The agreed primary reports to be primary and may stay: promoting it
+	 * again ends the unfinished attempt.
 	 */
 	if (newest_primary && is_primary(s, newest_primary) &&
-	    !s->primary_unwanted) {
+	    !s->primary_unwanted && !must_evacuate(s)) {
 		request_promotion(s, now_us, newest_primary);
 		return;
 	}
@@ -514,7 +526,8 @@
 	uint32_t unpaused_max = s->sync_replicas ? s->sync_replicas - 1 : 0;
 	uint32_t unpaused = 0;
 
-	/* A primary that has stepped down sends nothing that it could receive. */
+	/* A primary that has stepped down sends nothing that it could receive.
+	 */
 	if (m->evacuated || (primary && has_stepped_down(s, primary)))
 		return false;
 	for (uint32_t i = 0; i < s->members_count; i++) {
@@ -550,13 +563,35 @@
 		request_promotion(s, now_us, choice);
 }
 
+/*
+ * While a promotion call may still take effect, the replicas stay paused: no
+ * commit may be acknowledged that its endpoint lacks.
+ */
+static void abandon_attempt(struct managed_failover *s, uint64_t now_us)
+{
+	if (!s->unresolved_call)
+		resume_all(s, now_us);
+	s->last_attempt_us = now_us;
+	enter_phase(s, now_us, PHASE_IDLE);
+}
+
 /* Asks the chosen endpoint for its role until it reports to be primary. */
 static void await_primary(struct managed_failover *s, uint64_t now_us)
 {
 	struct member *m = find_member(s, s->choice);
 
 	if (m && m->answered && m->status.primary) {
-		commit_primary(s, now_us, m->id);
+		if (s->role_resolves_call)
+			s->unresolved_call = false;
+		/*
+		 * The platform may not have seen the token of this call, and
+		 * still carry out an earlier one for another endpoint, so no
+		 * commit may be acknowledged yet.
+		 */
+		if (s->unresolved_call)
+			abandon_attempt(s, now_us);
+		else
+			commit_primary(s, now_us, m->id);
 		return;
 	}
 	if (m)
@@ -675,18 +710,6 @@
 	start_attempt(s, now_us, reason);
 }
 
-/*
- * While a promotion call may still take effect, the replicas stay paused: no
- * commit may be acknowledged that its endpoint lacks.
- */
-static void abandon_attempt(struct managed_failover *s, uint64_t now_us)
-{
-	if (!s->unresolved_call)
-		resume_all(s, now_us);
-	s->last_attempt_us = now_us;
-	enter_phase(s, now_us, PHASE_IDLE);
-}
-
 void managed_failover_tick(struct managed_failover *s, uint64_t now_us)
 {
 	if (s->phase != PHASE_IDLE &&
@@ -843,6 +866,7 @@
 		return;
 	}
 	m->answered = true;
+	m->answered_us = now_us;
 	m->status = *status;
 	if (kind == COMMAND_PAUSE && status->paused_below_term >= s->pause_term)
 		m->paused = true;
@@ -852,17 +876,11 @@
 void managed_failover_promoted(struct managed_failover *s, uint64_t now_us,
 			       uint64_t fencing_token, int rc)
 {
-	struct member *choice;
+	struct member *choice = find_member(s, s->choice);
 
 	if (s->phase != PHASE_PROMOTE || fencing_token != s->fencing_token)
 		return;
-	/*
-	 * An endpoint that was primary before the call does not show by its
-	 * role that the call was carried out, so an earlier call may still be.
-	 */
-	choice = find_member(s, s->choice);
-	if (rc == LWS_E_NOT_FOUND ||
-	    (rc && choice && choice->answered && choice->status.primary)) {
+	if (rc == LWS_E_NOT_FOUND) {
 		abandon_attempt(s, now_us);
 		return;
 	}
--- a/lib/daemon/session_server.c
+++ b/lib/daemon/session_server.c
@@ -682,6 +682,18 @@
 	metrics_put(out, name, stats->running);
 	snprintf(name, sizeof(name), "endpoint_limit{%s}", labels);
 	metrics_put(out, name, (uint64_t)stats->limit);
+	if (stats->slowness > 0) {
+		snprintf(name, sizeof(name), "endpoint_slowness_permille{%s}",
+			 labels);
+		metrics_put(out, name, (uint64_t)(stats->slowness * 1000));
+	}
+	if (stats->limits_cold) {
+		snprintf(name, sizeof(name), "endpoint_cold{%s}", labels);
+		metrics_put(out, name, stats->cold);
+		snprintf(name, sizeof(name), "endpoint_cold_statements{%s}",
+			 labels);
+		metrics_put(out, name, stats->cold_statements);
+	}
 	metrics_put_histogram(out, "endpoint_answered_us", labels,
 			      stats->answered_us);
 }
@@ -736,6 +748,8 @@
 		.evacuate_grace_us =
 			settings_evacuate_grace_ms(s) * LWS_US_PER_MS,
 		.customer_bound = true,
+		.capacity = s->capacity,
+		.replacement_min_us = s->replacement_min_ms * LWS_US_PER_MS,
 		.seed = c->daemon->incarnation,
 		.regions = &c->daemon->regions,
 	};
--- a/lib/daemon/settings.c
+++ b/lib/daemon/settings.c
@@ -26,6 +26,7 @@
 	SETTING_NUMBER,
 	SETTING_LEVEL,
 	SETTING_REGIONS,
+	SETTING_CAPACITY,
 };
 
 /*
@@ -90,6 +91,16 @@
 	{ "rate-over-tokens", "N",
 	  "Requests by which a rate may be exceeded in addition (0)",
 	  SETTING_NUMBER, AT(rate_over_tokens), 0, 10000 },
+	{ "rate-share-ms", "N",
+	  "Term of the shares of rates that instances get, 0 for none (0)",
+	  SETTING_NUMBER, AT(rate_share_ms), 0, 30000 },
+	{ "cold-excess-percent", "N",
+	  "Requests per second to a cold endpoint, in percent of what it takes "
+	  "(150)",
+	  SETTING_NUMBER, AT(cold_excess_percent), 0, 1000000 },
+	{ "cold-slack", "N",
+	  "Further requests in one second to a cold endpoint (5)",
+	  SETTING_NUMBER, AT(cold_slack), 0, 10000 },
 	{ "election-ms", "N",
 	  "Shortest time without a leader before an election (300)",
 	  SETTING_NUMBER, AT(election_ms), 50, 30000 },
@@ -101,6 +112,12 @@
 	  SETTING_NUMBER, AT(suspect_ms), 20, 60000 },
 	{ "drain-ms", "N", "Limit for a graceful shutdown (10000)",
 	  SETTING_NUMBER, AT(drain_ms), 100, 600000 },
+	{ "capacity", "METHOD",
+	  "Limit of statements at an endpoint: aimd or learned (aimd)",
+	  SETTING_CAPACITY, AT(capacity), 0, 0 },
+	{ "replacement-min-ms", "N",
+	  "A lost primary is not replaced faster than this; 0: unknown (0)",
+	  SETTING_NUMBER, AT(replacement_min_ms), 0, 60000 },
 	{ "log-level", "LEVEL", "error, warn, info or debug (info)",
 	  SETTING_LEVEL, AT(log_level), 0, 0 },
 	{ "regions", "LIST",
@@ -131,6 +148,17 @@
 	return 0;
 }
 
+static int set_capacity(struct settings *s, const char *value)
+{
+	if (strcmp(value, "aimd") == 0)
+		s->capacity = CAPACITY_AIMD;
+	else if (strcmp(value, "learned") == 0)
+		s->capacity = CAPACITY_LEARNED;
+	else
+		return LWS_E_ARGUMENT;
+	return 0;
+}
+
 static int set_one(struct settings *s, const struct setting *setting,
 		   const char *value)
 {
@@ -157,6 +185,8 @@
 		return set_number(s, setting, value);
 	case SETTING_LEVEL:
 		return lws_log_parse_level(value, &s->log_level);
+	case SETTING_CAPACITY:
+		return set_capacity(s, value);
 	}
 	*text_of(s, setting) = value;
 	return 0;
@@ -171,6 +201,7 @@
 		[SETTING_TEXT] = "a non-empty text",
 		[SETTING_LEVEL] = "error, warn, info or debug",
 		[SETTING_REGIONS] = "a list DOMAIN=REGION,...",
+		[SETTING_CAPACITY] = "aimd or learned",
 	};
 
 	if (setting->kind == SETTING_NUMBER)
@@ -285,6 +316,8 @@
 				.key_fresh_ms = 3000,
 				.rate_ttl_ms = 600,
 				.rate_window_s = 5,
+				.cold_excess_percent = 150,
+				.cold_slack = 5,
 				.election_ms = 300,
 				.probe_ms = 100,
 				.suspect_ms = 300,
--- a/lib/daemon/settings.h
+++ b/lib/daemon/settings.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "capacity.h"
 #include "lws_log.h"
 
 /**
@@ -38,6 +39,10 @@
  * @rate_over_percent: maximum excess in a window, in percent of the requests
  *                     that rate and burst allow
  * @rate_over_tokens: further excess in a window, in requests
+ * @rate_share_ms: term of shares of the rates, 0 for no shares
+ * @cold_excess_percent: a cold endpoint gets at most this percentage of the
+ *                       requests per second that it takes, plus @cold_slack
+ * @cold_slack: further requests in one second
  * @election_ms: shortest time without contact to the leader before an election
  * @probe_ms: interval of probes to an unresponsive primary
  * @suspect_ms: time without an answer after which an endpoint is suspected
@@ -53,6 +58,8 @@
  * @bootstrap_from_seeds: the instances of @control bootstrap a new cluster
  *                        without an operator if the data directories of all
  *                        of them are empty
+ * @capacity: how the limit of statements in progress at an endpoint is found
+ * @replacement_min_ms: a primary is not replaced faster than this; 0: unknown
  * @voters: number of control instances that vote; 0: keep those of the
  *          bootstrap
  * @regions: region of each failure domain, as for regions_parse(); NULL for
@@ -78,6 +85,9 @@
 	uint32_t rate_window_s;
 	uint32_t rate_over_percent;
 	uint32_t rate_over_tokens;
+	uint32_t rate_share_ms;
+	uint32_t cold_excess_percent;
+	uint32_t cold_slack;
 	uint32_t election_ms;
 	uint32_t probe_ms;
 	uint32_t suspect_ms;
@@ -88,6 +98,8 @@
 	const char *statement_listen;
 	const char *metrics_listen;
 	bool bootstrap_from_seeds;
+	enum capacity_mode capacity;
+	uint32_t replacement_min_ms;
 	uint32_t voters;
 	const char *regions;
 };
--- a/lib/session/pooler.h
+++ b/lib/session/pooler.h
@@ -1,6 +1,7 @@
 #ifndef POOLER_H
 #define POOLER_H
 
+#include "capacity.h"
 #include "catalog.h"
 #include "fleet.h"
 #include "forward.h"
@@ -52,6 +53,10 @@
  *                     for this long after the evacuation was not yet in force,
  *                     unless there is a successor earlier, then none
  * @customer_bound: a connection serves only the customer it was opened for
+ * @capacity: how the limit of statements in progress at an endpoint is found
+ * @replacement_min_us: a primary is not replaced faster than this after this
+ *                      instance noticed its loss; 0 if unknown. Used only with
+ *                      CAPACITY_LEARNED.
  * @seed: seed for jitter
  * @regions: regions of the failure domains, must stay valid; NULL for none
  */
@@ -63,6 +68,8 @@
 	uint64_t leaving_grace_us;
 	uint64_t evacuate_grace_us;
 	bool customer_bound;
+	enum capacity_mode capacity;
+	uint64_t replacement_min_us;
 	uint64_t seed;
 	const struct regions *regions;
 };
@@ -77,8 +84,10 @@
  * @waited_us: time since the statement arrived; without meaning for the event
  *             "transaction_ended", which has no statement
  * @age_us: time since the keys were last confirmed, 0 if never; for the event
- *          "transaction_ended", how long the transaction was idle
- * @attempts: how many times the statement was sent
+ *          "transaction_ended", how long the transaction was idle; for
+ *          "endpoint_warm", how long the endpoint was cold
+ * @attempts: how many times the statement was sent; for "endpoint_warm", how
+ *            many requests were sent to the endpoint while it was cold
  * @version: catalog version in force
  */
 struct pooler_event {
@@ -337,7 +346,12 @@
  * @running: number of statements in progress
  * @limit: maximum number of concurrent statements and connection openings
  * @service_us: moving average of the service time of a statement
+ * @slowness: learned service time relative to the group's usual one, 0 if
+ *            unknown or not learned
  * @answered_us: service times of the statements that it did not refuse to run
+ * @limits_cold: its group limits the requests of cold endpoints
+ * @cold: it is cold
+ * @cold_statements: requests sent to it while it was cold
  */
 struct pooler_endpoint_stats {
 	const char *group;
@@ -348,7 +362,11 @@
 	uint32_t running;
 	double limit;
 	uint64_t service_us;
+	double slowness;
 	const struct lws_histogram *answered_us;
+	bool limits_cold;
+	bool cold;
+	uint64_t cold_statements;
 };
 
 /** pooler_endpoint() - read endpoint @nth, from 0; false past the last */
--- a/lib/session/pooler_conns.c
+++ b/lib/session/pooler_conns.c
@@ -92,6 +92,7 @@
 	if (!conn->link) {
 		talloc_free(conn);
 		e->fail_until_us = now_us + POOL_FAIL_PAUSE_US;
+		cold_limit_lost(&e->cold, now_us);
 		return NULL;
 	}
 	conn->next = e->conns;
@@ -233,6 +234,7 @@
 {
 	conn->expected += count;
 	conn->sent_us = now_us;
+	conn->in_progress = conn->endpoint->running + conn->endpoint->opening;
 	ops_of(conn)->send(ops_of(conn)->private_data, conn->link, commands,
 			   count);
 }
--- a/lib/session/pooler_dispatch.c
+++ b/lib/session/pooler_dispatch.c
@@ -53,7 +53,8 @@
 {
 	const struct pooler *p = e->group->pooler;
 	uint64_t service = e->service_us ? e->service_us : POOL_SERVICE_US;
-	uint64_t cost = service * (e->running + 1);
+	uint64_t cost = pool_learns(e->group) ? pool_learned_cost(e, s)
+					      : service * (e->running + 1);
 
 	if (pooler_crosses_region(p, e->region))
 		cost += POOL_OTHER_REGION_US;
@@ -62,7 +63,7 @@
 	if (!pool_find_idle(e, s->customer, 0))
 		cost += POOL_HANDSHAKE_US;
 	/* The primary also serves the writes, so a read costs more there. */
-	if (e == e->group->primary)
+	if (e == e->group->primary && !pool_learns(e->group))
 		cost += service;
 	return cost;
 }
@@ -160,7 +161,10 @@
 	    ((job->lagging_endpoints & pool_endpoint_bit(e)) ||
 	     now_us < e->lag_until_us || e->running || e->opening))
 		return false;
-	return now_us >= e->busy_until_us && now_us >= e->fail_until_us;
+	if (now_us < e->busy_until_us || now_us < e->fail_until_us)
+		return false;
+	return !pool_cold_spares_primary(e, job, now_us) &&
+	       pool_cold_may_send((struct pool_endpoint *)e, job, now_us);
 }
 
 /*
@@ -189,7 +193,8 @@
 /*
  * Returns true if a connection in the own region is being opened for the
  * statement, and has not taken longer than it takes to cross to the region of
- * @e: an endpoint that does not answer must not delay the statement further.
+ * @e: an endpoint that does not answer must not delay the statement further. A
+ * cold endpoint is not preferred to a warm one.
  */
 static bool waits_for_own_region(const struct pool_session *s,
 				 const struct pool_endpoint *e, uint64_t now_us)
@@ -199,6 +204,8 @@
 
 	return opening && pooler_crosses_region(p, e->region) &&
 	       !pooler_crosses_region(p, opening->endpoint->region) &&
+	       pool_is_cold(opening->endpoint, now_us) <=
+		       pool_is_cold(e, now_us) &&
 	       now_us - opening->sent_us < POOL_OTHER_REGION_US;
 }
 
@@ -211,25 +218,31 @@
 					    uint64_t now_us)
 {
 	uint32_t tried = 0;
+	bool opens_warm = false;
 
 	for (uint32_t round = 0; round < g->endpoints_count; round++) {
 		struct pool_endpoint *best = NULL;
 		bool best_lagging = false;
+		bool best_cold = false;
 		struct pool_conn *conn;
 
 		for (uint32_t i = 0; i < g->endpoints_count; i++) {
 			struct pool_endpoint *e = g->endpoints[i];
 			bool lagging = pool_is_lagging(e, &s->job);
+			bool cold = pool_is_cold(e, now_us);
 
-			if ((tried & (1U << i)) ||
+			if ((tried & (1U << i)) || (cold && opens_warm) ||
 			    waits_for_own_region(s, e, now_us) ||
-			    !pool_can_read(e, &s->job, now_us))
+			    !pool_can_read(e, &s->job, now_us) ||
+			    pool_is_reserved(e, s, now_us))
 				continue;
 			if (!best || lagging < best_lagging ||
-			    (lagging == best_lagging &&
+			    (lagging == best_lagging && cold < best_cold) ||
+			    (lagging == best_lagging && cold == best_cold &&
 			     cost_of(e, s) < cost_of(best, s))) {
 				best = e;
 				best_lagging = lagging;
+				best_cold = cold;
 			}
 		}
 		if (!best)
@@ -237,6 +250,11 @@
 		conn = pool_conn_for(best, s, now_us);
 		if (conn)
 			return conn;
+		/*
+		 * A connection to a warm endpoint opens sooner than a cold
+		 * endpoint answers.
+		 */
+		opens_warm |= !best_cold && s->job.opening;
 		tried |= pool_endpoint_bit(best);
 	}
 	return NULL;
@@ -271,6 +289,10 @@
 	s->job.wait_reason = "primary_busy";
 	if (now_us < e->busy_until_us)
 		return NULL;
+	if (!pool_cold_may_send(e, &s->job, now_us)) {
+		s->job.wait_reason = "primary_cold";
+		return NULL;
+	}
 	return pool_conn_for(e, s, now_us);
 }
 
@@ -323,6 +345,19 @@
 	return false;
 }
 
+/* Returns true if an endpoint that is not cold can serve the read. */
+static bool warm_can_read(const struct pool_group *g,
+			  const struct pool_job *job, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < g->endpoints_count; i++) {
+		const struct pool_endpoint *e = g->endpoints[i];
+
+		if (!pool_is_cold(e, now_us) && pool_can_read(e, job, now_us))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Returns the next queued statement of the connection's customer if this
  * endpoint may serve it now, NULL otherwise.
@@ -347,12 +382,15 @@
 				       pooler_may_run_at(s, e) &&
 				       !is_past_leaving_grace(e, now_us) &&
 				       now_us >= e->read_only_until_us &&
-				       now_us >= e->busy_until_us
+				       now_us >= e->busy_until_us &&
+				       !pool_is_cold(e, now_us)
 			       ? s
 			       : NULL;
 	if (!pool_find_min_position(s) || !pool_can_read(e, &s->job, now_us) ||
 	    (e == g->primary && replica_can_read(g, &s->job, now_us)) ||
-	    pooler_prefers_other(s, e, now_us))
+	    (pool_is_cold(e, now_us) && warm_can_read(g, &s->job, now_us)) ||
+	    pooler_prefers_other(s, e, now_us) ||
+	    pool_is_reserved(e, s, now_us))
 		return NULL;
 	return s;
 }
@@ -425,6 +463,8 @@
 	for (struct pool_conn *c = e->conns; c; c = c->next) {
 		if (c->state != CONN_IDLE)
 			continue;
+		if (!pool_cold_take(e, now_us))
+			return;
 		g->leadership_conn = c;
 		g->leadership_check_due = false;
 		pool_set_state(c, CONN_CHECKING_LEADERSHIP);
--- a/lib/session/pooler_group.c
+++ b/lib/session/pooler_group.c
@@ -33,6 +33,7 @@
 	for (uint32_t i = 0; i < g->endpoints_count; i++) {
 		if (g->endpoints[i]->known || g->endpoints[i]->conns)
 			continue;
+		pool_cold_forget(g->endpoints[i]);
 		talloc_free(g->endpoints[i]);
 		g->endpoints[i--] = g->endpoints[--g->endpoints_count];
 		g->endpoints[g->endpoints_count] = NULL;
@@ -50,6 +51,8 @@
 		return NULL;
 	e->group = g;
 	e->limit = POOL_LIMIT_INITIAL;
+	e->logged_limit = POOL_LIMIT_INITIAL;
+	capacity_init(&e->capacity);
 	LWS_STR_COPY(e->id, id);
 	g->endpoints[g->endpoints_count++] = e;
 	return e;
@@ -97,16 +100,24 @@
 	    e->incarnation != from->incarnation) {
 		LWS_STR_COPY(e->addr, from->addr);
 		e->incarnation = from->incarnation;
+		if (pool_learns(e->group)) {
+			capacity_reset_speed(&e->capacity);
+			e->limit = e->capacity.limit;
+		}
 		e->fail_until_us = 0;
 		e->failures = 0;
 		e->suspect = false;
 		close_idle(e, now_us);
 	}
+	e->cold.per_s_milli = e->group->cold_per_s_milli;
+	cold_limit_learn(&e->cold, now_us, from->incarnation,
+			 from->cold_left_ms, from->cold_index);
 	LWS_STR_COPY(e->failure_domain, from->failure_domain);
 	e->region = regions_bit(e->group->pooler->params.regions,
 				from->failure_domain);
 	e->known = true;
 	e->present = from->present;
+	capacity_set_slots(&e->capacity, from->slots);
 	if (!from->leaving)
 		e->leaving_since_us = 0;
 	else if (!e->leaving_since_us)
@@ -163,6 +174,7 @@
 		if (primary != g->primary)
 			abort_open_transactions(g, now_us);
 		g->primary = primary;
+		g->primary_lost_us = primary ? 0 : now_us;
 		g->primary_term = state ? state->primary_term : 0;
 		if (primary) {
 			primary->suspect = false;
@@ -289,7 +301,7 @@
 /* Evacuation of failure domains */
 
 /* Ends a transaction whose connection runs no statement. */
-static void end_transaction(struct pool_conn *c, uint64_t now_us)
+void pool_end_transaction(struct pool_conn *c, uint64_t now_us)
 {
 	struct pool_session *s = c->session;
 	bool commit = s->busy && s->job.st.kind == STATEMENT_COMMIT;
@@ -314,6 +326,17 @@
 	struct pool_conn *next;
 
 	close_idle(e, now_us);
+	for (struct pool_conn *c = e->conns; c; c = next) {
+		struct pool_session *s = c->session;
+
+		next = c->next;
+		/* A replica gets no more reads, also before the grace ends. */
+		if (s && s->busy && s->job.place == JOB_WAITS_FOR_COLD &&
+		    s->job.kind != JOB_IN_TRANSACTION) {
+			pool_cold_withdraw(s, now_us);
+			next = e->conns;
+		}
+	}
 	if (!pool_is_past_evacuation_grace(e, now_us))
 		return;
 	for (struct pool_conn *c = e->conns; c; c = next) {
@@ -321,8 +344,9 @@
 
 		next = c->next;
 		if (s && (c->state == CONN_PINNED ||
-			  (s->busy && s->job.place == JOB_RETRY_ON_CONN)))
-			end_transaction(c, now_us);
+			  (s->busy && (s->job.place == JOB_RETRY_ON_CONN ||
+				       s->job.place == JOB_WAITS_FOR_COLD))))
+			pool_end_transaction(c, now_us);
 	}
 }
 
@@ -384,5 +408,7 @@
 	}
 	watch_primary(g, now_us);
 	free_removed(g);
+	pool_refuse_hopeless(g, now_us);
 	pool_dispatch(g, now_us);
+	pool_cold_tick(g, now_us);
 }
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -2,6 +2,8 @@
 #define POOLER_INTERNAL_H
 
 #include "admission.h"
+#include "capacity.h"
+#include "cold_limit.h"
 #include "fair_queue.h"
 #include "holders.h"
 #include "lws_rng.h"
@@ -92,6 +94,12 @@
 #define POOL_REUSE_MIN_LEFT_PERCENT 40
 /* Part of its timeout that a statement may wait before it is sent. */
 #define POOL_WAIT_PERCENT 60
+/*
+ * A queued statement is refused only if even this part of its expected wait is
+ * too long: the expected wait is an estimate, and what could be served must not
+ * be refused.
+ */
+#define POOL_CERTAIN_PERCENT 50
 /*
  * Shortest pause after an endpoint refused a connection for lack of capacity:
  * the duration of about ten statements. A random time below this is added.
@@ -197,6 +205,11 @@
 	enum conn_step step;
 	/* Number of unanswered commands. */
 	uint32_t expected;
+	/*
+	 * Statements and connection openings of this instance at the endpoint
+	 * when the last command was sent.
+	 */
+	uint32_t in_progress;
 	struct pool_session *session;
 	char customer[CATALOG_NAME_MAX];
 	/* Session values and prepared statements set on the connection. */
@@ -206,6 +219,7 @@
 	struct pool_session *opener;
 	/* COMMAND_OPEN was sent, but may still be unanswered. */
 	bool established;
+	uint64_t established_us;
 	uint64_t sent_us;
 	uint64_t idle_since_us;
 };
@@ -217,6 +231,8 @@
  * @opening, @running: number of connections in CONN_OPENING, CONN_RUNNING
  * @service_us: moving average of the service time of a statement
  * @limit: concurrency limit for statements and connection openings
+ * @capacity: what is learned about it, with CAPACITY_LEARNED
+ * @logged_limit, @logged_us: @limit at the last log line about it, and its time
  * @full_until_us: end of the pause of openings after a refusal for lack of
  *                 capacity
  * @busy_until_us: end of the pause of statements after the endpoint answered
@@ -234,6 +250,9 @@
  * @leaving_since_us: when this instance learned that it leaves; 0 if it stays
  * @evacuated_since_us: its failure domain was not evacuated before this time; 0
  *                      if it is not evacuated
+ * @cold: limit of the requests that it gets while it is cold
+ * @cold_since_us: when it turned cold
+ * @cold_sent_before: requests sent to it while it was cold, until then
  */
 struct pool_endpoint {
 	struct pool_group *group;
@@ -253,6 +272,9 @@
 	struct lws_histogram answered_us;
 	double limit;
 	uint64_t limit_lowered_us;
+	struct capacity capacity;
+	double logged_limit;
+	uint64_t logged_us;
 	uint64_t full_until_us;
 	uint64_t busy_until_us;
 	uint64_t busy_pause_us;
@@ -268,6 +290,9 @@
 	uint64_t evacuated_since_us;
 	bool suspect;
 	uint64_t suspect_since_us;
+	struct cold_limit cold;
+	uint64_t cold_since_us;
+	uint64_t cold_sent_before;
 };
 
 /** struct pool_position_sample - log position of the primary at some time */
@@ -293,6 +318,8 @@
 	uint32_t connections_max;
 	/* This instance's share of the connections of each endpoint. */
 	uint32_t connections_share;
+	/* Requests that a cold endpoint takes; 0 for no limit. */
+	uint32_t cold_per_s_milli;
 	/* Operations go through the holders of the group. */
 	bool forwards;
 	struct holders holders;
@@ -300,6 +327,14 @@
 	struct pool_endpoint *endpoints[FLEET_ENDPOINTS_MAX];
 	struct pool_endpoint *primary;
 	uint64_t primary_term;
+	/* When this instance learned that there is no primary; 0 if there is.
+	 */
+	uint64_t primary_lost_us;
+	struct capacity_kinds kinds;
+	/* Arrivals of statements that only the primary can run. */
+	uint64_t primary_arrived_us;
+	uint64_t primary_interval_us;
+	uint32_t primary_priority_class;
 	uint32_t samples_count;
 	uint32_t samples_next;
 	struct pool_position_sample samples[POOL_POSITION_SAMPLES];
@@ -333,6 +368,8 @@
 	JOB_ON_CONN,
 	/** waits to be sent again on the transaction's connection */
 	JOB_RETRY_ON_CONN,
+	/** waits on its connection for a token of the cold endpoint */
+	JOB_WAITS_FOR_COLD,
 	/** a holder runs the statement */
 	JOB_FORWARDED,
 };
@@ -362,6 +399,8 @@
 	/* Latest time to send it; once sent, latest time of the answer. */
 	uint64_t deadline_us;
 	uint64_t retry_at_us;
+	/* JOB_WAITS_FOR_COLD: only the statement itself is left to be sent. */
+	bool set_up;
 	uint32_t attempts;
 	/* Endpoints behind min_position, as bits of pool_endpoint_bit(). */
 	uint32_t lagging_endpoints;
@@ -491,6 +530,8 @@
 /* pooler_statement.c: checks before a statement is queued */
 void pooler_refuse_queue_full(struct pool_session *s, uint64_t now_us,
 			      uint64_t wait_us);
+void pooler_refuse_replacement(struct pool_session *s, uint64_t now_us,
+			       uint64_t wait_us);
 void pooler_requeue(struct pool_session *s, uint64_t now_us);
 struct pool_group *pooler_group_of(struct pooler *p, const char *name);
 enum statement_error pooler_check_access(struct pool_session *s,
@@ -580,6 +621,21 @@
 int pool_enqueue(struct pool_session *s, uint64_t now_us,
 		 uint64_t *expected_us);
 void pool_move_late(struct pool_group *g, uint64_t now_us);
+/* Refuses queued statements that are known not to be served in time. */
+void pool_refuse_hopeless(struct pool_group *g, uint64_t now_us);
+
+/* pooler_capacity.c: decisions by learned capacity */
+bool pool_learns(const struct pool_group *g);
+void pool_learn_answer(struct pool_conn *conn, uint64_t now_us,
+		       enum statement_error error);
+void pool_learn_refusal(struct pool_endpoint *e, uint64_t now_us);
+void pool_learn_arrival(const struct pool_session *s, uint64_t now_us);
+uint64_t pool_learned_cost(const struct pool_endpoint *e,
+			   const struct pool_session *s);
+bool pool_is_reserved(const struct pool_endpoint *e,
+		      const struct pool_session *s, uint64_t now_us);
+/* Returns 0 if the primary may be back in time, else when to retry. */
+uint64_t pool_replacement_us(const struct pool_session *s, uint64_t now_us);
 
 /* pooler_dispatch.c: choice of the next statement and of its endpoint */
 bool pool_is_lagging(const struct pool_endpoint *e, const struct pool_job *job);
@@ -602,11 +658,30 @@
 		       struct pool_conn *conn, uint64_t now_us);
 void pool_check_primary(struct pool_group *g, uint64_t now_us);
 
+/* pooler_cold.c: requests to cold endpoints */
+bool pool_is_cold(const struct pool_endpoint *e, uint64_t now_us);
+bool pool_cold_may_send(struct pool_endpoint *e, const struct pool_job *job,
+			uint64_t now_us);
+bool pool_cold_take(struct pool_endpoint *e, uint64_t now_us);
+void pool_cold_wait(struct pool_session *s, bool set_up);
+void pool_cold_retry(struct pool_session *s, uint64_t now_us);
+void pool_cold_withdraw(struct pool_session *s, uint64_t now_us);
+void pool_cold_give_up(struct pool_session *s, uint64_t now_us);
+bool pool_cold_spares_primary(const struct pool_endpoint *e,
+			      const struct pool_job *job, uint64_t now_us);
+uint64_t pool_cold_request_us(const struct pool_endpoint *e, uint64_t now_us);
+uint32_t pool_cold_waiting(const struct pool_endpoint *e);
+bool pool_cold_cut_off(const struct pool_endpoint *e, uint64_t now_us);
+void pool_cold_tick(struct pool_group *g, uint64_t now_us);
+void pool_cold_forget(struct pool_endpoint *e);
+void pool_cold_granted(struct pool_group *g, uint64_t now_us);
+
 /* pooler_group.c: endpoints of a group, failure detection of the primary */
 void pool_group_tick(struct pool_group *g, uint64_t now_us);
 void pool_group_update(struct pool_group *g, uint64_t now_us,
 		       const struct fleet_group *state);
 void pool_report(struct pool_group *g, bool again);
+void pool_end_transaction(struct pool_conn *c, uint64_t now_us);
 void pool_update_evacuations(struct pooler *p, const struct fleet *fleet);
 
 #endif
--- a/lib/session/pooler_regions.c
+++ b/lib/session/pooler_regions.c
@@ -114,7 +114,7 @@
 
 /*
  * Returns true if the endpoint is in another region and one in the own region
- * can serve the read.
+ * can serve the read. A cold endpoint is not preferred to a warm one.
  */
 bool pooler_prefers_other(const struct pool_session *s,
 			  const struct pool_endpoint *e, uint64_t now_us)
@@ -125,8 +125,11 @@
 	if (!pooler_crosses_region(p, e->region))
 		return false;
 	for (uint32_t i = 0; i < g->endpoints_count; i++) {
-		if (g->endpoints[i]->region == p->own_region &&
-		    pool_can_read(g->endpoints[i], &s->job, now_us))
+		const struct pool_endpoint *other = g->endpoints[i];
+
+		if (other->region == p->own_region &&
+		    pool_is_cold(other, now_us) <= pool_is_cold(e, now_us) &&
+		    pool_can_read(other, &s->job, now_us))
 			return true;
 	}
 	return false;
@@ -176,9 +179,14 @@
 	const char *reason;
 	bool at_primary;
 
-	if (job->place == JOB_RETRY_ON_CONN) {
-		if (!pooler_may_run_at(s, s->conn->endpoint))
+	if (job->place == JOB_RETRY_ON_CONN ||
+	    job->place == JOB_WAITS_FOR_COLD) {
+		if (pooler_may_run_at(s, s->conn->endpoint))
+			return;
+		if (job->kind == JOB_IN_TRANSACTION)
 			pooler_abort_outside_home_regions(s, now_us);
+		else
+			pool_cold_withdraw(s, now_us);
 		return;
 	}
 	if (job->place != JOB_QUEUED && job->place != JOB_WAITS_FOR_TOKEN)
--- a/lib/session/pooler_statement.c
+++ b/lib/session/pooler_statement.c
@@ -198,6 +198,19 @@
 		      text);
 }
 
+/* The primary cannot be replaced before the statement's latest start. */
+void pooler_refuse_replacement(struct pool_session *s, uint64_t now_us,
+			       uint64_t wait_us)
+{
+	char text[64];
+
+	snprintf(text, sizeof(text),
+		 "primary is being replaced, retry in %" PRIu64 " ms",
+		 (uint64_t)(wait_us / LWS_US_PER_MS));
+	pooler_refuse(s, now_us, STATEMENT_E_BUSY, pooler_state_after_error(s),
+		      text);
+}
+
 static void enqueue(struct pool_session *s, uint64_t now_us)
 {
 	struct pool_job *job = &s->job;
@@ -215,6 +228,11 @@
 			      pooler_state_after_error(s), refusal);
 		return;
 	}
+	wait_us = pool_replacement_us(s, now_us);
+	if (wait_us) {
+		pooler_refuse_replacement(s, now_us, wait_us);
+		return;
+	}
 	job->place = JOB_QUEUED;
 	switch (pool_enqueue(s, now_us, &wait_us)) {
 	case 0:
@@ -474,6 +492,12 @@
 		pooler_forward_statement(s, now_us);
 		return;
 	}
+	/* Its statements may follow each other without a tick in between. */
+	if (s->conn &&
+	    pool_is_past_evacuation_grace(s->conn->endpoint, now_us)) {
+		pool_end_transaction(s->conn, now_us);
+		return;
+	}
 	job->deadline_us = pooler_send_by_us(s);
 	if (s->conn && !pooler_may_run_at(s, s->conn->endpoint)) {
 		pooler_abort_outside_home_regions(s, now_us);
--- a/tests/support_pool.h
+++ b/tests/support_pool.h
@@ -70,6 +70,10 @@
 	/* Home regions, one letter each, of all databases and all customers. */
 	const char *database_home;
 	const char *customer_home;
+	enum capacity_mode capacity;
+	uint32_t replacement_min_ms;
+	/* Requests that a cold endpoint takes; 0 for no limit. */
+	uint32_t cold_per_s_milli;
 };
 
 /**
@@ -94,6 +98,15 @@
 	bool unresponsive;
 	bool refuses_connections;
 	uint32_t slow_factor;
+	/* Relative speed; 0 counts as 1. */
+	double speed;
+	/*
+	 * With more statements in progress than this part of the slots, the
+	 * endpoint runs no more statements per second; 0 for all slots.
+	 */
+	uint32_t slows_from_percent;
+	/* Answers each statement with an error after 1 ms. */
+	bool fails_fast;
 	uint32_t lag_ms;
 	uint32_t running;
 	uint32_t connections;
@@ -104,6 +117,8 @@
 	uint64_t busy_answers;
 	uint64_t lagging_answers;
 	GQueue *waiting;
+	/* Arrival times of statements, BEGINs and COMMITs. */
+	GArray *arrivals;
 };
 
 /** enum pool_instance_fault - faults of an instance that tests set */
@@ -130,6 +145,13 @@
 	struct rate_bucket empty_bucket;
 	/* The instances get no confirmation of the cluster state. */
 	bool state_unconfirmed;
+	/* Grants the requests to cold endpoints; NULL without a limit. */
+	struct rate_allocator *allocator;
+	uint64_t allocator_nr;
+	GPtrArray *links;
+	/* Log lines about endpoints that turn cold or warm. */
+	uint32_t cold_events;
+	uint32_t warm_events;
 	uint64_t term;
 	GArray *commits;
 	struct pool_tally tallies[3];
@@ -148,7 +170,7 @@
 	/* Reports of a suspect primary. */
 	uint64_t reports;
 	/* Refusals that took longer than the objective. */
-	uint64_t refused_late;
+	uint64_t refused_late[3];
 	struct regions regions;
 	/* Nothing passes between regions. */
 	bool regions_cut;
@@ -210,6 +232,34 @@
 /** pool_sim_refusals() - refusals with a reason */
 uint64_t pool_sim_refusals(const struct pool_sim *sim, const char *reason);
 
+/*
+ * Limit of the requests that a cold endpoint may get in any second, in
+ * simulations, with 20 requests per second.
+ */
+#define POOL_COLD_PER_S 20
+#define POOL_COLD_EXCESS_PERCENT 150
+#define POOL_COLD_SLACK 5
+#define POOL_COLD_MAX_PER_S \
+	(POOL_COLD_PER_S * POOL_COLD_EXCESS_PERCENT / 100 + POOL_COLD_SLACK)
+
+/** pool_sim_restart() - break all connections of an endpoint */
+void pool_sim_restart(struct pool_sim *sim, uint32_t endpoint);
+
+/** pool_sim_announce() - a started endpoint announces itself as cold */
+void pool_sim_announce(struct pool_sim *sim, uint32_t endpoint,
+		       uint32_t cold_left_ms);
+
+/** pool_sim_set_cold() - change the cold period in the state */
+void pool_sim_set_cold(struct pool_sim *sim, uint32_t endpoint,
+		       uint32_t cold_left_ms);
+
+/** pool_sim_new_allocator() - replace the rate allocator of cold endpoints */
+void pool_sim_new_allocator(struct pool_sim *sim);
+
+/** pool_sim_max_per_s() - most requests in any second since a time */
+uint32_t pool_sim_max_per_s(const struct pool_sim *sim, uint32_t endpoint,
+			    uint64_t since_us);
+
 /** pool_sim_stats() - sum of the counters of all instances */
 struct pooler_stats pool_sim_stats(const struct pool_sim *sim);
 
--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -58,6 +58,8 @@
 static int next_net = 1;
 /* Lines that are added to the settings of all instances. */
 static const char *more_settings = "";
+/* How long endpoints are cold after their start. */
+static uint32_t cold_ms;
 
 /* Processes */
 
@@ -113,7 +115,8 @@
 	g_autofree char *announce =
 		g_strdup_printf("--announce=%s.1:8462,%s.2:8462,%s.3:8462",
 				f->net, f->net, f->net);
-	char *argv[] = { path, listen, promote, announce, NULL };
+	g_autofree char *cold = g_strdup_printf("--cold-ms=%u", cold_ms);
+	char *argv[] = { path, listen, promote, announce, cold, NULL };
 
 	spawn(f, STANDIN_HOST, argv);
 }
@@ -728,6 +731,88 @@
  * An endpoint left and a key was withdrawn. After a restart of all processes
  * from their files, neither is used again.
  */
+#define COLD_MS 8000
+/* 4 x 1.5 + 5: requests to the cold primary in one second. */
+#define COLD_PER_S 4
+#define COLD_MAX_PER_S 11
+
+static uint64_t cold_metric(const struct test_fleet *f, const char *name)
+{
+	g_autofree char *line =
+		g_strdup_printf("lws_%s{group=\"g1\",endpoint=\"e0\"} ", name);
+	g_autofree char *text = NULL;
+	const char *at;
+
+	g_assert_cmpint(
+		http(f, SESSION_HOST, 9464, "GET", "/metrics", "", &text), ==,
+		200);
+	at = strstr(text, line);
+	return at ? g_ascii_strtoull(at + strlen(line), NULL, 10) : 0;
+}
+
+static void wait_for_cold(const struct test_fleet *f, uint64_t cold)
+{
+	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
+
+	while (cold_metric(f, "endpoint_cold") != cold) {
+		g_assert_cmpint(g_get_monotonic_time(), <, until);
+		g_usleep(20 * 1000);
+	}
+}
+
+/*
+ * A primary that reports that it is cold gets only its requests from real
+ * processes, and everything once it is warm. Guards against a limit that is
+ * lost between the configuration, the heartbeats, the rate allocator and the
+ * pooler.
+ */
+static void test_cold_primary(void)
+{
+	struct test_fleet *f;
+	g_autofree char *plain = config_of(6, "\"k1\"");
+	g_auto(GStrv) parts = g_strsplit(plain, "\"sync_replicas\"", 2);
+	g_autofree char *config =
+		g_strdup_printf("%s\"cold_start_s\":%d,\"cold_per_s\":%d.0,"
+				"\"sync_replicas\"%s",
+				parts[0], COLD_MS / 1000, COLD_PER_S, parts[1]);
+	g_autoptr(GArray) answered = g_array_new(FALSE, FALSE, sizeof(gint64));
+	struct line_conn *c;
+	gint64 from_us;
+	uint64_t sent;
+
+	cold_ms = COLD_MS;
+	f = fleet_start(3);
+	cold_ms = 0;
+	g_assert_cmpint(replace_config(f, config), ==, 200);
+	wait_for_cold(f, 1);
+	c = open_session(f, "pay", "k1");
+	from_us = g_get_monotonic_time();
+	while (g_get_monotonic_time() < from_us + 2500 * 1000) {
+		g_autofree char *got = query(c, "WRITE bed leila");
+		gint64 now_us = g_get_monotonic_time();
+
+		if (strcmp(got, "COMPLETE write-tag|READY I") == 0)
+			g_array_append_val(answered, now_us);
+	}
+	g_assert_cmpuint(cold_metric(f, "endpoint_cold"), ==, 1);
+	g_assert_cmpuint(answered->len, >, 0);
+	for (uint32_t i = COLD_MAX_PER_S; i < answered->len; i++)
+		g_assert_cmpint(g_array_index(answered, gint64, i) -
+					g_array_index(answered, gint64,
+						      i - COLD_MAX_PER_S),
+				>=, G_USEC_PER_SEC);
+	sent = cold_metric(f, "endpoint_cold_statements");
+	g_assert_cmpuint(sent, >=, answered->len);
+	wait_for_cold(f, 0);
+	from_us = g_get_monotonic_time();
+	for (uint32_t i = 0; i < 4 * COLD_MAX_PER_S; i++)
+		expect(c, "WRITE bed leila", "COMPLETE write-tag|READY I");
+	g_assert_cmpint(g_get_monotonic_time() - from_us, <,
+			2 * G_USEC_PER_SEC);
+	close_line(c);
+	fleet_stop(f);
+}
+
 static void test_restart_keeps_removals(void)
 {
 	struct test_fleet *f = fleet_start(3);
@@ -917,6 +1002,91 @@
 	fleet_stop(f);
 }
 
+struct evacuation_sender {
+	const struct test_fleet *f;
+	const char *path;
+	int host;
+	int refused;
+};
+
+static gpointer send_evacuations(gpointer data)
+{
+	struct evacuation_sender *s = data;
+
+	for (int i = 0; i < 20; i++)
+		s->refused += http(s->f, s->host, 8462, "POST", s->path, "",
+				   NULL) != 200;
+	return NULL;
+}
+
+/*
+ * Two operators begin and withdraw at the same time, at different instances:
+ * every request is acknowledged, and all instances agree afterwards.
+ */
+static void test_evacuation_raced(void)
+{
+	struct test_fleet *f = fleet_start(3);
+	struct evacuation_sender senders[] = {
+		{ f, "/v1/evacuations/z2/begin", 1, 0 },
+		{ f, "/v1/evacuations/z2/finish", 2, 0 },
+		{ f, "/v1/evacuations/z3/begin", 3, 0 },
+		{ f, "/v1/evacuations/z3/finish", 1, 0 },
+	};
+	GThread *threads[G_N_ELEMENTS(senders)];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(senders); i++)
+		threads[i] =
+			g_thread_new("operator", send_evacuations, &senders[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(senders); i++) {
+		g_thread_join(threads[i]);
+		g_assert_cmpint(senders[i].refused, ==, 0);
+	}
+	g_assert_cmpint(
+		http(f, 1, 8462, "POST", "/v1/evacuations/z2/begin", "", NULL),
+		==, 200);
+	g_assert_cmpint(
+		http(f, 2, 8462, "POST", "/v1/evacuations/z3/finish", "", NULL),
+		==, 200);
+	for (int i = 0; i <= (int)f->controls; i++) {
+		wait_for_evacuation(f, i ? i : SESSION_HOST, "z2", true);
+		wait_for_evacuation(f, i ? i : SESSION_HOST, "z3", false);
+	}
+	fleet_stop(f);
+}
+
+/*
+ * The instances of the domain are cut off, here suspended, when it is
+ * evacuated, one of them the leader: the others commit it and move the primary,
+ * and those inside learn of it when they are back.
+ */
+static void test_evacuation_domain_cut_off(void)
+{
+	struct test_fleet *f = fleet_start(3);
+	struct line_conn *c = open_session(f, "pay", "k1");
+	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
+	int status = 0;
+
+	expect(c, "WRITE bed leila", "COMPLETE write-tag|READY I");
+	kill(f->pids[1], SIGSTOP);
+	while (status != 200 && g_get_monotonic_time() < until) {
+		status = http(f, 2, 8462, "POST", "/v1/evacuations/z1/begin",
+			      "", NULL);
+		g_assert_true(status == 200 || status == 503);
+		g_usleep(20 * 1000);
+	}
+	g_assert_cmpint(status, ==, 200);
+	wait_for_evacuation(f, SESSION_HOST, "z1", true);
+	expect_control_log_line(f, "succession_started", "primary_evacuated");
+	expect_control_log_line(f, "promote_answered", "\"error\":\"ok\"");
+	expect_eventually(c, "WRITE bed abel", "COMPLETE write-tag|READY I");
+	expect_eventually(c, "READ bed",
+			  "DATAROW abel:-|COMPLETE read-tag|READY I");
+	kill(f->pids[1], SIGCONT);
+	wait_for_evacuation(f, 1, "z1", true);
+	close_line(c);
+	fleet_stop(f);
+}
+
 /*
  * Without a majority a request is not acknowledged, also if the domain is
  * unknown to the instance; sent again to a majority, it is.
@@ -1358,6 +1528,40 @@
 	return answer_of(c);
 }
 
+#define NO_LEADER_MS 2000
+
+/*
+ * All control instances are suspended: statements within the rate are served
+ * from the share of the instance, and the log tells from when to when. Without
+ * shares, all are refused from 0.6 s on.
+ */
+static void test_no_leader(void)
+{
+	struct test_fleet *f = fleet_start(3);
+	struct line_conn *c = open_session_at(f, 0);
+	gint64 until;
+
+	expect_eventually(c, "WRITE a b", "COMPLETE write-tag|READY I");
+	for (int n = 0; n < 60; n++) {
+		expect(c, "WRITE a b", "COMPLETE write-tag|READY I");
+		g_usleep(50 * 1000);
+	}
+	for (uint32_t i = 1; i <= f->controls; i++)
+		kill(f->pids[i], SIGSTOP);
+	until = g_get_monotonic_time() + NO_LEADER_MS * 1000;
+	while (g_get_monotonic_time() < until) {
+		expect(c, "WRITE a b", "COMPLETE write-tag|READY I");
+		g_usleep(50 * 1000);
+	}
+	for (uint32_t i = 1; i <= f->controls; i++)
+		kill(f->pids[i], SIGCONT);
+	expect_log_line(f, SESSION_HOST, "rate_shares_only", "\"shares\":1");
+	expect_log_line(f, SESSION_HOST, "rate_shares_renewed", "\"accrued\":");
+	expect_eventually(c, "WRITE a b", "COMPLETE write-tag|READY I");
+	close_line(c);
+	fleet_stop(f);
+}
+
 /* The logs show the cause of a failed statement under its id. */
 static void test_failures_logged(void)
 {
@@ -1426,6 +1630,7 @@
 	g_test_add_func("/platform-daemon/stop", test_stop);
 	g_test_add_func("/platform-daemon/announcement-registered",
 			test_announcement_registered);
+	g_test_add_func("/platform-daemon/cold-primary", test_cold_primary);
 	g_test_add_func("/platform-daemon/forwarding", test_forwarding);
 	g_test_add_func("/platform-daemon/forward-malformed",
 			test_forward_malformed);
@@ -1436,9 +1641,14 @@
 			test_holder_suspended);
 	g_test_add_func("/platform-daemon/holder-stops", test_holder_stops);
 	g_test_add_func("/platform-daemon/leader-stalls", test_leader_stalls);
+	g_test_add_func("/platform-daemon/no-leader", test_no_leader);
 	g_test_add_func("/platform-daemon/voters", test_voters);
 	g_test_add_func("/platform-daemon/home-regions", test_home_regions);
 	g_test_add_func("/platform-daemon/evacuation", test_evacuation);
+	g_test_add_func("/platform-daemon/evacuation-raced",
+			test_evacuation_raced);
+	g_test_add_func("/platform-daemon/evacuation-domain-cut-off",
+			test_evacuation_domain_cut_off);
 	g_test_add_func("/platform-daemon/evacuation-without-majority",
 			test_evacuation_without_majority);
 	g_test_add_func("/platform-daemon/evacuation-leader-killed",
