Pooler tests: a former primary keeps its log

The pooler was right. A fresh read (or the first read of a transaction) had passed its BEGIN at the primary and waited for a slot there when the primary was replaced. From then on the model took the lag of a replica (60 ms) off the former primary's own log, so that it lacked a commit that it had executed and that had been acknowledged before the read began.

A replaced primary now keeps the log that it had, and lags only in commits executed after that.

This gives the check one detection less: a pooler that sends fresh reads without BEGIN was found by /pooler/new-primary only, by one stale read, as all instances learn of a promotion at once. The new case new-primary-known-late lets half of them learn of it 1 s later, and finds that pooler.

--- a/tests/support_pool.c
+++ b/tests/support_pool.c
@@ -233,6 +233,7 @@
 	g_free(cmd);
 }
 
+/* A former primary keeps its log: it lags only in commits of its successors. */
 static uint64_t log_number(const struct pool_sim *sim,
 			   const struct pool_endpoint_model *e)
 {
@@ -240,9 +241,10 @@
 
 	if (e->primary)
 		return n;
-	while (n && g_array_index(sim->commits, struct commit, n - 1).at_us +
-				    e->lag_ms * MS >
-			    sim->now_us)
+	while (n > e->log_min &&
+	       g_array_index(sim->commits, struct commit, n - 1).at_us +
+			       e->lag_ms * MS >
+		       sim->now_us)
 		n--;
 	return n;
 }
@@ -1552,9 +1554,12 @@
 
 void pool_sim_fleet_changed(struct pool_sim *sim)
 {
-	for (uint32_t i = 0; i < sim->params.instances; i++)
+	for (uint32_t i = 0; i < sim->params.instances; i++) {
+		if (sim->half_uninformed && i % 2)
+			continue;
 		pooler_set_fleet(sim->instances[i]->pooler, sim->now_us,
 				 sim->fleet);
+	}
 }
 
 void pool_sim_configure(struct pool_sim *sim, const char *database_home,
@@ -1599,8 +1604,13 @@
 	struct fleet_group *g = &sim->fleet->groups[0];
 
 	sim->term++;
-	for (uint32_t i = 0; i < POOL_ENDPOINTS; i++)
-		sim->endpoints[i].primary = i == endpoint;
+	for (uint32_t i = 0; i < POOL_ENDPOINTS; i++) {
+		struct pool_endpoint_model *e = &sim->endpoints[i];
+
+		if (e->primary)
+			e->log_min = sim->commits->len;
+		e->primary = i == endpoint;
+	}
 	g->term = sim->term;
 	g->primary_term = sim->term;
 	LWS_STR_COPY(g->primary, g->endpoint[endpoint].id);
--- a/tests/support_pool.h
+++ b/tests/support_pool.h
@@ -108,6 +108,8 @@
 	/* Answers each statement with an error after 1 ms. */
 	bool fails_fast;
 	uint32_t lag_ms;
+	/* Log number when it was last replaced as primary. */
+	uint64_t log_min;
 	uint32_t running;
 	uint32_t connections;
 	uint64_t handshakes;
@@ -152,6 +154,8 @@
 	/* Log lines about endpoints that turn cold or warm. */
 	uint32_t cold_events;
 	uint32_t warm_events;
+	/* Instances with odd numbers get no changes of the cluster state. */
+	bool half_uninformed;
 	uint64_t term;
 	GArray *commits;
 	struct pool_tally tallies[3];
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -61,6 +61,19 @@
 	pool_sim_promote(sim, 1);
 }
 
+/*
+ * Half of the instances still take the former primary for the primary: it must
+ * not serve their fresh reads.
+ */
+static void new_primary_known_late(struct pool_sim *sim)
+{
+	sim->half_uninformed = true;
+	pool_sim_promote(sim, 1);
+	pool_sim_run(sim, 1000 * MS);
+	sim->half_uninformed = false;
+	pool_sim_fleet_changed(sim);
+}
+
 static void unresponsive_primary(struct pool_sim *sim)
 {
 	sim->endpoints[0].unresponsive = true;
@@ -260,6 +273,7 @@
 	{ "unresponsive-replica", unresponsive_replica, 0.8 },
 	{ "removed-replica", removed_replica, 0.9 },
 	{ "new-primary", new_primary, 0.9 },
+	{ "new-primary-known-late", new_primary_known_late, 0.9 },
 	{ "unresponsive-primary", unresponsive_primary, 0.5 },
 	{ "departed-primary", departed_primary, 0 },
 	{ "evacuated-replica", evacuated_replica, 0.9 },
@@ -1349,20 +1363,24 @@
 	{ "moorings-grown-learned", pool_sim_moorings_grown, CAPACITY_LEARNED },
 };
 
+/*
+ * @disturbances: generator that the disturbances are drawn from, NULL for that
+ * of the simulation
+ */
 static void run_day(const struct pool_sim_params *params,
-		    struct pool_tally *sums)
+		    struct lws_rng *disturbances, struct pool_tally *sums)
 {
 	struct pool_sim *sim = pool_sim_create(params);
+	struct lws_rng *rng = disturbances ? disturbances : &sim->rng;
 
 	pool_sim_run(sim, 2 * S);
 	memset(sim->tallies, 0, sizeof(sim->tallies));
 	for (uint32_t i = 0; i < DAY_DISTURBANCES; i++) {
-		uint64_t before_us = lws_rng_below(&sim->rng, 1000) * MS;
-		uint64_t for_us = (1000 + lws_rng_below(&sim->rng, 2000)) * MS;
+		uint64_t before_us = lws_rng_below(rng, 1000) * MS;
+		uint64_t for_us = (1000 + lws_rng_below(rng, 2000)) * MS;
 
 		pool_sim_run(sim, before_us);
-		day_faults[lws_rng_below(&sim->rng, G_N_ELEMENTS(day_faults))](
-			sim);
+		day_faults[lws_rng_below(rng, G_N_ELEMENTS(day_faults))](sim);
 		pool_sim_run(sim, for_us);
 		end_faults(sim);
 		if (!sim->endpoints[0].primary)
@@ -1391,7 +1409,7 @@
 		struct pool_sim_params params = c->params(seed);
 
 		params.capacity = c->capacity;
-		run_day(&params, sums);
+		run_day(&params, NULL, sums);
 	}
 	for (uint32_t i = 0; i < 3; i++) {
 		g_test_message("class %u: %.4f, served %.4f", i,
@@ -1481,6 +1499,23 @@
 	g_assert_cmpfloat(score[1], >, score[0]);
 }
 
+/*
+ * Days on which fresh reads had begun at a primary and waited for a slot there
+ * while it was replaced: it must keep what it had executed.
+ */
+static void test_day_fresh_reads_at_former_primary(void)
+{
+	static const uint64_t seeds[] = { 4, 17 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
+		struct pool_sim_params params = pool_sim_refugio(seeds[i]);
+		struct lws_rng disturbances = { .seed = seeds[i] * 77 + 5 };
+		struct pool_tally sums[3] = { { 0 } };
+
+		run_day(&params, &disturbances, sums);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	if (sodium_init() < 0)
@@ -1523,6 +1558,8 @@
 
 		g_test_add_data_func(path, &day_cases[i], test_day);
 	}
+	g_test_add_func("/pooler/day/fresh-reads-at-former-primary",
+			test_day_fresh_reads_at_former_primary);
 	g_test_add_func("/pooler/forward/opens-few-connections",
 			test_forward_opens_few_connections);
 	g_test_add_func("/pooler/lagging-replicas-get-few-statements",
