--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -82,7 +82,7 @@
 	uint64_t last_attempt_us;
 	/* The attempt started because the primary must not stay. */
 	bool primary_unwanted;
-	/* It leaves, so it can be asked to step down. */
+	/* The primary leaves or is evacuated, so it may step down first. */
 	bool planned;
 	/* A promotion call has no known outcome; it may still take effect. */
 	bool unresolved_call;
@@ -526,8 +526,7 @@
 	uint32_t unpaused_max = s->sync_replicas ? s->sync_replicas - 1 : 0;
 	uint32_t unpaused = 0;
 
-	/* A primary that has stepped down sends nothing that it could receive.
-	 */
+	/* Nothing more is received from a primary that has stepped down. */
 	if (m->evacuated || (primary && has_stepped_down(s, primary)))
 		return false;
 	for (uint32_t i = 0; i < s->members_count; i++) {
