Pooler: use pooler_dequeue() for all refusals from queues

Cause: two places removed a queued statement by hand, as pooler_dequeue() does. Change: they call it. Behaviour stays as it is.

--- a/lib/session/pooler_group.c
+++ b/lib/session/pooler_group.c
@@ -360,8 +360,7 @@
 						 now_us))) {
 		struct pool_session *s = pool_session_of(item);
 
-		fair_queue_remove(q, item);
-		s->job.place = JOB_NONE;
+		pooler_dequeue(s);
 		pooler_refuse(s, now_us, STATEMENT_E_BUSY,
 			      pooler_state_after_error(s), reason);
 	}
--- a/lib/session/pooler_queue.c
+++ b/lib/session/pooler_queue.c
@@ -218,13 +218,6 @@
 	}
 }
 
-/* Takes a queued statement out of its queue, to refuse it. */
-static void unqueue(struct pool_session *s)
-{
-	fair_queue_remove(s->job.queue, &s->job.item);
-	s->job.place = JOB_NONE;
-}
-
 /* Refuses those that wait for a primary that cannot be replaced in time. */
 static void refuse_unreplaced(struct fair_queue *q, uint64_t now_us)
 {
@@ -237,7 +230,7 @@
 
 		if (!wait_us)
 			continue;
-		unqueue(s);
+		pooler_dequeue(s);
 		pooler_refuse_replacement(s, now_us, wait_us);
 	}
 }
@@ -257,7 +250,7 @@
 		if (now_us + expected_us * POOL_CERTAIN_PERCENT / 100 <=
 		    s->job.deadline_us)
 			continue;
-		unqueue(s);
+		pooler_dequeue(s);
 		pooler_refuse_queue_full(s, now_us, expected_us);
 	}
 }
