Review case 1: a disk loss after a control machine was replaced ends the control group

Seen: a control machine is replaced; when its successor has had catch_up_s, another control machine loses its disk. From then on the control group has no leader, for good, although all machines are back: no config can be read or changed, all requests with a key are refused, and promotions stop.

Run: target/ as in the deploy file, review/build.sh, review/1/run.sh (TROUBLE=0: neither; 2: only the replacement; 3: only the disk loss).

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the scripts into target/review/, after the build of
+# the deploy file.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+for n in 1 2 3 4 5; do
+	[ -f "review/$n/case.c" ] || continue
+	cc -std=gnu11 -O1 -g -Wall -Wextra -Ireview/kit -o "target/review/case-$n" \
+		"review/$n/case.c" review/kit/kit.c -lpthread
+done
