Review: a replica that leaves takes acknowledged commits with it

Replica B leaves as planned, replica C receives nothing for some seconds, the primary crashes after B has ended: C is promoted without commits that only B had received.

--- a/review/kit/kit.c
+++ b/review/kit/kit.c
@@ -521,7 +521,7 @@
 	for (int i = 0; i < db_count; i++) {
 		struct db_server *r = &db[i];
 
-		if (r == p || !r->up || r->cut_all ||
+		if (r == p || !r->up || r->cut_all || r->deaf ||
 		    r->paused_below > p->term)
 			continue;
 		memcpy(r->log, p->log, p->log_len * sizeof(*r->log));
@@ -1059,6 +1059,8 @@
 		s->registered = true;
 		rec("server %s is registered", s->id);
 	}
+	if (status == 200 && s->draining && strstr(body, "draining"))
+		rec("server %s says that it leaves: acknowledged", s->id);
 	if (status != 200) {
 		++*nth;
 		s->beat_at_ms = kit_ms() + 100;
@@ -1092,6 +1094,30 @@
 	return NULL;
 }
 
+void db_report(struct db_server *s)
+{
+	start_thread(beat_now_main, s);
+}
+
+void db_leave(struct db_server *s)
+{
+	char body[64];
+	char path[96];
+	int status = 0;
+
+	snprintf(path, sizeof(path), "/v1/instances/%s/deregister", s->id);
+	snprintf(body, sizeof(body), "{\"born\":%llu}",
+		 (unsigned long long)s->born_ms);
+	for (int i = 0; i < 6 && status != 200; i++)
+		status = kit_http(kit_seeds[i % 3], KIT_PORT_CONTROL, "POST",
+				  path, body, NULL, 0, 1000);
+	kit_lock();
+	s->up = false;
+	s->boot++;
+	rec("server %s deregistered (%d) and ended", s->id, status);
+	kit_unlock();
+}
+
 static void start_boot(struct db_server *s, const char *id)
 {
 	snprintf(s->id, sizeof(s->id), "%s", id);
--- a/review/kit/kit.h
+++ b/review/kit/kit.h
@@ -79,6 +79,8 @@
 	bool cut_all;
 	/* No path to control instances only, in both directions. */
 	bool cut_core;
+	/* A replica that receives nothing. */
+	bool deaf;
 	uint64_t term;
 	uint64_t paused_below;
 	/* First heartbeat is sent at this time. */
@@ -94,6 +96,10 @@
 void db_start(int count);
 /* Starts the server again with a new id, as a replica with the group's log. */
 void db_reborn(struct db_server *s, const char *id);
+/* Reports a change of the state at once; needs the lock. */
+void db_report(struct db_server *s);
+/* The server deregisters and ends; must not be called with the lock. */
+void db_leave(struct db_server *s);
 /* The heartbeat that the server would send next, as JSON. */
 void db_beat_body(struct db_server *s, char *out, size_t size);
 struct db_server *db_find_primary(void);
