--- a/review/kit/kit.c
+++ b/review/kit/kit.c
@@ -522,6 +522,7 @@
 		struct db_server *r = &db[i];
 
 		if (r == p || !r->up || r->cut_all || r->deaf ||
+		    r->side != p->side ||
 		    r->paused_below > p->term)
 			continue;
 		memcpy(r->log, p->log, p->log_len * sizeof(*r->log));
@@ -607,7 +608,12 @@
 
 static bool is_silent(const struct db_conn *c)
 {
-	return c->s->cut_all || (c->from_core && c->s->cut_core);
+	const struct db_server *s = c->s;
+
+	if (*s->cut_from && !c->from_core &&
+	    (strcmp(c->who, s->cut_from) == 0 || strcmp(c->who, "-") == 0))
+		return true;
+	return s->cut_all || (c->from_core && s->cut_core);
 }
 
 static void say(struct db_conn *c, const char *fmt, ...)
@@ -1205,6 +1211,23 @@
 	return NULL;
 }
 
+static struct db_server *new_server(int zone, const char *id)
+{
+	struct db_server *s = &db[db_count];
+
+	s->host = 101 + db_count;
+	s->zone = zone;
+	s->term = 1;
+	s->log = calloc(DB_LOG_MAX, sizeof(*s->log));
+	s->beat_at_ms = kit_ms() + 100 + (uint64_t)db_count * 300;
+	start_boot(s, id);
+	s->listen_fd = listen_at(s->host, KIT_PORT_DB);
+	db_count++;
+	start_thread(accept_main, s);
+	start_thread(beat_main, s);
+	return s;
+}
+
 void db_start(int count)
 {
 	static int cloud_fd;
@@ -1212,26 +1235,25 @@
 	cloud_fd = listen_at(KIT_HOST_CLOUD, KIT_PORT_CLOUD);
 	start_thread(cloud_main, &cloud_fd);
 	kit_lock();
-	db_count = count;
 	for (int i = 0; i < count; i++) {
-		struct db_server *s = &db[i];
 		char id[32];
 
-		s->host = 101 + i;
-		s->zone = 1 + i % 3;
-		s->term = 1;
-		s->primary = i == 0;
-		s->log = calloc(DB_LOG_MAX, sizeof(*s->log));
-		s->beat_at_ms = kit_ms() + 100 + (uint64_t)i * 300;
 		snprintf(id, sizeof(id), "i-server%c", 'a' + i);
-		start_boot(s, id);
-		s->listen_fd = listen_at(s->host, KIT_PORT_DB);
-		start_thread(accept_main, s);
-		start_thread(beat_main, s);
+		new_server(1 + i % 3, id)->primary = i == 0;
 	}
 	kit_unlock();
 }
 
+struct db_server *db_add(int zone, const char *id, int side)
+{
+	struct db_server *s = new_server(zone, id);
+
+	s->side = side;
+	rec("server %s started", id);
+	replicate();
+	return s;
+}
+
 void db_reborn(struct db_server *s, const char *id)
 {
 	struct db_server *p = db_find_primary();
--- a/review/kit/kit.h
+++ b/review/kit/kit.h
@@ -81,6 +81,10 @@
 	bool cut_core;
 	/* A replica that receives nothing. */
 	bool deaf;
+	/* Servers replicate only to those on the same side of a partition. */
+	int side;
+	/* No path to the connections of this caller and of "-". */
+	char cut_from[32];
 	uint64_t term;
 	uint64_t paused_below;
 	/* First heartbeat is sent at this time. */
@@ -96,6 +100,8 @@
 void db_start(int count);
 /* Starts the server again with a new id, as a replica with the group's log. */
 void db_reborn(struct db_server *s, const char *id);
+/* Starts a new server, as a replica with the group's log; needs the lock. */
+struct db_server *db_add(int zone, const char *id, int side);
 /* Reports a change of the state at once; needs the lock. */
 void db_report(struct db_server *s);
 /* The server deregisters and ends; must not be called with the lock. */
