Log which voters are not connected while no leader is known

An instance without a leader showed which connections it has, but not which voters it lacks nor whether it has an upstream. no_leader says so after 2 s and every 5 s; metrics lws_voters_connected and lws_leader_known.

--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -310,6 +310,7 @@
 	control_rates_tick(c, now_us);
 	control_report_tick(c, now_us);
 	control_bootstrap_tick(c, now_us);
+	control_no_leader_tick(c, now_us);
 	operator_tick(c, now_us);
 	control_proposals_expire(c, now_us);
 	control_publish(c);
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -153,6 +153,9 @@
 	struct peer *upstream;
 	char leader_name[FLEET_NAME_MAX];
 	uint64_t leader_term;
+	/* When a leader was last known; the next log line if none is. */
+	uint64_t leader_known_us;
+	uint64_t no_leader_log_us;
 	/* Leader's name as last pushed to the other instances. */
 	char pushed_leader[FLEET_NAME_MAX];
 	struct sync_push push;
@@ -277,6 +280,10 @@
 void control_remove_voter(struct control *c, uint32_t at, uint64_t now_us,
 			  uint64_t missing_ms);
 void control_voters_tick(struct control *c, uint64_t now_us);
+/* Number of voters that are connected, with this instance. */
+uint32_t control_voters_connected(struct control *c);
+/* Logs which voters are not connected while no leader is known. */
+void control_no_leader_tick(struct control *c, uint64_t now_us);
 void control_dial_fleet(struct control *c);
 
 /* operator.c: operators and endpoints that use an adapter */
--- a/lib/daemon/control_voters.c
+++ b/lib/daemon/control_voters.c
@@ -16,6 +16,9 @@
 #define VOTERS_INTERVAL_US (200 * LWS_US_PER_MS)
 /* A voter without a connection for this long is replaced by another. */
 #define VOTER_MISSING_US (6 * LWS_US_PER_S)
+/* First log line about a missing leader, and interval of further ones. */
+#define NO_LEADER_LOG_US (2 * LWS_US_PER_S)
+#define NO_LEADER_LOG_AGAIN_US (5 * LWS_US_PER_S)
 
 /* Addresses */
 
@@ -255,3 +258,63 @@
 		control_add_voter(c, hello, now_us);
 	control_log_pump(c);
 }
+
+/* Missing leader */
+
+uint32_t control_voters_connected(struct control *c)
+{
+	const struct raft_voters *voters = raft_voters(c->raft);
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < voters->count; i++) {
+		uint64_t id = voters->member[i].id;
+
+		n += id == c->identity.member || control_peer_of_member(c, id);
+	}
+	return n;
+}
+
+static char *voters_missing(struct control *c, void *mem_ctx)
+{
+	const struct raft_voters *voters = raft_voters(c->raft);
+	char *names = talloc_strdup(mem_ctx, "");
+
+	for (uint32_t i = 0; names && i < voters->count; i++) {
+		uint64_t id = voters->member[i].id;
+
+		if (id == c->identity.member || control_peer_of_member(c, id))
+			continue;
+		names = talloc_asprintf_append(names, "%s%s",
+					       *names ? "," : "",
+					       voters->member[i].name);
+	}
+	return names;
+}
+
+void control_no_leader_tick(struct control *c, uint64_t now_us)
+{
+	char *missing;
+
+	if (!c->raft)
+		return;
+	if (!c->leader_known_us || c->leader || control_leader_peer(c)) {
+		c->leader_known_us = now_us;
+		c->no_leader_log_us = now_us + NO_LEADER_LOG_US;
+		return;
+	}
+	if (now_us < c->no_leader_log_us)
+		return;
+	c->no_leader_log_us = now_us + NO_LEADER_LOG_AGAIN_US;
+	missing = voters_missing(c, c);
+	lws_log_warn(c->daemon->log, "no_leader", "{s:I,s:b,s:I,s:I,s:s,s:s}",
+		     "for_ms",
+		     (json_int_t)((now_us - c->leader_known_us) /
+				  LWS_US_PER_MS),
+		     "votes",
+		     raft_is_voter(raft_voters(c->raft), c->identity.member),
+		     "voters", (json_int_t)raft_voters(c->raft)->count,
+		     "connected", (json_int_t)control_voters_connected(c),
+		     "missing", missing ? missing : "", "upstream",
+		     c->upstream ? peer_hello(c->upstream)->name : "");
+	talloc_free(missing);
+}
--- a/lib/daemon/metrics.c
+++ b/lib/daemon/metrics.c
@@ -123,6 +123,8 @@
 	metrics_put(out, "log_last_index", raft_last_index(c->raft));
 	metrics_put(out, "log_commit_index", raft_commit_index(c->raft));
 	metrics_put(out, "voters", raft_voters(c->raft)->count);
+	metrics_put(out, "voters_connected", control_voters_connected(c));
+	metrics_put(out, "leader_known", c->leader || control_leader_peer(c));
 }
 
 static void on_request(void *private_data, struct http1_request *r)
