Test: no leader after a restart with seeds that hold no state (fails)

All instances are killed, and the seeds in their new settings are control instances that never voted, have lost their data, or voted before. On the present code no instance is ready within 15 s, and none ever: the voters log no_leader with votes:true, voters 3, connected 1, and the names of both others as missing.

--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -18,7 +18,7 @@
  * that accepts callers, and the endpoints of the platform stand-in.
  */
 
-#define CONTROLS_MAX 5
+#define CONTROLS_MAX 6
 /* Last number of the address of the instance that accepts callers. */
 #define SESSION_HOST 9
 /* Last number of the address of the platform stand-in. */
@@ -43,6 +43,11 @@
 	uint32_t controls;
 	/* Instances that accept callers, from SESSION_HOST on. */
 	uint32_t session_hosts;
+	/* Data directories that may be lost at the same time. */
+	uint32_t data_losses_max;
+	/* The seeds are the hosts from this one on, plus one. */
+	int seeds_offset;
+	bool bootstrapped;
 	/* The one that open_session() uses. */
 	int caller_host;
 	GPid pids[HOSTS_MAX];
@@ -69,9 +74,10 @@
 	g_autofree char *data = g_strdup_printf("%s/data-%d", f->dir, host);
 	struct test_instance instance = { .net = f->net,
 					  .host = host,
+					  .seeds_offset = f->seeds_offset,
 					  .promote_host = STANDIN_HOST,
-					  .data_losses_max = f->controls / 2,
-					  .bootstrap = true,
+					  .data_losses_max = f->data_losses_max,
+					  .bootstrap = !f->bootstrapped,
 					  .data_dir = host >= SESSION_HOST
 							      ? NULL
 							      : data };
@@ -319,8 +325,9 @@
 	g_assert_not_reached();
 }
 
-static struct test_fleet *fleet_start_many(uint32_t controls,
-					   uint32_t session_hosts)
+static struct test_fleet *fleet_start_tolerating(uint32_t controls,
+						 uint32_t session_hosts,
+						 uint32_t data_losses_max)
 {
 	struct test_fleet *f = g_new0(struct test_fleet, 1);
 	g_autofree char *config = config_of(5, "\"k1\",\"k2\"");
@@ -331,6 +338,7 @@
 		 next_net++);
 	f->controls = controls;
 	f->session_hosts = session_hosts;
+	f->data_losses_max = data_losses_max;
 	f->caller_host = SESSION_HOST;
 	for (uint32_t i = 1; i <= controls; i++) {
 		write_settings(f, (int)i);
@@ -349,6 +357,12 @@
 	return f;
 }
 
+static struct test_fleet *fleet_start_many(uint32_t controls,
+					   uint32_t session_hosts)
+{
+	return fleet_start_tolerating(controls, session_hosts, controls / 2);
+}
+
 static struct test_fleet *fleet_start(uint32_t controls)
 {
 	return fleet_start_many(controls, 1);
@@ -1430,6 +1444,96 @@
 	fleet_stop(f);
 }
 
+static void expect_log_of_any(const struct test_fleet *f, const char *text)
+{
+	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
+
+	while (g_get_monotonic_time() < until) {
+		for (uint32_t i = 1; i <= f->controls; i++) {
+			g_autofree char *line =
+				find_log_line(f, (int)i, text, "");
+
+			if (line)
+				return;
+		}
+		g_usleep(50 * 1000);
+	}
+	g_error("no log has %s", text);
+}
+
+struct seeds_case {
+	const char *name;
+	/* A voter that is down until another one replaces it; 0 for none. */
+	int replaced;
+	/* The seeds after the restart are the three hosts after this one. */
+	int seeds_offset;
+};
+
+static const struct seeds_case seeds_cases[] = {
+	{ "never-voted", 0, 3 },
+	{ "former-voter", 3, 2 },
+};
+
+static bool was_added_as_voter(const struct test_fleet *f, int host)
+{
+	g_autofree char *name = g_strdup_printf("\"name\":\"n-%d\"", host);
+
+	for (int i = 1; i <= (int)f->controls; i++) {
+		g_autofree char *line =
+			find_log_line(f, i, "\"voter_added\"", name);
+
+		if (line)
+			return true;
+	}
+	return false;
+}
+
+static void lose_data(const struct test_fleet *f, int host)
+{
+	g_autofree char *log = g_strdup_printf("%s/data-%d/log", f->dir, host);
+
+	g_assert_cmpint(g_unlink(log), ==, 0);
+}
+
+/*
+ * After a restart of all instances, the seeds are control instances that hold
+ * no state: they do not vote, or have lost their data.
+ */
+static void test_seeds_without_state(gconstpointer data)
+{
+	const struct seeds_case *test = data;
+	struct test_fleet *f = fleet_start_tolerating(6, 1, 1);
+	g_autofree char *newer = config_of(9, "\"k1\"");
+	struct line_conn *c;
+
+	wait_for_metric(f, "lws_voters 3\n");
+	if (test->replaced) {
+		stop(f, test->replaced, SIGKILL);
+		expect_log_of_any(f, "\"voter_removed\"");
+		start_daemon(f, test->replaced);
+	}
+	g_assert_cmpint(replace_config(f, newer), ==, 200);
+	for (int i = 0; i <= (int)f->controls; i++)
+		stop(f, i ? i : SESSION_HOST, SIGKILL);
+	f->bootstrapped = true;
+	f->seeds_offset = test->seeds_offset;
+	for (int i = 1; i <= 3; i++) {
+		if (was_added_as_voter(f, i + f->seeds_offset))
+			lose_data(f, i + f->seeds_offset);
+	}
+	for (int i = 0; i <= (int)f->controls; i++) {
+		int host = i ? i : SESSION_HOST;
+
+		write_settings(f, host);
+		start_daemon(f, host);
+	}
+	wait_until_ready(f);
+	c = open_session(f, "pay", "k1");
+	expect_eventually(c, "WRITE a b", "COMPLETE write-tag|READY I");
+	close_line(c);
+	fleet_stop(f);
+}
+
 /*
  * The endpoints are in z1 to z3; the first one starts as the primary. Writes of
  * "pay" are possible only with this region, or without a restriction.
@@ -1651,6 +1755,14 @@
 	g_test_add_func("/platform-daemon/leader-stalls", test_leader_stalls);
 	g_test_add_func("/platform-daemon/no-leader", test_no_leader);
 	g_test_add_func("/platform-daemon/voters", test_voters);
+	for (size_t i = 0; i < G_N_ELEMENTS(seeds_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/platform-daemon/seeds-without-state/%s",
+			seeds_cases[i].name);
+
+		g_test_add_data_func(path, &seeds_cases[i],
+				     test_seeds_without_state);
+	}
 	g_test_add_func("/platform-daemon/home-regions", test_home_regions);
 	g_test_add_func("/platform-daemon/evacuation", test_evacuation);
 	g_test_add_func("/platform-daemon/evacuation-raced",
