Find the other voters after a restart of all without the seeds

Cause: an instance dials its seeds and the addresses in its applied state. The addresses of instances that had been silent for 3 s were dropped too, so nobody dialled them when they came back.

Class: knowledge needed for an election that only an elected leader makes available.

A control instance now keeps a book of addresses: the members, those in restored entries that are not applied yet, and up to 32 in all that were members before.

--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -4,6 +4,7 @@
 #include <jansson.h>
 #include <tevent.h>
 
+#include "address_book.h"
 #include "daemon.h"
 #include "disk.h"
 #include "failover.h"
@@ -129,6 +130,8 @@
 	struct raft *raft;
 	struct disk *disk;
 	uint64_t durable_seq;
+	/* Of a control instance: where to look for other ones. */
+	struct address_book book;
 	/* Bytes of commands appended since the last snapshot. */
 	uint64_t log_bytes;
 	/* Messages that wait until the writes they depend on are synced. */
--- a/lib/daemon/control_log.c
+++ b/lib/daemon/control_log.c
@@ -301,6 +301,31 @@
 	return 0;
 }
 
+/*
+ * Notes the addresses in restored entries, which are not applied before a
+ * leader commits them.
+ */
+static void restore_addresses(struct control *c)
+{
+	uint64_t last = raft_last_index(c->raft);
+
+	address_book_add_members(&c->book, c->fleet);
+	for (uint64_t i = raft_snapshot_index(c->raft) + 1; i <= last; i++) {
+		const struct raft_entry *entry = raft_entry_at(c->raft, i);
+		void *scratch = talloc_new(NULL);
+		struct fleet_command command;
+
+		if (entry->kind == RAFT_ENTRY_COMMAND && entry->len &&
+		    !fleet_command_unpack(scratch, entry->data, entry->len,
+					  &command) &&
+		    command.type == FLEET_INSTANCE_JOIN)
+			address_book_add(&c->book, command.instance.addr);
+		talloc_free(scratch);
+	}
+	/* Dials them with the first publication. */
+	c->fleet_changed = true;
+}
+
 void control_adopt_cluster(struct control *c, uint64_t cluster)
 {
 	c->identity.cluster = cluster;
@@ -338,6 +363,7 @@
 		rc = restore_fleet(c);
 	if (rc)
 		return rc;
+	restore_addresses(c);
 	/* If the file has an identity record already, another is harmless. */
 	write_identity(c);
 	raft_start(c->raft, lws_time_now_us());
--- a/lib/daemon/control_voters.c
+++ b/lib/daemon/control_voters.c
@@ -46,12 +46,13 @@
 
 /*
  * With an adapter, every instance keeps connections to all seeds and to all
- * instances that accept connections from other instances.
+ * instances that accept connections from other instances; a control instance
+ * also to those that did so before.
  */
 void control_dial_fleet(struct control *c)
 {
 	char *seeds = talloc_strdup(c, c->daemon->settings.control);
-	const char *list[DIALS_MAX + SEEDS_MAX];
+	const char *list[DIALS_MAX];
 	const char *split[SEEDS_MAX];
 	uint32_t count = 0;
 	uint32_t n = split_seeds(seeds, split);
@@ -71,6 +72,12 @@
 		    strcmp(other->addr, c->peer_addr) != 0)
 			add_addr(list, &count, other->addr);
 	}
+	if (c->raft)
+		address_book_add_members(&c->book, c->fleet);
+	for (uint32_t i = 0; i < c->book.count; i++) {
+		if (strcmp(c->book.addrs[i], c->peer_addr) != 0)
+			add_addr(list, &count, c->book.addrs[i]);
+	}
 	peer_hub_set_dials(c->hub, list, count);
 	talloc_free(seeds);
 }
@@ -284,8 +291,7 @@
 
 		if (id == c->identity.member || control_peer_of_member(c, id))
 			continue;
-		names = talloc_asprintf_append(names, "%s%s",
-					       *names ? "," : "",
+		names = talloc_asprintf_append(names, "%s%s", *names ? "," : "",
 					       voters->member[i].name);
 	}
 	return names;
@@ -306,15 +312,15 @@
 		return;
 	c->no_leader_log_us = now_us + NO_LEADER_LOG_AGAIN_US;
 	missing = voters_missing(c, c);
-	lws_log_warn(c->daemon->log, "no_leader", "{s:I,s:b,s:I,s:I,s:s,s:s}",
-		     "for_ms",
-		     (json_int_t)((now_us - c->leader_known_us) /
-				  LWS_US_PER_MS),
-		     "votes",
-		     raft_is_voter(raft_voters(c->raft), c->identity.member),
-		     "voters", (json_int_t)raft_voters(c->raft)->count,
-		     "connected", (json_int_t)control_voters_connected(c),
-		     "missing", missing ? missing : "", "upstream",
-		     c->upstream ? peer_hello(c->upstream)->name : "");
+	lws_log_warn(
+		c->daemon->log, "no_leader", "{s:I,s:b,s:I,s:I,s:s,s:s}",
+		"for_ms",
+		(json_int_t)((now_us - c->leader_known_us) / LWS_US_PER_MS),
+		"votes",
+		raft_is_voter(raft_voters(c->raft), c->identity.member),
+		"voters", (json_int_t)raft_voters(c->raft)->count, "connected",
+		(json_int_t)control_voters_connected(c), "missing",
+		missing ? missing : "", "upstream",
+		c->upstream ? peer_hello(c->upstream)->name : "");
 	talloc_free(missing);
 }
--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -1527,6 +1527,7 @@
 		write_settings(f, host);
 		start_daemon(f, host);
 	}
+	wait_for_metric(f, "lws_leads 1\n");
 	wait_until_ready(f);
 	c = open_session(f, "pay", "k1");
 	expect_eventually(c, "WRITE a b", "COMPLETE write-tag|READY I");
