Take the state from any connected control instance

Cause: a control instance without a vote took the state only from instances that it had dialled, at first the seeds. If all seeds were such instances, they waited for each other although voters were connected to them. One that had voted before, and knew no leader, had no upstream at all: its last leader may be gone, and only voters hear of a new one.

The choice of an upstream is now a function: dialled ones of the own failure domain, other dialled ones, then control instances that have dialled this one. A confirmation still comes from the leader only, so instances that ask each other can't confirm their states.

--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -98,31 +98,54 @@
 		      c->daemon->settings.failure_domain) == 0;
 }
 
-/*
- * Returns the @nth of the peers that this instance dialled, with those of its
- * own failure domain first.
- */
+/* Lists at most one connection to each other instance. */
+static bool is_duplicate(struct peer *const *peers, uint32_t n,
+			 const struct peer *peer)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		if (strcmp(peer_hello(peers[i])->name,
+			   peer_hello(peer)->name) == 0)
+			return true;
+	}
+	return false;
+}
+
 static struct peer *nth_upstream(struct control *c, uint32_t nth)
 {
-	struct peer *list[UPSTREAMS_MAX] = { NULL };
+	struct sync_upstream list[UPSTREAMS_MAX];
+	struct peer *peers[UPSTREAMS_MAX];
 	uint32_t n = 0;
+	int32_t at;
 
-	for (int local = 1; local >= 0; local--) {
+	for (int dialled = 1; dialled >= 0; dialled--) {
 		for (struct peer *p = peer_hub_first(c->hub); p;
 		     p = peer_hub_next(p)) {
-			if (peer_dialled(p) && same_domain(c, p) == local &&
-			    n < UPSTREAMS_MAX)
-				list[n++] = p;
+			if (peer_dialled(p) != dialled || n == UPSTREAMS_MAX ||
+			    (!dialled && !peer_hello(p)->member) ||
+			    is_duplicate(peers, n, p))
+				continue;
+			list[n] = (struct sync_upstream){
+				.dialled = dialled,
+				.same_domain = same_domain(c, p),
+			};
+			peers[n++] = p;
 		}
 	}
-	return n ? list[nth % n] : NULL;
+	at = sync_choose_upstream(list, n, nth);
+	return at < 0 ? NULL : peers[at];
 }
 
+/*
+ * Voters ask the leader. Without one, any other instance may know it: one that
+ * voted before gets no messages of a new leader.
+ */
 static struct peer *choose_upstream(struct control *c)
 {
+	struct peer *leader = NULL;
+
 	if (c->raft && raft_voters(c->raft)->count)
-		return control_leader_peer(c);
-	return nth_upstream(c, c->sync.upstream);
+		leader = control_leader_peer(c);
+	return leader ? leader : nth_upstream(c, c->sync.upstream);
 }
 
 static void send_sync_request(struct control *c, uint64_t now_us)
--- a/lib/membership/sync.c
+++ b/lib/membership/sync.c
@@ -55,6 +55,35 @@
 		c->confirmed_us = stamp_us;
 }
 
+enum upstream_rank {
+	UPSTREAM_LOCAL,
+	UPSTREAM_DIALLED,
+	UPSTREAM_ACCEPTED,
+	UPSTREAM_RANK_COUNT,
+};
+
+static enum upstream_rank rank_of(const struct sync_upstream *upstream)
+{
+	if (!upstream->dialled)
+		return UPSTREAM_ACCEPTED;
+	return upstream->same_domain ? UPSTREAM_LOCAL : UPSTREAM_DIALLED;
+}
+
+int32_t sync_choose_upstream(const struct sync_upstream *list, uint32_t count,
+			     uint32_t nth)
+{
+	uint32_t seen = 0;
+
+	for (int rank = 0; rank < UPSTREAM_RANK_COUNT; rank++) {
+		for (uint32_t i = 0; i < count; i++) {
+			if ((int)rank_of(&list[i]) == rank &&
+			    seen++ == nth % count)
+				return (int32_t)i;
+		}
+	}
+	return -1;
+}
+
 bool sync_leader_is_newer(const char *heard_leader, uint64_t heard_term,
 			  uint64_t own_term)
 {
--- a/lib/membership/sync.h
+++ b/lib/membership/sync.h
@@ -90,6 +90,32 @@
 void sync_client_reply(struct sync_client *c, uint64_t now_us,
 		       uint64_t stamp_us, bool confirmed);
 
+/**
+ * struct sync_upstream - a connection over which requests can be sent
+ * @dialled: this instance opened the connection; otherwise a control instance
+ *           did
+ * @same_domain: the other side is in the failure domain of this instance
+ */
+struct sync_upstream {
+	bool dialled;
+	bool same_domain;
+};
+
+/**
+ * sync_choose_upstream() - choose one of several upstreams
+ * @list: connections
+ * @count: number of @list
+ * @nth: number of upstreams that were tried before; taken modulo @count
+ *
+ * The order is: dialled in the same failure domain, dialled, accepted. The last
+ * are for an instance whose seeds have no state either; control instances that
+ * have it dial all others.
+ *
+ * Return: an index into @list, -1 if it is empty.
+ */
+int32_t sync_choose_upstream(const struct sync_upstream *list, uint32_t count,
+			     uint32_t nth);
+
 /**
  * sync_leader_is_newer() - whether a leader named in sync replies replaces the
  * one that this instance follows
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -2,6 +2,8 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "address_book.h"
+#include "address_book.h"
 #include "instances.h"
 #include "lease.h"
 #include "lws_error.h"
@@ -573,6 +575,83 @@
 	talloc_free(fleet);
 }
 
+struct upstream_case {
+	const char *name;
+	struct sync_upstream list[4];
+	uint32_t count;
+	/* Indices that successive attempts choose. */
+	int32_t order[4];
+};
+
+static const struct upstream_case upstream_cases[] = {
+	{ .name = "none", .count = 0, .order = { -1, -1, -1, -1 } },
+	{ .name = "own domain first",
+	  .list = { { .dialled = true },
+		    { .dialled = true, .same_domain = true },
+		    { .dialled = true } },
+	  .count = 3,
+	  .order = { 1, 0, 2, 1 } },
+	{ .name = "accepted last",
+	  .list = { { .same_domain = true },
+		    { .dialled = true },
+		    { .dialled = false } },
+	  .count = 3,
+	  .order = { 1, 0, 2, 1 } },
+	{ .name = "seeds without state have dialled nobody",
+	  .list = { { .dialled = false } },
+	  .count = 1,
+	  .order = { 0, 0, 0, 0 } },
+};
+
+static void test_upstream_order(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(upstream_cases); i++) {
+		const struct upstream_case *test = &upstream_cases[i];
+
+		for (uint32_t nth = 0; nth < 4; nth++)
+			g_assert_cmpint(sync_choose_upstream(test->list,
+							     test->count, nth),
+					==, test->order[nth]);
+	}
+}
+
+struct book_case {
+	const char *name;
+	const char *added[4];
+	const char *first;
+	uint32_t count;
+};
+
+static const struct book_case book_cases[] = {
+	{ "empty", { NULL }, NULL, 0 },
+	{ "newest first", { "1.1.1.1:1", "1.1.1.2:1" }, "1.1.1.2:1", 2 },
+	{ "again", { "1.1.1.1:1", "1.1.1.2:1", "1.1.1.1:1" }, "1.1.1.1:1", 2 },
+	{ "not dialled", { "1.1.1.1:1", "@1.1.1.2:1", "" }, "1.1.1.1:1", 1 },
+};
+
+static void test_address_book(void)
+{
+	struct address_book full = { 0 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(book_cases); i++) {
+		const struct book_case *test = &book_cases[i];
+		struct address_book book = { 0 };
+
+		for (int k = 0; k < 4 && test->added[k]; k++)
+			address_book_add(&book, test->added[k]);
+		g_assert_cmpuint(book.count, ==, test->count);
+		if (test->first)
+			g_assert_cmpstr(book.addrs[0], ==, test->first);
+	}
+	for (int i = 0; i <= ADDRESS_BOOK_MAX; i++) {
+		g_autofree char *addr = g_strdup_printf("1.1.1.%d:1", i);
+
+		address_book_add(&full, addr);
+	}
+	g_assert_cmpuint(full.count, ==, ADDRESS_BOOK_MAX);
+	g_assert_cmpstr(full.addrs[ADDRESS_BOOK_MAX - 1], ==, "1.1.1.1:1");
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -580,6 +659,8 @@
 	g_test_add_func("/sync/late-reply", test_late_reply);
 	g_test_add_func("/sync/leader-is-newer", test_leader_is_newer);
 	g_test_add_func("/sync/preferred-upstream", test_preferred_upstream);
+	g_test_add_func("/sync/upstream-order", test_upstream_order);
+	g_test_add_func("/membership/address-book", test_address_book);
 	g_test_add_func("/sync/log-or-snapshot", test_log_or_snapshot);
 	g_test_add_func("/sync/large-commands", test_large_commands);
 	g_test_add_func("/sync/push", test_push);
