Refuse entries of endpoints with values that cannot be true

What callers may see: an endpoint in use is dropped, or never followed again, after one odd entry of another writer under its id.

Evidence: /platform-daemon/odd-entries (real processes; entries under the id of an endpoint in use) failed before with 200 for port 0, and passes; /platform/announcements failed for port 0, deregistrations is new. The product's own interface refuses port 0 as well.

--- a/lib/daemon/control_admin.c
+++ b/lib/daemon/control_admin.c
@@ -440,7 +440,7 @@
 	       cfg_name_valid(item->group) &&
 	       cfg_name_valid(item->endpoint.id) &&
 	       cfg_name_valid(item->endpoint.failure_domain) &&
-	       sock_addr_valid(item->endpoint.addr);
+	       sock_addr_connectable(item->endpoint.addr);
 }
 
 static void post_announce(struct control *c, struct h2_request *request,
--- a/lib/io/sock.c
+++ b/lib/io/sock.c
@@ -1,6 +1,7 @@
 #include "sock.h"
 
 #include <arpa/inet.h>
+#include <ctype.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -26,7 +27,8 @@
 	memcpy(ip, addr, (size_t)(colon - addr));
 	ip[colon - addr] = '\0';
 	port = strtol(colon + 1, &end, 10);
-	if (*end || end == colon + 1 || port < 0 || port > 65535)
+	/* strtol() would also take blanks and a sign. */
+	if (*end || !isdigit((unsigned char)colon[1]) || port > 65535)
 		return LWS_E_ARGUMENT;
 	memset(out, 0, sizeof(*out));
 	out->sin_family = AF_INET;
@@ -125,3 +127,10 @@
 
 	return parse_addr(addr, &sin) == 0;
 }
+
+bool sock_addr_connectable(const char *addr)
+{
+	struct sockaddr_in sin;
+
+	return parse_addr(addr, &sin) == 0 && sin.sin_port;
+}
--- a/lib/io/sock.h
+++ b/lib/io/sock.h
@@ -46,4 +46,7 @@
 /** sock_addr_valid() - true for "ip:port" with an IPv4 address */
 bool sock_addr_valid(const char *addr);
 
+/** sock_addr_connectable() - true for a valid address whose port is not 0 */
+bool sock_addr_connectable(const char *addr);
+
 #endif
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -649,6 +649,19 @@
 	{ HEARTBEAT(",\"db_role\":\"x\""), LWS_E_BODY_FORMAT, 0 },
 	{ HEARTBEAT(",\"seq\":\"4\""), LWS_E_BODY_FORMAT, 0 },
 	{ HEARTBEAT(",\"address\":\"host:80\""), LWS_E_BODY_FORMAT, 0 },
+	{ HEARTBEAT(",\"address\":\"10.0.0.1:0\""), LWS_E_BODY_FORMAT, 0 },
+	{ HEARTBEAT(",\"address\":\"10.0.0.1:65535\""), 0, 0 },
+	{ HEARTBEAT(",\"address\":\"10.0.0.1:65536\""), LWS_E_BODY_FORMAT, 0 },
+	{ HEARTBEAT(",\"address\":\"10.0.0.1:-80\""), LWS_E_BODY_FORMAT, 0 },
+	{ HEARTBEAT(",\"address\":\"10.0.0.1: 80\""), LWS_E_BODY_FORMAT, 0 },
+	{ HEARTBEAT(",\"address\":\"10.0.0.1:+80\""), LWS_E_BODY_FORMAT, 0 },
+	{ HEARTBEAT(",\"address\":\"10.0.0.1:99999999999999999999\""),
+	  LWS_E_BODY_FORMAT, 0 },
+	{ HEARTBEAT(",\"seq\":99999999999999999999"), LWS_E_BODY_FORMAT, 0 },
+	{ HEARTBEAT(",\"seq\":9223372036854775807"), LWS_E_BODY_FORMAT, 0 },
+	{ HEARTBEAT(",\"slots\":1e999"), LWS_E_BODY_FORMAT, 0 },
+	{ HEARTBEAT(",\"slots\":4294967295"), LWS_E_BODY_FORMAT, 0 },
+	{ HEARTBEAT(",\"born\":9223372036854775807"), LWS_E_BODY_FORMAT, 0 },
 	{ HEARTBEAT(",\"zone\":7"), LWS_E_BODY_FORMAT, 0 },
 	{ HEARTBEAT(",\"slots\":-1"), LWS_E_BODY_FORMAT, 0 },
 	{ "{}", LWS_E_BODY_FORMAT, 0 },
@@ -677,6 +690,39 @@
 	}
 }
 
+struct deregistration_case {
+	const char *body;
+	int rc;
+	uint64_t incarnation;
+};
+
+static const struct deregistration_case deregistration_cases[] = {
+	{ "", 0, 0 },
+	{ "{}", 0, 0 },
+	{ "{\"born\":1700000000000}", 0, 1700000000000 },
+	{ "{\"born\":\"1700000000000\"}", LWS_E_BODY_FORMAT, 0 },
+	{ "{\"born\":1e999}", LWS_E_BODY_FORMAT, 0 },
+	{ "{\"born\":9223372036854775807}", LWS_E_BODY_FORMAT, 0 },
+	{ "{\"born\":-1}", LWS_E_BODY_FORMAT, 0 },
+	{ "[1700000000000]", LWS_E_BODY_FORMAT, 0 },
+	{ "{\"born\":", LWS_E_BODY_FORMAT, 0 },
+	{ "\xff\xfe", LWS_E_BODY_FORMAT, 0 },
+};
+
+static void test_deregistrations(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(deregistration_cases); i++) {
+		const struct deregistration_case *c = &deregistration_cases[i];
+		uint64_t incarnation = 0;
+
+		g_assert_cmpint(platform_decode_deregistration(
+					(const uint8_t *)c->body,
+					strlen(c->body), &incarnation),
+				==, c->rc);
+		g_assert_cmpuint(incarnation, ==, c->incarnation);
+	}
+}
+
 struct cold_heartbeat_case {
 	const char *body;
 	int rc;
@@ -968,6 +1014,7 @@
 	g_test_add_func("/platform/cold-limits", test_cold_limits);
 	g_test_add_func("/platform/catalog-bytes", test_catalog_bytes);
 	g_test_add_func("/platform/announcements", test_heartbeats);
+	g_test_add_func("/platform/deregistrations", test_deregistrations);
 	g_test_add_func("/platform/cold-announcements", test_cold_heartbeats);
 	g_test_add_func("/platform/settings", test_settings);
 	g_test_add_func("/platform/key-times", test_key_times);
--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -685,6 +685,73 @@
 	return leader;
 }
 
+#define ENDPOINT_FIELDS                                          \
+	"\"service\":\"g1\",\"zone\":\"z1\",\"version\":\"v1\"," \
+	"\"state\":\"ready\",\"db_role\":\"replica\""
+
+struct odd_entry_case {
+	/* "heartbeat" or "deregister" */
+	const char *call;
+	/* '#' stands for 100,000 opening brackets. */
+	const char *body;
+};
+
+/* Entries of another writer, under the id of an endpoint in use. */
+static const struct odd_entry_case odd_entry_cases[] = {
+	{ "heartbeat", "#" },
+	{ "heartbeat", "{" ENDPOINT_FIELDS ",\"address\":\"127.0.0.9:5009\","
+		       "\"slots\":2,\"seq\":4,\"new\":#}" },
+	{ "heartbeat", "{" ENDPOINT_FIELDS ",\"address\":\"127.0.0.9:70000\","
+		       "\"slots\":2,\"seq\":4}" },
+	{ "heartbeat", "{" ENDPOINT_FIELDS ",\"address\":\"127.0.0.9:0\","
+		       "\"slots\":2,\"seq\":4}" },
+	{ "heartbeat", "{" ENDPOINT_FIELDS ",\"address\":\"127.0.0.9:5009\","
+		       "\"slots\":1e999,\"seq\":4}" },
+	{ "heartbeat", "{" ENDPOINT_FIELDS ",\"address\":\"127.0.0.9:5009\","
+		       "\"slots\":2,\"seq\":4,"
+		       "\"born\":9223372036854775807}" },
+	{ "deregister", "#" },
+	{ "deregister", "{\"born\":\"x\"}" },
+	{ "deregister", "{\"born\":99999999999999999999}" },
+	{ "deregister", "\xff\xfe" },
+};
+
+static char *odd_body(const struct odd_entry_case *test)
+{
+	g_autofree char *nested = g_strnfill(100000, '[');
+	GString *body = g_string_new(test->body);
+
+	(void)g_string_replace(body, "#", nested, 0);
+	return g_string_free(body, FALSE);
+}
+
+/* An entry that names no endpoint ends no process and removes no endpoint. */
+static void test_odd_entries(void)
+{
+	struct test_fleet *f = fleet_start(3);
+	struct line_conn *c = open_session(f, "pay", "k1");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_entry_cases); i++) {
+		const struct odd_entry_case *test = &odd_entry_cases[i];
+		g_autofree char *body = odd_body(test);
+		g_autofree char *path =
+			g_strdup_printf("/v1/instances/e0/%s", test->call);
+
+		for (int host = 1; host <= (int)f->controls; host++)
+			g_assert_cmpint(
+				http(f, host, 8462, "POST", path, body, NULL),
+				==, 400);
+		expect(c, "WRITE a b", "COMPLETE write-tag|READY I");
+	}
+	for (int host = 1; host <= SESSION_HOST; host++) {
+		if (f->pids[host])
+			g_assert_cmpint(waitpid(f->pids[host], NULL, WNOHANG),
+					==, 0);
+	}
+	close_line(c);
+	fleet_stop(f);
+}
+
 /* Announcement of an endpoint that does not run. */
 static const char new_endpoint[] =
 	"{\"service\":\"g1\",\"address\":\"127.0.0.9:5009\","
@@ -1743,6 +1810,7 @@
 	g_test_add_func("/platform-daemon/stop", test_stop);
 	g_test_add_func("/platform-daemon/announcement-registered",
 			test_announcement_registered);
+	g_test_add_func("/platform-daemon/odd-entries", test_odd_entries);
 	g_test_add_func("/platform-daemon/cold-primary", test_cold_primary);
 	g_test_add_func("/platform-daemon/forwarding", test_forwarding);
 	g_test_add_func("/platform-daemon/forward-malformed",
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -2,7 +2,6 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "address_book.h"
 #include "address_book.h"
 #include "instances.h"
 #include "lease.h"
