--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -87,6 +88,16 @@
 	g_assert_true(g_file_set_contents(path, text, -1, NULL));
 }
 
+/*
+ * A write above RLIMIT_FSIZE must fail, like one to a full disk, and not end
+ * the process.
+ */
+static void ignore_file_size_signal(gpointer data)
+{
+	(void)data;
+	signal(SIGXFSZ, SIG_IGN);
+}
+
 /* Further environment variable of the daemons that are started, or NULL. */
 static char *daemon_variable;
 
@@ -101,8 +112,8 @@
 
 	g_assert_true(g_spawn_async_with_fds(
 		NULL, argv, host == STANDIN_HOST ? NULL : env,
-		G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL, &f->pids[host], -1, fd,
-		fd, &error));
+		G_SPAWN_DO_NOT_REAP_CHILD, ignore_file_size_signal, NULL,
+		&f->pids[host], -1, fd, fd, &error));
 	close(fd);
 }
 
@@ -1528,6 +1539,68 @@
 	g_error("no log has %s", text);
 }
 
+#define DISK_FULL_MS 1500
+
+/* Log lines are only buffered meanwhile. */
+static void set_disk_full(const struct test_fleet *f, int host, bool full)
+{
+	struct rlimit limit = { .rlim_cur = full ? 1 : RLIM_INFINITY,
+				.rlim_max = RLIM_INFINITY };
+
+	g_assert_cmpint(prlimit(f->pids[host], RLIMIT_FSIZE, &limit, NULL), ==,
+			0);
+}
+
+static void change_until(const struct test_fleet *f, int *version, gint64 until)
+{
+	while (g_get_monotonic_time() < until) {
+		g_autofree char *config = config_of(++*version, "\"k1\"");
+
+		g_assert_cmpint(replace_config(f, config), ==, 200);
+		g_usleep(20 * 1000);
+	}
+}
+
+/*
+ * The disks of the control instances are full, one after the other; changes
+ * are acknowledged during that time and afterwards.
+ */
+static void test_full_disks_in_turn(void)
+{
+	struct test_fleet *f = fleet_start(3);
+	int version = 10;
+
+	for (int i = 0; i < 2 * (int)f->controls; i++) {
+		int host = i % (int)f->controls + 1;
+
+		set_disk_full(f, host, true);
+		change_until(f, &version,
+			     g_get_monotonic_time() + DISK_FULL_MS * 1000);
+		set_disk_full(f, host, false);
+		change_until(f, &version, g_get_monotonic_time() + 500 * 1000);
+		expect_log_line(f, host, "disk_write_failed", "");
+	}
+	for (int host = 1; host <= (int)f->controls; host++) {
+		g_autofree char *line =
+			g_strdup_printf("lws_catalog_version %d\n", version);
+		g_autofree char *text = NULL;
+		gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
+
+		do {
+			g_clear_pointer(&text, g_free);
+			http(f, host, 9464, "GET", "/metrics", "", &text);
+		} while (!(text && strstr(text, line)) &&
+			 g_get_monotonic_time() < until);
+		g_assert_nonnull(strstr(text, line));
+	}
+	for (int host = 1; host <= (int)f->controls; host++)
+		stop(f, host, SIGKILL);
+	for (int host = 1; host <= (int)f->controls; host++)
+		start_daemon(f, host);
+	wait_for_metric(f, "lws_leads 1\n");
+	fleet_stop(f);
+}
+
 struct seeds_case {
 	const char *name;
 	/* A voter that is down until another one replaces it; 0 for none. */
@@ -1832,6 +1905,8 @@
 		g_test_add_data_func(path, &seeds_cases[i],
 				     test_seeds_without_state);
 	}
+	g_test_add_func("/platform-daemon/full-disks-in-turn",
+			test_full_disks_in_turn);
 	g_test_add_func("/platform-daemon/home-regions", test_home_regions);
 	g_test_add_func("/platform-daemon/evacuation", test_evacuation);
 	g_test_add_func("/platform-daemon/evacuation-raced",
