Replace a lost voter before the next loss is allowed

Cause: a voter that is gone was replaced only after a fixed 6 s without a connection, counted anew by each leader, while catch_up_s is 4 s on two sites and was not read. Meanwhile two of three voters were without their log. And the replacement was added before the lost voter was removed: a set that holds both needs a larger majority, so one machine that is lost twice in a row ended the group.

Class: the time in which redundancy is restored wasn't derived from the time after which the next loss is allowed.

A voter is missing after a quarter of catch_up_s (1 s at least). The decision is a function (lib/control/voter_plan): the replacement learns the log, then the lost voter is removed, then the replacement is added at once. Several missing voters keep their times when one is removed. A voter must have its address in the state, so that others can dial it.

Not covered: a successor that was started more than about 2 s before its predecessor is stopped as planned leaves less than catch_up_s, and with an election in that time too little.

--- a/lib/control/raft.c
+++ b/lib/control/raft.c
@@ -224,6 +224,11 @@
 	raft_align_progress(r);
 }
 
+uint64_t raft_learner(const struct raft *r)
+{
+	return r->role == RAFT_LEADER ? r->learner : 0;
+}
+
 bool raft_learner_ready(const struct raft *r)
 {
 	return r->learner && r->role == RAFT_LEADER &&
--- a/lib/control/raft.h
+++ b/lib/control/raft.h
@@ -290,6 +290,9 @@
  */
 void raft_set_learner(struct raft *r, uint64_t id);
 
+/** raft_learner() - the learner, 0 for none */
+uint64_t raft_learner(const struct raft *r);
+
 /** raft_learner_ready() - whether the learner synced all committed entries */
 bool raft_learner_ready(const struct raft *r);
 
--- /dev/null
+++ b/lib/control/voter_plan.c
@@ -0,0 +1,80 @@
+#include "voter_plan.h"
+
+#include <string.h>
+
+static bool is_gone(const struct voter_view *voter)
+{
+	return voter->lost || voter->missing;
+}
+
+/* A voter that has certainly lost its log goes first; -1 if none is gone. */
+static int32_t find_gone(const struct voter_view *voters, uint32_t count)
+{
+	int32_t gone = -1;
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (voters[i].lost)
+			return (int32_t)i;
+		if (voters[i].missing && gone < 0)
+			gone = (int32_t)i;
+	}
+	return gone;
+}
+
+static uint32_t voters_in(const struct voter_view *voters, uint32_t count,
+			  const char *domain)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		n += !is_gone(&voters[i]) &&
+		     strcmp(voters[i].failure_domain, domain) == 0;
+	return n;
+}
+
+static int32_t best_candidate(const struct voter_view *voters,
+			      uint32_t voters_count,
+			      const struct voter_candidate *candidates,
+			      uint32_t candidates_count)
+{
+	uint32_t fewest = 0;
+	int32_t best = -1;
+
+	for (uint32_t i = 0; i < candidates_count; i++) {
+		uint32_t n = voters_in(voters, voters_count,
+				       candidates[i].failure_domain);
+
+		if (best < 0 || n < fewest ||
+		    (n == fewest && candidates[i].learner)) {
+			fewest = n;
+			best = (int32_t)i;
+		}
+	}
+	return best;
+}
+
+struct voter_step voter_plan(uint32_t wanted, const struct voter_view *voters,
+			     uint32_t voters_count,
+			     const struct voter_candidate *candidates,
+			     uint32_t candidates_count)
+{
+	struct voter_step none = { .type = VOTER_STEP_NONE };
+	int32_t gone = find_gone(voters, voters_count);
+	int32_t best;
+
+	if (voters_count > wanted)
+		return gone < 0 ? none
+				: (struct voter_step){ VOTER_STEP_REMOVE,
+						       (uint32_t)gone };
+	if (voters_count == wanted && gone < 0)
+		return none;
+	best = best_candidate(voters, voters_count, candidates,
+			      candidates_count);
+	if (best < 0)
+		return none;
+	if (!candidates[best].ready)
+		return (struct voter_step){ VOTER_STEP_LEARN, (uint32_t)best };
+	if (voters_count < wanted)
+		return (struct voter_step){ VOTER_STEP_ADD, (uint32_t)best };
+	return (struct voter_step){ VOTER_STEP_REMOVE, (uint32_t)gone };
+}
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -92,6 +92,12 @@
 	bool logged_active;
 };
 
+/** struct voter_contact - when the leader was last connected to a voter */
+struct voter_contact {
+	uint64_t id;
+	uint64_t contact_us;
+};
+
 /**
  * struct leader_state - state that only the leader of the control group has
  * @instances: instances that send reports
@@ -102,8 +108,8 @@
  * @managed_groups: failover of each group, with an adapter
  * @voters_repaired_us: last check for voters with a new identity
  * @voters_checked_us: last check of the number of voters
- * @voter_ids: voters in the order of raft_voters(), for @voter_contact_us
- * @voter_contact_us: when each of them was last connected
+ * @voter_contacts: when each voter was last connected, in the order of
+ *                  raft_voters() at the last check
  */
 struct leader_state {
 	struct instances *instances;
@@ -114,8 +120,7 @@
 	struct managed_group *managed_groups;
 	uint64_t voters_repaired_us;
 	uint64_t voters_checked_us;
-	uint64_t voter_ids[RAFT_VOTERS_MAX];
-	uint64_t voter_contact_us[RAFT_VOTERS_MAX];
+	struct voter_contact voter_contacts[RAFT_VOTERS_MAX];
 };
 
 struct control {
@@ -282,6 +287,7 @@
  */
 void control_remove_voter(struct control *c, uint32_t at, uint64_t now_us,
 			  uint64_t missing_ms);
+/* Keeps the number of voters that the settings ask for. */
 void control_voters_tick(struct control *c, uint64_t now_us);
 /* Number of voters that are connected, with this instance. */
 uint32_t control_voters_connected(struct control *c);
--- a/lib/daemon/control_leader.c
+++ b/lib/daemon/control_leader.c
@@ -313,9 +313,10 @@
 }
 
 /*
- * Replaces the identity of a voter that lost its disk and returned with a new
- * identity. The new identity is first a learner and becomes a voter once it has
- * caught up and synced; only then the old identity with that name is removed.
+ * Without a number of voters in the settings. Replaces the identity of a voter
+ * that lost its disk and returned with a new identity. The new identity is
+ * first a learner and becomes a voter once it has caught up and synced; only
+ * then the old identity with that name is removed.
  */
 static void repair_voters(struct control *c, uint64_t now_us)
 {
@@ -368,7 +369,8 @@
 	}
 	while (lease_expired(l->leases, now_us, c->fleet, &command))
 		propose_as_leader(c, &command);
-	repair_voters(c, now_us);
+	if (!c->daemon->settings.voters)
+		repair_voters(c, now_us);
 	if (c->daemon->adapter) {
 		control_voters_tick(c, now_us);
 		control_managed_failover_tick(c, now_us);
--- a/lib/daemon/control_voters.c
+++ b/lib/daemon/control_voters.c
@@ -9,13 +9,13 @@
 #include "lws_str.h"
 #include "lws_time.h"
 #include "sock.h"
+#include "voter_plan.h"
 
 #define SEEDS_MAX 16
 #define DIALS_MAX 256
 /* Interval of checks whether the set of voters must change. */
 #define VOTERS_INTERVAL_US (200 * LWS_US_PER_MS)
-/* A voter without a connection for this long is replaced by another. */
-#define VOTER_MISSING_US (6 * LWS_US_PER_S)
+#define CANDIDATES_MAX 16
 /* First log line about a missing leader, and interval of further ones. */
 #define NO_LEADER_LOG_US (2 * LWS_US_PER_S)
 #define NO_LEADER_LOG_AGAIN_US (5 * LWS_US_PER_S)
@@ -175,94 +175,127 @@
 	return i ? i->failure_domain : "";
 }
 
-static uint32_t voters_in(const struct control *c, const char *domain)
+/* Whether an instance with this name but without this log is connected. */
+static bool came_back_empty(struct control *c, const struct raft_member *voter)
 {
-	const struct raft_voters *voters = raft_voters(c->raft);
-	uint32_t n = 0;
+	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p)) {
+		const struct wire_hello *hello = peer_hello(p);
 
-	for (uint32_t i = 0; i < voters->count; i++)
-		n += strcmp(domain_of(c, voters->member[i].name), domain) == 0;
-	return n;
+		if (hello->member && hello->member != voter->id &&
+		    strcmp(hello->name, voter->name) == 0)
+			return true;
+	}
+	return false;
 }
 
-/*
- * Returns a connected control instance that is no voter, from a failure domain
- * with the fewest voters.
- */
-static const struct wire_hello *voter_candidate(struct control *c)
+/* When a voter was last connected; now if it is, or is new to this leader. */
+static uint64_t last_contact_us(struct control *c, uint64_t id, uint64_t now_us)
 {
-	const struct raft_voters *voters = raft_voters(c->raft);
-	const struct wire_hello *best = NULL;
-
-	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p)) {
-		const struct wire_hello *hello = peer_hello(p);
+	struct leader_state *l = c->leader;
 
-		if (!hello->member || raft_is_voter(voters, hello->member) ||
-		    (hello->cluster && hello->cluster != c->identity.cluster))
-			continue;
-		if (!best || voters_in(c, hello->failure_domain) <
-				     voters_in(c, best->failure_domain))
-			best = hello;
+	if (id == c->identity.member || control_peer_of_member(c, id))
+		return now_us;
+	for (uint32_t i = 0; i < RAFT_VOTERS_MAX; i++) {
+		if (l->voter_contacts[i].id == id)
+			return l->voter_contacts[i].contact_us;
 	}
-	return best;
+	return now_us;
 }
 
-/* Index of the voter that is missing for longest, -1 if none is overdue. */
-static int32_t missing_voter(struct control *c, uint64_t now_us)
+static void view_voters(struct control *c, uint64_t now_us,
+			struct voter_view *out)
 {
 	const struct raft_voters *voters = raft_voters(c->raft);
-	struct leader_state *l = c->leader;
-	uint64_t longest_us = VOTER_MISSING_US;
-	int32_t missing = -1;
+	uint64_t missing_us =
+		c->daemon->settings.voter_missing_ms * LWS_US_PER_MS;
+	struct voter_contact contacts[RAFT_VOTERS_MAX] = { 0 };
 
 	for (uint32_t i = 0; i < voters->count; i++) {
-		uint64_t id = voters->member[i].id;
+		const struct raft_member *voter = &voters->member[i];
+		bool here = voter->id == c->identity.member ||
+			    control_peer_of_member(c, voter->id);
+
+		contacts[i].id = voter->id;
+		contacts[i].contact_us = last_contact_us(c, voter->id, now_us);
+		out[i] = (struct voter_view){
+			.failure_domain = domain_of(c, voter->name),
+			.missing = now_us - contacts[i].contact_us > missing_us,
+			.lost = !here && came_back_empty(c, voter),
+		};
+	}
+	memcpy(c->leader->voter_contacts, contacts, sizeof(contacts));
+}
 
-		if (l->voter_ids[i] != id || id == c->identity.member ||
-		    control_peer_of_member(c, id)) {
-			l->voter_ids[i] = id;
-			l->voter_contact_us[i] = now_us;
+/* After a restart of all, the other voters need its address to dial it. */
+static bool address_known(const struct control *c,
+			  const struct wire_hello *hello)
+{
+	const struct fleet_instance *known =
+		fleet_find_instance(c->fleet, hello->name);
+
+	return known && strcmp(known->addr, hello->addr) == 0;
+}
+
+static uint32_t list_candidates(struct control *c,
+				const struct wire_hello **hellos,
+				struct voter_candidate *out)
+{
+	uint64_t learner = raft_learner(c->raft);
+	uint32_t n = 0;
+
+	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p)) {
+		const struct wire_hello *hello = peer_hello(p);
+
+		if (n == CANDIDATES_MAX || !hello->member ||
+		    raft_is_voter(raft_voters(c->raft), hello->member) ||
+		    (hello->cluster && hello->cluster != c->identity.cluster) ||
+		    !address_known(c, hello))
 			continue;
-		}
-		if (now_us - l->voter_contact_us[i] > longest_us) {
-			longest_us = now_us - l->voter_contact_us[i];
-			missing = (int32_t)i;
-		}
+		hellos[n] = hello;
+		out[n++] = (struct voter_candidate){
+			.failure_domain = hello->failure_domain,
+			.learner = hello->member == learner,
+			.ready = hello->member == learner &&
+				 raft_learner_ready(c->raft),
+		};
 	}
-	return missing;
+	return n;
 }
 
-/*
- * Keeps the configured number of voters. A replacement becomes a voter once it
- * has caught up; only then the missing voter is removed.
- */
 void control_voters_tick(struct control *c, uint64_t now_us)
 {
-	const struct raft_voters *voters = raft_voters(c->raft);
+	const struct wire_hello *hellos[CANDIDATES_MAX];
+	struct voter_candidate candidates[CANDIDATES_MAX];
+	struct voter_view views[RAFT_VOTERS_MAX];
 	uint32_t wanted = c->daemon->settings.voters;
-	const struct wire_hello *hello;
-	int32_t missing;
+	struct voter_step step;
 
+	/* A set that lacks a voter is completed without delay. */
 	if (!wanted ||
-	    now_us - c->leader->voters_checked_us < VOTERS_INTERVAL_US)
+	    (raft_voters(c->raft)->count >= wanted &&
+	     now_us - c->leader->voters_checked_us < VOTERS_INTERVAL_US))
 		return;
 	c->leader->voters_checked_us = now_us;
-	missing = missing_voter(c, now_us);
-	if (voters->count > wanted) {
-		if (missing >= 0)
-			control_remove_voter(
-				c, (uint32_t)missing, now_us,
-				(now_us -
-				 c->leader->voter_contact_us[missing]) /
-					LWS_US_PER_MS);
-		control_log_pump(c);
+	view_voters(c, now_us, views);
+	step = voter_plan(wanted, views, raft_voters(c->raft)->count,
+			  candidates, list_candidates(c, hellos, candidates));
+	switch (step.type) {
+	case VOTER_STEP_NONE:
 		return;
+	case VOTER_STEP_LEARN:
+		raft_set_learner(c->raft, hellos[step.at]->member);
+		break;
+	case VOTER_STEP_REMOVE:
+		control_remove_voter(
+			c, step.at, now_us,
+			(now_us -
+			 c->leader->voter_contacts[step.at].contact_us) /
+				LWS_US_PER_MS);
+		break;
+	case VOTER_STEP_ADD:
+		control_add_voter(c, hellos[step.at], now_us);
+		break;
 	}
-	if (voters->count == wanted && missing < 0)
-		return;
-	hello = voters->count < RAFT_VOTERS_MAX ? voter_candidate(c) : NULL;
-	if (hello)
-		control_add_voter(c, hello, now_us);
 	control_log_pump(c);
 }
 
--- a/lib/daemon/settings.h
+++ b/lib/daemon/settings.h
@@ -62,6 +62,8 @@
  * @replacement_min_ms: a primary is not replaced faster than this; 0: unknown
  * @voters: number of control instances that vote; 0: keep those of the
  *          bootstrap
+ * @voter_missing_ms: a voter without a connection for this long is replaced by
+ *                    another control instance
  * @regions: region of each failure domain, as for regions_parse(); NULL for
  *           none
  */
@@ -101,6 +103,7 @@
 	enum capacity_mode capacity;
 	uint32_t replacement_min_ms;
 	uint32_t voters;
+	uint32_t voter_missing_ms;
 	const char *regions;
 };
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -841,6 +841,37 @@
 	}
 }
 
+struct voter_missing_case {
+	const char *line;
+	uint32_t missing_ms;
+};
+
+/* A quarter of catch_up_s, but not shorter than a restart. */
+static const struct voter_missing_case voter_missing_cases[] = {
+	{ "", 6000 },
+	{ "bounds.catch_up_s=0\n", 6000 },
+	{ "bounds.catch_up_s=1\n", 1000 },
+	{ "bounds.catch_up_s=4\n", 1000 },
+	{ "bounds.catch_up_s=6\n", 1500 },
+	{ "bounds.catch_up_s=4294967295\n", 6000 },
+};
+
+static void test_voter_missing(void)
+{
+	struct platform_settings s;
+	char reason[256];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(voter_missing_cases); i++) {
+		const struct voter_missing_case *c = &voter_missing_cases[i];
+		g_autofree char *text = g_strconcat(SETTINGS, c->line, NULL);
+
+		g_assert_cmpint(platform_settings_parse(&s, text, reason,
+							sizeof(reason)),
+				==, 0);
+		g_assert_cmpuint(s.core.voter_missing_ms, ==, c->missing_ms);
+	}
+}
+
 static void test_settings(void)
 {
 	struct platform_settings s;
@@ -1017,6 +1048,7 @@
 	g_test_add_func("/platform/deregistrations", test_deregistrations);
 	g_test_add_func("/platform/cold-announcements", test_cold_heartbeats);
 	g_test_add_func("/platform/settings", test_settings);
+	g_test_add_func("/platform/voter-missing", test_voter_missing);
 	g_test_add_func("/platform/key-times", test_key_times);
 	g_test_add_func("/platform/regions", test_regions);
 	g_test_add_func("/platform/mutations", test_mutations);
