--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -98,7 +98,6 @@
 		      c->daemon->settings.failure_domain) == 0;
 }
 
-/* Lists at most one connection to each other instance. */
 static bool is_duplicate(struct peer *const *peers, uint32_t n,
 			 const struct peer *peer)
 {
@@ -110,6 +109,16 @@
 	return false;
 }
 
+/*
+ * A diskless instance lacks the document of the catalog, which a control
+ * instance needs; one that has dialled this instance wants changes itself.
+ */
+static bool may_be_upstream(const struct control *c, const struct peer *peer)
+{
+	return peer_hello(peer)->member || (peer_dialled(peer) && !c->raft);
+}
+
+/* At most one connection to each other instance counts. */
 static struct peer *nth_upstream(struct control *c, uint32_t nth)
 {
 	struct sync_upstream list[UPSTREAMS_MAX];
@@ -121,8 +130,7 @@
 		for (struct peer *p = peer_hub_first(c->hub); p;
 		     p = peer_hub_next(p)) {
 			if (peer_dialled(p) != dialled || n == UPSTREAMS_MAX ||
-			    (!dialled && !peer_hello(p)->member) ||
-			    is_duplicate(peers, n, p))
+			    !may_be_upstream(c, p) || is_duplicate(peers, n, p))
 				continue;
 			list[n] = (struct sync_upstream){
 				.dialled = dialled,
