--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -1629,6 +1629,23 @@
 	}
 }
 
+static void wait_for_catalog(const struct test_fleet *f, int host, int version)
+{
+	g_autofree char *line =
+		g_strdup_printf("lws_catalog_version %d\n", version);
+	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
+
+	while (g_get_monotonic_time() < until) {
+		g_autofree char *text = NULL;
+
+		if (http(f, host, 9464, "GET", "/metrics", "", &text) == 200 &&
+		    strstr(text, line))
+			return;
+		g_usleep(50 * 1000);
+	}
+	g_error("host %d: no version %d", host, version);
+}
+
 /*
  * The disks of the control instances are full, one after the other; changes
  * are acknowledged during that time and afterwards.
@@ -1648,19 +1665,8 @@
 		change_until(f, &version, g_get_monotonic_time() + 500 * 1000);
 		expect_log_line(f, host, "disk_write_failed", "");
 	}
-	for (int host = 1; host <= (int)f->controls; host++) {
-		g_autofree char *line =
-			g_strdup_printf("lws_catalog_version %d\n", version);
-		g_autofree char *text = NULL;
-		gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
-
-		do {
-			g_clear_pointer(&text, g_free);
-			http(f, host, 9464, "GET", "/metrics", "", &text);
-		} while (!(text && strstr(text, line)) &&
-			 g_get_monotonic_time() < until);
-		g_assert_nonnull(strstr(text, line));
-	}
+	for (int host = 1; host <= (int)f->controls; host++)
+		wait_for_catalog(f, host, version);
 	for (int host = 1; host <= (int)f->controls; host++)
 		stop(f, host, SIGKILL);
 	for (int host = 1; host <= (int)f->controls; host++)
