One check of connected voters, one search of the control logs

No change of behaviour. Whether a voter is connected was written four times in control_voters.c, and the tests searched the logs of the control instances in three loops, one of them a copy of expect_control_log_line(). Designated initialisers in voter_plan.c; two comments said less than the code below them.

--- a/lib/control/voter_plan.c
+++ b/lib/control/voter_plan.c
@@ -53,6 +53,11 @@
 	return best;
 }
 
+static struct voter_step step_of(enum voter_step_type type, int32_t at)
+{
+	return (struct voter_step){ .type = type, .at = (uint32_t)at };
+}
+
 struct voter_step voter_plan(uint32_t wanted, const struct voter_view *voters,
 			     uint32_t voters_count,
 			     const struct voter_candidate *candidates,
@@ -63,9 +68,7 @@
 	int32_t best;
 
 	if (voters_count > wanted)
-		return gone < 0 ? none
-				: (struct voter_step){ VOTER_STEP_REMOVE,
-						       (uint32_t)gone };
+		return gone < 0 ? none : step_of(VOTER_STEP_REMOVE, gone);
 	if (voters_count == wanted && gone < 0)
 		return none;
 	best = best_candidate(voters, voters_count, candidates,
@@ -73,8 +76,8 @@
 	if (best < 0)
 		return none;
 	if (!candidates[best].ready)
-		return (struct voter_step){ VOTER_STEP_LEARN, (uint32_t)best };
+		return step_of(VOTER_STEP_LEARN, best);
 	if (voters_count < wanted)
-		return (struct voter_step){ VOTER_STEP_ADD, (uint32_t)best };
-	return (struct voter_step){ VOTER_STEP_REMOVE, (uint32_t)gone };
+		return step_of(VOTER_STEP_ADD, best);
+	return step_of(VOTER_STEP_REMOVE, gone);
 }
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -283,7 +283,7 @@
 		       uint64_t now_us);
 /*
  * Removes the voter with index @at. @missing_ms, for the log line, is the time
- * without a connection to it; 0 if a new identity has taken the voter's name.
+ * without a connection to it; 0 if it was not measured.
  */
 void control_remove_voter(struct control *c, uint32_t at, uint64_t now_us,
 			  uint64_t missing_ms);
--- a/lib/daemon/control_log.c
+++ b/lib/daemon/control_log.c
@@ -322,7 +322,7 @@
 			address_book_add(&c->book, command.instance.addr);
 		talloc_free(scratch);
 	}
-	/* Dials them with the first publication. */
+	/* control_publish() dials them when it finds a changed state. */
 	c->fleet_changed = true;
 }
 
--- a/lib/daemon/control_voters.c
+++ b/lib/daemon/control_voters.c
@@ -175,6 +175,12 @@
 	return i ? i->failure_domain : "";
 }
 
+/* Whether a voter is this instance, or is connected to it. */
+static bool is_connected(struct control *c, uint64_t id)
+{
+	return id == c->identity.member || control_peer_of_member(c, id);
+}
+
 /* Whether an instance with this name but without this log is connected. */
 static bool came_back_empty(struct control *c, const struct raft_member *voter)
 {
@@ -193,7 +199,7 @@
 {
 	struct leader_state *l = c->leader;
 
-	if (id == c->identity.member || control_peer_of_member(c, id))
+	if (is_connected(c, id))
 		return now_us;
 	for (uint32_t i = 0; i < RAFT_VOTERS_MAX; i++) {
 		if (l->voter_contacts[i].id == id)
@@ -212,15 +218,14 @@
 
 	for (uint32_t i = 0; i < voters->count; i++) {
 		const struct raft_member *voter = &voters->member[i];
-		bool here = voter->id == c->identity.member ||
-			    control_peer_of_member(c, voter->id);
 
 		contacts[i].id = voter->id;
 		contacts[i].contact_us = last_contact_us(c, voter->id, now_us);
 		out[i] = (struct voter_view){
 			.failure_domain = domain_of(c, voter->name),
 			.missing = now_us - contacts[i].contact_us > missing_us,
-			.lost = !here && came_back_empty(c, voter),
+			.lost = !is_connected(c, voter->id) &&
+				came_back_empty(c, voter),
 		};
 	}
 	memcpy(c->leader->voter_contacts, contacts, sizeof(contacts));
@@ -306,23 +311,19 @@
 	const struct raft_voters *voters = raft_voters(c->raft);
 	uint32_t n = 0;
 
-	for (uint32_t i = 0; i < voters->count; i++) {
-		uint64_t id = voters->member[i].id;
-
-		n += id == c->identity.member || control_peer_of_member(c, id);
-	}
+	for (uint32_t i = 0; i < voters->count; i++)
+		n += is_connected(c, voters->member[i].id);
 	return n;
 }
 
+/* Names of the voters that are not connected, separated by commas. */
 static char *voters_missing(struct control *c, void *mem_ctx)
 {
 	const struct raft_voters *voters = raft_voters(c->raft);
 	char *names = talloc_strdup(mem_ctx, "");
 
 	for (uint32_t i = 0; names && i < voters->count; i++) {
-		uint64_t id = voters->member[i].id;
-
-		if (id == c->identity.member || control_peer_of_member(c, id))
+		if (is_connected(c, voters->member[i].id))
 			continue;
 		names = talloc_asprintf_append(names, "%s%s", *names ? "," : "",
 					       voters->member[i].name);
--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -46,7 +46,7 @@
 	uint32_t session_hosts;
 	/* Data directories that may be lost at the same time. */
 	uint32_t data_losses_max;
-	/* The seeds are the hosts from this one on, plus one. */
+	/* The seeds are the three hosts after this one. */
 	int seeds_offset;
 	bool bootstrapped;
 	/* The one that open_session() uses. */
@@ -1053,10 +1053,17 @@
 	g_assert_nonnull(line);
 }
 
-/*
- * Expects the line in the log of any control instance, since any may be the
- * leader.
- */
+/* Searches the logs of all control instances, since any may be the leader. */
+static char *find_control_log_line(const struct test_fleet *f,
+				   const char *first, const char *second)
+{
+	char *line = NULL;
+
+	for (int i = 1; !line && i <= (int)f->controls; i++)
+		line = find_log_line(f, i, first, second);
+	return line;
+}
+
 static void expect_control_log_line(const struct test_fleet *f,
 				    const char *first, const char *second)
 {
@@ -1064,8 +1071,7 @@
 	g_autofree char *line = NULL;
 
 	while (!line && g_get_monotonic_time() < until) {
-		for (int i = 1; !line && i <= (int)f->controls; i++)
-			line = find_log_line(f, i, first, second);
+		line = find_control_log_line(f, first, second);
 		g_usleep(20 * 1000);
 	}
 	g_assert_nonnull(line);
@@ -1590,23 +1596,6 @@
 	fleet_stop(f);
 }
 
-static void expect_log_of_any(const struct test_fleet *f, const char *text)
-{
-	gint64 until = g_get_monotonic_time() + STATE_TIMEOUT_MS * 1000;
-
-	while (g_get_monotonic_time() < until) {
-		for (uint32_t i = 1; i <= f->controls; i++) {
-			g_autofree char *line =
-				find_log_line(f, (int)i, text, "");
-
-			if (line)
-				return;
-		}
-		g_usleep(50 * 1000);
-	}
-	g_error("no log has %s", text);
-}
-
 #define DISK_FULL_MS 1500
 
 /* Log lines are only buffered meanwhile. */
@@ -1691,15 +1680,10 @@
 static bool was_added_as_voter(const struct test_fleet *f, int host)
 {
 	g_autofree char *name = g_strdup_printf("\"name\":\"n-%d\"", host);
+	g_autofree char *line =
+		find_control_log_line(f, "\"voter_added\"", name);
 
-	for (int i = 1; i <= (int)f->controls; i++) {
-		g_autofree char *line =
-			find_log_line(f, i, "\"voter_added\"", name);
-
-		if (line)
-			return true;
-	}
-	return false;
+	return line != NULL;
 }
 
 static void lose_data(const struct test_fleet *f, int host)
@@ -1723,7 +1707,7 @@
 	wait_for_metric(f, "lws_voters 3\n");
 	if (test->replaced) {
 		stop(f, test->replaced, SIGKILL);
-		expect_log_of_any(f, "\"voter_removed\"");
+		expect_control_log_line(f, "\"voter_removed\"", "");
 		start_daemon(f, test->replaced);
 	}
 	g_assert_cmpint(replace_config(f, newer), ==, 200);
