Tell callers of a commit only once a majority of the voters has recorded it

A commit is acknowledged as soon as any replica has received it. No server reports who received a commit, so no set of members answers the question. The common cause is that the decision did not use the one place through which each acknowledgement passes: the instances.

Change: an instance has the position of an acknowledged commit recorded by a majority of the voters before it tells its caller (ack_client). Before the leader has an endpoint promoted without the consent of the primary, a majority of the voters tells what is recorded and promises to record nothing more for earlier terms (ack_survey), and the chosen replica must have it all. The two majorities share a voter. The record is in memory: a voter that starts in a term neither records nor counts until the leader has told it a position that the primary reported afterwards. If no replica has everything, the attempt waits for the primary, which returns with its log. A primary that steps down has a complete log, as before. While nothing can be recorded, writes are refused at once after 0.6 s.

Each attempt that ends without a promotion is logged with what it waited for (succession_abandoned), and counted (promotions_withheld).

Tried before, not kept: all instances that may send writes stop and tell what was acknowledged to them before a promotion.

--- a/lib/common/lws_counter.c
+++ b/lib/common/lws_counter.c
@@ -14,6 +14,7 @@
 	[LWS_COUNTER_PEER_BYTES_RECEIVED] = "peer_bytes_received",
 	[LWS_COUNTER_PEER_FRAMES_REFUSED] = "peer_frames_refused",
 	[LWS_COUNTER_PROMOTIONS] = "promotions",
+	[LWS_COUNTER_PROMOTIONS_WITHHELD] = "promotions_withheld",
 	[LWS_COUNTER_LOG_SYNCS] = "log_syncs",
 	[LWS_COUNTER_CALLER_PROTOCOL_ERRORS] = "caller_protocol_errors",
 };
--- /dev/null
+++ b/lib/control/ack_record.c
@@ -0,0 +1,197 @@
+#include "ack_record.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "lws_str.h"
+
+struct group_record {
+	char group[FLEET_NAME_MAX];
+	/* Newest term that was recorded or asked about, and its position. */
+	uint64_t term;
+	struct log_position acked;
+	/* Nothing is recorded for lower terms. */
+	uint64_t promised;
+	/* What was recorded in this term and earlier ones is not known. */
+	uint64_t unknown_term;
+};
+
+struct ack_record {
+	/* 0 before ack_record_begin() */
+	uint64_t epoch;
+	uint32_t count;
+	struct group_record *list;
+};
+
+struct ack_record *ack_record_create(void *mem_ctx)
+{
+	return talloc_zero(mem_ctx, struct ack_record);
+}
+
+static struct group_record *find_or_add(struct ack_record *r, const char *group)
+{
+	struct group_record *grown;
+
+	for (uint32_t i = 0; i < r->count; i++) {
+		if (strcmp(r->list[i].group, group) == 0)
+			return &r->list[i];
+	}
+	if (r->count == FLEET_GROUPS_MAX)
+		return NULL;
+	grown = talloc_realloc(r, r->list, struct group_record, r->count + 1);
+	if (!grown)
+		return NULL;
+	r->list = grown;
+	grown[r->count] = (struct group_record){ 0 };
+	LWS_STR_COPY(grown[r->count].group, group);
+	return &grown[r->count++];
+}
+
+void ack_record_begin(struct ack_record *r, const struct fleet *fleet,
+		      uint64_t epoch)
+{
+	r->epoch = epoch;
+	for (uint32_t i = 0; i < fleet->groups_count; i++) {
+		const struct fleet_group *group = &fleet->groups[i];
+		struct group_record *g = find_or_add(r, group->name);
+
+		if (g)
+			g->unknown_term = group->primary_term;
+	}
+}
+
+void ack_record_end(struct ack_record *r)
+{
+	r->epoch = 0;
+}
+
+bool ack_record_begun(const struct ack_record *r)
+{
+	return r->epoch != 0;
+}
+
+static void enter_term(struct group_record *g, uint64_t term)
+{
+	if (term <= g->term)
+		return;
+	g->term = term;
+	g->acked = (struct log_position){ 0 };
+}
+
+static void raise(struct group_record *g, struct log_position position)
+{
+	if (log_position_cmp(position, g->acked) > 0)
+		g->acked = position;
+}
+
+static bool is_complete(const struct ack_record *r,
+			const struct group_record *g, uint64_t term)
+{
+	return r->epoch && term > g->unknown_term;
+}
+
+bool ack_record_store(struct ack_record *r, const char *group, uint64_t term,
+		      struct log_position position)
+{
+	struct group_record *g = find_or_add(r, group);
+
+	if (!g || !is_complete(r, g, term) || term < g->term ||
+	    term < g->promised)
+		return false;
+	enter_term(g, term);
+	raise(g, position);
+	return true;
+}
+
+bool ack_record_ask(struct ack_record *r, const struct ack_question *question,
+		    struct ack_answer *answer)
+{
+	struct group_record *g = find_or_add(r, question->group);
+
+	if (!g || question->token < g->promised || question->term < g->term)
+		return false;
+	enter_term(g, question->term);
+	if (question->promise)
+		g->promised = question->token;
+	*answer = (struct ack_answer){
+		.token = question->token,
+		.promised = g->promised == question->token,
+		.complete = is_complete(r, g, question->term),
+		.epoch = r->epoch,
+		.acked = g->acked,
+	};
+	return true;
+}
+
+void ack_record_cover(struct ack_record *r, const char *group, uint64_t term,
+		      uint64_t epoch, struct log_position position)
+{
+	struct group_record *g = find_or_add(r, group);
+
+	if (!g || !epoch || epoch != r->epoch || term < g->term)
+		return;
+	enter_term(g, term);
+	raise(g, position);
+	if (g->unknown_term == term)
+		g->unknown_term = term - 1;
+}
+
+/* The leader's side */
+
+void ack_survey_add(struct ack_survey *s, uint64_t voter,
+		    const struct ack_answer *answer)
+{
+	uint32_t at = 0;
+
+	if (answer->token < s->token)
+		return;
+	if (answer->token > s->token)
+		*s = (struct ack_survey){ .token = answer->token };
+	while (at < s->count && s->list[at].voter != voter)
+		at++;
+	if (at == RAFT_VOTERS_MAX)
+		return;
+	/* Answers to the same question may arrive in another order. */
+	if (at < s->count && s->list[at].answer.promised && !answer->promised)
+		return;
+	s->list[at].voter = voter;
+	s->list[at].answer = *answer;
+	if (at == s->count)
+		s->count++;
+}
+
+static const struct ack_answer *complete_answer(const struct ack_survey *s,
+						uint64_t voter, uint64_t token)
+{
+	for (uint32_t i = 0; s->token == token && i < s->count; i++) {
+		if (s->list[i].voter == voter && s->list[i].answer.complete)
+			return &s->list[i].answer;
+	}
+	return NULL;
+}
+
+struct ack_survey_status ack_survey_status(const struct ack_survey *s,
+					   const struct raft_voters *voters,
+					   uint64_t token)
+{
+	uint32_t majority = voters->count / 2 + 1;
+	struct ack_survey_status status = { .missing = majority,
+					    .missing_promises = majority };
+
+	for (uint32_t i = 0; i < voters->count; i++) {
+		const struct ack_answer *answer =
+			complete_answer(s, voters->member[i].id, token);
+
+		if (!answer) {
+			LWS_STR_COPY(status.waits_for, voters->member[i].name);
+			continue;
+		}
+		if (status.missing)
+			status.missing--;
+		if (answer->promised && status.missing_promises)
+			status.missing_promises--;
+		if (log_position_cmp(answer->acked, status.acked) > 0)
+			status.acked = answer->acked;
+	}
+	return status;
+}
--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -91,6 +91,14 @@
 	 * call was unresolved: once it is primary, the call has taken effect.
 	 */
 	bool role_resolves_call;
+	/* Answers of the voters in this attempt, and when they were asked. */
+	struct ack_survey_status acks;
+	bool acks_answered;
+	uint64_t acks_asked_us;
+	/* What the attempt waits for, and the endpoint or voter concerned. */
+	const char *waits_for;
+	char waits_for_name[FLEET_NAME_MAX];
+	uint64_t started_us;
 	bool probe_failed;
 	uint64_t probe_us;
 	bool probing;
@@ -249,10 +257,18 @@
 {
 	s->phase = phase;
 	s->phase_since_us = now_us;
+	s->acks_asked_us = 0;
 	for (uint32_t i = 0; i < s->members_count; i++)
 		s->members[i].command_sent = false;
 }
 
+static void wait_for(struct managed_failover *s, const char *what,
+		     const char *name)
+{
+	s->waits_for = what;
+	LWS_STR_COPY(s->waits_for_name, name ? name : "");
+}
+
 static void start_attempt(struct managed_failover *s, uint64_t now_us,
 			  const char *reason)
 {
@@ -263,6 +279,9 @@
 	s->primary_unwanted =
 		s->planned || strcmp(reason, "primary_suspect") == 0;
 	s->choice[0] = '\0';
+	s->started_us = now_us;
+	s->acks_answered = false;
+	wait_for(s, "fencing token", NULL);
 	/*
 	 * If the newest token has no primary yet, an earlier leader may have
 	 * asked the platform for a promotion.
@@ -314,6 +333,7 @@
 	struct managed_failover_action *a;
 
 	LWS_STR_COPY(s->choice, id);
+	wait_for(s, "commit of the new primary", id);
 	enter_phase(s, now_us, PHASE_COMMIT_PRIMARY);
 	a = push_action(s, MANAGED_FAILOVER_COMMIT_PRIMARY);
 	if (a)
@@ -354,6 +374,29 @@
 	return is_primary(s, m) && m->answered && !m->status.primary;
 }
 
+/*
+ * Whether it is known which commits callers may have been told of. With
+ * @promise, they will not be told of further ones either.
+ */
+static bool acks_known(struct managed_failover *s, bool promise)
+{
+	if (!s->sync_replicas)
+		return true;
+	if (!s->acks_answered || s->acks.missing ||
+	    (promise && s->acks.missing_promises)) {
+		wait_for(s, "acknowledged commits of a voter",
+			 s->acks.waits_for);
+		return false;
+	}
+	return true;
+}
+
+static bool has_acknowledged(struct managed_failover *s, const struct member *m)
+{
+	return !s->sync_replicas ||
+	       log_position_cmp(m->status.received, s->acks.acked) >= 0;
+}
+
 /*
  * The paused replica that received most, or a former primary that has even
  * more. NULL while so few replicas are paused that it may lack an acknowledged
@@ -362,6 +405,7 @@
  */
 static struct member *choose_safe(struct managed_failover *s)
 {
+	const struct member *primary = find_member(s, s->group.primary);
 	uint32_t missing_max = s->sync_replicas ? s->sync_replicas - 1 : 0;
 	struct member *best = NULL;
 	uint32_t missing = 0;
@@ -373,14 +417,63 @@
 			continue;
 		if (!is_primary(s, m) && !m->paused) {
 			missing++;
+			wait_for(s, "pause of a replica", m->id);
 			continue;
 		}
 		if (!best || more_recent(m, best))
 			best = m;
 	}
-	if (best && best->evacuated && !is_primary(s, best))
+	if (!best || missing > missing_max)
 		return NULL;
-	return missing <= missing_max ? best : NULL;
+	if (best->evacuated && !is_primary(s, best)) {
+		wait_for(s, "replica outside of evacuated domains", NULL);
+		return NULL;
+	}
+	if (primary && has_stepped_down(s, primary))
+		return best;
+	if (!acks_known(s, true))
+		return NULL;
+	if (!has_acknowledged(s, best)) {
+		wait_for(s, "replica with all acknowledged commits", NULL);
+		return NULL;
+	}
+	return best;
+}
+
+static void ask_voters(struct managed_failover *s, uint64_t now_us,
+		       bool promise)
+{
+	struct managed_failover_action *a;
+
+	if (!s->sync_replicas)
+		return;
+	if (s->acks_asked_us &&
+	    now_us - s->acks_asked_us < s->params.command_retry_us)
+		return;
+	a = push_action(s, MANAGED_FAILOVER_ASK_VOTERS);
+	if (!a)
+		return;
+	a->promise = promise;
+	s->acks_asked_us = now_us;
+}
+
+/*
+ * Whether the attempt may go on without the primary: a replica has all
+ * acknowledged commits. The voters promise only then: if a promotion has to
+ * wait for the primary, callers that reach it are served meanwhile.
+ */
+static bool may_go_on_without_primary(struct managed_failover *s)
+{
+	if (!acks_known(s, false))
+		return false;
+	for (uint32_t i = 0; i < s->members_count; i++) {
+		const struct member *m = &s->members[i];
+
+		if (m->answered && !is_primary(s, m) && has_acknowledged(s, m))
+			return true;
+	}
+	wait_for(s, "replica with all acknowledged commits", NULL);
+	return false;
 }
 
 static void request_promotion(struct managed_failover *s, uint64_t now_us,
@@ -392,6 +485,7 @@
 	s->role_resolves_call =
 		!s->unresolved_call && !(m->answered && m->status.primary);
 	s->unresolved_call = true;
+	wait_for(s, "outcome of the promotion", m->id);
 	enter_phase(s, now_us, PHASE_PROMOTE);
 	a = push_action(s, MANAGED_FAILOVER_PROMOTE);
 	if (a)
@@ -450,8 +544,13 @@
 			continue;
 		replicas++;
 		answered += m->answered ? 1 : 0;
+		if (!m->answered)
+			wait_for(s, "status of a replica", m->id);
 	}
 	newest_primary = find_newest_primary(s);
+	if (!newest_primary && s->group.primary_term &&
+	    !awaits_primary(s, now_us))
+		ask_voters(s, now_us, false);
 	/*
 	 * An earlier promotion has taken effect. Promoting that endpoint again
 	 * changes no role, but invalidates all calls with lower tokens.
@@ -482,6 +581,11 @@
 	 */
 	if (s->planned && newest_primary &&
 	    !log_is_copied(s, newest_primary, STEP_DOWN_MISSING_MAX)) {
+		wait_for(s, "replica that follows the primary", NULL);
+		poll_members(s, now_us);
+		return;
+	}
+	if (!newest_primary && !may_go_on_without_primary(s)) {
 		poll_members(s, now_us);
 		return;
 	}
@@ -545,8 +649,11 @@
 
 static void pause_replicas(struct managed_failover *s, uint64_t now_us)
 {
+	const struct member *primary = find_member(s, s->group.primary);
 	struct member *choice;
 
+	if (!primary || !has_stepped_down(s, primary))
+		ask_voters(s, now_us, true);
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		struct member *m = &s->members[i];
 
@@ -568,6 +675,14 @@
  */
 static void abandon_attempt(struct managed_failover *s, uint64_t now_us)
 {
+	struct managed_failover_action *a =
+		push_action(s, MANAGED_FAILOVER_ABANDONED);
+
+	if (a) {
+		a->reason = s->waits_for;
+		LWS_STR_COPY(a->endpoint, s->waits_for_name);
+		a->took_us = now_us - s->started_us;
+	}
 	if (!s->unresolved_call)
 		resume_all(s, now_us);
 	s->last_attempt_us = now_us;
@@ -896,6 +1011,18 @@
 	managed_failover_tick(s, now_us);
 }
 
+void managed_failover_acks(struct managed_failover *s, uint64_t now_us,
+			   uint64_t fencing_token,
+			   const struct ack_survey_status *status)
+{
+	if (fencing_token != s->fencing_token ||
+	    (s->phase != PHASE_QUERY && s->phase != PHASE_PAUSE))
+		return;
+	s->acks = *status;
+	s->acks_answered = true;
+	managed_failover_tick(s, now_us);
+}
+
 bool managed_failover_active(const struct managed_failover *s)
 {
 	return s->phase != PHASE_IDLE;
--- a/lib/control/managed_failover.h
+++ b/lib/control/managed_failover.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "ack_record.h"
 #include "fleet.h"
 #include "statement.h"
 
@@ -27,9 +28,18 @@
  *      demoted primary again if it has more than all replicas;
  *   4. the new primary is committed.
  *
- * The primary is demoted because a replica that is not registered yet cannot be
- * paused: commits that only such a replica received would be lost. If the
- * primary does not answer, this cannot be ruled out.
+ * A replica that is not registered yet cannot be paused, and one that has left
+ * took its log with it: commits that only such a replica received would be
+ * lost. So one of two more conditions must hold before step 3:
+ *
+ *   - the primary has stepped down: its log is complete;
+ *   - a majority of the voters tells which commits were acknowledged and
+ *     promises to record no further ones (ack_record.h), and the chosen replica
+ *     has them all. (Without sync_replicas, a primary acknowledges commits that
+ *     no replica has, and this is not asked.)
+ *
+ * Until one of them holds, the promotion waits, if necessary until the primary
+ * answers again: a failed primary returns with its log.
  *
  * An attempt that is abandoned before step 3 resumes replication. A promotion
  * call without an outcome may still be carried out later; only an answered
@@ -69,6 +79,10 @@
 	MANAGED_FAILOVER_COMMIT_PRIMARY,
 	/** commit the removal of an endpoint */
 	MANAGED_FAILOVER_COMMIT_REMOVAL,
+	/** ask the voters for the acknowledged commits */
+	MANAGED_FAILOVER_ASK_VOTERS,
+	/** the attempt ended without a promotion; for the log */
+	MANAGED_FAILOVER_ABANDONED,
 };
 
 /**
@@ -82,7 +96,12 @@
  *           COMMAND_RESUME or COMMAND_STEP_DOWN
  * @term: COMMAND_PAUSE: replication from primaries of lower terms is paused;
  *        COMMAND_STEP_DOWN: a primary of a lower term is demoted
- * @reason: MANAGED_FAILOVER_COMMIT_TOKEN: reason of the attempt, for the log
+ * @promise: MANAGED_FAILOVER_ASK_VOTERS: they must record no further ones for
+ *           terms below @fencing_token
+ * @reason: MANAGED_FAILOVER_COMMIT_TOKEN: reason of the attempt, for the log.
+ *          MANAGED_FAILOVER_ABANDONED: what the attempt waited for, with the
+ *          name of the endpoint or voter in @endpoint, if it was one
+ * @took_us: MANAGED_FAILOVER_ABANDONED: how long the attempt took
  */
 struct managed_failover_action {
 	enum managed_failover_action_type type;
@@ -91,7 +110,9 @@
 	char addr[FLEET_ADDR_MAX];
 	enum endpoint_command_kind command;
 	uint64_t term;
+	bool promise;
 	const char *reason;
+	uint64_t took_us;
 };
 
 /**
@@ -167,6 +188,17 @@
 void managed_failover_promoted(struct managed_failover *s, uint64_t now_us,
 			       uint64_t fencing_token, int rc);
 
+/**
+ * managed_failover_acks() - pass in what the voters have answered
+ * @s: state machine
+ * @now_us: current time
+ * @fencing_token: fencing token of the attempt that they were asked for
+ * @status: answers so far
+ */
+void managed_failover_acks(struct managed_failover *s, uint64_t now_us,
+			   uint64_t fencing_token,
+			   const struct ack_survey_status *status);
+
 /** managed_failover_tick() - handle timeouts */
 void managed_failover_tick(struct managed_failover *s, uint64_t now_us);
 
--- a/lib/control/raft.c
+++ b/lib/control/raft.c
@@ -366,6 +366,11 @@
 	return 0;
 }
 
+uint64_t raft_voters_index(const struct raft *r)
+{
+	return r->voters_index;
+}
+
 const struct raft_voters *raft_voters(const struct raft *r)
 {
 	return &r->voters;
--- a/lib/control/raft.h
+++ b/lib/control/raft.h
@@ -340,6 +340,8 @@
 uint64_t raft_snapshot_index(const struct raft *r);
 uint64_t raft_match_index(const struct raft *r, uint64_t member);
 const struct raft_voters *raft_voters(const struct raft *r);
+/** raft_voters_index() - index of the entry that set the voters */
+uint64_t raft_voters_index(const struct raft *r);
 /** raft_is_voter() - whether the member with identity @id is a voter in @v */
 bool raft_is_voter(const struct raft_voters *v, uint64_t id);
 const struct raft_snapshot *raft_snapshot(const struct raft *r);
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -221,6 +221,7 @@
 		return;
 	log_evacuations(c);
 	control_dial_fleet(c);
+	ack_client_end_terms(c->ack_client, c->fleet);
 	if (c->session_server)
 		session_server_fleet_changed(c->session_server);
 	if (!c->daemon->settings.workers) {
@@ -309,6 +310,7 @@
 	control_sync_tick(c, now_us);
 	control_rates_tick(c, now_us);
 	control_report_tick(c, now_us);
+	control_acks_tick(c, now_us);
 	control_bootstrap_tick(c, now_us);
 	control_no_leader_tick(c, now_us);
 	operator_tick(c, now_us);
@@ -331,10 +333,13 @@
 	c->fleet = fleet_create(c);
 	c->sync_log = sync_log_create(c);
 	c->rate_client = rate_client_create(c);
+	c->ack_client = ack_client_create(c);
+	c->ack_record = ack_record_create(c);
 	c->sync.poll_us = SYNC_POLL_US;
 	c->sync.timeout_us = SYNC_TIMEOUT_US;
 	d->control_queue = message_queue_create(c, ev, c);
-	if (!c->fleet || !c->sync_log || !c->rate_client || !d->control_queue)
+	if (!c->fleet || !c->sync_log || !c->rate_client || !c->ack_client ||
+	    !c->ack_record || !d->control_queue)
 		rc = LWS_E_NOMEM;
 	if (!rc && d->settings.rate_share_ms)
 		rate_client_use_shares(c->rate_client);
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -4,6 +4,8 @@
 #include <jansson.h>
 #include <tevent.h>
 
+#include "ack_client.h"
+#include "ack_record.h"
 #include "address_book.h"
 #include "daemon.h"
 #include "disk.h"
@@ -175,6 +177,11 @@
 	struct proposal *proposals;
 	uint64_t next_proposal;
 
+	/* Acknowledged commits: requests, and the record of a voter. */
+	struct ack_client *ack_client;
+	struct ack_record *ack_record;
+	uint64_t ack_epochs;
+
 	/* Rate limit tokens of this instance. */
 	struct rate_client *rate_client;
 	/* The rate allocator does not answer; shares are spent meanwhile. */
@@ -260,6 +267,16 @@
 				       const char *endpoint,
 				       uint64_t fencing_token, int rc);
 
+void control_managed_failover_acks(struct control *c, uint64_t voter,
+				   const struct wire_ack *answer);
+
+/* control_acks.c: acknowledged commits */
+void control_record_ack(struct control *c, const char *group, uint64_t term,
+			struct log_position position);
+void control_acks_message(struct control *c, struct peer *peer,
+			  const struct wire_msg *msg);
+void control_acks_tick(struct control *c, uint64_t now_us);
+
 /* control_rates.c: rate limit tokens of customers */
 struct rate_bucket *control_bucket_of(void *private_data, uint64_t customer);
 void control_rates_tick(struct control *c, uint64_t now_us);
--- /dev/null
+++ b/lib/daemon/control_acks.c
@@ -0,0 +1,369 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "control.h"
+#include "control_managed.h"
+#include "endpoint_call.h"
+#include "lws_str.h"
+#include "lws_time.h"
+
+/*
+ * Acknowledged commits (ack_record.h): the requests of this instance, the
+ * record of this voter, and the questions of the leader.
+ */
+
+/* Time between two questions whether the records are complete. */
+#define COVER_INTERVAL_US (250 * LWS_US_PER_MS)
+#define STATUS_TIMEOUT_MS 230
+
+/* Requests of this instance */
+
+static void on_stored(struct control *c, const char *voter,
+		      const struct wire_ack *stored)
+{
+	struct ack_reply reply = { .voter = stored->voter,
+				   .config = stored->config,
+				   .voters = stored->voters,
+				   .position = stored->position };
+	struct log_position recorded = ack_client_replied(
+		c->ack_client, stored->group, stored->term, voter, &reply);
+
+	if (c->session_server && recorded.term)
+		session_server_ack_recorded(c->session_server, stored->group,
+					    stored->term, recorded);
+}
+
+/* Returns false if the position is not recorded here. */
+static bool store(struct control *c, const struct wire_ack *request,
+		  struct wire_ack *reply)
+{
+	if (!c->raft || !ack_record_store(c->ack_record, request->group,
+					  request->term, request->position))
+		return false;
+	*reply = *request;
+	reply->voter = raft_is_voter(raft_voters(c->raft), c->identity.member);
+	reply->config = raft_voters_index(c->raft);
+	reply->voters = raft_voters(c->raft)->count;
+	return true;
+}
+
+static void send_request(struct control *c, const struct ack_request *request)
+{
+	struct wire_msg msg = { .type = WIRE_ACK_STORE,
+				.ack = { .term = request->term,
+					 .position = request->position } };
+	struct wire_ack own;
+
+	LWS_STR_COPY(msg.ack.group, request->group);
+	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p)) {
+		if (peer_hello(p)->member)
+			peer_send(p, &msg);
+	}
+	if (store(c, &msg.ack, &own))
+		on_stored(c, c->daemon->settings.name, &own);
+}
+
+void control_record_ack(struct control *c, const char *group, uint64_t term,
+			struct log_position position)
+{
+	struct ack_request request = { .term = term, .position = position };
+
+	LWS_STR_COPY(request.group, group);
+	if (ack_client_add(c->ack_client, lws_time_now_us(), &request))
+		send_request(c, &request);
+}
+
+/* The record of this voter */
+
+/*
+ * The state has everything that was committed before this process started, and
+ * before this instance became a voter.
+ */
+static bool may_begin(const struct control *c, uint64_t now_us)
+{
+	return raft_is_voter(raft_voters(c->raft), c->identity.member) &&
+	       control_confirmed_us(c, now_us) &&
+	       c->fleet->applied_index >= raft_voters_index(c->raft);
+}
+
+static void update_record(struct control *c, uint64_t now_us)
+{
+	bool begun = ack_record_begun(c->ack_record);
+
+	if (!raft_is_voter(raft_voters(c->raft), c->identity.member)) {
+		ack_record_end(c->ack_record);
+	} else if (!begun && may_begin(c, now_us)) {
+		c->ack_epochs++;
+		ack_record_begin(c->ack_record, c->fleet,
+				 (c->daemon->incarnation + c->ack_epochs) | 1);
+	}
+}
+
+static bool answer(struct control *c, const struct wire_ack *ask,
+		   struct wire_ack *out)
+{
+	struct ack_question question = { .group = ask->group,
+					 .term = ask->term,
+					 .token = ask->token,
+					 .promise = ask->promise };
+	struct ack_answer own;
+
+	if (!c->raft || !ack_record_ask(c->ack_record, &question, &own))
+		return false;
+	*out = *ask;
+	out->promise = own.promised;
+	out->complete = own.complete;
+	out->epoch = own.epoch;
+	out->position = own.acked;
+	return true;
+}
+
+/* Questions of the leader */
+
+void control_ask_voters(struct control *c, const struct managed_group *managed,
+			uint64_t token, bool promise)
+{
+	const struct raft_voters *voters = raft_voters(c->raft);
+	const struct fleet_group *group =
+		fleet_find_group(c->fleet, managed->name);
+	struct wire_msg msg = { .type = WIRE_ACK_ASK,
+				.ack = { .token = token, .promise = promise } };
+	struct wire_ack own;
+
+	if (!group)
+		return;
+	LWS_STR_COPY(msg.ack.group, managed->name);
+	msg.ack.term = group->primary_term;
+	for (uint32_t i = 0; i < voters->count; i++) {
+		struct peer *p =
+			control_peer_of_member(c, voters->member[i].id);
+
+		if (p)
+			peer_send(p, &msg);
+	}
+	if (answer(c, &msg.ack, &own))
+		control_managed_failover_acks(c, c->identity.member, &own);
+}
+
+/* Completion of the records of voters that have started */
+
+/* Status request to a primary for the record of one voter. */
+struct cover_call {
+	struct control *control;
+	uint64_t voter;
+	uint64_t epoch;
+	uint64_t term;
+	char group[FLEET_NAME_MAX];
+	char primary[FLEET_NAME_MAX];
+};
+
+static bool may_cover(const struct control *c, const struct fleet_group *group,
+		      uint64_t now_us)
+{
+	return c->leader && raft_lease_held(c->raft, now_us) &&
+	       raft_voters_index(c->raft) <= raft_commit_index(c->raft) &&
+	       group && group->primary_term &&
+	       group->term == group->primary_term;
+}
+
+static void send_cover(struct control *c, const struct cover_call *call,
+		       struct log_position position)
+{
+	struct wire_msg msg = { .type = WIRE_ACK_COVER,
+				.ack = { .term = call->term,
+					 .epoch = call->epoch,
+					 .position = position } };
+	struct peer *p = control_peer_of_member(c, call->voter);
+
+	LWS_STR_COPY(msg.ack.group, call->group);
+	if (p)
+		peer_send(p, &msg);
+	else if (call->voter == c->identity.member)
+		ack_record_cover(c->ack_record, call->group, call->term,
+				 call->epoch, position);
+}
+
+static void on_primary_status(void *private_data,
+			      const struct endpoint_status *status,
+			      enum statement_error error)
+{
+	struct cover_call *call = private_data;
+	struct control *c = call->control;
+	const struct fleet_group *group =
+		fleet_find_group(c->fleet, call->group);
+
+	/* Without an answer, the voter is asked again. */
+	(void)error;
+	if (status && status->primary &&
+	    may_cover(c, group, lws_time_now_us()) &&
+	    group->primary_term == call->term)
+		send_cover(c, call, status->received);
+	talloc_free(call);
+}
+
+static void ask_primary(struct control *c, const struct fleet_group *group,
+			uint64_t voter, uint64_t epoch)
+{
+	const struct fleet_endpoint *primary =
+		fleet_find_endpoint(group, group->primary);
+	struct cover_call *pending = talloc_zero(c, struct cover_call);
+	struct endpoint_call call = {
+		.codec = c->daemon->adapter->codec,
+		.caller = c->daemon->settings.name,
+		.command = COMMAND_STATUS,
+		.timeout_ms = STATUS_TIMEOUT_MS,
+		.private_data = pending,
+		.done = on_primary_status,
+	};
+
+	if (!pending || !primary) {
+		talloc_free(pending);
+		return;
+	}
+	pending->control = c;
+	pending->voter = voter;
+	pending->epoch = epoch;
+	pending->term = group->primary_term;
+	LWS_STR_COPY(pending->group, group->name);
+	LWS_STR_COPY(pending->primary, primary->id);
+	call.addr = primary->addr;
+	call.group = pending->group;
+	call.endpoint = pending->primary;
+	if (endpoint_call_start(c, c->ev, &call))
+		talloc_free(pending);
+}
+
+/* Identifies the process of a voter that is connected; 0 for none. */
+static uint64_t incarnation_of(struct control *c, uint64_t voter)
+{
+	const struct peer *p = control_peer_of_member(c, voter);
+
+	if (p)
+		return peer_hello(p)->incarnation;
+	return voter == c->identity.member ? c->daemon->incarnation : 0;
+}
+
+static bool is_covered(struct control *c, const struct managed_group *managed,
+		       uint64_t voter, uint64_t term)
+{
+	for (uint32_t i = 0; i < RAFT_VOTERS_MAX; i++) {
+		const struct covered_voter *v = &managed->covered[i];
+
+		if (v->voter == voter)
+			return v->term == term &&
+			       v->incarnation == incarnation_of(c, voter);
+	}
+	return false;
+}
+
+static bool all_covered(struct control *c, const struct managed_group *managed,
+			uint64_t term)
+{
+	const struct raft_voters *voters = raft_voters(c->raft);
+
+	for (uint32_t i = 0; i < voters->count; i++) {
+		uint64_t voter = voters->member[i].id;
+
+		if (incarnation_of(c, voter) &&
+		    !is_covered(c, managed, voter, term))
+			return false;
+	}
+	return true;
+}
+
+void control_cover_tick(struct control *c, struct managed_group *managed,
+			uint64_t now_us)
+{
+	const struct fleet_group *group =
+		fleet_find_group(c->fleet, managed->name);
+
+	if (now_us - managed->cover_asked_us < COVER_INTERVAL_US ||
+	    !may_cover(c, group, now_us) ||
+	    all_covered(c, managed, group->primary_term))
+		return;
+	managed->cover_asked_us = now_us;
+	control_ask_voters(c, managed, group->term, false);
+}
+
+/* Takes the entry of the voter, or that of one that is no voter any more. */
+static void set_covered(struct control *c, struct managed_group *managed,
+			uint64_t voter, uint64_t term)
+{
+	struct covered_voter *entry = NULL;
+
+	for (uint32_t i = 0; i < RAFT_VOTERS_MAX; i++) {
+		struct covered_voter *v = &managed->covered[i];
+
+		if (v->voter == voter) {
+			entry = v;
+			break;
+		}
+		if (!raft_is_voter(raft_voters(c->raft), v->voter))
+			entry = v;
+	}
+	if (entry)
+		*entry = (struct covered_voter){
+			.voter = voter,
+			.incarnation = incarnation_of(c, voter),
+			.term = term,
+		};
+}
+
+void control_cover_answered(struct control *c, struct managed_group *managed,
+			    uint64_t voter, const struct wire_ack *answer)
+{
+	const struct fleet_group *group =
+		fleet_find_group(c->fleet, managed->name);
+
+	if (!group || answer->term != group->primary_term)
+		return;
+	if (answer->complete)
+		set_covered(c, managed, voter, answer->term);
+	else if (answer->epoch && may_cover(c, group, lws_time_now_us()))
+		ask_primary(c, group, voter, answer->epoch);
+}
+
+/* Messages and time */
+
+void control_acks_message(struct control *c, struct peer *peer,
+			  const struct wire_msg *msg)
+{
+	const struct wire_hello *hello = peer_hello(peer);
+	struct wire_msg reply = { .type = WIRE_ACK_STORED };
+
+	switch (msg->type) {
+	case WIRE_ACK_STORE:
+		if (store(c, &msg->ack, &reply.ack))
+			peer_send(peer, &reply);
+		return;
+	case WIRE_ACK_STORED:
+		on_stored(c, hello->name, &msg->ack);
+		return;
+	case WIRE_ACK_ASK:
+		reply.type = WIRE_ACK_ANSWER;
+		if (answer(c, &msg->ack, &reply.ack))
+			peer_send(peer, &reply);
+		return;
+	case WIRE_ACK_ANSWER:
+		control_managed_failover_acks(c, hello->member, &msg->ack);
+		return;
+	case WIRE_ACK_COVER:
+		if (c->raft)
+			ack_record_cover(c->ack_record, msg->ack.group,
+					 msg->ack.term, msg->ack.epoch,
+					 msg->ack.position);
+		return;
+	default:
+		return;
+	}
+}
+
+void control_acks_tick(struct control *c, uint64_t now_us)
+{
+	struct ack_request request;
+
+	if (c->raft)
+		update_record(c, now_us);
+	while (ack_client_due(c->ack_client, now_us, &request))
+		send_request(c, &request);
+}
--- a/lib/daemon/control_managed_failover.c
+++ b/lib/daemon/control_managed_failover.c
@@ -1,23 +1,15 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "control.h"
+#include "control_managed.h"
 #include "endpoint_call.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
-#include "managed_failover.h"
 
 /* Limit for connecting to an endpoint, the opening message and one command. */
 #define CALL_TIMEOUT_MS 230
 
-/** struct managed_group - managed failover of one group, at the leader */
-struct managed_group {
-	struct managed_group *next;
-	char name[FLEET_NAME_MAX];
-	struct managed_failover *failover;
-};
-
 /*
  * A command to an endpoint that waits for the answer. It keeps waiting if this
  * instance loses leadership meanwhile.
@@ -163,6 +155,19 @@
 	control_propose(c, &command, NULL, NULL);
 }
 
+static void log_abandoned(struct control *c,
+			  const struct managed_group *managed,
+			  const struct managed_failover_action *action)
+{
+	lws_counter_add(&c->daemon->counters, LWS_COUNTER_PROMOTIONS_WITHHELD,
+			1);
+	lws_log_warn(c->daemon->log, "succession_abandoned",
+		     "{s:s,s:I,s:s,s:s,s:I}", "group", managed->name, "fence",
+		     (json_int_t)action->fencing_token, "waited_for",
+		     action->reason, "name", action->endpoint, "took_ms",
+		     (json_int_t)(action->took_us / LWS_US_PER_MS));
+}
+
 static void perform(struct control *c, struct managed_group *managed,
 		    const struct managed_failover_action *action)
 {
@@ -194,6 +199,13 @@
 	case MANAGED_FAILOVER_COMMIT_REMOVAL:
 		propose_removal(c, managed, action->endpoint);
 		return;
+	case MANAGED_FAILOVER_ASK_VOTERS:
+		control_ask_voters(c, managed, action->fencing_token,
+				   action->promise);
+		return;
+	case MANAGED_FAILOVER_ABANDONED:
+		log_abandoned(c, managed, action);
+		return;
 	}
 }
 
@@ -250,6 +262,8 @@
 		managed_failover_set_domains(managed->failover, domains);
 		managed_failover_tick(managed->failover, now_us);
 		pump(c, managed);
+		if (c->leader)
+			control_cover_tick(c, managed, now_us);
 		if (!c->leader)
 			return;
 	}
@@ -281,6 +295,28 @@
 	pump(c, managed);
 }
 
+void control_managed_failover_acks(struct control *c, uint64_t voter,
+				   const struct wire_ack *answer)
+{
+	struct managed_group *managed = find_managed(c, answer->group);
+	struct ack_answer own = { .token = answer->token,
+				  .promised = answer->promise,
+				  .complete = answer->complete,
+				  .epoch = answer->epoch,
+				  .acked = answer->position };
+	struct ack_survey_status status;
+
+	if (!managed)
+		return;
+	control_cover_answered(c, managed, voter, answer);
+	ack_survey_add(&managed->survey, voter, &own);
+	status = ack_survey_status(&managed->survey, raft_voters(c->raft),
+				   answer->token);
+	managed_failover_acks(managed->failover, lws_time_now_us(),
+			      answer->token, &status);
+	pump(c, managed);
+}
+
 void control_managed_failover_promoted(struct control *c, const char *group,
 				       const char *endpoint,
 				       uint64_t fencing_token, int rc)
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -593,6 +593,13 @@
 	case WIRE_ANNOUNCE:
 		on_announce(c, peer, &msg->announce);
 		break;
+	case WIRE_ACK_STORE:
+	case WIRE_ACK_STORED:
+	case WIRE_ACK_ASK:
+	case WIRE_ACK_ANSWER:
+	case WIRE_ACK_COVER:
+		control_acks_message(c, peer, msg);
+		break;
 	case WIRE_HELLO:
 	case WIRE_KEEPALIVE:
 	case WIRE_FORWARD_HELLO:
--- a/lib/daemon/session_server.c
+++ b/lib/daemon/session_server.c
@@ -528,6 +528,14 @@
 	control_report(server->control->daemon, group, endpoint, term, suspect);
 }
 
+static void on_record_ack(void *private_data, const char *group, uint64_t term,
+			  struct log_position position)
+{
+	struct session_server *server = private_data;
+
+	control_record_ack(server->control, group, term, position);
+}
+
 static const char *or_empty(const char *text)
 {
 	return text ? text : "";
@@ -650,6 +658,14 @@
 	pooler_resend_reports(server->pooler);
 }
 
+void session_server_ack_recorded(struct session_server *server,
+				 const char *group, uint64_t term,
+				 struct log_position position)
+{
+	pooler_ack_recorded(server->pooler, lws_time_now_us(), group, term,
+			    position);
+}
+
 void session_server_drain(struct session_server *server, uint64_t close_idle_us,
 			  uint64_t open_until_us)
 {
@@ -763,6 +779,7 @@
 		.token_bucket = find_bucket,
 		.tokens_wanted = on_tokens_wanted,
 		.report = on_report,
+		.record_ack = on_record_ack,
 		.event = on_event,
 		.holder_usable = is_holder_usable,
 		.forward = forward_operation,
--- a/lib/daemon/session_server.h
+++ b/lib/daemon/session_server.h
@@ -50,6 +50,11 @@
  */
 void session_server_report_again(struct session_server *server);
 
+/** session_server_ack_recorded() - commits up to a position are recorded */
+void session_server_ack_recorded(struct session_server *server,
+				 const char *group, uint64_t term,
+				 struct log_position position);
+
 /**
  * session_server_drain() - begin a graceful shutdown
  * @server: session server
--- a/lib/session/pooler.c
+++ b/lib/session/pooler.c
@@ -258,6 +258,11 @@
 		pool_cold_give_up(s, now_us);
 		return;
 	}
+	if (job->place == JOB_WAITS_FOR_RECORD) {
+		pool_refuse_unrecorded(s, now_us,
+				       "the commit was not recorded in time");
+		return;
+	}
 	if (job->place == JOB_RETRY_ON_CONN &&
 	    job->st.kind == STATEMENT_COMMIT) {
 		pooler_release_conn(s, now_us, TRANSACTION_OPEN);
@@ -417,6 +422,7 @@
 		if (!g)
 			continue;
 		g->connections_max = from->connections_max;
+		g->sync_replicas = from->sync_replicas;
 		g->cold_per_s_milli = from->cold_per_s_milli;
 		pooler_forward_update(p, g,
 				      fleet_find_group(fleet, from->name));
--- a/lib/session/pooler.h
+++ b/lib/session/pooler.h
@@ -117,6 +117,9 @@
  * @token_bucket: returns the token bucket of a customer, NULL for none
  * @tokens_wanted: is told that a statement waits for a token
  * @report: reports whether a primary is suspect
+ * @record_ack: has the position of a commit recorded that the primary of a term
+ *              acknowledged; pooler_ack_recorded() follows. NULL if callers may
+ *              be told at once
  * @event: logs a decision
  * @holder_usable: whether operations may be forwarded to the instance at an
  *                 address now; NULL if this instance never forwards
@@ -141,6 +144,8 @@
 	void (*tokens_wanted)(void *private_data);
 	void (*report)(void *private_data, const char *group,
 		       const char *endpoint, uint64_t term, bool suspect);
+	void (*record_ack)(void *private_data, const char *group, uint64_t term,
+			   struct log_position position);
 	void (*event)(void *private_data, const struct pooler_event *event);
 	bool (*holder_usable)(void *private_data, const char *addr);
 	void *(*forward)(void *private_data, struct pool_session *s,
@@ -268,6 +273,10 @@
 void pooler_conn_closed(struct pooler *p, uint64_t now_us,
 			struct pool_conn *conn);
 
+/** pooler_ack_recorded() - commits up to a position are recorded */
+void pooler_ack_recorded(struct pooler *p, uint64_t now_us, const char *group,
+			 uint64_t term, struct log_position position);
+
 /** pooler_tokens_granted() - recheck statements that wait for tokens */
 void pooler_tokens_granted(struct pooler *p, uint64_t now_us);
 
--- a/lib/session/pooler_group.c
+++ b/lib/session/pooler_group.c
@@ -176,6 +176,7 @@
 		g->primary = primary;
 		g->primary_lost_us = primary ? 0 : now_us;
 		g->primary_term = state ? state->primary_term : 0;
+		pool_end_records(g, now_us);
 		if (primary) {
 			primary->suspect = false;
 			primary->read_only_until_us = 0;
@@ -408,6 +409,7 @@
 	watch_primary(g, now_us);
 	free_removed(g);
 	pool_refuse_hopeless(g, now_us);
+	pool_refuse_writes(g, now_us);
 	pool_dispatch(g, now_us);
 	pool_cold_tick(g, now_us);
 }
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -170,6 +170,14 @@
  */
 #define POOL_DRAIN_IDLE_US (10 * LWS_US_PER_MS)
 /* Reason of refusals while a primary is in an evacuated failure domain. */
+/*
+ * If no commit was recorded for this long although one waits for it, statements
+ * that write are refused until one is. Longer than voters need to replace a
+ * connection.
+ */
+#define POOL_UNRECORDED_US (600 * LWS_US_PER_MS)
+#define POOL_CANNOT_RECORD "commits cannot be recorded at present"
+
 #define POOL_EVACUATED "the failure domain of the primary is evacuated"
 
 enum conn_state {
@@ -348,6 +356,12 @@
 	struct pool_conn *leadership_conn;
 	bool report_due;
 	uint64_t reported_us;
+	uint32_t sync_replicas;
+	/* Commits up to it are recorded for the term of the primary. */
+	struct log_position recorded;
+	/* Last commit to be recorded, and since when none was; 0 if all are. */
+	struct log_position unrecorded;
+	uint64_t unrecorded_since_us;
 };
 
 enum job_kind {
@@ -374,6 +388,8 @@
 	JOB_WAITS_FOR_COLD,
 	/** a holder runs the statement */
 	JOB_FORWARDED,
+	/** the commit is acknowledged, but not recorded yet */
+	JOB_WAITS_FOR_RECORD,
 };
 
 /** struct pool_job - the statement of a session that is in progress */
@@ -415,6 +431,8 @@
 	/* A holder refused it as outside the home regions. */
 	bool region_refused;
 	const char *wait_reason;
+	/* JOB_WAITS_FOR_RECORD: reply that waits; @mem has its texts. */
+	struct caller_reply unrecorded;
 };
 
 /** struct pool_session - a session of a caller */
@@ -586,6 +604,17 @@
 			enum statement_error error,
 			const struct pool_endpoint *by);
 
+/* pooler_acks.c: acknowledged commits */
+void pool_reply_commit(struct pool_session *s, uint64_t now_us,
+		       const struct pool_endpoint *by,
+		       const struct caller_reply *reply);
+void pool_refuse_unrecorded(struct pool_session *s, uint64_t now_us,
+			    const char *reason);
+void pool_end_records(struct pool_group *g, uint64_t now_us);
+/* Whether it is known that a commit would not be recorded in time. */
+bool pool_cannot_record(const struct pool_group *g, uint64_t now_us);
+void pool_refuse_writes(struct pool_group *g, uint64_t now_us);
+
 /* pooler_conns.c: connections to one endpoint */
 void pool_release(struct pool_conn *conn, uint64_t now_us,
 		  enum transaction_state state);
--- a/lib/session/pooler_outcome.c
+++ b/lib/session/pooler_outcome.c
@@ -95,16 +95,18 @@
 {
 	struct pool_job *job = &s->job;
 	struct pool_conn *conn = s->conn;
+	const struct pool_endpoint *by = conn->endpoint;
 	struct caller_reply reply = { .rows = result->rows,
 				      .tag = result->tag,
 				      .position = result->position };
 	bool commit = job->st.kind == STATEMENT_COMMIT;
+	bool wrote = (commit && s->wrote) ||
+		     (s->state == TRANSACTION_NONE && job->writes);
 
-	if ((commit && s->wrote) ||
-	    (s->state == TRANSACTION_NONE && job->writes))
+	if (wrote)
 		pooler_record_commit(s, result->position);
 	if (s->state == TRANSACTION_NONE && !job->writes) {
-		if (conn->endpoint == job->group->primary)
+		if (by == job->group->primary)
 			s->pooler->stats.primary_reads++;
 		else
 			s->pooler->stats.replica_reads++;
@@ -117,7 +119,10 @@
 	} else {
 		pool_release(conn, now_us, result->state);
 	}
-	pooler_reply(s, now_us, &reply, NULL);
+	if (wrote)
+		pool_reply_commit(s, now_us, by, &reply);
+	else
+		pooler_reply(s, now_us, &reply, NULL);
 }
 
 static void autocommit_error(struct pool_session *s, uint64_t now_us,
--- a/lib/session/pooler_statement.c
+++ b/lib/session/pooler_statement.c
@@ -222,6 +222,8 @@
 	refusal = pooler_no_endpoint(s, !job->anywhere);
 	if (!refusal)
 		refusal = pool_evacuation_refusal(s, now_us);
+	if (!refusal && job->writes && pool_cannot_record(g, now_us))
+		refusal = POOL_CANNOT_RECORD;
 	if (refusal) {
 		job->place = JOB_NONE;
 		pooler_refuse(s, now_us, STATEMENT_E_BUSY,
@@ -503,6 +505,13 @@
 		pooler_abort_outside_home_regions(s, now_us);
 		return;
 	}
+	if (s->conn && s->wrote && job->st.kind == STATEMENT_COMMIT &&
+	    pool_cannot_record(s->conn->endpoint->group, now_us)) {
+		pooler_release_conn(s, now_us, TRANSACTION_OPEN);
+		pooler_refuse(s, now_us, STATEMENT_E_ABORTED, TRANSACTION_NONE,
+			      POOL_CANNOT_RECORD);
+		return;
+	}
 	if (s->conn) {
 		job->kind = JOB_IN_TRANSACTION;
 		job->group = s->conn->endpoint->group;
--- a/lib/wire/wire.c
+++ b/lib/wire/wire.c
@@ -330,6 +330,40 @@
 	wire_leave_list(r, &in);
 }
 
+/* Acknowledged commits */
+
+#define ACK_FIELDS 11
+
+static void ack_pack(struct pack_writer *w, const struct wire_ack *ack)
+{
+	pack_str(w, ack->group);
+	pack_u64(w, ack->term);
+	pack_u64(w, ack->position.term);
+	pack_u64(w, ack->position.number);
+	pack_u64(w, ack->token);
+	pack_u64(w, ack->epoch);
+	pack_u64(w, ack->config);
+	pack_u64(w, ack->voters);
+	pack_bool(w, ack->voter);
+	pack_bool(w, ack->promise);
+	pack_bool(w, ack->complete);
+}
+
+static void ack_unpack(struct pack_reader *r, struct wire_ack *ack)
+{
+	pack_read_str(r, ack->group, FLEET_NAME_MAX);
+	ack->term = pack_read_u64(r);
+	ack->position.term = pack_read_u64(r);
+	ack->position.number = pack_read_u64(r);
+	ack->token = pack_read_u64(r);
+	ack->epoch = pack_read_u64(r);
+	ack->config = pack_read_u64(r);
+	ack->voters = (uint32_t)pack_read_u64(r);
+	ack->voter = pack_read_bool(r);
+	ack->promise = pack_read_bool(r);
+	ack->complete = pack_read_bool(r);
+}
+
 /* Number of values per announcement. */
 #define ANNOUNCE_FIELDS 12
 
@@ -445,6 +479,11 @@
 	[WIRE_FORWARD_END] = 1,
 	[WIRE_FORWARD_REPLY] = 8,
 	[WIRE_FORWARD_REFUSED] = 2,
+	[WIRE_ACK_STORE] = ACK_FIELDS,
+	[WIRE_ACK_STORED] = ACK_FIELDS,
+	[WIRE_ACK_ASK] = ACK_FIELDS,
+	[WIRE_ACK_ANSWER] = ACK_FIELDS,
+	[WIRE_ACK_COVER] = ACK_FIELDS,
 };
 
 /*
@@ -503,6 +542,13 @@
 	case WIRE_FORWARD_REFUSED:
 		wire_forward_pack(w, msg);
 		return;
+	case WIRE_ACK_STORE:
+	case WIRE_ACK_STORED:
+	case WIRE_ACK_ASK:
+	case WIRE_ACK_ANSWER:
+	case WIRE_ACK_COVER:
+		ack_pack(w, &msg->ack);
+		return;
 	case WIRE_KEEPALIVE:
 	case WIRE_FORWARD_HELLO:
 	case WIRE_FORWARD_PING:
@@ -561,6 +607,13 @@
 	case WIRE_FORWARD_REFUSED:
 		wire_forward_unpack(r, msg);
 		return;
+	case WIRE_ACK_STORE:
+	case WIRE_ACK_STORED:
+	case WIRE_ACK_ASK:
+	case WIRE_ACK_ANSWER:
+	case WIRE_ACK_COVER:
+		ack_unpack(r, &msg->ack);
+		return;
 	case WIRE_KEEPALIVE:
 	case WIRE_FORWARD_HELLO:
 	case WIRE_FORWARD_PING:
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -55,6 +55,16 @@
 	WIRE_FORWARD_PONG,
 	/** the holder stops and takes no new operations; no content */
 	WIRE_FORWARD_DRAIN,
+	/** instance to control instance: record an acknowledged commit */
+	WIRE_ACK_STORE,
+	/** reply to it */
+	WIRE_ACK_STORED,
+	/** leader to voter: which commits are recorded? */
+	WIRE_ACK_ASK,
+	/** answer to it */
+	WIRE_ACK_ANSWER,
+	/** leader to voter: a position above all earlier commits */
+	WIRE_ACK_COVER,
 	WIRE_TYPE_COUNT,
 };
 
@@ -297,6 +307,32 @@
 	};
 };
 
+/**
+ * struct wire_ack - messages about acknowledged commits; see ack_record.h
+ * @group: group
+ * @term: term of the primary
+ * @position: ACK_STORE, ACK_STORED, ACK_ANSWER, ACK_COVER: position
+ * @token: ACK_ASK, ACK_ANSWER: token of the question
+ * @epoch: ACK_ANSWER, ACK_COVER: epoch of the voter
+ * @config: ACK_STORED: identifies the set of voters
+ * @voters: ACK_STORED: number of voters in that set
+ * @voter: ACK_STORED: the sender is one of them
+ * @promise: ACK_ASK, ACK_ANSWER: nothing is recorded for terms below @token
+ * @complete: ACK_ANSWER: nothing is missing in the record of the term
+ */
+struct wire_ack {
+	char group[FLEET_NAME_MAX];
+	uint64_t term;
+	struct log_position position;
+	uint64_t token;
+	uint64_t epoch;
+	uint64_t config;
+	uint32_t voters;
+	bool voter;
+	bool promise;
+	bool complete;
+};
+
 /**
  * struct wire_msg - one message
  * @type: selects the member of the union
@@ -314,6 +350,7 @@
 		struct wire_report report;
 		struct wire_announce announce;
 		struct wire_forward forward;
+		struct wire_ack ack;
 	};
 };
 
--- a/tests/support_pool.h
+++ b/tests/support_pool.h
@@ -171,6 +171,12 @@
 	uint64_t wrong_queries;
 	uint64_t outside_transaction;
 	uint64_t false_not_run;
+	/* Callers that were told of a commit that is not recorded. */
+	uint64_t told_unrecorded;
+	/* No voter answers: no commit is recorded. */
+	bool voters_lost;
+	/* Number of the last commit that is recorded. */
+	uint64_t recorded;
 	/* Reports of a suspect primary. */
 	uint64_t reports;
 	/* Refusals that took longer than the objective. */
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -127,6 +127,14 @@
 		m.forward.channel = 7;
 		m.forward.reason = "stopping";
 		break;
+	case WIRE_ACK_STORE:
+	case WIRE_ACK_STORED:
+	case WIRE_ACK_ASK:
+	case WIRE_ACK_ANSWER:
+	case WIRE_ACK_COVER:
+		m.ack = (struct wire_ack){ "g", 3, { 3, 9 }, 4,	   5,
+					   6,	7, true,     true, true };
+		break;
 	case WIRE_KEEPALIVE:
 	case WIRE_FORWARD_HELLO:
 	case WIRE_FORWARD_PING:
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -261,6 +261,38 @@
 	set_evacuated(sim, 0, false);
 }
 
+/*
+ * No commit can be recorded: after a while writes are refused at once, reads
+ * are served, and no caller is told of a commit.
+ */
+static void voters_lost(struct pool_sim *sim)
+{
+	uint64_t refused;
+
+	sim->voters_lost = true;
+	pool_sim_run(sim, 2000 * MS);
+	refused = pool_sim_refusals(sim, "commits cannot be recorded at "
+					 "present");
+	g_assert_cmpuint(refused, >, 0);
+	sim->voters_lost = false;
+	pool_sim_run(sim, 200 * MS);
+}
+
+/* Commits that were not recorded when the primary is replaced. */
+static void voters_lost_new_primary(struct pool_sim *sim)
+{
+	sim->voters_lost = true;
+	pool_sim_run(sim, 300 * MS);
+	pool_sim_promote(sim, 1);
+	pool_sim_run(sim, 10 * MS);
+	g_assert_cmpuint(
+		pool_sim_refusals(sim,
+				  "the primary was replaced during the commit"),
+		>, 0);
+	sim->voters_lost = false;
+	pool_sim_run(sim, 200 * MS);
+}
+
 static void hot_customer(struct pool_sim *sim)
 {
 	sim->hot_factor = 4;
@@ -293,6 +325,8 @@
 	  evacuated_primary_without_successor, 0.9 },
 	{ "evacuated-group", evacuated_group, 0.9 },
 	{ "late-evacuation", late_evacuation, 0.9 },
+	{ "voters-lost", voters_lost, 0.9 },
+	{ "voters-lost-new-primary", voters_lost_new_primary, 0.9 },
 	{ "hot-customer", hot_customer, 0 },
 };
 
@@ -318,6 +352,7 @@
 	g_assert_cmpuint(sim->wrong_queries, ==, 0);
 	g_assert_cmpuint(sim->outside_transaction, ==, 0);
 	g_assert_cmpuint(sim->false_not_run, ==, 0);
+	g_assert_cmpuint(sim->told_unrecorded, ==, 0);
 	for (uint32_t i = 0; i < params->classes_count; i++) {
 		if (g_test_verbose())
 			g_printerr("%s seed %" G_GUINT64_FORMAT " %s %.3f\n",
