Count the grace period of a leaving primary from when it was last known to stay

Cause: an instance counted the grace period from when it learned that the primary leaves. One that was cut off meanwhile, or has just started, learned it late and began a period of its own. Seen in the trace: acknowledged at 36.488 s by a control instance, sent on at 43.498 s by an instance of the failure domain that was cut off until 37.5 s.

Change: the period counts from the time at which the state without the change was confirmed, as for evacuated domains; the same function decides both.

/pooler/late-departure fails before (5 statements in 0.5 s after the period) and passes now.

--- a/lib/session/pooler.h
+++ b/lib/session/pooler.h
@@ -47,8 +47,8 @@
  *              after a request, and for half as long after a probe: a
  *              leadership check, a rollback or a connection attempt
  * @leaving_grace_us: a leaving primary gets new statements for this long after
- *                    this instance learned that it leaves, then none, even if
- *                    there is no successor; 0 for no limit
+ *                    it was last known to stay, then none, even if there is no
+ *                    successor; 0 for no limit
  * @evacuate_grace_us: a primary in an evacuated failure domain gets statements
  *                     for this long after the evacuation was not yet in force,
  *                     unless there is a successor earlier, then none
--- a/lib/session/pooler_group.c
+++ b/lib/session/pooler_group.c
@@ -69,15 +69,20 @@
 }
 
 /*
- * Keeps since when each domain may be evacuated. An evacuation that is not in
- * the previous state was committed after the time at which that was confirmed:
- * an instance that was cut off or has just started gets no grace period of its
- * own, so that all instances in contact stop in time.
+ * A change that is not in the previous state was committed after the returned
+ * time, which is never 0: an instance that was cut off or has just started gets
+ * no grace period of its own, so that all instances in contact stop in time.
  */
+static uint64_t not_before_us(const struct pooler *p)
+{
+	return p->fleet_confirmed_us ? p->fleet_confirmed_us : 1;
+}
+
+/* Keeps since when each domain may be evacuated. */
 void pool_update_evacuations(struct pooler *p, const struct fleet *fleet)
 {
 	struct pool_evacuation *list = NULL;
-	uint64_t since_us = p->fleet_confirmed_us ? p->fleet_confirmed_us : 1;
+	uint64_t since_us = not_before_us(p);
 
 	if (fleet->evacuated_count)
 		list = talloc_zero_array(p, struct pool_evacuation,
@@ -121,7 +126,7 @@
 	if (!from->leaving)
 		e->leaving_since_us = 0;
 	else if (!e->leaving_since_us)
-		e->leaving_since_us = now_us;
+		e->leaving_since_us = not_before_us(e->group->pooler);
 	e->evacuated_since_us =
 		evacuated_since_us(e->group->pooler, e->failure_domain);
 }
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -257,7 +257,7 @@
  *                      read-only
  * @last_contact_us: time of the last answer or established connection
  * @suspect_since_us: when it last became suspect
- * @leaving_since_us: when this instance learned that it leaves; 0 if it stays
+ * @leaving_since_us: it did not leave before this time; 0 if it stays
  * @evacuated_since_us: its failure domain was not evacuated before this time; 0
  *                      if it is not evacuated
  * @cold: limit of the requests that it gets while it is cold
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -108,6 +108,29 @@
 	pool_sim_promote(sim, 1);
 }
 
+/*
+ * The instances were cut off from the control group for longer than the grace
+ * period when they learn that the primary leaves, or have just started: it must
+ * not get statements for a grace period of their own.
+ */
+static void late_departure(struct pool_sim *sim)
+{
+	uint64_t before;
+
+	sim->state_unconfirmed = true;
+	pool_sim_run(sim, 1500 * MS);
+	sim->fleet->groups[0].endpoint[0].leaving = true;
+	sim->fleet->groups[0].endpoint[0].present = false;
+	pool_sim_fleet_changed(sim);
+	/* One tick, and time for open transactions to end. */
+	pool_sim_run(sim, 1000 * MS);
+	before = sim->endpoints[0].statements;
+	pool_sim_run(sim, 500 * MS);
+	g_assert_cmpuint(sim->endpoints[0].statements, ==, before);
+	sim->state_unconfirmed = false;
+	pool_sim_promote(sim, 1);
+}
+
 static void set_evacuated(struct pool_sim *sim, uint32_t endpoint,
 			  bool evacuated)
 {
@@ -317,6 +340,7 @@
 	{ "new-primary-known-late", new_primary_known_late, 0.9 },
 	{ "unresponsive-primary", unresponsive_primary, 0.5 },
 	{ "departed-primary", departed_primary, 0 },
+	{ "late-departure", late_departure, 0 },
 	{ "evacuated-replica", evacuated_replica, 0.9 },
 	{ "restarted-evacuated-replica", restarted_evacuated_replica, 0.9 },
 	{ "restored-replica", restored_replica, 0.95 },
