--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -180,7 +180,7 @@
 	/* Acknowledged commits: requests, and the record of a voter. */
 	struct ack_client *ack_client;
 	struct ack_record *ack_record;
-	uint64_t ack_epochs;
+	uint64_t ack_epoch;
 
 	/* Rate limit tokens of this instance. */
 	struct rate_client *rate_client;
--- a/lib/daemon/control_acks.c
+++ b/lib/daemon/control_acks.c
@@ -93,9 +93,12 @@
 	if (!raft_is_voter(raft_voters(c->raft), c->identity.member)) {
 		ack_record_end(c->ack_record);
 	} else if (!begun && may_begin(c, now_us)) {
-		c->ack_epochs++;
-		ack_record_begin(c->ack_record, c->fleet,
-				 (c->daemon->incarnation + c->ack_epochs) | 1);
+		/* Not the same twice in a process; 0 has another meaning. */
+		c->ack_epoch = c->ack_epoch ? c->ack_epoch + 1
+					    : c->daemon->incarnation;
+		if (!c->ack_epoch)
+			c->ack_epoch = 1;
+		ack_record_begin(c->ack_record, c->fleet, c->ack_epoch);
 	}
 }
 
