Run timers by a clock that doesn't jump; end a leader's state with its role

For the length of a jump back a process ran no timer, though it handled messages. Another leader was elected; the former one became a follower in raft_receive(), but its leader's state was freed only by the next timer. Meanwhile it acted on announcements and answers, and its proposals were forwarded to the new leader: both took one committed token for theirs.

Change: lib/io/io_timer, timers by CLOCK_BOOTTIME (lws_time_now_us()), with one timerfd for each event loop, in place of all tevent timers of the product. The message that ends the leadership ends the leader's state, and proposals of a failover are dropped by an instance that does not lead.

/io-timer/jump/*: the event loop sees a time of day that jumps by 3 s or an hour, back or forward.

--- a/lib/daemon/caller_request.c
+++ b/lib/daemon/caller_request.c
@@ -1,4 +1,4 @@
-#include "io_time.h"
+#include "io_timer.h"
 #include "lws_time.h"
 #include "worker_internal.h"
 #include <stdio.h>
@@ -100,14 +100,13 @@
 						  admission));
 }
 
-static void on_wait_timer(struct tevent_context *ev, struct tevent_timer *te,
-			  struct timeval now, void *private_data)
+static void on_wait_timer(struct tevent_context *ev, struct io_timer *timer,
+			  void *private_data)
 {
 	struct worker *w = private_data;
 
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	w->wait_timer = NULL;
 	worker_retry_waiting(w);
 }
@@ -122,8 +121,7 @@
 	if (due_us == UINT64_MAX)
 		return;
 	in_us = due_us > now_us ? due_us - now_us : 0;
-	w->wait_timer =
-		tevent_add_timer(w->ev, w, io_in_us(in_us), on_wait_timer, w);
+	w->wait_timer = io_timer_add(w->ev, w, in_us, on_wait_timer, w);
 }
 
 static void refuse_over_rate(struct caller_request *request)
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -4,7 +4,7 @@
 #include <talloc.h>
 #include <time.h>
 
-#include "io_time.h"
+#include "io_timer.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
@@ -292,14 +292,13 @@
 
 /* Timer */
 
-static void on_tick(struct tevent_context *ev, struct tevent_timer *te,
-		    struct timeval now, void *private_data)
+static void on_tick(struct tevent_context *ev, struct io_timer *timer,
+		    void *private_data)
 {
 	struct control *c = private_data;
 	uint64_t now_us = lws_time_now_us();
 
-	(void)te;
-	(void)now;
+	(void)timer;
 	if (c->raft) {
 		raft_tick(c->raft, now_us);
 		control_log_pump(c);
@@ -318,7 +317,7 @@
 	control_publish(c);
 	if (c->draining)
 		drain_tick(c, now_us);
-	tevent_add_timer(ev, c, io_in_ms(CONTROL_TICK_MS), on_tick, c);
+	io_timer_add(ev, c, CONTROL_TICK_MS * LWS_US_PER_MS, on_tick, c);
 }
 
 struct control *control_create(struct daemon *d, struct tevent_context *ev)
@@ -356,6 +355,6 @@
 		talloc_free(c);
 		return NULL;
 	}
-	tevent_add_timer(ev, c, tevent_timeval_current(), on_tick, c);
+	io_timer_add(ev, c, 0, on_tick, c);
 	return c;
 }
--- a/lib/daemon/control_managed_failover.c
+++ b/lib/daemon/control_managed_failover.c
@@ -129,6 +129,10 @@
 	struct fleet_command command = { .type = type,
 					 .time_ms = control_wall_ms() };
 
+	/* Another leader makes its own decisions: nothing is forwarded to it.
+	 */
+	if (raft_role(c->raft) != RAFT_LEADER)
+		return;
 	LWS_STR_COPY(command.who, c->daemon->settings.name);
 	LWS_STR_COPY(command.group.group, managed->name);
 	LWS_STR_COPY(command.group.primary, action->endpoint);
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -560,6 +560,9 @@
 			control_adopt_cluster(c, hello->cluster);
 		if (c->raft) {
 			raft_receive(c->raft, lws_time_now_us(), &msg->raft);
+			/* What only a leader may do ends at once. */
+			if (raft_role(c->raft) != RAFT_LEADER)
+				control_leader_check(c, lws_time_now_us());
 			control_log_pump(c);
 		}
 		break;
--- a/lib/daemon/forward_io.c
+++ b/lib/daemon/forward_io.c
@@ -4,7 +4,7 @@
 #include <talloc.h>
 #include <unistd.h>
 
-#include "io_time.h"
+#include "io_timer.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
@@ -371,8 +371,8 @@
 
 static void schedule_tick(struct forward_io *io);
 
-static void on_tick(struct tevent_context *ev, struct tevent_timer *te,
-		    struct timeval now, void *private_data)
+static void on_tick(struct tevent_context *ev, struct io_timer *timer,
+		    void *private_data)
 {
 	struct forward_io *io = private_data;
 	uint64_t now_us = lws_time_now_us();
@@ -380,8 +380,7 @@
 	struct link *next;
 
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	for (struct link *link = io->links; link; link = next) {
 		next = link->next;
 		/* After a stall, messages of holders may still be unread. */
@@ -401,7 +400,7 @@
 
 static void schedule_tick(struct forward_io *io)
 {
-	tevent_add_timer(io->params.ev, io, io_in_ms(TICK_MS), on_tick, io);
+	io_timer_add(io->params.ev, io, TICK_MS * LWS_US_PER_MS, on_tick, io);
 }
 
 struct forward_io *forward_io_create(void *mem_ctx,
--- a/lib/daemon/router_io.c
+++ b/lib/daemon/router_io.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "io_time.h"
+#include "io_timer.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
@@ -44,7 +44,7 @@
 	struct router *router;
 	struct fleet_group state;
 	struct io_conn *conns;
-	struct tevent_timer *timer;
+	struct io_timer *timer;
 	struct router_stats counted_stats;
 	bool running_actions;
 };
@@ -407,14 +407,13 @@
 
 /* Router timer and actions */
 
-static void on_timer(struct tevent_context *ev, struct tevent_timer *te,
-		     struct timeval now, void *private_data)
+static void on_timer(struct tevent_context *ev, struct io_timer *timer,
+		     void *private_data)
 {
 	struct router_io *io = private_data;
 
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	io->timer = NULL;
 	router_tick(io->router, lws_time_now_us());
 	run_actions(io);
@@ -431,8 +430,7 @@
 		return;
 	in_us = due_us > now_us + TIMER_DELAY_MIN_US ? due_us - now_us
 						     : TIMER_DELAY_MIN_US;
-	io->timer = tevent_add_timer(io->worker->ev, io, io_in_us(in_us),
-				     on_timer, io);
+	io->timer = io_timer_add(io->worker->ev, io, in_us, on_timer, io);
 }
 
 static void update_counters(struct router_io *io)
--- a/lib/daemon/session_server.c
+++ b/lib/daemon/session_server.c
@@ -8,7 +8,7 @@
 
 #include "control.h"
 #include "forward_io.h"
-#include "io_time.h"
+#include "io_timer.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
@@ -37,7 +37,7 @@
 	struct pooler *pooler;
 	struct forward_io *forward;
 	int listen_fd;
-	struct tevent_timer *timer;
+	struct io_timer *timer;
 	uint64_t timer_due_us;
 	uint32_t callers;
 	uint32_t unopened;
@@ -54,7 +54,7 @@
 	struct session_server *server;
 	struct stream *stream;
 	struct pool_session *session;
-	struct tevent_timer *open_timer;
+	struct io_timer *open_timer;
 	bool busy;
 };
 
@@ -251,14 +251,13 @@
 	release_caller(c);
 }
 
-static void on_open_timer(struct tevent_context *ev, struct tevent_timer *te,
-			  struct timeval now, void *private_data)
+static void on_open_timer(struct tevent_context *ev, struct io_timer *timer,
+			  void *private_data)
 {
 	struct caller *c = private_data;
 
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	refuse_caller(c, STATEMENT_E_MALFORMED, "no session was opened");
 }
 
@@ -295,8 +294,8 @@
 		return true;
 	}
 	server->unopened++;
-	c->open_timer = tevent_add_timer(ev, c, io_in_ms(OPEN_TIMEOUT_MS),
-					 on_open_timer, c);
+	c->open_timer = io_timer_add(ev, c, OPEN_TIMEOUT_MS * LWS_US_PER_MS,
+				     on_open_timer, c);
 	return true;
 }
 
@@ -598,15 +597,14 @@
 
 /* Timer */
 
-static void on_timer(struct tevent_context *ev, struct tevent_timer *te,
-		     struct timeval now, void *private_data)
+static void on_timer(struct tevent_context *ev, struct io_timer *timer,
+		     void *private_data)
 {
 	struct session_server *server = private_data;
 	uint64_t now_us = lws_time_now_us();
 
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	server->timer = NULL;
 	if (server->draining && !server->pooler_draining &&
 	    now_us >= server->close_idle_us) {
@@ -627,8 +625,8 @@
 		return;
 	TALLOC_FREE(server->timer);
 	server->timer_due_us = due_us;
-	server->timer = tevent_add_timer(server->control->ev, server,
-					 io_in_us(wait_us), on_timer, server);
+	server->timer = io_timer_add(server->control->ev, server, wait_us,
+				     on_timer, server);
 }
 
 /* Calls from the control thread */
--- a/lib/daemon/worker.c
+++ b/lib/daemon/worker.c
@@ -2,7 +2,7 @@
 #include <talloc.h>
 #include <unistd.h>
 
-#include "io_time.h"
+#include "io_timer.h"
 #include "lws_error.h"
 #include "lws_rcu.h"
 #include "lws_time.h"
@@ -70,14 +70,13 @@
 
 static void check_drained(struct worker *w);
 
-static void on_drain_timer(struct tevent_context *ev, struct tevent_timer *te,
-			   struct timeval now, void *private_data)
+static void on_drain_timer(struct tevent_context *ev, struct io_timer *timer,
+			   void *private_data)
 {
 	struct worker *w = private_data;
 
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	w->drain_timer = NULL;
 	check_drained(w);
 }
@@ -91,8 +90,9 @@
 	if (!idle && w->counted_idle)
 		atomic_fetch_sub(&w->daemon->workers_idle, 1);
 	w->counted_idle = idle;
-	w->drain_timer = tevent_add_timer(
-		w->ev, w, io_in_ms(DRAIN_CHECK_INTERVAL_MS), on_drain_timer, w);
+	w->drain_timer =
+		io_timer_add(w->ev, w, DRAIN_CHECK_INTERVAL_MS * LWS_US_PER_MS,
+			     on_drain_timer, w);
 }
 
 static void begin_drain(struct worker *w)
--- a/lib/daemon/worker_internal.h
+++ b/lib/daemon/worker_internal.h
@@ -139,8 +139,8 @@
 	int listen_fd;
 	uint64_t request_seq;
 	struct admission *admission;
-	struct tevent_timer *wait_timer;
-	struct tevent_timer *drain_timer;
+	struct io_timer *wait_timer;
+	struct io_timer *drain_timer;
 	struct transaction transactions[TRANSACTIONS_MAX];
 	uint32_t open_requests;
 	uint32_t groups_count;
--- a/lib/io/h2_client.c
+++ b/lib/io/h2_client.c
@@ -5,7 +5,7 @@
 #include <unistd.h>
 
 #include "h2_internal.h"
-#include "io_time.h"
+#include "io_timer.h"
 #include "lws_error.h"
 #include "sock.h"
 
@@ -17,7 +17,7 @@
 	struct h2_client *client;
 	struct call *prev;
 	struct call *next;
-	struct tevent_timer *timeout;
+	struct io_timer *timeout;
 	int32_t stream_id;
 	uint16_t status;
 	struct h2_body request_body;
@@ -36,7 +36,7 @@
 	char *addr;
 	struct h2_io *io;
 	struct tevent_fd *connecting;
-	struct tevent_timer *connect_timeout;
+	struct io_timer *connect_timeout;
 	struct tevent_immediate *deferred_free;
 	struct call *calls;
 	/* Socket until the connection is established, then -1. */
@@ -80,8 +80,8 @@
 	talloc_free(call);
 }
 
-static void on_call_timeout(struct tevent_context *ev, struct tevent_timer *te,
-			    struct timeval now, void *private_data)
+static void on_call_timeout(struct tevent_context *ev, struct io_timer *timer,
+			    void *private_data)
 {
 	struct call *call = private_data;
 	struct h2_client *client = call->client;
@@ -90,8 +90,7 @@
 					 .body = "" };
 
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	call->timeout = NULL;
 	/* nghttp2 may still read the body: on_stream_close() frees the call. */
 	nghttp2_submit_rst_stream(client->io->session, NGHTTP2_FLAG_NONE,
@@ -267,14 +266,12 @@
 }
 
 static void on_connect_timeout(struct tevent_context *ev,
-			       struct tevent_timer *te, struct timeval now,
-			       void *private_data)
+			       struct io_timer *timer, void *private_data)
 {
 	struct h2_client *client = private_data;
 
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	client->connect_timeout = NULL;
 	end_connection(client);
 }
@@ -294,13 +291,11 @@
 }
 
 /* Reports a connect() that failed immediately, from the event loop. */
-static void on_connect_failed(struct tevent_context *ev,
-			      struct tevent_timer *te, struct timeval now,
+static void on_connect_failed(struct tevent_context *ev, struct io_timer *timer,
 			      void *private_data)
 {
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	((struct h2_client *)private_data)->connect_timeout = NULL;
 	end_connection(private_data);
 }
@@ -335,8 +330,7 @@
 	}
 	if (fd < 0) {
 		client->connect_timeout =
-			tevent_add_timer(ev, client, tevent_timeval_current(),
-					 on_connect_failed, client);
+			io_timer_add(ev, client, 0, on_connect_failed, client);
 	} else {
 		/*
 		 * tevent reports socket errors only to handlers that wait
@@ -345,8 +339,9 @@
 		client->connecting = tevent_add_fd(
 			ev, client, fd, TEVENT_FD_READ | TEVENT_FD_WRITE,
 			on_connected, client);
-		client->connect_timeout = tevent_add_timer(
-			ev, client, io_in_ms(ms), on_connect_timeout, client);
+		client->connect_timeout =
+			io_timer_add(ev, client, ms * LWS_US_PER_MS,
+				     on_connect_timeout, client);
 	}
 	*out = client;
 	return 0;
@@ -394,9 +389,9 @@
 		talloc_free(call);
 		return LWS_E_IO;
 	}
-	call->timeout =
-		tevent_add_timer(client->ev, call, io_in_ms(params->timeout_ms),
-				 on_call_timeout, call);
+	call->timeout = io_timer_add(client->ev, call,
+				     params->timeout_ms * LWS_US_PER_MS,
+				     on_call_timeout, call);
 	call->next = client->calls;
 	if (client->calls)
 		client->calls->prev = call;
--- a/lib/io/h2_server.c
+++ b/lib/io/h2_server.c
@@ -5,7 +5,7 @@
 #include <unistd.h>
 
 #include "h2_internal.h"
-#include "io_time.h"
+#include "io_timer.h"
 #include "lws_error.h"
 #include "sock.h"
 
@@ -20,7 +20,7 @@
 	struct conn *prev;
 	struct conn *next;
 	struct h2_io *io;
-	struct tevent_timer *handshake;
+	struct io_timer *handshake;
 	struct tevent_immediate *deferred_free;
 	struct h2_stream *streams;
 	uint64_t id;
@@ -265,15 +265,13 @@
 }
 
 static void on_handshake_timeout(struct tevent_context *ev,
-				 struct tevent_timer *te, struct timeval now,
-				 void *private_data)
+				 struct io_timer *timer, void *private_data)
 {
 	struct conn *conn = private_data;
 	struct h2_server *server = conn->server;
 
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	conn->handshake = NULL;
 	if (server->params.on_refused)
 		server->params.on_refused(server->params.private_data, false);
@@ -298,7 +296,7 @@
 static int conn_create(struct h2_server *server, int fd)
 {
 	struct conn *conn = talloc_zero(server, struct conn);
-	struct timeval due = io_in_ms(server->params.handshake_ms);
+	uint64_t due_us = server->params.handshake_ms * LWS_US_PER_MS;
 
 	if (!conn)
 		goto fail;
@@ -314,8 +312,8 @@
 	conn->io->on_closed = on_conn_closed;
 	if (start_session(conn) || h2_io_start(conn->io))
 		goto fail;
-	conn->handshake = tevent_add_timer(server->ev, conn, due,
-					   on_handshake_timeout, conn);
+	conn->handshake = io_timer_add(server->ev, conn, due_us,
+				       on_handshake_timeout, conn);
 	conn->next = server->conns;
 	if (server->conns)
 		server->conns->prev = conn;
--- a/lib/io/http1.c
+++ b/lib/io/http1.c
@@ -6,7 +6,7 @@
 #include <talloc.h>
 #include <unistd.h>
 
-#include "io_time.h"
+#include "io_timer.h"
 #include "lws_error.h"
 #include "sock.h"
 #include "stream.h"
@@ -28,7 +28,7 @@
 struct http1_conn {
 	struct http1_server *server;
 	struct stream *stream;
-	struct tevent_timer *timer;
+	struct io_timer *timer;
 	http_parser parser;
 	/* The request that is being received. */
 	struct http1_request *receiving;
@@ -149,14 +149,13 @@
 
 /* Parsing */
 
-static void on_request_timer(struct tevent_context *ev, struct tevent_timer *te,
-			     struct timeval now, void *private_data)
+static void on_request_timer(struct tevent_context *ev, struct io_timer *timer,
+			     void *private_data)
 {
 	struct http1_conn *conn = private_data;
 
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	conn->timer = NULL;
 	TALLOC_FREE(conn->receiving);
 	if (conn->server->params.on_refused)
@@ -171,8 +170,8 @@
 
 	if (conn->timer)
 		return;
-	conn->timer = tevent_add_timer(conn->server->ev, conn, io_in_ms(ms),
-				       on_request_timer, conn);
+	conn->timer = io_timer_add(conn->server->ev, conn, ms * LWS_US_PER_MS,
+				   on_request_timer, conn);
 }
 
 static int on_message_begin(http_parser *parser)
--- a/lib/io/peer.c
+++ b/lib/io/peer.c
@@ -5,7 +5,7 @@
 #include <talloc.h>
 #include <unistd.h>
 
-#include "io_time.h"
+#include "io_timer.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
@@ -41,7 +41,7 @@
 	struct peer_hub *hub;
 	char addr[SOCK_ADDR_MAX];
 	struct peer *peer;
-	struct tevent_timer *redial;
+	struct io_timer *redial;
 	uint32_t hello_timeout_ms;
 };
 
@@ -52,7 +52,7 @@
 	struct dial *dial;
 	int fd;
 	struct tevent_fd *fde;
-	struct tevent_timer *hello_timeout;
+	struct io_timer *hello_timeout;
 	struct tevent_immediate *deferred_free;
 	bool connecting;
 	bool established;
@@ -82,22 +82,21 @@
 
 static void start_dial(struct dial *dial);
 
-static void on_redial(struct tevent_context *ev, struct tevent_timer *te,
-		      struct timeval now, void *private_data)
+static void on_redial(struct tevent_context *ev, struct io_timer *timer,
+		      void *private_data)
 {
 	struct dial *dial = private_data;
 
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	dial->redial = NULL;
 	start_dial(dial);
 }
 
 static void schedule_redial(struct dial *dial, uint32_t delay_ms)
 {
-	dial->redial = tevent_add_timer(dial->hub->ev, dial, io_in_ms(delay_ms),
-					on_redial, dial);
+	dial->redial = io_timer_add(dial->hub->ev, dial,
+				    delay_ms * LWS_US_PER_MS, on_redial, dial);
 }
 
 static void on_deferred_free(struct tevent_context *ev,
@@ -354,14 +353,13 @@
 		write_out(peer);
 }
 
-static void on_hello_timeout(struct tevent_context *ev, struct tevent_timer *te,
-			     struct timeval now, void *private_data)
+static void on_hello_timeout(struct tevent_context *ev, struct io_timer *timer,
+			     void *private_data)
 {
 	struct peer *peer = private_data;
 
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	peer->hello_timeout = NULL;
 	peer->timed_out = true;
 	if (peer->dial && peer->dial->hello_timeout_ms < HELLO_TIMEOUT_MAX_MS)
@@ -399,8 +397,8 @@
 					     : TEVENT_FD_READ,
 				  on_event, peer);
 	peer->hello_timeout =
-		tevent_add_timer(hub->ev, peer, io_in_ms(hello_timeout_ms),
-				 on_hello_timeout, peer);
+		io_timer_add(hub->ev, peer, hello_timeout_ms * LWS_US_PER_MS,
+			     on_hello_timeout, peer);
 	peer->next = hub->peers;
 	if (hub->peers)
 		hub->peers->prev = peer;
@@ -473,8 +471,8 @@
 
 static void schedule_check(struct peer_hub *hub);
 
-static void on_check(struct tevent_context *ev, struct tevent_timer *te,
-		     struct timeval now, void *private_data)
+static void on_check(struct tevent_context *ev, struct io_timer *timer,
+		     void *private_data)
 {
 	struct peer_hub *hub = private_data;
 	uint64_t now_us = lws_time_now_us();
@@ -488,8 +486,7 @@
 	struct peer *next;
 
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	hub->checked_us = now_us;
 	for (struct peer *p = peer_hub_first(hub); p; p = next) {
 		next = peer_hub_next(p);
@@ -502,8 +499,8 @@
 
 static void schedule_check(struct peer_hub *hub)
 {
-	tevent_add_timer(hub->ev, hub, io_in_ms(KEEPALIVE_MS / 2), on_check,
-			 hub);
+	io_timer_add(hub->ev, hub, (KEEPALIVE_MS / 2) * LWS_US_PER_MS, on_check,
+		     hub);
 }
 
 static bool is_listed(const struct dial *dial, const char *const *addrs,
--- a/lib/io/stream.c
+++ b/lib/io/stream.c
@@ -6,7 +6,7 @@
 #include <talloc.h>
 #include <unistd.h>
 
-#include "io_time.h"
+#include "io_timer.h"
 #include "lws_error.h"
 #include "sock.h"
 
@@ -22,8 +22,8 @@
 	struct tevent_immediate *deferred_free;
 	/* Reports @pending_error or delivers buffered bytes. */
 	struct tevent_immediate *wake;
-	struct tevent_timer *finish_timer;
-	struct tevent_timer *deadline;
+	struct io_timer *finish_timer;
+	struct io_timer *deadline;
 	bool connecting;
 	bool paused;
 	bool in_callback;
@@ -82,26 +82,24 @@
 		s->params.on_down(s->params.private_data, rc);
 }
 
-static void on_deadline(struct tevent_context *ev, struct tevent_timer *te,
-			struct timeval now, void *private_data)
+static void on_deadline(struct tevent_context *ev, struct io_timer *timer,
+			void *private_data)
 {
 	struct stream *s = private_data;
 
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	s->deadline = NULL;
 	end_connection(s, LWS_E_DEADLINE);
 }
 
-static void on_finish_timer(struct tevent_context *ev, struct tevent_timer *te,
-			    struct timeval now, void *private_data)
+static void on_finish_timer(struct tevent_context *ev, struct io_timer *timer,
+			    void *private_data)
 {
 	struct stream *s = private_data;
 
 	(void)ev;
-	(void)te;
-	(void)now;
+	(void)timer;
 	s->finish_timer = NULL;
 	stream_close(s);
 }
@@ -330,8 +328,9 @@
 					  : TEVENT_FD_READ,
 			       on_event, s);
 	if (params->deadline_ms)
-		s->deadline = tevent_add_timer(
-			ev, s, io_in_ms(params->deadline_ms), on_deadline, s);
+		s->deadline =
+			io_timer_add(ev, s, params->deadline_ms * LWS_US_PER_MS,
+				     on_deadline, s);
 	if (!s->deferred_free || !s->wake || !s->fde ||
 	    (params->deadline_ms && !s->deadline)) {
 		talloc_free(s);
@@ -373,7 +372,8 @@
 	if (s->closed || s->finishing)
 		return;
 	s->finishing = true;
-	s->finish_timer = tevent_add_timer(
-		s->ev, s, io_in_ms(FINISH_TIMEOUT_MS), on_finish_timer, s);
+	s->finish_timer =
+		io_timer_add(s->ev, s, FINISH_TIMEOUT_MS * LWS_US_PER_MS,
+			     on_finish_timer, s);
 	shut_down_when_sent(s);
 }
