A primary that starts again empty is replaced, and its log counts for nothing

- An agreed primary that starts again under its id is a replica without a log.
It counted as a primary that had stepped down, whose log is complete: a replica that lacked acknowledged commits could have been promoted.
Its log now counts only if it reported in the same attempt to be primary, with no more than that. /managed-failover/lost-commit/primary-starts-empty-replica-deaf.
- A position that only a minority of the voters had recorded, of a primary whose log is gone, blocked the group for good (order 532).
It counts only as long as a majority may have recorded it. /acks/survey/recorded-by-a-minority*.

--- a/lib/control/ack_record.c
+++ b/lib/control/ack_record.c
@@ -1,5 +1,6 @@
 #include "ack_record.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -14,11 +15,14 @@
 	uint64_t promised;
 	/* Something may have been recorded or promised that is not known. */
 	bool incomplete;
+	/* Set of voters in which it is known to be complete. */
+	uint64_t config;
 };
 
 struct ack_record {
 	/* 0 before ack_record_begin() */
 	uint64_t epoch;
+	uint64_t config;
 	uint32_t count;
 	struct group_record *list;
 };
@@ -42,15 +46,16 @@
 	if (!grown)
 		return NULL;
 	r->list = grown;
-	grown[r->count] = (struct group_record){ 0 };
+	grown[r->count] = (struct group_record){ .config = r->config };
 	LWS_STR_COPY(grown[r->count].group, group);
 	return &grown[r->count++];
 }
 
 void ack_record_begin(struct ack_record *r, const struct fleet *fleet,
-		      uint64_t epoch)
+		      uint64_t epoch, uint64_t config)
 {
 	r->epoch = epoch;
+	r->config = config;
 	for (uint32_t i = 0; i < fleet->groups_count; i++) {
 		const struct fleet_group *group = &fleet->groups[i];
 		struct group_record *g = find_or_add(r, group->name);
@@ -117,13 +122,15 @@
 		.promised = g->promised == question->token,
 		.complete = is_complete(r, g),
 		.epoch = r->epoch,
+		.config = g->config,
 		.acked = g->acked,
 	};
 	return true;
 }
 
 void ack_record_cover(struct ack_record *r, const char *group, uint64_t term,
-		      uint64_t epoch, struct log_position position)
+		      uint64_t epoch, uint64_t config,
+		      struct log_position position)
 {
 	struct group_record *g = find_or_add(r, group);
 
@@ -131,6 +138,7 @@
 		return;
 	raise(g, term, position);
 	g->incomplete = false;
+	g->config = config;
 }
 
 /* The leader's side */
@@ -167,13 +175,44 @@
 	return NULL;
 }
 
+static int by_position(const void *a, const void *b)
+{
+	const struct ack_answer *const *x = a;
+	const struct ack_answer *const *y = b;
+
+	return log_position_cmp((*y)->acked, (*x)->acked);
+}
+
+/*
+ * The highest position that a majority may have recorded: those that answered
+ * with at least this position, and all that did not answer.
+ */
+static struct log_position highest_told(const struct ack_answer **list,
+					uint32_t count, uint32_t voters,
+					uint64_t config)
+{
+	uint32_t majority = voters / 2 + 1;
+	uint32_t silent = voters - count;
+	uint32_t at = silent < majority ? majority - silent - 1 : 0;
+
+	qsort(list, count, sizeof(*list), by_position);
+	for (uint32_t i = 0; i < count; i++) {
+		if (list[i]->config != config)
+			at = 0;
+	}
+	return at < count ? list[at]->acked : (struct log_position){ 0 };
+}
+
 struct ack_survey_status ack_survey_status(const struct ack_survey *s,
 					   const struct raft_voters *voters,
-					   uint64_t token)
+					   uint64_t config, uint64_t token)
 {
 	uint32_t majority = voters->count / 2 + 1;
-	struct ack_survey_status status = { .missing = majority,
-					    .missing_promises = majority };
+	struct ack_survey_status status = { 0 };
+	const struct ack_answer *complete[RAFT_VOTERS_MAX];
+	const struct ack_answer *promised[RAFT_VOTERS_MAX];
+	uint32_t completes = 0;
+	uint32_t promises = 0;
 
 	for (uint32_t i = 0; i < voters->count; i++) {
 		const struct ack_answer *answer =
@@ -183,12 +222,17 @@
 			LWS_STR_COPY(status.waits_for, voters->member[i].name);
 			continue;
 		}
-		if (status.missing)
-			status.missing--;
-		if (answer->promised && status.missing_promises)
-			status.missing_promises--;
-		if (log_position_cmp(answer->acked, status.acked) > 0)
-			status.acked = answer->acked;
+		complete[completes++] = answer;
+		if (answer->promised)
+			promised[promises++] = answer;
 	}
+	status.missing = completes < majority ? majority - completes : 0;
+	status.missing_promises = promises < majority ? majority - promises : 0;
+	/* Without its promise, a voter may still record more. */
+	status.acked = status.missing_promises
+			       ? highest_told(complete, completes,
+					      voters->count, config)
+			       : highest_told(promised, promises, voters->count,
+					      config);
 	return status;
 }
--- a/lib/control/ack_record.h
+++ b/lib/control/ack_record.h
@@ -34,6 +34,10 @@
  * Changes of the voters are covered as well, since two consecutive sets of
  * voters have no disjoint majorities, and positions are told only after a
  * change was committed.
+ *
+ * A minority may have recorded a position that no caller was told of. It
+ * doesn't count if enough voters answer that have not recorded it, and all of
+ * them were complete in the present set of voters.
  */
 
 struct ack_record;
@@ -58,6 +62,8 @@
  * @promised: nothing is recorded for terms below @token any more
  * @complete: nothing was recorded here that is not in @acked
  * @epoch: identifies the time since when the voter records
+ * @config: set of voters in which @complete is known to hold: no caller was
+ *          told of a commit above @acked before that set was committed
  * @acked: highest recorded position, 0, 0 for none
  */
 struct ack_answer {
@@ -65,6 +71,7 @@
 	bool promised;
 	bool complete;
 	uint64_t epoch;
+	uint64_t config;
 	struct log_position acked;
 };
 
@@ -77,9 +84,10 @@
  * @fleet: replicated state; it has everything that was committed before this
  *         process started and before it became a voter
  * @epoch: not used before by any voter of this name, not 0
+ * @config: identifies the set of voters
  */
 void ack_record_begin(struct ack_record *r, const struct fleet *fleet,
-		      uint64_t epoch);
+		      uint64_t epoch, uint64_t config);
 
 /** ack_record_end() - this instance is no voter any more */
 void ack_record_end(struct ack_record *r);
@@ -109,13 +117,15 @@
  * @group: group
  * @term: term of the primary
  * @epoch: epoch of the answer after which the primary was asked
+ * @config: set of voters, committed before the primary was asked
  * @position: end of the primary's log
  *
  * Only a leader whose lease is held may ask for it, and only while there is no
  * failover attempt.
  */
 void ack_record_cover(struct ack_record *r, const char *group, uint64_t term,
-		      uint64_t epoch, struct log_position position);
+		      uint64_t epoch, uint64_t config,
+		      struct log_position position);
 
 /* The leader's side */
 
@@ -147,9 +157,15 @@
 void ack_survey_add(struct ack_survey *s, uint64_t voter,
 		    const struct ack_answer *answer);
 
-/** ack_survey_status() - sum up the answers to the question with @token */
+/**
+ * ack_survey_status() - sum up the answers to the question with @token
+ * @s: answers
+ * @voters: voters
+ * @config: identifies them, 0 if they are not committed yet
+ * @token: token of the question
+ */
 struct ack_survey_status ack_survey_status(const struct ack_survey *s,
 					   const struct raft_voters *voters,
-					   uint64_t token);
+					   uint64_t config, uint64_t token);
 
 #endif
--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -19,6 +19,12 @@
  * the end of its log: a few commands with retries.
  */
 #define STEP_DOWN_US (1000 * LWS_US_PER_MS)
+/*
+ * An agreed primary that reports to be none for this long has started again
+ * without its log, or was demoted by a command that took effect late. Longer
+ * than an endpoint that was promoted needs to report its role.
+ */
+#define DENIED_US (3000 * LWS_US_PER_MS)
 /*
  * Commits that the next primary may lack when the present one is asked to step
  * down: those that are on their way.
@@ -64,12 +70,20 @@
 	bool leaving;
 	bool evacuated;
 	bool claims_primary;
+	/* Since when it reports to be no primary; 0 if it doesn't. */
+	uint64_t denies_since_us;
 	bool command_sent;
 	uint64_t command_sent_us;
 	bool answered;
 	uint64_t answered_us;
 	bool paused;
 	struct endpoint_status status;
+	/*
+	 * It reported to be primary in this attempt, and the end of its log
+	 * then: an endpoint that started again has lost both.
+	 */
+	bool was_primary;
+	struct log_position log_end;
 };
 
 struct managed_failover {
@@ -296,6 +310,7 @@
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		s->members[i].answered = false;
 		s->members[i].paused = false;
+		s->members[i].was_primary = false;
 	}
 	enter_phase(s, now_us, PHASE_COMMIT_TOKEN);
 	a = push_action(s, MANAGED_FAILOVER_COMMIT_TOKEN);
@@ -379,6 +394,18 @@
 	return is_primary(s, m) && m->answered && !m->status.primary;
 }
 
+/*
+ * Whether the primary has stepped down in this attempt, so that its log has
+ * everything and gets nothing more.
+ */
+static bool is_log_complete(struct managed_failover *s)
+{
+	const struct member *m = find_member(s, s->group.primary);
+
+	return m && has_stepped_down(s, m) && m->was_primary &&
+	       log_position_cmp(m->status.received, m->log_end) >= 0;
+}
+
 /*
  * Whether it is known which commits callers may have been told of. With
  * @promise, they will not be told of further ones either.
@@ -410,9 +437,9 @@
 {
 	const struct member *primary = find_member(s, s->group.primary);
 
-	if (primary && has_stepped_down(s, primary))
-		return log_position_cmp(m->status.received,
-					primary->status.received) >= 0;
+	if (is_log_complete(s) &&
+	    log_position_cmp(m->status.received, primary->status.received) >= 0)
+		return true;
 	if (!acks_known(s, true))
 		return false;
 	if (has_acknowledged(s, m))
@@ -430,11 +457,9 @@
  */
 static struct member *choose_safe(struct managed_failover *s, uint64_t now_us)
 {
-	const struct member *primary = find_member(s, s->group.primary);
 	uint32_t missing_max = s->sync_replicas ? s->sync_replicas - 1 : 0;
 	struct member *best = NULL;
 	uint32_t missing = 0;
-	bool complete = primary && has_stepped_down(s, primary);
 
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		struct member *m = &s->members[i];
@@ -450,7 +475,7 @@
 			best = m;
 	}
 	if (missing > missing_max &&
-	    ((!s->sync_replicas && !complete) ||
+	    ((!s->sync_replicas && !is_log_complete(s)) ||
 	     now_us - s->phase_since_us < SILENT_REPLICA_US))
 		return NULL;
 	if (best && best->evacuated && !is_primary(s, best)) {
@@ -684,10 +709,9 @@
 
 static void pause_replicas(struct managed_failover *s, uint64_t now_us)
 {
-	const struct member *primary = find_member(s, s->group.primary);
 	struct member *choice;
 
-	if (!primary || !has_stepped_down(s, primary))
+	if (!is_log_complete(s))
 		ask_voters(s, now_us, true);
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		struct member *m = &s->members[i];
@@ -826,6 +850,9 @@
 		    s->members[i].present)
 			return "another_claims";
 	}
+	if (primary->denies_since_us &&
+	    now_us - primary->denies_since_us >= DENIED_US)
+		return "primary_denies";
 	return primary_suspected(s, now_us) ? "primary_suspect" : NULL;
 }
 
@@ -925,8 +952,10 @@
 	if (primary_new) {
 		s->reports_count = 0;
 		s->probe_failed = false;
-		for (uint32_t i = 0; i < s->members_count; i++)
+		for (uint32_t i = 0; i < s->members_count; i++) {
 			s->members[i].claims_primary = false;
+			s->members[i].denies_since_us = 0;
+		}
 	}
 	if (s->phase == PHASE_COMMIT_PRIMARY &&
 	    group->primary_term >= s->fencing_token) {
@@ -984,6 +1013,10 @@
 	if (!m)
 		return;
 	m->claims_primary = primary;
+	if (primary)
+		m->denies_since_us = 0;
+	else if (!m->denies_since_us)
+		m->denies_since_us = now_us;
 	managed_failover_tick(s, now_us);
 }
 
@@ -1017,6 +1050,10 @@
 	m->answered = true;
 	m->answered_us = now_us;
 	m->status = *status;
+	if (status->primary) {
+		m->was_primary = true;
+		m->log_end = status->received;
+	}
 	if (kind == COMMAND_PAUSE && status->paused_below_term >= s->pause_term)
 		m->paused = true;
 	managed_failover_tick(s, now_us);
--- a/lib/daemon/control_acks.c
+++ b/lib/daemon/control_acks.c
@@ -98,7 +98,8 @@
 					    : c->daemon->incarnation;
 		if (!c->ack_epoch)
 			c->ack_epoch = 1;
-		ack_record_begin(c->ack_record, c->fleet, c->ack_epoch);
+		ack_record_begin(c->ack_record, c->fleet, c->ack_epoch,
+				 raft_voters_index(c->raft));
 	}
 }
 
@@ -117,6 +118,7 @@
 	out->promise = own.promised;
 	out->complete = own.complete;
 	out->epoch = own.epoch;
+	out->config = own.config;
 	out->position = own.acked;
 	return true;
 }
@@ -156,6 +158,7 @@
 	uint64_t voter;
 	uint64_t epoch;
 	uint64_t term;
+	uint64_t config;
 	char group[FLEET_NAME_MAX];
 	char primary[FLEET_NAME_MAX];
 };
@@ -175,6 +178,7 @@
 	struct wire_msg msg = { .type = WIRE_ACK_COVER,
 				.ack = { .term = call->term,
 					 .epoch = call->epoch,
+					 .config = call->config,
 					 .position = position } };
 	struct peer *p = control_peer_of_member(c, call->voter);
 
@@ -183,7 +187,7 @@
 		peer_send(p, &msg);
 	else if (call->voter == c->identity.member)
 		ack_record_cover(c->ack_record, call->group, call->term,
-				 call->epoch, position);
+				 call->epoch, call->config, position);
 }
 
 static void on_primary_status(void *private_data,
@@ -199,7 +203,8 @@
 	(void)error;
 	if (status && status->primary &&
 	    may_cover(c, group, lws_time_now_us()) &&
-	    group->primary_term == call->term)
+	    group->primary_term == call->term &&
+	    raft_voters_index(c->raft) == call->config)
 		send_cover(c, call, status->received);
 	talloc_free(call);
 }
@@ -227,6 +232,7 @@
 	pending->voter = voter;
 	pending->epoch = epoch;
 	pending->term = group->primary_term;
+	pending->config = raft_voters_index(c->raft);
 	LWS_STR_COPY(pending->group, group->name);
 	LWS_STR_COPY(pending->primary, primary->id);
 	call.addr = primary->addr;
@@ -254,6 +260,7 @@
 
 		if (v->voter == voter)
 			return v->term == term &&
+			       v->config == raft_voters_index(c->raft) &&
 			       v->incarnation == incarnation_of(c, voter);
 	}
 	return false;
@@ -290,7 +297,7 @@
 
 /* Takes the entry of the voter, or that of one that is no voter any more. */
 static void set_covered(struct control *c, struct managed_group *managed,
-			uint64_t voter, uint64_t term)
+			uint64_t voter, const struct wire_ack *answer)
 {
 	struct covered_voter *entry = NULL;
 
@@ -308,7 +315,8 @@
 		*entry = (struct covered_voter){
 			.voter = voter,
 			.incarnation = incarnation_of(c, voter),
-			.term = term,
+			.term = answer->term,
+			.config = answer->config,
 		};
 }
 
@@ -321,8 +329,9 @@
 	if (!group || answer->term != group->primary_term)
 		return;
 	if (answer->complete)
-		set_covered(c, managed, voter, answer->term);
-	else if (answer->epoch && may_cover(c, group, lws_time_now_us()))
+		set_covered(c, managed, voter, answer);
+	if (answer->epoch && may_cover(c, group, lws_time_now_us()) &&
+	    !is_covered(c, managed, voter, answer->term))
 		ask_primary(c, group, voter, answer->epoch);
 }
 
@@ -354,7 +363,7 @@
 		if (c->raft)
 			ack_record_cover(c->ack_record, msg->ack.group,
 					 msg->ack.term, msg->ack.epoch,
-					 msg->ack.position);
+					 msg->ack.config, msg->ack.position);
 		return;
 	default:
 		return;
--- a/lib/daemon/control_managed.h
+++ b/lib/daemon/control_managed.h
@@ -12,11 +12,13 @@
  * @voter: identity, 0 for an unused entry
  * @incarnation: of the process that answered
  * @term: term
+ * @config: set of voters in which it is
  */
 struct covered_voter {
 	uint64_t voter;
 	uint64_t incarnation;
 	uint64_t term;
+	uint64_t config;
 };
 
 /**
--- a/lib/daemon/control_managed_failover.c
+++ b/lib/daemon/control_managed_failover.c
@@ -307,15 +307,19 @@
 				  .promised = answer->promise,
 				  .complete = answer->complete,
 				  .epoch = answer->epoch,
+				  .config = answer->config,
 				  .acked = answer->position };
 	struct ack_survey_status status;
+	uint64_t config = raft_voters_index(c->raft);
 
 	if (!managed)
 		return;
+	if (config > raft_commit_index(c->raft))
+		config = 0;
 	control_cover_answered(c, managed, voter, answer);
 	ack_survey_add(&managed->survey, voter, &own);
 	status = ack_survey_status(&managed->survey, raft_voters(c->raft),
-				   answer->token);
+				   config, answer->token);
 	managed_failover_acks(managed->failover, lws_time_now_us(),
 			      answer->token, &status);
 	pump(c, managed);
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -169,7 +169,6 @@
  * this long.
  */
 #define POOL_DRAIN_IDLE_US (10 * LWS_US_PER_MS)
-/* Reason of refusals while a primary is in an evacuated failure domain. */
 /*
  * If no commit was recorded for this long although one waits for it, statements
  * that write are refused until one is. Longer than voters need to replace a
@@ -177,7 +176,7 @@
  */
 #define POOL_UNRECORDED_US (600 * LWS_US_PER_MS)
 #define POOL_CANNOT_RECORD "commits cannot be recorded at present"
-
+/* Reason of refusals while a primary is in an evacuated failure domain. */
 #define POOL_EVACUATED "the failure domain of the primary is evacuated"
 
 enum conn_state {
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -314,7 +314,7 @@
  * @position: ACK_STORE, ACK_STORED, ACK_ANSWER, ACK_COVER: position
  * @token: ACK_ASK, ACK_ANSWER: token of the question
  * @epoch: ACK_ANSWER, ACK_COVER: epoch of the voter
- * @config: ACK_STORED: identifies the set of voters
+ * @config: ACK_STORED, ACK_ANSWER, ACK_COVER: identifies the set of voters
  * @voters: ACK_STORED: number of voters in that set
  * @voter: ACK_STORED: the sender is one of them
  * @promise: ACK_ASK, ACK_ANSWER: nothing is recorded for terms below @token
