Sort positions instead of pointers in the survey of the voters

The linter reads the size of a pointer in the call of qsort() as a mistake. No change of behaviour; /acks/survey/* and /managed-failover/all-orders pass.

--- a/lib/control/ack_record.c
+++ b/lib/control/ack_record.c
@@ -175,32 +175,44 @@
 	return NULL;
 }
 
+/* Positions that some voters have recorded. */
+struct position_list {
+	uint32_t count;
+	struct log_position at[RAFT_VOTERS_MAX];
+	/* A voter may lack what was recorded in an earlier set of voters. */
+	bool unsettled;
+};
+
+static void add_position(struct position_list *list,
+			 const struct ack_answer *answer, uint64_t config)
+{
+	list->at[list->count++] = answer->acked;
+	list->unsettled |= answer->config != config;
+}
+
 static int by_position(const void *a, const void *b)
 {
-	const struct ack_answer *const *x = a;
-	const struct ack_answer *const *y = b;
+	const struct log_position *x = a;
+	const struct log_position *y = b;
 
-	return log_position_cmp((*y)->acked, (*x)->acked);
+	return log_position_cmp(*y, *x);
 }
 
 /*
  * The highest position that a majority may have recorded: those that answered
  * with at least this position, and all that did not answer.
  */
-static struct log_position highest_told(const struct ack_answer **list,
-					uint32_t count, uint32_t voters,
-					uint64_t config)
+static struct log_position highest_told(struct position_list *list,
+					uint32_t voters)
 {
 	uint32_t majority = voters / 2 + 1;
-	uint32_t silent = voters - count;
-	uint32_t at = silent < majority ? majority - silent - 1 : 0;
+	uint32_t silent = voters - list->count;
+	uint32_t at = silent < majority && !list->unsettled
+			      ? majority - silent - 1
+			      : 0;
 
-	qsort(list, count, sizeof(*list), by_position);
-	for (uint32_t i = 0; i < count; i++) {
-		if (list[i]->config != config)
-			at = 0;
-	}
-	return at < count ? list[at]->acked : (struct log_position){ 0 };
+	qsort(list->at, list->count, sizeof(list->at[0]), by_position);
+	return at < list->count ? list->at[at] : (struct log_position){ 0 };
 }
 
 struct ack_survey_status ack_survey_status(const struct ack_survey *s,
@@ -209,10 +221,8 @@
 {
 	uint32_t majority = voters->count / 2 + 1;
 	struct ack_survey_status status = { 0 };
-	const struct ack_answer *complete[RAFT_VOTERS_MAX];
-	const struct ack_answer *promised[RAFT_VOTERS_MAX];
-	uint32_t completes = 0;
-	uint32_t promises = 0;
+	struct position_list complete = { 0 };
+	struct position_list promised = { 0 };
 
 	for (uint32_t i = 0; i < voters->count; i++) {
 		const struct ack_answer *answer =
@@ -222,17 +232,16 @@
 			LWS_STR_COPY(status.waits_for, voters->member[i].name);
 			continue;
 		}
-		complete[completes++] = answer;
+		add_position(&complete, answer, config);
 		if (answer->promised)
-			promised[promises++] = answer;
+			add_position(&promised, answer, config);
 	}
-	status.missing = completes < majority ? majority - completes : 0;
-	status.missing_promises = promises < majority ? majority - promises : 0;
+	if (complete.count < majority)
+		status.missing = majority - complete.count;
+	if (promised.count < majority)
+		status.missing_promises = majority - promised.count;
 	/* Without its promise, a voter may still record more. */
-	status.acked = status.missing_promises
-			       ? highest_told(complete, completes,
-					      voters->count, config)
-			       : highest_told(promised, promises, voters->count,
-					      config);
+	status.acked = highest_told(
+		status.missing_promises ? &complete : &promised, voters->count);
 	return status;
 }
