Take a fencing token as one's own only as the answer to one's own proposal

Seen: with real processes, two holders asked the platform for promotions with the same fencing token.

Cause, by reading: an attempt went on as soon as the group's term equalled the token that it wanted, whoever had that number committed. Only the rest of the control logic (the leader's state ends with a message that ends the leadership, proposals are not forwarded) kept two leaders from going on with one number. Which event broke it on the users' machines is not known.

Change: the token counts once this leader's own proposal was committed and applied; a proposal is matched by index and term, and an entry that an upstream sent completes none. A refused or lost proposal ends the attempt at once, not after 2.5 s. The state of a leadership belongs to a term: an end and a new beginning between two checks no longer keep the old state, and it ends after each input to the log (a message, a synced write, a tick), not only after a message. Decisions of a leader (tokens, primaries, removals) are proposed only in the term in which they were made. New log line succession_token.

The failover without an adapter takes terms by number as well; there only the primary that is agreed on in the log is promoted, so equal numbers promote one.

--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -41,6 +41,8 @@
 	PHASE_IDLE,
 	/** the fencing token is being committed */
 	PHASE_COMMIT_TOKEN,
+	/** this leader's proposal of the token was committed */
+	PHASE_TOKEN_COMMITTED,
 	/** all endpoints are asked for their role and newest term */
 	PHASE_QUERY,
 	/** the primary answers: it is demoted and its log is copied */
@@ -896,6 +898,10 @@
 	case PHASE_IDLE:
 		check_idle(s, now_us);
 		return;
+	case PHASE_TOKEN_COMMITTED:
+		enter_phase(s, now_us, PHASE_QUERY);
+		query_members(s, now_us);
+		return;
 	case PHASE_QUERY:
 		query_members(s, now_us);
 		return;
@@ -943,12 +949,8 @@
 		m->leaving = group->endpoint[i].leaving;
 		m->evacuated = s->evacuated & (1U << i);
 	}
-	if (s->phase == PHASE_COMMIT_TOKEN && group->term >= s->fencing_token) {
-		if (group->term == s->fencing_token)
-			enter_phase(s, now_us, PHASE_QUERY);
-		else
-			enter_phase(s, now_us, PHASE_IDLE);
-	}
+	if (s->phase == PHASE_COMMIT_TOKEN && group->term > s->fencing_token)
+		enter_phase(s, now_us, PHASE_IDLE);
 	if (primary_new) {
 		s->reports_count = 0;
 		s->probe_failed = false;
@@ -966,6 +968,18 @@
 	managed_failover_tick(s, now_us);
 }
 
+void managed_failover_token_proposed(struct managed_failover *s,
+				     uint64_t now_us, uint64_t fencing_token,
+				     int rc)
+{
+	if (s->phase != PHASE_COMMIT_TOKEN || fencing_token != s->fencing_token)
+		return;
+	if (rc)
+		abandon_attempt(s, now_us);
+	else
+		enter_phase(s, now_us, PHASE_TOKEN_COMMITTED);
+}
+
 void managed_failover_set_evacuated(struct managed_failover *s,
 				    uint32_t endpoints)
 {
--- a/lib/control/managed_failover.h
+++ b/lib/control/managed_failover.h
@@ -20,7 +20,8 @@
  * commit can be acknowledged, and the paused replica that received most has
  * every acknowledged commit. Steps, each only after the one before:
  *
- *   1. a fencing token is committed in the log of the control group;
+ *   1. a fencing token is committed in the log of the control group, by a
+ *      proposal of this leader;
  *   2. all replicas are asked for the newest term they know; a primary that
  *      answers is demoted; then replication from primaries of that term and
  *      lower ones is paused;
@@ -152,6 +153,23 @@
  */
 void managed_failover_set_domains(struct managed_failover *s, uint32_t domains);
 
+/**
+ * managed_failover_token_proposed() - handle the outcome of a proposal
+ * @s: state machine
+ * @now_us: current time
+ * @fencing_token: token of the MANAGED_FAILOVER_COMMIT_TOKEN action
+ * @rc: 0 if the proposal of this leader was committed and applied, else the
+ *      token is not its own
+ *
+ * Queues no actions. The next managed_failover_set_group() or
+ * managed_failover_tick() goes on with the attempt. A term of the group that
+ * equals the token is no substitute: another leader may have had the same
+ * number committed.
+ */
+void managed_failover_token_proposed(struct managed_failover *s,
+				     uint64_t now_us, uint64_t fencing_token,
+				     int rc);
+
 /** managed_failover_report() - handle a report about the primary */
 void managed_failover_report(struct managed_failover *s, uint64_t now_us,
 			     const char *instance, const char *failure_domain,
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -132,8 +132,8 @@
 	pack_writer_clear(&w);
 }
 
-void control_apply(struct control *c, uint64_t index, const uint8_t *data,
-		   uint32_t len)
+void control_apply(struct control *c, uint64_t index, uint64_t term,
+		   const uint8_t *data, uint32_t len)
 {
 	struct fleet_result result = { .version = c->fleet->config_version };
 	struct fleet_command command;
@@ -172,7 +172,7 @@
 	c->fleet->applied_index = index;
 	append_to_sync_log(c, index, data, len, old, catalog_command);
 	talloc_free(scratch);
-	control_proposals_applied(c, index, result);
+	control_proposals_applied(c, index, term, result);
 }
 
 static bool was_evacuated(const struct control *c, const char *domain)
@@ -301,6 +301,7 @@
 	(void)timer;
 	if (c->raft) {
 		raft_tick(c->raft, now_us);
+		control_leader_end_if_over(c);
 		control_log_pump(c);
 	}
 	control_leader_check(c, now_us);
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -102,6 +102,7 @@
 
 /**
  * struct leader_state - state that only the leader of the control group has
+ * @term: term of the log in which this leadership began
  * @instances: instances that send reports
  * @leases: leases of endpoints
  * @allocator: grants rate limit tokens
@@ -114,6 +115,7 @@
  *                  raft_voters() at the last check
  */
 struct leader_state {
+	uint64_t term;
 	struct instances *instances;
 	struct lease_table *leases;
 	struct rate_allocator *allocator;
@@ -209,8 +211,12 @@
  */
 bool control_is_leader(const struct control *c, uint64_t now_us);
 void control_replace_fleet(struct control *c, struct fleet *fleet);
-void control_apply(struct control *c, uint64_t index, const uint8_t *data,
-		   uint32_t len);
+/*
+ * Applies an entry of the replicated log. @term is its term in the log, 0 for
+ * an entry that an upstream sent: that one completes no proposal.
+ */
+void control_apply(struct control *c, uint64_t index, uint64_t term,
+		   const uint8_t *data, uint32_t len);
 /* Publishes a changed state to workers, sessions and other instances. */
 void control_publish(struct control *c);
 void control_begin_drain(struct control *c);
@@ -225,13 +231,20 @@
 		      const uint8_t *secret, const struct raft_voters *voters);
 void control_propose(struct control *c, const struct fleet_command *command,
 		     void *private_data, proposal_fn done);
+/*
+ * As control_propose(), for decisions that belong to the present leadership:
+ * fails with LWS_E_NOT_LEADER once that has ended, and is never forwarded.
+ */
+void control_propose_as_leader(struct control *c,
+			       const struct fleet_command *command,
+			       void *private_data, proposal_fn done);
 void control_propose_remote(struct control *c, struct peer *peer,
 			    const struct wire_propose *propose);
 void control_propose_reply(struct control *c, struct peer *peer,
 			   const struct wire_propose_reply *reply);
 void control_proposals_expire(struct control *c, uint64_t now_us);
 void control_proposals_lost(struct control *c, const struct peer *peer);
-void control_proposals_applied(struct control *c, uint64_t index,
+void control_proposals_applied(struct control *c, uint64_t index, uint64_t term,
 			       struct fleet_result result);
 void control_proposals_fail_local(struct control *c);
 
@@ -246,7 +259,15 @@
 uint64_t control_confirmed_us(const struct control *c, uint64_t now_us);
 
 /* control_leader.c: duties of the leader */
+/* Begins and ends the state of a leadership. */
 void control_leader_check(struct control *c, uint64_t now_us);
+/* Whether this instance still leads in @term, and has the state for it. */
+bool control_leads(const struct control *c, uint64_t term);
+/*
+ * Ends the state of a leadership as soon as the log has a new leader or term.
+ * To be called after each input to the log, before its actions are performed.
+ */
+void control_leader_end_if_over(struct control *c);
 void control_leader_tick(struct control *c, uint64_t now_us);
 void control_leader_fleet_changed(struct control *c, uint64_t now_us);
 void control_leader_announce(struct control *c,
--- a/lib/daemon/control_leader.c
+++ b/lib/daemon/control_leader.c
@@ -2,6 +2,7 @@
 #include <talloc.h>
 
 #include "control.h"
+#include "leadership.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
@@ -29,6 +30,7 @@
 
 	if (!leader)
 		return NULL;
+	leader->term = raft_term(c->raft);
 	leader->instances = instances_create(leader, c->fleet, now_us);
 	leader->leases = lease_create(leader, c->fleet, now_us);
 	leader->allocator = rate_allocator_create(leader, &rates, now_us);
@@ -49,25 +51,61 @@
 	return leader;
 }
 
-void control_leader_check(struct control *c, uint64_t now_us)
+static void end_leadership(struct control *c)
 {
-	bool is_leader = control_is_leader(c, now_us);
-
-	if (is_leader == (c->leader != NULL))
-		return;
-	if (!is_leader) {
-		TALLOC_FREE(c->leader);
-		lws_log_info(c->daemon->log, "lead_lost", NULL);
+	if (!c->leader)
 		return;
-	}
+	lws_log_info(c->daemon->log, "lead_lost", "{s:I}", "term",
+		     (json_int_t)c->leader->term);
+	TALLOC_FREE(c->leader);
+}
+
+static void begin_leadership(struct control *c, uint64_t now_us)
+{
 	c->leader = create_leader_state(c, now_us);
 	if (!c->leader)
 		return;
 	lws_log_info(c->daemon->log, "lead_taken", "{s:I}", "term",
-		     (json_int_t)raft_term(c->raft));
+		     (json_int_t)c->leader->term);
 	control_leader_fleet_changed(c, now_us);
 }
 
+void control_leader_check(struct control *c, uint64_t now_us)
+{
+	struct leadership_view view = {
+		.leads = control_is_leader(c, now_us),
+		.term = c->raft ? raft_term(c->raft) : 0,
+		.state_term = c->leader ? c->leader->term : 0,
+	};
+
+	switch (leadership_step(&view)) {
+	case LEADERSHIP_KEEP:
+		return;
+	case LEADERSHIP_END:
+		end_leadership(c);
+		return;
+	case LEADERSHIP_RESTART:
+		end_leadership(c);
+		begin_leadership(c, now_us);
+		return;
+	case LEADERSHIP_BEGIN:
+		begin_leadership(c, now_us);
+		return;
+	}
+}
+
+bool control_leads(const struct control *c, uint64_t term)
+{
+	return c->leader && c->leader->term == term &&
+	       raft_role(c->raft) == RAFT_LEADER && raft_term(c->raft) == term;
+}
+
+void control_leader_end_if_over(struct control *c)
+{
+	if (c->leader && !control_leads(c, c->leader->term))
+		end_leadership(c);
+}
+
 /* Failover of groups */
 
 static struct group_failover *find_or_add_failover(struct control *c,
--- a/lib/daemon/control_log.c
+++ b/lib/daemon/control_log.c
@@ -109,6 +109,18 @@
 	pack_writer_clear(&w);
 }
 
+void control_propose_as_leader(struct control *c,
+			       const struct fleet_command *command,
+			       void *private_data, proposal_fn done)
+{
+	if (c->leader && control_leads(c, c->leader->term)) {
+		control_propose(c, command, private_data, done);
+		return;
+	}
+	if (done)
+		done(private_data, LWS_E_NOT_LEADER, 0, 0);
+}
+
 void control_propose_remote(struct control *c, struct peer *peer,
 			    const struct wire_propose *propose)
 {
@@ -193,14 +205,14 @@
 	}
 }
 
-void control_proposals_applied(struct control *c, uint64_t index,
+void control_proposals_applied(struct control *c, uint64_t index, uint64_t term,
 			       struct fleet_result result)
 {
 	struct proposal *next;
 
 	for (struct proposal *p = c->proposals; p; p = next) {
 		next = p->next;
-		if (!p->forwarded && p->index == index)
+		if (!p->forwarded && p->index == index && p->term == term)
 			finish_proposal(p, result.rc, result.version, index);
 	}
 }
@@ -215,6 +227,7 @@
 		c->durable_seq = seq;
 	lws_counter_add(&c->daemon->counters, LWS_COUNTER_LOG_SYNCS, 1);
 	raft_durable(c->raft, lws_time_now_us(), seq);
+	control_leader_end_if_over(c);
 	control_log_pump(c);
 }
 
@@ -500,7 +513,8 @@
 		send_or_defer(c, action);
 		return;
 	case RAFT_ACTION_APPLY:
-		control_apply(c, action->entry.index, action->entry.data,
+		control_apply(c, action->entry.index, action->entry.term,
+			      action->entry.data,
 			      action->entry.kind == RAFT_ENTRY_COMMAND
 				      ? action->entry.len
 				      : 0);
--- a/lib/daemon/control_managed_failover.c
+++ b/lib/daemon/control_managed_failover.c
@@ -21,6 +21,14 @@
 	enum endpoint_command_kind kind;
 };
 
+/* A fencing token that this leader has proposed. */
+struct pending_token {
+	struct control *control;
+	char group[FLEET_NAME_MAX];
+	uint64_t leader_term;
+	uint64_t fencing_token;
+};
+
 static void pump(struct control *c, struct managed_group *managed);
 
 static struct managed_group *find_managed(struct control *c, const char *group)
@@ -122,22 +130,55 @@
 	}
 }
 
-static void propose(struct control *c, struct managed_group *managed,
+static void propose(struct control *c, const struct managed_group *managed,
 		    enum fleet_command_type type,
-		    const struct managed_failover_action *action)
+		    const struct managed_failover_action *action,
+		    void *private_data, proposal_fn done)
 {
 	struct fleet_command command = { .type = type,
 					 .time_ms = control_wall_ms() };
 
-	/* Another leader makes its own decisions: nothing is forwarded to it.
-	 */
-	if (raft_role(c->raft) != RAFT_LEADER)
-		return;
 	LWS_STR_COPY(command.who, c->daemon->settings.name);
 	LWS_STR_COPY(command.group.group, managed->name);
 	LWS_STR_COPY(command.group.primary, action->endpoint);
 	command.group.term = action->fencing_token;
-	control_propose(c, &command, NULL, NULL);
+	control_propose_as_leader(c, &command, private_data, done);
+}
+
+static void on_token_proposed(void *private_data, int rc, uint64_t version,
+			      uint64_t index)
+{
+	struct pending_token *token = private_data;
+	struct control *c = token->control;
+	struct managed_group *managed = find_managed(c, token->group);
+
+	(void)version;
+	lws_log_info(c->daemon->log, "succession_token",
+		     "{s:s,s:I,s:I,s:I,s:s}", "group", token->group, "fence",
+		     (json_int_t)token->fencing_token, "term",
+		     (json_int_t)token->leader_term, "index", (json_int_t)index,
+		     "result", lws_error_name(rc));
+	/* A later leadership has proposals of its own. */
+	if (managed && c->leader->term == token->leader_term)
+		managed_failover_token_proposed(managed->failover,
+						lws_time_now_us(),
+						token->fencing_token, rc);
+	talloc_free(token);
+}
+
+static void propose_token(struct control *c,
+			  const struct managed_group *managed,
+			  const struct managed_failover_action *action)
+{
+	struct pending_token *token = talloc_zero(c, struct pending_token);
+
+	if (!token)
+		return;
+	token->control = c;
+	token->leader_term = c->leader->term;
+	token->fencing_token = action->fencing_token;
+	LWS_STR_COPY(token->group, managed->name);
+	propose(c, managed, FLEET_GROUP_TERM, action, token, on_token_proposed);
 }
 
 static void propose_removal(struct control *c,
@@ -156,7 +197,7 @@
 	LWS_STR_COPY(command.who, c->daemon->settings.name);
 	LWS_STR_COPY(command.endpoint.group, managed->name);
 	command.endpoint.endpoint = *e;
-	control_propose(c, &command, NULL, NULL);
+	control_propose_as_leader(c, &command, NULL, NULL);
 }
 
 static void log_abandoned(struct control *c,
@@ -181,7 +222,7 @@
 			     "{s:s,s:I,s:s}", "group", managed->name, "fence",
 			     (json_int_t)action->fencing_token, "reason",
 			     action->reason);
-		propose(c, managed, FLEET_GROUP_TERM, action);
+		propose_token(c, managed, action);
 		return;
 	case MANAGED_FAILOVER_COMMAND:
 		send_command(c, managed, action);
@@ -198,7 +239,7 @@
 					    action->fencing_token);
 		return;
 	case MANAGED_FAILOVER_COMMIT_PRIMARY:
-		propose(c, managed, FLEET_GROUP_PRIMARY, action);
+		propose(c, managed, FLEET_GROUP_PRIMARY, action, NULL, NULL);
 		return;
 	case MANAGED_FAILOVER_COMMIT_REMOVAL:
 		propose_removal(c, managed, action->endpoint);
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -325,7 +325,7 @@
 			talloc_free(fleet);
 	}
 	for (uint32_t i = 0; i < reply->count; i++)
-		control_apply(c, reply->entries[i].index,
+		control_apply(c, reply->entries[i].index, 0,
 			      reply->entries[i].data, reply->entries[i].len);
 }
 
@@ -560,9 +560,7 @@
 			control_adopt_cluster(c, hello->cluster);
 		if (c->raft) {
 			raft_receive(c->raft, lws_time_now_us(), &msg->raft);
-			/* What only a leader may do ends at once. */
-			if (raft_role(c->raft) != RAFT_LEADER)
-				control_leader_check(c, lws_time_now_us());
+			control_leader_end_if_over(c);
 			control_log_pump(c);
 		}
 		break;
--- a/tests/test_managed_failover.c
+++ b/tests/test_managed_failover.c
@@ -369,6 +369,17 @@
 	}
 }
 
+static void commit_token(struct model *m, uint64_t fencing_token)
+{
+	bool stale = fencing_token <= m->group.term;
+
+	if (!stale)
+		m->group.term = fencing_token;
+	managed_failover_token_proposed(m->s, now_us(m), fencing_token,
+					stale ? LWS_E_VERSION_CONFLICT : 0);
+	set_group(m);
+}
+
 static void perform(struct model *m)
 {
 	struct managed_failover_action a;
@@ -376,10 +387,7 @@
 	while (managed_failover_next_action(m->s, &a)) {
 		switch (a.type) {
 		case MANAGED_FAILOVER_COMMIT_TOKEN:
-			if (a.fencing_token <= m->group.term)
-				break;
-			m->group.term = a.fencing_token;
-			set_group(m);
+			commit_token(m, a.fencing_token);
 			break;
 		case MANAGED_FAILOVER_COMMAND:
 			handle_command(m, &a);
