End the calls of a leadership with it, and need the lease to change endpoints

By reading: a demotion, pause or promotion that one leadership had begun was still sent after it ended, and its answer went to the state machine of the next attempt or the next leadership of the same instance. The answer to a pause of an attempt that was abandoned, and whose replicas had resumed, counted as a pause in the next one. A leader that no majority had confirmed within the lease, for example a process that was suspended and had not read the messages of its successor yet, still called the platform.

Change: commands and answers belong to the leadership and the attempt (its token) that began them. Before a command that changes an endpoint is sent, also when its connection has just opened, the instance must still lead in that term and hold the lease; the same before a promotion is asked for. A promotion that was not sent ends the attempt without an unresolved call, so replication resumes. Status requests need no lease.

Tests: /leadership/answer-of-earlier-attempt, call/leadership-over (a real connection), promotion-not-sent, needs-lease.

--- a/lib/control/leadership.c
+++ b/lib/control/leadership.c
@@ -9,3 +9,8 @@
 	return view->state_term == view->term ? LEADERSHIP_KEEP
 					      : LEADERSHIP_RESTART;
 }
+
+bool leadership_needs_lease(enum endpoint_command_kind kind)
+{
+	return kind != COMMAND_STATUS;
+}
--- a/lib/control/leadership.h
+++ b/lib/control/leadership.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "statement.h"
+
 /**
  * DOC: What an instance may do as the leader of the control group.
  *
@@ -11,6 +13,12 @@
  * it (attempts of failover, grants, timers of leases) ends with it, even if the
  * same instance leads again in a later term before anyone has looked: in
  * between, another leader may have decided otherwise.
+ *
+ * A leader that no majority has confirmed for some time doesn't know whether it
+ * still is one, for example after its process was suspended, when the messages
+ * of its successor may wait in a socket unread. It may ask and propose, as a
+ * proposal needs a majority; it must not change endpoints or ask for a
+ * promotion. The lease of the log (raft_lease_held()) tells the two apart.
  */
 
 enum leadership_step {
@@ -38,4 +46,10 @@
 /** leadership_step() - what to do with the state of a leadership */
 enum leadership_step leadership_step(const struct leadership_view *view);
 
+/**
+ * leadership_needs_lease() - whether a command may be sent to an endpoint only
+ *                            while the lease of the log is held
+ */
+bool leadership_needs_lease(enum endpoint_command_kind kind);
+
 #endif
--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -107,6 +107,8 @@
 	bool planned;
 	/* A promotion call has no known outcome; it may still take effect. */
 	bool unresolved_call;
+	/* The same, before the present attempt asked for its promotion. */
+	bool earlier_call_unresolved;
 	/*
 	 * The chosen endpoint was no primary before the call, and no earlier
 	 * call was unresolved: once it is primary, the call has taken effect.
@@ -535,6 +537,7 @@
 	LWS_STR_COPY(s->choice, m->id);
 	s->role_resolves_call =
 		!s->unresolved_call && !(m->answered && m->status.primary);
+	s->earlier_call_unresolved = s->unresolved_call;
 	s->unresolved_call = true;
 	wait_for(s, "outcome of the promotion", m->id);
 	enter_phase(s, now_us, PHASE_PROMOTE);
@@ -1037,6 +1040,7 @@
 void managed_failover_answered(struct managed_failover *s, uint64_t now_us,
 			       const char *endpoint,
 			       enum endpoint_command_kind kind,
+			       uint64_t fencing_token,
 			       const struct endpoint_status *status,
 			       enum statement_error error)
 {
@@ -1061,6 +1065,8 @@
 			LWS_STR_COPY(a->endpoint, m->id);
 		return;
 	}
+	if (fencing_token != s->fencing_token)
+		return;
 	m->answered = true;
 	m->answered_us = now_us;
 	m->status = *status;
@@ -1097,6 +1103,16 @@
 	managed_failover_tick(s, now_us);
 }
 
+void managed_failover_not_sent(struct managed_failover *s, uint64_t now_us,
+			       uint64_t fencing_token)
+{
+	if (s->phase != PHASE_PROMOTE || fencing_token != s->fencing_token)
+		return;
+	s->unresolved_call = s->earlier_call_unresolved;
+	wait_for(s, "lease of the leader", NULL);
+	abandon_attempt(s, now_us);
+}
+
 void managed_failover_acks(struct managed_failover *s, uint64_t now_us,
 			   uint64_t fencing_token,
 			   const struct ack_survey_status *status)
--- a/lib/control/managed_failover.h
+++ b/lib/control/managed_failover.h
@@ -185,13 +185,18 @@
  * @now_us: current time
  * @endpoint: endpoint that the command was sent to
  * @kind: type of the command
+ * @fencing_token: of the action that was the command
  * @status: status in the answer, NULL without an answer
  * @error: reason for a missing status. STATEMENT_E_MISROUTED: its address
  *         belongs to another endpoint now, so it is removed
+ *
+ * The status counts only in the attempt that asked for it: a replica whose
+ * replication an earlier attempt paused may have resumed it since.
  */
 void managed_failover_answered(struct managed_failover *s, uint64_t now_us,
 			       const char *endpoint,
 			       enum endpoint_command_kind kind,
+			       uint64_t fencing_token,
 			       const struct endpoint_status *status,
 			       enum statement_error error);
 
@@ -206,6 +211,17 @@
 void managed_failover_promoted(struct managed_failover *s, uint64_t now_us,
 			       uint64_t fencing_token, int rc);
 
+/**
+ * managed_failover_not_sent() - a promotion was not sent to the platform
+ * @s: state machine
+ * @now_us: current time
+ * @fencing_token: fencing token of the promotion
+ *
+ * The attempt is abandoned; no call with its token can take effect.
+ */
+void managed_failover_not_sent(struct managed_failover *s, uint64_t now_us,
+			       uint64_t fencing_token);
+
 /**
  * managed_failover_acks() - pass in what the voters have answered
  * @s: state machine
--- a/lib/daemon/control_managed_failover.c
+++ b/lib/daemon/control_managed_failover.c
@@ -3,6 +3,7 @@
 
 #include "control_managed.h"
 #include "endpoint_call.h"
+#include "leadership.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
@@ -11,14 +12,17 @@
 #define CALL_TIMEOUT_MS 230
 
 /*
- * A command to an endpoint that waits for the answer. It keeps waiting if this
- * instance loses leadership meanwhile.
+ * A command to an endpoint that waits for the answer. It belongs to the
+ * leadership and the attempt in which it was begun: afterwards it isn't sent
+ * any more, and its answer counts for nothing.
  */
 struct pending_command {
 	struct control *control;
 	char group[FLEET_NAME_MAX];
 	char endpoint[FLEET_NAME_MAX];
 	enum endpoint_command_kind kind;
+	uint64_t leader_term;
+	uint64_t fencing_token;
 };
 
 /* A fencing token that this leader has proposed. */
@@ -88,15 +92,38 @@
 			     "group", pending->group, "endpoint",
 			     pending->endpoint, "error",
 			     statement_error_name(error));
-	if (managed) {
-		managed_failover_answered(managed->failover, lws_time_now_us(),
-					  pending->endpoint, pending->kind,
-					  status, error);
+	if (managed && control_leads(c, pending->leader_term)) {
+		managed_failover_answered(
+			managed->failover, lws_time_now_us(), pending->endpoint,
+			pending->kind, pending->fencing_token, status, error);
 		pump(c, managed);
 	}
 	talloc_free(pending);
 }
 
+/* Whether a command that needs the lease may be sent at this moment. */
+static bool may_send(struct control *c, uint64_t leader_term,
+		     enum endpoint_command_kind kind)
+{
+	return control_leads(c, leader_term) &&
+	       (!leadership_needs_lease(kind) ||
+		raft_lease_held(c->raft, lws_time_now_us()));
+}
+
+static bool on_may_send(void *private_data)
+{
+	const struct pending_command *pending = private_data;
+
+	return may_send(pending->control, pending->leader_term, pending->kind);
+}
+
+static void log_not_sent(struct control *c, const char *group,
+			 const char *endpoint, const char *error)
+{
+	lws_log_warn(c->daemon->log, "endpoint_silent", "{s:s,s:s,s:s}",
+		     "group", group, "endpoint", endpoint, "error", error);
+}
+
 static void send_command(struct control *c, struct managed_group *managed,
 			 const struct managed_failover_action *action)
 {
@@ -112,6 +139,7 @@
 		.term = action->term,
 		.timeout_ms = CALL_TIMEOUT_MS,
 		.private_data = pending,
+		.may_send = on_may_send,
 		.done = on_answer,
 	};
 
@@ -119,13 +147,17 @@
 		return;
 	pending->control = c;
 	pending->kind = action->command;
+	pending->leader_term = c->leader->term;
+	pending->fencing_token = action->fencing_token;
 	LWS_STR_COPY(pending->group, managed->name);
 	LWS_STR_COPY(pending->endpoint, action->endpoint);
-	/* If there is no connection, the command is repeated later. */
-	if (endpoint_call_start(c, c->ev, &call)) {
-		lws_log_warn(c->daemon->log, "endpoint_silent", "{s:s,s:s,s:s}",
-			     "group", managed->name, "endpoint",
-			     action->endpoint, "error", "no_connection");
+	/* A command that is not sent is repeated later. */
+	if (!on_may_send(pending)) {
+		log_not_sent(c, managed->name, action->endpoint, "no_lease");
+		talloc_free(pending);
+	} else if (endpoint_call_start(c, c->ev, &call)) {
+		log_not_sent(c, managed->name, action->endpoint,
+			     "no_connection");
 		talloc_free(pending);
 	}
 }
@@ -213,6 +245,29 @@
 		     (json_int_t)(action->took_us / LWS_US_PER_MS));
 }
 
+static void request_promotion(struct control *c, struct managed_group *managed,
+			      const struct managed_failover_action *action)
+{
+	uint64_t now_us = lws_time_now_us();
+
+	/* Without the lease, another leader may be promoting already. */
+	if (!control_leads(c, c->leader->term) ||
+	    !raft_lease_held(c->raft, now_us)) {
+		lws_log_warn(c->daemon->log, "promote_not_sent", "{s:s,s:s}",
+			     "group", managed->name, "error", "no_lease");
+		managed_failover_not_sent(managed->failover, now_us,
+					  action->fencing_token);
+		return;
+	}
+	lws_counter_add(&c->daemon->counters, LWS_COUNTER_PROMOTIONS, 1);
+	lws_log_info(c->daemon->log, "promote_asked", "{s:s,s:s,s:I}", "group",
+		     managed->name, "endpoint", action->endpoint, "fence",
+		     (json_int_t)action->fencing_token);
+	c->daemon->adapter->promote(c->daemon->adapter->private_data, c,
+				    managed->name, action->endpoint,
+				    action->fencing_token);
+}
+
 static void perform(struct control *c, struct managed_group *managed,
 		    const struct managed_failover_action *action)
 {
@@ -228,15 +283,7 @@
 		send_command(c, managed, action);
 		return;
 	case MANAGED_FAILOVER_PROMOTE:
-		lws_counter_add(&c->daemon->counters, LWS_COUNTER_PROMOTIONS,
-				1);
-		lws_log_info(c->daemon->log, "promote_asked", "{s:s,s:s,s:I}",
-			     "group", managed->name, "endpoint",
-			     action->endpoint, "fence",
-			     (json_int_t)action->fencing_token);
-		c->daemon->adapter->promote(c->daemon->adapter->private_data, c,
-					    managed->name, action->endpoint,
-					    action->fencing_token);
+		request_promotion(c, managed, action);
 		return;
 	case MANAGED_FAILOVER_COMMIT_PRIMARY:
 		propose(c, managed, FLEET_GROUP_PRIMARY, action, NULL, NULL);
--- a/lib/daemon/endpoint_call.c
+++ b/lib/daemon/endpoint_call.c
@@ -18,6 +18,7 @@
 	struct endpoint_status status;
 	enum statement_error error;
 	void *private_data;
+	bool (*may_send)(void *private_data);
 	void (*done)(void *private_data, const struct endpoint_status *status,
 		     enum statement_error error);
 };
@@ -60,7 +61,8 @@
 		call->answered = false;
 		return false;
 	case ENDPOINT_READY:
-		if (call->opened || call->error) {
+		if (call->opened || call->error ||
+		    (call->may_send && !call->may_send(call->private_data))) {
 			finish_call(call);
 			return true;
 		}
@@ -133,6 +135,7 @@
 	talloc_set_destructor(call, destroy_call);
 	call->codec = from->codec;
 	call->private_data = from->private_data;
+	call->may_send = from->may_send;
 	call->done = from->done;
 	if (call->codec->encode_command(&call->open, &open) ||
 	    call->codec->encode_command(&call->command, &command)) {
--- a/lib/daemon/endpoint_call.h
+++ b/lib/daemon/endpoint_call.h
@@ -20,7 +20,9 @@
  * @command: COMMAND_STATUS, COMMAND_PAUSE, COMMAND_RESUME or COMMAND_STEP_DOWN
  * @term: term for COMMAND_PAUSE and COMMAND_STEP_DOWN
  * @timeout_ms: limit for the whole call
- * @private_data: passed to @done
+ * @private_data: passed to @may_send and @done
+ * @may_send: asked when the connection is open, before the command is sent; if
+ *            it returns false the call ends without an answer. NULL: always
  * @done: called once; @status is NULL if there is no valid answer, and @error
  *        is the reason
  */
@@ -34,6 +36,7 @@
 	uint64_t term;
 	uint32_t timeout_ms;
 	void *private_data;
+	bool (*may_send)(void *private_data);
 	void (*done)(void *private_data, const struct endpoint_status *status,
 		     enum statement_error error);
 };
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -1,9 +1,16 @@
+#include <arpa/inet.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <talloc.h>
+#include <tevent.h>
+#include <unistd.h>
 
+#include "endpoint_call.h"
 #include "leadership.h"
+#include "line_codec.h"
 #include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
@@ -11,7 +18,7 @@
 
 /**
  * DOC: What belongs to one leadership of the control group ends with it: its
- * state and its fencing tokens.
+ * state, its fencing tokens, its commands to endpoints and their answers.
  */
 
 #define MS LWS_US_PER_MS
@@ -41,6 +48,15 @@
 	g_assert_cmpint(leadership_step(&c->view), ==, c->step);
 }
 
+/* Commands that change an endpoint. */
+static void test_needs_lease(void)
+{
+	g_assert_false(leadership_needs_lease(COMMAND_STATUS));
+	g_assert_true(leadership_needs_lease(COMMAND_PAUSE));
+	g_assert_true(leadership_needs_lease(COMMAND_RESUME));
+	g_assert_true(leadership_needs_lease(COMMAND_STEP_DOWN));
+}
+
 /* Fencing tokens of two holders */
 
 #define HOLDERS 2
@@ -58,6 +74,10 @@
 	struct managed_failover *s;
 	uint64_t proposed;
 	enum outcome outcome;
+	/* Answers of endpoints to this command are held back. */
+	enum endpoint_command_kind held_back;
+	bool answer_held;
+	struct managed_failover_action held;
 };
 
 struct duel {
@@ -68,6 +88,9 @@
 	uint32_t promoted_by[TOKENS_MAX];
 	uint32_t promotions;
 	bool paused[2];
+	/* Promotions are not sent, as the lease is not held. */
+	bool without_lease;
+	uint32_t resumed;
 };
 
 /* A group whose primary is gone, with two replicas. */
@@ -108,12 +131,14 @@
 					  .received = { 1, 10 + e } };
 
 	d->paused[e] |= a->command == COMMAND_PAUSE;
-	if (a->command == COMMAND_RESUME)
+	if (a->command == COMMAND_RESUME) {
 		d->paused[e] = false;
+		d->resumed++;
+	}
 	if (d->paused[e])
 		status.paused_below_term = 2;
 	managed_failover_answered(h->s, d->now_us, a->endpoint, a->command,
-				  &status, STATEMENT_E_NONE);
+				  a->fencing_token, &status, STATEMENT_E_NONE);
 }
 
 static void perform(struct duel *d, uint32_t i)
@@ -128,9 +153,20 @@
 			h->outcome = OUTCOME_NONE;
 			break;
 		case MANAGED_FAILOVER_COMMAND:
+			if (a.command == h->held_back &&
+			    strcmp(a.endpoint, "e2") == 0) {
+				h->held = a;
+				h->answer_held = true;
+				break;
+			}
 			answer(d, h, &a);
 			break;
 		case MANAGED_FAILOVER_PROMOTE:
+			if (d->without_lease) {
+				managed_failover_not_sent(h->s, d->now_us,
+							  a.fencing_token);
+				break;
+			}
 			g_assert_cmpuint(a.fencing_token, <, TOKENS_MAX);
 			d->promoted_by[a.fencing_token] |= 1U << i;
 			d->promotions++;
@@ -283,6 +319,173 @@
 	clear_duel(&d);
 }
 
+/*
+ * The answer to a pause of an earlier attempt arrives in the next one, after
+ * replication was resumed. Guards against a promotion beside a replica that
+ * goes on receiving.
+ */
+static void test_answer_of_earlier_attempt(void)
+{
+	struct managed_failover_action late;
+	struct duel d;
+	struct holder *h = &d.h[0];
+
+	init_duel(&d, 1);
+	h->held_back = COMMAND_PAUSE;
+	pass_time(&d, 600);
+	commit(&d, 0);
+	learn_outcome(&d, 0);
+	see_group(&d, 0);
+	pass_time(&d, 100);
+	g_assert_true(h->answer_held);
+	late = h->held;
+	/* The attempt times out, and the next one starts. */
+	while (h->proposed == 2)
+		pass_time(&d, 100);
+	commit(&d, 0);
+	learn_outcome(&d, 0);
+	see_group(&d, 0);
+	pass_time(&d, 100);
+	g_assert_cmpuint(d.promotions, ==, 0);
+	d.paused[1] = true;
+	answer(&d, h, &late);
+	perform(&d, 0);
+	pass_time(&d, 100);
+	g_assert_cmpuint(d.promotions, ==, 0);
+	/* The answer of the present attempt counts. */
+	h->held_back = COMMAND_OPEN;
+	answer(&d, h, &h->held);
+	perform(&d, 0);
+	g_assert_cmpuint(d.promotions, ==, 1);
+	clear_duel(&d);
+}
+
+/* Without the lease nothing is promoted, and replication goes on. */
+static void test_promotion_not_sent(void)
+{
+	struct duel d;
+	struct holder *h = &d.h[0];
+
+	init_duel(&d, 1);
+	d.without_lease = true;
+	pass_time(&d, 600);
+	commit(&d, 0);
+	learn_outcome(&d, 0);
+	see_group(&d, 0);
+	pass_time(&d, 100);
+	g_assert_cmpuint(d.promotions, ==, 0);
+	g_assert_cmpuint(d.resumed, ==, 2);
+	d.without_lease = false;
+	while (h->proposed == 2)
+		pass_time(&d, 100);
+	commit(&d, 0);
+	learn_outcome(&d, 0);
+	see_group(&d, 0);
+	pass_time(&d, 100);
+	g_assert_cmpuint(d.promotions, ==, 1);
+	clear_duel(&d);
+}
+
+/* Commands that are begun before the leadership ends */
+
+struct call_case {
+	const char *name;
+	bool may_send;
+};
+
+static const struct call_case call_cases[] = {
+	{ "leads", true },
+	{ "leadership-over", false },
+};
+
+struct call_test {
+	const struct call_case *c;
+	struct tevent_context *ev;
+	int listen_fd;
+	/* What the endpoint reads after its answer to the opening message. */
+	char command[256];
+	bool ended;
+	bool answered;
+};
+
+static bool may_send(void *private_data)
+{
+	const struct call_test *t = private_data;
+
+	return t->c->may_send;
+}
+
+static void on_done(void *private_data, const struct endpoint_status *status,
+		    enum statement_error error)
+{
+	struct call_test *t = private_data;
+
+	(void)error;
+	t->ended = true;
+	t->answered = status != NULL;
+}
+
+static gpointer serve_endpoint(gpointer data)
+{
+	static const char ready[] = "READY I -\r\n";
+	static const char status[] = "DATAROW replica 3 3.1209 0 12 2 17\r\n"
+				     "COMPLETE -\r\nREADY I 3.1209\r\n";
+	struct call_test *t = data;
+	int fd = accept(t->listen_fd, NULL, NULL);
+	char open[256];
+
+	g_assert_cmpint(read(fd, open, sizeof(open)), >, 0);
+	g_assert_cmpint(write(fd, ready, sizeof(ready) - 1), >, 0);
+	if (read(fd, t->command, sizeof(t->command) - 1) > 0)
+		g_assert_cmpint(write(fd, status, sizeof(status) - 1), >, 0);
+	close(fd);
+	return NULL;
+}
+
+/*
+ * The connection opens after the leadership has ended. Guards against a
+ * demotion or a pause that takes effect beside the next leader's attempt.
+ */
+static void test_call(gconstpointer data)
+{
+	struct call_test t = { .c = data, .ev = tevent_context_init(NULL) };
+	struct sockaddr_in addr = { .sin_family = AF_INET,
+				    .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(addr);
+	g_autofree char *text = NULL;
+	struct endpoint_call call = { .codec = &line_codec,
+				      .group = "g",
+				      .caller = "i1",
+				      .endpoint = "e1",
+				      .command = COMMAND_STEP_DOWN,
+				      .term = 3,
+				      .timeout_ms = 2000,
+				      .private_data = &t,
+				      .may_send = may_send,
+				      .done = on_done };
+	GThread *endpoint;
+
+	t.listen_fd = socket(AF_INET, SOCK_STREAM, 0);
+	g_assert_cmpint(bind(t.listen_fd, (struct sockaddr *)&addr, len), ==,
+			0);
+	g_assert_cmpint(listen(t.listen_fd, 1), ==, 0);
+	g_assert_cmpint(
+		getsockname(t.listen_fd, (struct sockaddr *)&addr, &len), ==,
+		0);
+	text = g_strdup_printf("127.0.0.1:%u", ntohs(addr.sin_port));
+	call.addr = text;
+	endpoint = g_thread_new("endpoint", serve_endpoint, &t);
+	g_assert_cmpint(endpoint_call_start(t.ev, t.ev, &call), ==, 0);
+	while (!t.ended)
+		g_assert_cmpint(tevent_loop_once(t.ev), ==, 0);
+	g_assert_cmpint(t.answered, ==, t.c->may_send);
+	talloc_free(t.ev);
+	g_thread_join(endpoint);
+	g_assert_cmpint(strstr(t.command, "STEPDOWN") != NULL, ==,
+			t.c->may_send);
+	close(t.listen_fd);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -292,6 +495,7 @@
 
 		g_test_add_data_func(path, &step_cases[i], test_step);
 	}
+	g_test_add_func("/leadership/needs-lease", test_needs_lease);
 	g_test_add_func("/leadership/two-holders-one-token", test_two_holders);
 	for (size_t i = 0; i < G_N_ELEMENTS(token_cases); i++) {
 		g_autofree char *path = g_strdup_printf("/leadership/token/%s",
@@ -299,5 +503,15 @@
 
 		g_test_add_data_func(path, &token_cases[i], test_token);
 	}
+	g_test_add_func("/leadership/answer-of-earlier-attempt",
+			test_answer_of_earlier_attempt);
+	g_test_add_func("/leadership/promotion-not-sent",
+			test_promotion_not_sent);
+	for (size_t i = 0; i < G_N_ELEMENTS(call_cases); i++) {
+		g_autofree char *path = g_strdup_printf("/leadership/call/%s",
+							call_cases[i].name);
+
+		g_test_add_data_func(path, &call_cases[i], test_call);
+	}
 	return g_test_run();
 }
--- a/tests/test_managed_failover.c
+++ b/tests/test_managed_failover.c
@@ -261,7 +261,8 @@
 
 	if (e->down || e->unreachable || message_lost(m)) {
 		managed_failover_answered(m->s, now_us(m), a->endpoint,
-					  a->command, NULL, STATEMENT_E_NONE);
+					  a->command, a->fencing_token, NULL,
+					  STATEMENT_E_NONE);
 		return;
 	}
 	if (a->command == COMMAND_PAUSE && a->term > e->term && !e->primary)
@@ -278,7 +279,7 @@
 					  .received = e->received,
 					  .paused_below_term = e->paused_term };
 	managed_failover_answered(m->s, now_us(m), a->endpoint, a->command,
-				  &status, STATEMENT_E_NONE);
+				  a->fencing_token, &status, STATEMENT_E_NONE);
 }
 
 static void delay_call(struct model *m, uint32_t endpoint,
@@ -1165,8 +1166,8 @@
 	bool removed = false;
 
 	run(m, 2000);
-	managed_failover_answered(m->s, now_us(m), "e1", COMMAND_STATUS, NULL,
-				  STATEMENT_E_MISROUTED);
+	managed_failover_answered(m->s, now_us(m), "e1", COMMAND_STATUS,
+				  m->group.term, NULL, STATEMENT_E_MISROUTED);
 	while (managed_failover_next_action(m->s, &a))
 		removed |= a.type == MANAGED_FAILOVER_COMMIT_REMOVAL &&
 			   strcmp(a.endpoint, "e1") == 0;
