Tell when an instance's state stops and starts to be confirmed, and why

A log line state_unconfirmed at each instance once its state has not been confirmed for 1.5 s, before keys are refused, and every 5 s; state_confirmed at the end; config_read_unconfirmed for a read that ends with 503. Each names the reason, the upstream, for how long requests were not answered, the leader and term that are known, and the index. Metrics lws_confirmation_lapses and lws_config_reads_unconfirmed. The decisions are functions without I/O (lib/membership/confirm_watch).

Tests: /sync/confirmation-lapses/*, confirmation-obstacles (virtual time), /platform-daemon/unconfirmed-logged (two of three control instances are suspended). Before, there were no such lines.

--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -7,6 +7,7 @@
 #include "ack_client.h"
 #include "ack_record.h"
 #include "address_book.h"
+#include "confirm_watch.h"
 #include "daemon.h"
 #include "disk.h"
 #include "failover.h"
@@ -150,6 +151,7 @@
 	/* The replicated state, and whether it has unpublished changes. */
 	struct fleet *fleet;
 	bool fleet_changed;
+	struct confirm_watch confirm_watch;
 	/* The published state lacked nothing committed before this time. */
 	uint64_t fleet_confirmed_us;
 	/* Evacuated failure domains as last published, for the log. */
@@ -257,6 +259,12 @@
 void control_report_tick(struct control *c, uint64_t now_us);
 void control_sync_now(struct control *c);
 uint64_t control_confirmed_us(const struct control *c, uint64_t now_us);
+/*
+ * Logs that something waits, or waited, for a confirmed state: @event, for how
+ * long, the upstream that was asked last and why it is not confirmed.
+ */
+void control_log_unconfirmed(struct control *c, const char *event,
+			     uint64_t waited_us, uint64_t now_us);
 
 /* control_leader.c: duties of the leader */
 /* Begins and ends the state of a leadership. */
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -350,6 +350,54 @@
 	control_publish(c);
 }
 
+void control_log_unconfirmed(struct control *c, const char *event,
+			     uint64_t waited_us, uint64_t now_us)
+{
+	uint64_t since_us = c->sync.unanswered_since_us;
+	struct confirm_view view = {
+		.leads = c->raft && raft_role(c->raft) == RAFT_LEADER,
+		.has_upstream = c->upstream != NULL,
+		.unanswered_us = since_us ? now_us - since_us : 0,
+		.timeout_us = c->sync.timeout_us,
+	};
+
+	lws_log_warn(c->daemon->log, event, "{s:I,s:s,s:s,s:I,s:I,s:s,s:I,s:I}",
+		     "for_ms", (json_int_t)(waited_us / LWS_US_PER_MS),
+		     "reason", confirm_obstacle(&view), "upstream",
+		     c->upstream ? peer_hello(c->upstream)->name : "",
+		     "unanswered_ms",
+		     (json_int_t)(view.unanswered_us / LWS_US_PER_MS), "tried",
+		     (json_int_t)c->sync.upstream, "leader", leader_name(c),
+		     "leader_term", (json_int_t)leader_term(c), "index",
+		     (json_int_t)c->fleet->applied_index);
+}
+
+static void watch_confirmation(struct control *c, uint64_t now_us)
+{
+	uint64_t age_us;
+
+	switch (confirm_watch_step(&c->confirm_watch, now_us,
+				   atomic_load(&c->daemon->confirmed_us),
+				   &age_us)) {
+	case CONFIRM_NOTHING:
+		return;
+	case CONFIRM_LAPSED:
+		lws_counter_add(&c->daemon->counters,
+				LWS_COUNTER_CONFIRMATION_LAPSES, 1);
+		/* fall through */
+	case CONFIRM_STILL_LAPSED:
+		control_log_unconfirmed(c, "state_unconfirmed", age_us, now_us);
+		return;
+	case CONFIRM_RESTORED:
+		lws_log_info(c->daemon->log, "state_confirmed", "{s:I,s:s,s:s}",
+			     "after_ms", (json_int_t)(age_us / LWS_US_PER_MS),
+			     "upstream",
+			     c->upstream ? peer_hello(c->upstream)->name : "",
+			     "leader", leader_name(c));
+		return;
+	}
+}
+
 /* Sends a sync request without waiting for the next poll. */
 void control_sync_now(struct control *c)
 {
@@ -370,6 +418,7 @@
 	if (control_confirmed_us(c, now_us))
 		atomic_store(&c->daemon->confirmed_us,
 			     control_confirmed_us(c, now_us));
+	watch_confirmation(c, now_us);
 	if (!c->fleet_changed)
 		c->fleet_confirmed_us = atomic_load(&c->daemon->confirmed_us);
 	if (c->session_server)
--- a/lib/daemon/operator.c
+++ b/lib/daemon/operator.c
@@ -118,6 +118,10 @@
 	if (control_confirmed_us(c, now_us) < r->arrived_us) {
 		if (now_us - r->arrived_us < READ_TIMEOUT_US)
 			return false;
+		lws_counter_add(&c->daemon->counters,
+				LWS_COUNTER_READS_UNCONFIRMED, 1);
+		control_log_unconfirmed(c, "config_read_unconfirmed",
+					now_us - r->arrived_us, now_us);
 		r->done(r->private_data, LWS_E_NO_QUORUM, NULL, 0);
 		return true;
 	}
--- a/lib/membership/sync.c
+++ b/lib/membership/sync.c
@@ -34,6 +34,8 @@
 void sync_client_sent(struct sync_client *c, uint64_t now_us)
 {
 	c->sent_us = now_us;
+	if (!c->unanswered_since_us)
+		c->unanswered_since_us = now_us;
 }
 
 void sync_client_disconnected(struct sync_client *c, uint64_t now_us)
@@ -47,6 +49,7 @@
 {
 	if (!stamp_us)
 		return;
+	c->unanswered_since_us = 0;
 	if (stamp_us == c->sent_us) {
 		c->sent_us = 0;
 		c->done_us = now_us;
--- a/lib/membership/sync.h
+++ b/lib/membership/sync.h
@@ -40,6 +40,8 @@
  * @poll_us: interval from the end of a request to the next one
  * @timeout_us: time without a reply after which another upstream is tried
  * @sent_us: when the outstanding request was sent, 0 for none
+ * @unanswered_since_us: when the oldest request since the last reply was sent,
+ *                       0 for none
  * @done_us: when the last request ended
  * @confirmed_us: the local copy has everything accepted before this time
  * @upstream: which upstream to use, 0 for the preferred one
@@ -49,6 +51,7 @@
 	uint64_t poll_us;
 	uint64_t timeout_us;
 	uint64_t sent_us;
+	uint64_t unanswered_since_us;
 	uint64_t done_us;
 	uint64_t confirmed_us;
 	uint32_t upstream;
--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -1937,6 +1937,30 @@
 	fleet_stop(f);
 }
 
+/* The logs say why callers and operators get no answer without a majority. */
+static void test_unconfirmed_logged(void)
+{
+	struct test_fleet *f = fleet_start(3);
+	struct line_conn *c = open_session(f, "pay", "k1");
+
+	kill(f->pids[2], SIGSTOP);
+	kill(f->pids[3], SIGSTOP);
+	g_assert_cmpint(http(f, 1, TEST_PORT_CONTROL, "GET", "/v1/config/read",
+			     "", NULL),
+			==, 503);
+	expect_log_line(f, 1, "config_read_unconfirmed", "\"reason\":");
+	expect_log_line(f, 1, "state_unconfirmed", "\"reason\":");
+	expect_log_line(f, SESSION_HOST, "state_unconfirmed",
+			"\"reason\":\"upstreams do not answer\"");
+	wait_for_metric(f, "lws_config_reads_unconfirmed 1\n");
+	kill(f->pids[2], SIGCONT);
+	kill(f->pids[3], SIGCONT);
+	expect_log_line(f, SESSION_HOST, "state_confirmed", "\"upstream\":");
+	expect_eventually(c, "WRITE after it", "COMPLETE write-tag|READY I");
+	close_line(c);
+	fleet_stop(f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1997,6 +2021,8 @@
 			test_evacuation_without_majority);
 	g_test_add_func("/platform-daemon/evacuation-leader-killed",
 			test_evacuation_leader_killed);
+	g_test_add_func("/platform-daemon/unconfirmed-logged",
+			test_unconfirmed_logged);
 	g_test_add_func("/platform-daemon/failures-logged",
 			test_failures_logged);
 	return g_test_run();
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -3,6 +3,7 @@
 #include <talloc.h>
 
 #include "address_book.h"
+#include "confirm_watch.h"
 #include "instances.h"
 #include "lease.h"
 #include "lws_error.h"
@@ -614,6 +615,81 @@
 	}
 }
 
+/* Confirmation lapses */
+
+struct watch_case {
+	const char *name;
+	/* Confirmed as of this time before it stops, 0 for never. */
+	uint64_t confirmed_ms;
+	/* Checked from 1,000 ms on, every 10 ms. */
+	uint64_t checked_until_ms;
+	uint32_t told;
+	/* When it was last told, and for how long it was unconfirmed then. */
+	uint64_t told_ms;
+	uint64_t age_ms;
+};
+
+static const struct watch_case watch_cases[] = {
+	{ "confirmed", 3000, 4490, 0, 0, 0 },
+	{ "lapsed", 3000, 6000, 1, 4500, 1500 },
+	{ "lapsed-for-long", 3000, 15000, 3, 14500, 11500 },
+	{ "never-confirmed", 0, 3000, 1, 2500, 1500 },
+};
+
+/* The log names a lapse once, again every 5 s, and its end. */
+static void test_watch(gconstpointer data)
+{
+	const struct watch_case *test = data;
+	struct confirm_watch w = { 0 };
+	uint32_t told = 0;
+	uint64_t told_ms = 0;
+	uint64_t told_age_us = 0;
+	uint64_t age_us;
+	uint64_t now = 1000;
+
+	for (; now <= test->checked_until_ms; now += 10) {
+		uint64_t confirmed = MIN(now, test->confirmed_ms);
+		enum confirm_event event = confirm_watch_step(
+			&w, now * MS, confirmed * MS, &age_us);
+
+		g_assert_cmpint(event, !=, CONFIRM_RESTORED);
+		if (event == CONFIRM_NOTHING)
+			continue;
+		g_assert_cmpint(event, ==,
+				told++ ? CONFIRM_STILL_LAPSED : CONFIRM_LAPSED);
+		told_ms = now;
+		told_age_us = age_us;
+	}
+	g_assert_cmpuint(told, ==, test->told);
+	g_assert_cmpuint(told_ms, ==, test->told_ms);
+	g_assert_cmpuint(told_age_us, ==, test->age_ms * MS);
+	g_assert_cmpint(confirm_watch_step(&w, now * MS, now * MS, &age_us), ==,
+			told ? CONFIRM_RESTORED : CONFIRM_NOTHING);
+	if (told)
+		g_assert_cmpuint(age_us, ==,
+				 (now - MAX(test->confirmed_ms, 1000)) * MS);
+}
+
+struct obstacle_case {
+	struct confirm_view view;
+	const char *text;
+};
+
+static const struct obstacle_case obstacle_cases[] = {
+	{ { true, true, 0, 250 * MS },
+	  "no majority of the voters acknowledges" },
+	{ { false, false, 0, 250 * MS }, "no upstream is connected" },
+	{ { false, true, 250 * MS, 250 * MS }, "upstreams do not answer" },
+	{ { false, true, 249 * MS, 250 * MS }, "answers come late" },
+};
+
+static void test_obstacles(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(obstacle_cases); i++)
+		g_assert_cmpstr(confirm_obstacle(&obstacle_cases[i].view), ==,
+				obstacle_cases[i].text);
+}
+
 struct book_case {
 	const char *name;
 	const char *added[4];
@@ -659,6 +735,13 @@
 	g_test_add_func("/sync/leader-is-newer", test_leader_is_newer);
 	g_test_add_func("/sync/preferred-upstream", test_preferred_upstream);
 	g_test_add_func("/sync/upstream-order", test_upstream_order);
+	for (size_t i = 0; i < G_N_ELEMENTS(watch_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/sync/confirmation-lapses/%s", watch_cases[i].name);
+
+		g_test_add_data_func(path, &watch_cases[i], test_watch);
+	}
+	g_test_add_func("/sync/confirmation-obstacles", test_obstacles);
 	g_test_add_func("/membership/address-book", test_address_book);
 	g_test_add_func("/sync/log-or-snapshot", test_log_or_snapshot);
 	g_test_add_func("/sync/large-commands", test_large_commands);
