Ask another upstream if the one taken for the leader does not answer

What callers see: control instances that are no voters any more, and heard of no newer leader since, take each other for the leader: their requests go round, neither ever has a confirmed state, reads of the configuration there end with 503 for good, and entry instances that prefer them are confirmed by others only. One that is taken for the leader and is silent was asked again each time until its connection was closed, whatever the count of tries.

Cause: the count of requests without an answer chose among upstreams only while no leader was known.

Change: the leader is asked first; after a request without an answer the others in turn, and the leader again after a second, as for instances that know none.

Tests: /sync/mistaken-leader/* (virtual time, the linked functions): two, three and one that asks two of them.

--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -118,14 +118,27 @@
 	return peer_hello(peer)->member || (peer_dialled(peer) && !c->raft);
 }
 
-/* At most one connection to each other instance counts. */
-static struct peer *nth_upstream(struct control *c, uint32_t nth)
+/*
+ * Voters ask the leader first. Without one, any other instance may know it: one
+ * that voted before gets no messages of a new leader. At most one connection to
+ * each other instance counts.
+ */
+static struct peer *choose_upstream(struct control *c)
 {
 	struct sync_upstream list[UPSTREAMS_MAX];
 	struct peer *peers[UPSTREAMS_MAX];
+	struct peer *leader = NULL;
 	uint32_t n = 0;
+	int32_t leader_at = -1;
 	int32_t at;
 
+	if (c->raft && raft_voters(c->raft)->count)
+		leader = control_leader_peer(c);
+	if (leader) {
+		leader_at = 0;
+		list[n] = (struct sync_upstream){ 0 };
+		peers[n++] = leader;
+	}
 	for (int dialled = 1; dialled >= 0; dialled--) {
 		for (struct peer *p = peer_hub_first(c->hub); p;
 		     p = peer_hub_next(p)) {
@@ -139,23 +152,10 @@
 			peers[n++] = p;
 		}
 	}
-	at = sync_choose_upstream(list, n, nth);
+	at = sync_next_upstream(&c->sync, leader_at, list, n);
 	return at < 0 ? NULL : peers[at];
 }
 
-/*
- * Voters ask the leader. Without one, any other instance may know it: one that
- * voted before gets no messages of a new leader.
- */
-static struct peer *choose_upstream(struct control *c)
-{
-	struct peer *leader = NULL;
-
-	if (c->raft && raft_voters(c->raft)->count)
-		leader = control_leader_peer(c);
-	return leader ? leader : nth_upstream(c, c->sync.upstream);
-}
-
 static void send_sync_request(struct control *c, uint64_t now_us)
 {
 	struct wire_msg msg = { .type = WIRE_SYNC_REQUEST,
--- a/lib/membership/sync.c
+++ b/lib/membership/sync.c
@@ -87,6 +87,16 @@
 	return -1;
 }
 
+int32_t sync_next_upstream(const struct sync_client *c, int32_t leader,
+			   const struct sync_upstream *list, uint32_t count)
+{
+	if (leader < 0)
+		return sync_choose_upstream(list, count, c->upstream);
+	if (!c->upstream)
+		return leader;
+	return sync_choose_upstream(list, count, c->upstream - 1);
+}
+
 bool sync_leader_is_newer(const char *heard_leader, uint64_t heard_term,
 			  uint64_t own_term)
 {
--- a/lib/membership/sync.h
+++ b/lib/membership/sync.h
@@ -119,6 +119,24 @@
 int32_t sync_choose_upstream(const struct sync_upstream *list, uint32_t count,
 			     uint32_t nth);
 
+/**
+ * sync_next_upstream() - choose the upstream of the next request
+ * @c: client
+ * @leader: index in @list of the instance that is taken for the leader, -1 if
+ *          there is none or this instance does not prefer it
+ * @list: connections
+ * @count: number of @list
+ *
+ * A leader is asked first. After a request without an answer the others are
+ * asked in turn, as for instances that know no leader: the one that is taken
+ * for the leader may lead no more and take this instance, or one that asks it,
+ * for the leader. Neither of them would ever have a confirmed state.
+ *
+ * Return: an index into @list, -1 if it is empty.
+ */
+int32_t sync_next_upstream(const struct sync_client *c, int32_t leader,
+			   const struct sync_upstream *list, uint32_t count);
+
 /**
  * sync_leader_is_newer() - whether a leader named in sync replies replaces the
  * one that this instance follows
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -615,6 +615,78 @@
 	}
 }
 
+/* Instances that take each other for the leader */
+
+#define CIRCLE_MAX 4
+
+struct circle_case {
+	const char *name;
+	/* Which one each takes for the leader, -1 for none; 0 leads. */
+	int32_t leader[CIRCLE_MAX];
+	uint32_t count;
+};
+
+static const struct circle_case circle_cases[] = {
+	{ "right-leader", { 0, 0, 0 }, 3 },
+	{ "two", { 0, 2, 1 }, 3 },
+	{ "three", { 0, 2, 3, 1 }, 4 },
+	{ "two-and-one-that-asks-them", { 0, 2, 1, 1 }, 4 },
+};
+
+/* Replies come at once, if the upstream has a confirmed state by then. */
+static void answer_circle(struct sync_client *clients, uint32_t n,
+			  const uint64_t *arrived, const int32_t *asked,
+			  uint64_t now)
+{
+	for (uint32_t i = 1; i < n; i++) {
+		uint64_t confirmed =
+			asked[i] ? clients[asked[i]].confirmed_us : now;
+
+		if (clients[i].sent_us && confirmed >= arrived[i])
+			sync_client_reply(&clients[i], now, clients[i].sent_us,
+					  true);
+	}
+}
+
+/*
+ * Instances that led before, and were removed as voters while they were cut
+ * off, each hear only of the other. Guards against requests that go round for
+ * ever, with no confirmed state at either.
+ */
+static void test_circle(gconstpointer data)
+{
+	const struct circle_case *test = data;
+	struct sync_client clients[CIRCLE_MAX] = { 0 };
+	const struct sync_upstream connected[CIRCLE_MAX] = { 0 };
+	uint64_t arrived[CIRCLE_MAX] = { 0 };
+	int32_t asked[CIRCLE_MAX] = { 0 };
+	uint64_t now = 1000 * MS;
+
+	for (uint32_t i = 0; i < test->count; i++) {
+		clients[i].poll_us = 400 * MS;
+		clients[i].timeout_us = 250 * MS;
+	}
+	for (; now < 5000 * MS; now += 10 * MS) {
+		for (uint32_t i = 1; i < test->count; i++) {
+			if (sync_client_step(&clients[i], now) !=
+			    SYNC_SEND_REQUEST)
+				continue;
+			sync_client_sent(&clients[i], now);
+			arrived[i] = now;
+			asked[i] =
+				sync_next_upstream(&clients[i], test->leader[i],
+						   connected, test->count);
+			/* An instance has no connection to itself. */
+			if (asked[i] == (int32_t)i)
+				asked[i] = 0;
+		}
+		answer_circle(clients, test->count, arrived, asked, now);
+		for (uint32_t i = 1; now > 3000 * MS && i < test->count; i++)
+			g_assert_cmpuint(now - clients[i].confirmed_us, <,
+					 CONFIRM_LAPSE_US);
+	}
+}
+
 /* Confirmation lapses */
 
 struct watch_case {
@@ -735,6 +807,12 @@
 	g_test_add_func("/sync/leader-is-newer", test_leader_is_newer);
 	g_test_add_func("/sync/preferred-upstream", test_preferred_upstream);
 	g_test_add_func("/sync/upstream-order", test_upstream_order);
+	for (size_t i = 0; i < G_N_ELEMENTS(circle_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/sync/mistaken-leader/%s", circle_cases[i].name);
+
+		g_test_add_data_func(path, &circle_cases[i], test_circle);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(watch_cases); i++) {
 		g_autofree char *path = g_strdup_printf(
 			"/sync/confirmation-lapses/%s", watch_cases[i].name);
