--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -1,5 +1,6 @@
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <talloc.h>
 #include <tevent.h>
 #include <unistd.h>
@@ -146,6 +147,119 @@
 	talloc_free(ev);
 }
 
+/* A relay between two sides, whose open connections can go silent for good. */
+
+#define RELAY_CONNECTIONS_MAX 8
+#define RELAY_TICK_US (5 * LWS_US_PER_MS)
+/* From the last byte until both sides are connected again. */
+#define RECONNECTED_US (2500 * LWS_US_PER_MS)
+
+enum silent {
+	SILENT_TO_LISTENER = 1,
+	SILENT_TO_DIALLER = 2,
+	SILENT_BOTH = 3,
+};
+
+struct relayed {
+	int dialler;
+	int listener;
+	uint32_t silent;
+};
+
+struct relay {
+	int listen_fd;
+	const char *target;
+	uint32_t count;
+	struct relayed conns[RELAY_CONNECTIONS_MAX];
+};
+
+static void forward(int from, int to)
+{
+	char buf[4096];
+	ssize_t got = recv(from, buf, sizeof(buf), MSG_DONTWAIT);
+
+	if (got > 0)
+		g_assert_cmpint(send(to, buf, (size_t)got, MSG_NOSIGNAL), ==,
+				got);
+	else if (!got)
+		shutdown(to, SHUT_WR);
+}
+
+static void relay_tick(struct relay *r)
+{
+	int fd = sock_accept(r->listen_fd);
+
+	if (fd >= 0) {
+		g_assert_cmpuint(r->count, <, RELAY_CONNECTIONS_MAX);
+		r->conns[r->count++] =
+			(struct relayed){ .dialler = fd,
+					  .listener = sock_connect(r->target) };
+	}
+	for (uint32_t i = 0; i < r->count; i++) {
+		const struct relayed *c = &r->conns[i];
+
+		if (!(c->silent & SILENT_TO_LISTENER))
+			forward(c->dialler, c->listener);
+		if (!(c->silent & SILENT_TO_DIALLER))
+			forward(c->listener, c->dialler);
+	}
+}
+
+struct severed_case {
+	const char *name;
+	uint32_t silent;
+};
+
+static const struct severed_case severed_cases[] = {
+	{ "both-ways", SILENT_BOTH },
+	{ "to-listener", SILENT_TO_LISTENER },
+	{ "to-dialler", SILENT_TO_DIALLER },
+};
+
+/*
+ * An open connection goes silent for good, without a reset; new ones work.
+ * Guards against sides that keep it and never connect again.
+ */
+static void test_severed(gconstpointer data)
+{
+	const struct severed_case *test = data;
+	struct tevent_context *ev = tevent_context_init(NULL);
+	char listener_addr[SOCK_ADDR_MAX];
+	char relay_addr[SOCK_ADDR_MAX];
+	int fd = sock_listen("127.0.0.1:0", listener_addr);
+	struct relay r = { .listen_fd = sock_listen("127.0.0.1:0", relay_addr),
+			   .target = listener_addr };
+	uint64_t until = lws_time_now_us() + DEADLINE_US;
+	struct side a = { 0 };
+	struct side b = { 0 };
+	uint64_t silent_us;
+
+	open_side(ev, &a, "a", fd);
+	open_side(ev, &b, "b", -1);
+	g_assert_cmpint(peer_hub_dial(b.hub, relay_addr), ==, 0);
+	while ((!a.ups || !b.ups) && lws_time_now_us() < until) {
+		relay_tick(&r);
+		run_for(ev, RELAY_TICK_US);
+	}
+	g_assert_cmpuint(r.count, ==, 1);
+	r.conns[0].silent = test->silent;
+	silent_us = lws_time_now_us();
+	while ((a.ups < 2 || b.ups < 2 || !a.downs || !b.downs) &&
+	       lws_time_now_us() < until) {
+		relay_tick(&r);
+		run_for(ev, RELAY_TICK_US);
+	}
+	g_assert_cmpuint(lws_time_now_us() - silent_us, <, RECONNECTED_US);
+	g_assert_cmpuint(a.ups, ==, 2);
+	g_assert_cmpuint(b.ups, ==, 2);
+	for (uint32_t i = 0; i < r.count; i++) {
+		close(r.conns[i].dialler);
+		close(r.conns[i].listener);
+	}
+	close(r.listen_fd);
+	talloc_free(ev);
+}
+
 /*
  * The address accepts connections but sends nothing, as when an instance has
  * just lost power. It may answer again soon, so the first attempt has a much
@@ -186,6 +300,12 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/peer/idle-kept", test_idle_kept);
 	g_test_add_func("/peer/unresponsive-closed", test_unresponsive_closed);
+	for (size_t i = 0; i < G_N_ELEMENTS(severed_cases); i++) {
+		g_autofree char *path = g_strdup_printf("/peer/severed/%s",
+							severed_cases[i].name);
+
+		g_test_add_data_func(path, &severed_cases[i], test_severed);
+	}
 	g_test_add_func("/peer/connect-timeout-grows", test_timeout_grows);
 	return g_test_run();
 }
