Set timers to the time to wait, not to an absolute time

The time of day of the leader's machine jumps back; it runs no timer for that time, another leader is elected, and the former one goes on acting on messages.

Evidence: a library that changes the time of day of real processes and leaves the steady clocks alone (libfaketime, DONT_FAKE_MONOTONIC), three control instances, a primary that leaves.

Cause: timerfd_settime() with TFD_TIMER_ABSTIME. The kernel takes the time for one of the timer's clock, which doesn't jump; what changes the time of day of a process in user space shifts any absolute time.

Change: timers are set to the time to wait. They still count a suspension.

Tests: /platform-daemon/clock-jumps/{back,forward,back-an-hour, forward-an-hour}: no other instance is elected, no fencing token has two holders, writes succeed in and after the jump.

--- a/lib/io/io_timer.c
+++ b/lib/io/io_timer.c
@@ -50,19 +50,31 @@
 	return g_sequence_iter_is_end(at) ? NULL : g_sequence_get(at);
 }
 
+/*
+ * Sets how long to wait, not until when: what changes the time of day of a
+ * process may take an absolute time for one of that clock.
+ */
 static void arm(struct io_timers *t)
 {
 	const struct io_timer *next = first(t);
 	uint64_t due_us = next ? next->due_us : 0;
-	struct itimerspec spec = {
-		.it_value = { .tv_sec = (time_t)(due_us / LWS_US_PER_S),
-			      .tv_nsec = (long)(due_us % LWS_US_PER_S) * 1000 }
-	};
+	struct itimerspec spec = { 0 };
+	uint64_t now_us;
 
 	if (due_us == t->armed_us)
 		return;
 	t->armed_us = due_us;
-	(void)timerfd_settime(t->fd, TFD_TIMER_ABSTIME, &spec, NULL);
+	now_us = lws_time_now_us();
+	if (due_us > now_us) {
+		spec.it_value.tv_sec =
+			(time_t)((due_us - now_us) / LWS_US_PER_S);
+		spec.it_value.tv_nsec =
+			(long)((due_us - now_us) % LWS_US_PER_S) * 1000;
+	} else if (due_us) {
+		/* A wait of 0 would stop the timer. */
+		spec.it_value.tv_nsec = 1;
+	}
+	(void)timerfd_settime(t->fd, 0, &spec, NULL);
 }
 
 static int remove_timer(struct io_timer *timer)
--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -101,11 +101,32 @@
 /* Further environment variable of the daemons that are started, or NULL. */
 static char *daemon_variable;
 
+/* The daemons that are started read the time of day from set_clock(). */
+static bool fake_clocks;
+
+/* Sets the time of day of a host to the real one and @offset, in seconds. */
+static void set_clock(const struct test_fleet *f, int host, const char *offset)
+{
+	g_autofree char *path = g_strdup_printf("%s/%d.time", f->dir, host);
+
+	g_assert_true(g_file_set_contents(path, offset, -1, NULL));
+}
+
 static void spawn(struct test_fleet *f, int host, char **argv)
 {
 	g_autofree char *config =
 		g_strdup_printf("LACEWINGSPAN_CONFIG=%s/%d.conf", f->dir, host);
-	char *env[] = { config, daemon_variable, NULL };
+	g_autofree char *time = g_strdup_printf(
+		"FAKETIME_TIMESTAMP_FILE=%s/%d.time", f->dir, host);
+	char *env[] = { config,
+			fake_clocks ? "LD_PRELOAD=/usr/$LIB/faketime/"
+				      "libfaketime.so.1"
+				    : daemon_variable,
+			time,
+			"DONT_FAKE_MONOTONIC=1",
+			"FAKETIME_NO_CACHE=1",
+			"ASAN_OPTIONS=detect_leaks=0:verify_asan_link_order=0",
+			NULL };
 	g_autofree char *log = g_strdup_printf("%s/%d.log", f->dir, host);
 	int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 	g_autoptr(GError) error = NULL;
@@ -351,6 +372,8 @@
 	f->session_hosts = session_hosts;
 	f->data_losses_max = data_losses_max;
 	f->caller_host = SESSION_HOST;
+	for (int i = 1; fake_clocks && i < HOSTS_MAX; i++)
+		set_clock(f, i, "+0");
 	for (uint32_t i = 1; i <= controls; i++) {
 		write_settings(f, (int)i);
 		start_daemon(f, (int)i);
@@ -391,9 +414,12 @@
 				g_strdup_printf("%s/%d.conf", dir, i);
 			g_autofree char *log =
 				g_strdup_printf("%s/%d.log", dir, i);
+			g_autofree char *time =
+				g_strdup_printf("%s/%d.time", dir, i);
 
 			g_unlink(conf);
 			g_unlink(log);
+			g_unlink(time);
 		}
 	}
 	g_free(f->dir);
@@ -1937,6 +1963,87 @@
 	fleet_stop(f);
 }
 
+struct clock_case {
+	const char *name;
+	const char *offset;
+};
+
+static const struct clock_case clock_cases[] = {
+	{ "back", "-2.4" },
+	{ "forward", "+2.4" },
+	{ "back-an-hour", "-3600" },
+	{ "forward-an-hour", "+3600" },
+};
+
+/* How many log lines of an instance have the text. */
+static uint32_t count_log_lines(const struct test_fleet *f, int host,
+				const char *text)
+{
+	g_autofree char *path = g_strdup_printf("%s/%d.log", f->dir, host);
+	g_autofree char *log = NULL;
+	uint32_t n = 0;
+
+	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+	for (const char *at = log; (at = strstr(at, text)); at++)
+		n++;
+	return n;
+}
+
+/* No two instances asked for a promotion with one fencing token. */
+static void check_one_holder(const struct test_fleet *f)
+{
+	for (int fence = 1; fence < 50; fence++) {
+		g_autofree char *text = g_strdup_printf("\"fence\":%d}", fence);
+		uint32_t holders = 0;
+
+		for (int i = 1; i <= (int)f->controls; i++) {
+			g_autofree char *line =
+				find_log_line(f, i, "promote_asked", text);
+
+			holders += line != NULL;
+		}
+		g_assert_cmpuint(holders, <=, 1);
+	}
+}
+
+/*
+ * The time of day jumps at the instance that leads, as its primary leaves, and
+ * jumps back (review case 4, with real processes). Guards against timers that
+ * wait for the jump: the instance would send no heartbeats and be replaced,
+ * but go on acting as the leader.
+ */
+static void test_clock_jumps(gconstpointer data)
+{
+	const struct clock_case *test = data;
+	struct test_fleet *f;
+	struct line_conn *c;
+	uint32_t led = 0;
+	int leader;
+
+	fake_clocks = true;
+	f = fleet_start(3);
+	fake_clocks = false;
+	c = open_session(f, "pay", "k1");
+	leader = wait_for_leader(f);
+	for (int i = 1; i <= 3; i++)
+		led += count_log_lines(f, i, "lead_taken");
+	set_clock(f, leader, test->offset);
+	kill(f->pids[STANDIN_HOST], SIGUSR2);
+	expect_control_log_line(f, "promote_asked", "\"fence\":");
+	expect_eventually(c, "WRITE in it", "COMPLETE write-tag|READY I");
+	g_usleep(3000 * 1000);
+	set_clock(f, leader, "+0");
+	g_usleep(3000 * 1000);
+	expect_eventually(c, "WRITE after it", "COMPLETE write-tag|READY I");
+	check_one_holder(f);
+	/* No other instance was elected. */
+	for (int i = 1; i <= 3; i++)
+		led -= count_log_lines(f, i, "lead_taken");
+	g_assert_cmpuint(led, ==, 0);
+	close_line(c);
+	fleet_stop(f);
+}
+
 /* The logs say why callers and operators get no answer without a majority. */
 static void test_unconfirmed_logged(void)
 {
@@ -2021,6 +2128,12 @@
 			test_evacuation_without_majority);
 	g_test_add_func("/platform-daemon/evacuation-leader-killed",
 			test_evacuation_leader_killed);
+	for (size_t i = 0; i < G_N_ELEMENTS(clock_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/platform-daemon/clock-jumps/%s", clock_cases[i].name);
+
+		g_test_add_data_func(path, &clock_cases[i], test_clock_jumps);
+	}
 	g_test_add_func("/platform-daemon/unconfirmed-logged",
 			test_unconfirmed_logged);
 	g_test_add_func("/platform-daemon/failures-logged",
