Soak: fleets of up to 8 control and 72 entry instances, with faults of such fleets

With more than three control instances, faults that only such fleets have: most open connections go silent for good at the same moment; as many control instances as may be lost are killed or paused; nothing reaches some of them; all instances are killed; after a calm stretch of 6 s, in which every entry instance must take a write and every control instance must return the newest configuration, as many control instances as may be lost lose their data. The seeds of the small fleet keep their schedules. A rolling restart of a large fleet takes 8 instances.

--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -384,7 +384,8 @@
 	case CONFIRM_LAPSED:
 		lws_counter_add(&c->daemon->counters,
 				LWS_COUNTER_CONFIRMATION_LAPSES, 1);
-		/* fall through */
+		control_log_unconfirmed(c, "state_unconfirmed", age_us, now_us);
+		return;
 	case CONFIRM_STILL_LAPSED:
 		control_log_unconfirmed(c, "state_unconfirmed", age_us, now_us);
 		return;
--- a/soak/callers.c
+++ b/soak/callers.c
@@ -515,7 +515,7 @@
 
 static int any_control(struct lws_rng *rng)
 {
-	return 1 + SOAK_PROXY_OFFSET + (int)lws_rng_below(rng, SOAK_CONTROLS);
+	return 1 + SOAK_PROXY_OFFSET + (int)lws_rng_below(rng, soak_controls);
 }
 
 /*
@@ -665,7 +665,7 @@
 static void check_evacuation(struct soak_ledger *l, int zone)
 {
 	int64_t until = soak_now_ms() + SOAK_RECOVERY_MS;
-	int hosts = SOAK_CONTROLS + soak_session_servers;
+	int hosts = soak_controls + soak_session_servers;
 	int current = 0;
 
 	while (soak_now_ms() < until && current < hosts) {
@@ -673,9 +673,9 @@
 		for (int i = 0; i < hosts; i++)
 			current += evacuation_is_current(
 				l,
-				i < SOAK_CONTROLS ? i + 1
+				i < soak_controls ? i + 1
 						  : SOAK_FIRST_SESSION_SERVER +
-							    i - SOAK_CONTROLS,
+							    i - soak_controls,
 				zone);
 		g_usleep(100 * 1000);
 	}
@@ -796,14 +796,14 @@
 	int current_count = 0;
 
 	while (soak_now_ms() < until && (served < soak_session_servers ||
-					 current_count < SOAK_CONTROLS)) {
+					 current_count < soak_controls)) {
 		served = 0;
 		current_count = 0;
 		g_string_truncate(why, 0);
 		for (int i = 0; i < soak_session_servers; i++)
 			served += write_succeeds(l,
 						 SOAK_FIRST_SESSION_SERVER + i);
-		for (int i = 1; i <= SOAK_CONTROLS; i++)
+		for (int i = 1; i <= soak_controls; i++)
 			current_count += config_is_current(l, i, why);
 		g_usleep(100 * 1000);
 	}
@@ -811,10 +811,10 @@
 		soak_fail("%d of %d session servers accept writes %d ms after "
 			  "the last fault",
 			  served, soak_session_servers, SOAK_RECOVERY_MS);
-	if (current_count < SOAK_CONTROLS)
+	if (current_count < soak_controls)
 		soak_fail("%d of %d control instances return the newest "
 			  "configuration:%s",
-			  current_count, SOAK_CONTROLS, why->str);
+			  current_count, soak_controls, why->str);
 }
 
 /* Maps each "ITEM VALUE" to the number of its commits. */
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -35,7 +35,7 @@
 
 static bool is_control(int host)
 {
-	return host <= SOAK_CONTROLS;
+	return host <= soak_controls;
 }
 
 /* Starting */
@@ -54,7 +54,7 @@
 		.host = host,
 		.seeds_offset = SOAK_PROXY_OFFSET,
 		.promote_host = SOAK_STANDIN + SOAK_PROXY_OFFSET,
-		.data_losses_max = SOAK_CONTROLS / 2,
+		.data_losses_max = (uint32_t)(soak_controls - 1) / 2,
 		.bootstrap = !f->data_wiped[host],
 		.data_dir = is_control(host) ? data_dir : NULL,
 	};
@@ -107,7 +107,7 @@
 	char *argv[] = { path,		 listen, advertise, promote,
 			 STANDIN_RETURN, NULL,	 NULL };
 
-	for (int i = 1; i <= SOAK_CONTROLS; i++)
+	for (int i = 1; i <= soak_controls; i++)
 		g_string_append_printf(announce, "%s%s.%d:%d", i > 1 ? "," : "",
 				       f->net, i + SOAK_PROXY_OFFSET,
 				       TEST_PORT_CONTROL);
@@ -129,7 +129,7 @@
 
 	f->net = net;
 	f->dir = dir;
-	for (int i = 1; i <= SOAK_CONTROLS; i++)
+	for (int i = 1; i <= soak_controls; i++)
 		start(f, i);
 	for (int i = 0; i < soak_session_servers; i++)
 		start(f, SOAK_FIRST_SESSION_SERVER + i);
--- a/soak/main.c
+++ b/soak/main.c
@@ -25,6 +25,10 @@
 #define WIPE_UNDISTURBED_MS 4000
 /* Between two planned stops, so that each instance has time to come back. */
 #define RESTART_UNDISTURBED_MS 2000
+#define ROLLING_RESTARTS 8
+/* One fault in so many is a calm stretch of this length, in a large fleet. */
+#define CALM_ONE_IN 20
+#define CALM_MS 6000
 #define NETS_TRIED 50
 
 struct run {
@@ -34,12 +38,13 @@
 	struct soak_ledger *ledger;
 	int routes;
 	/* When the fault of each route ends, 0 without a fault. */
-	int64_t heal_ms[64];
+	int64_t heal_ms[SOAK_ROUTES_MAX];
 };
 
 static gint failures;
 static gint64 started_us;
 static bool verbose;
+int soak_controls = SOAK_CONTROLS_MIN;
 int soak_session_servers = SOAK_SESSION_SERVERS_MIN;
 
 static void print_line(FILE *out, const char *prefix, const char *format,
@@ -87,11 +92,11 @@
 
 static int random_daemon(struct run *r)
 {
-	int i = random_below(r, SOAK_CONTROLS + soak_session_servers);
+	int i = random_below(r, soak_controls + soak_session_servers);
 
-	return i < SOAK_CONTROLS
+	return i < soak_controls
 		       ? i + 1
-		       : SOAK_FIRST_SESSION_SERVER + i - SOAK_CONTROLS;
+		       : SOAK_FIRST_SESSION_SERVER + i - soak_controls;
 }
 
 static void disturb_route(struct run *r)
@@ -123,7 +128,7 @@
 {
 	int host = random_daemon(r);
 	int ms = random_below(r, DOWN_MAX_MS);
-	bool wipe = host <= SOAK_CONTROLS && !random_below(r, 3) &&
+	bool wipe = host <= soak_controls && !random_below(r, 3) &&
 		    soak_fleet_undisturbed_ms(r->fleet) > WIPE_UNDISTURBED_MS;
 
 	soak_log("kill host %d for %d ms%s", host, ms,
@@ -131,22 +136,107 @@
 	soak_fleet_kill(r->fleet, host, ms);
 	if (wipe)
 		soak_fleet_wipe_data(r->fleet, host);
-	else if (host <= SOAK_CONTROLS && !random_below(r, 3))
+	else if (host <= soak_controls && !random_below(r, 3))
 		soak_fleet_tear_log(r->fleet, host, &r->rng);
 }
 
 static void kill_all(struct run *r)
 {
 	soak_log("kill all control instances");
-	for (int i = 1; i <= SOAK_CONTROLS; i++)
+	for (int i = 1; i <= soak_controls; i++)
 		soak_fleet_kill(r->fleet, i, random_below(r, 500));
 }
 
+/*
+ * Most open connections carry nothing any more, at the same moment; new ones
+ * work.
+ */
+static void silence_connections(struct run *r)
+{
+	int percent = 30 + random_below(r, 70);
+
+	soak_log("black-hole %d%% of the routes", percent);
+	for (int i = 0; i < r->routes; i++) {
+		if (random_below(r, 100) < percent)
+			soak_proxy_blackhole(r->proxy, i);
+	}
+}
+
+/* As many control instances as may be lost at once. */
+static void lose_controls(struct run *r)
+{
+	int lost = (soak_controls - 1) / 2;
+	int first = random_below(r, soak_controls);
+	bool pause = random_below(r, 2);
+
+	soak_log("%s %d control instances", pause ? "pause" : "kill", lost);
+	for (int i = 0; i < lost; i++) {
+		int host = 1 + (first + i) % soak_controls;
+
+		if (pause)
+			soak_fleet_pause(r->fleet, host,
+					 1000 + random_below(r, PAUSE_MAX_MS));
+		else
+			soak_fleet_kill(r->fleet, host,
+					random_below(r, DOWN_MAX_MS));
+	}
+}
+
+static void cut_controls(struct run *r)
+{
+	int ms = 1000 + random_below(r, STALL_MAX_MS);
+	int from = random_below(r, soak_controls);
+	int count = 1 + random_below(r, soak_controls - 1);
+
+	soak_log("nothing reaches %d control instances for %d ms", count, ms);
+	for (int i = 0; i < count; i++) {
+		/* The routes of the control instances come first, in pairs. */
+		int route = 2 * ((from + i) % soak_controls);
+
+		soak_proxy_set(r->proxy, route, SOAK_STALL_BOTH, 0);
+		r->heal_ms[route] = soak_now_ms() + ms;
+	}
+}
+
+static void restart_all(struct run *r)
+{
+	soak_log("kill all instances");
+	for (int i = 1; i < SOAK_STANDIN; i++)
+		soak_fleet_kill(r->fleet, i, random_below(r, 500));
+}
+
+/* Faults that only a large fleet has; the others keep their schedules. */
+static void inject_wide_fault(struct run *r)
+{
+	switch (random_below(r, 8)) {
+	case 0:
+	case 1:
+	case 2:
+		silence_connections(r);
+		return;
+	case 3:
+	case 4:
+		lose_controls(r);
+		return;
+	case 5:
+	case 6:
+		cut_controls(r);
+		return;
+	default:
+		restart_all(r);
+		return;
+	}
+}
+
 static void inject_fault(struct run *r)
 {
 	int host;
 	int route = random_below(r, r->routes);
 
+	if (soak_controls > SOAK_CONTROLS_MIN && !random_below(r, 6)) {
+		inject_wide_fault(r);
+		return;
+	}
 	switch (random_below(r, 16)) {
 	case 0:
 	case 1:
@@ -213,9 +303,41 @@
 	}
 }
 
+static void end_faults(struct run *r)
+{
+	soak_log("end all faults");
+	soak_proxy_heal(r->proxy);
+	memset(r->heal_ms, 0, sizeof(r->heal_ms));
+	soak_fleet_heal(r->fleet);
+	/* Some processes may still be stopping. */
+	while (!soak_fleet_undisturbed_ms(r->fleet))
+		run_for(r, 20);
+}
+
+/*
+ * Everything works again in a calm stretch; then as many control instances as
+ * may be lost at once lose their data.
+ */
+static void calm_then_wipe(struct run *r)
+{
+	int lost = 1 + random_below(r, (soak_controls - 1) / 2);
+	int first = random_below(r, soak_controls);
+
+	end_faults(r);
+	run_for(r, CALM_MS);
+	soak_check_recovered(r->ledger);
+	soak_log("kill %d control instances, remove their data", lost);
+	for (int i = 0; i < lost; i++) {
+		int host = 1 + (first + i) % soak_controls;
+
+		soak_fleet_kill(r->fleet, host, random_below(r, DOWN_MAX_MS));
+		soak_fleet_wipe_data(r->fleet, host);
+	}
+}
+
 static void add_routes(struct run *r, const char *net)
 {
-	for (int i = 1; i <= SOAK_CONTROLS; i++) {
+	for (int i = 1; i <= soak_controls; i++) {
 		soak_proxy_add(r->proxy, net, i, TEST_PORT_PEERS);
 		soak_proxy_add(r->proxy, net, i, TEST_PORT_CONTROL);
 	}
@@ -231,11 +353,17 @@
 					       SOAK_PORT_ENDPOINT + i);
 }
 
-/* Rolling restart under load: every statement must be answered. */
+/*
+ * Rolling restart under load: every statement must be answered. Of a large
+ * fleet, some instances are restarted.
+ */
 static void rolling_restart(struct run *r)
 {
+	int hosts = soak_session_servers + soak_controls;
+	int step = (hosts + ROLLING_RESTARTS - 1) / ROLLING_RESTARTS;
+
 	soak_callers_expect_answers(r->ledger, true);
-	for (int i = 0; i < soak_session_servers + SOAK_CONTROLS; i++) {
+	for (int i = 0; i < hosts; i += step) {
 		int host = i < soak_session_servers
 				   ? SOAK_FIRST_SESSION_SERVER + i
 				   : 1 + i - soak_session_servers;
@@ -282,17 +410,15 @@
 	soak_callers_start(r.ledger);
 	run_for(&r, 1000);
 	while (soak_now_ms() < seconds * 1000) {
-		inject_fault(&r);
+		if (soak_controls > SOAK_CONTROLS_MIN &&
+		    !random_below(&r, CALM_ONE_IN))
+			calm_then_wipe(&r);
+		else
+			inject_fault(&r);
 		run_for(&r, FAULT_PAUSE_MIN_MS +
 				    random_below(&r, FAULT_PAUSE_SPREAD_MS));
 	}
-	soak_log("end all faults");
-	soak_proxy_heal(r.proxy);
-	memset(r.heal_ms, 0, sizeof(r.heal_ms));
-	soak_fleet_heal(r.fleet);
-	/* Some processes may still be stopping. */
-	while (!soak_fleet_undisturbed_ms(r.fleet))
-		run_for(&r, 20);
+	end_faults(&r);
 	run_for(&r, 1000);
 	soak_check_evacuations(r.ledger);
 	soak_check_recovered(r.ledger);
@@ -329,8 +455,12 @@
 	{ "seed", 's', "N", 0, "First seed (1)", 0 },
 	{ "seeds", 'n', "N", 0, "Number of seeds (1)", 0 },
 	{ "seconds", 't', "N", 0, "Seconds of faults per seed (20)", 0 },
+	{ "controls", 'c', "N", 0,
+	  "Control instances, 3 to 8 (3); more than 3 add faults of large "
+	  "fleets",
+	  0 },
 	{ "session-servers", 'i', "N", 0,
-	  "Caller-facing instances, 5 to 20 (5)", 0 },
+	  "Caller-facing instances, 5 to 72 (5)", 0 },
 	{ "list", 'l', "FILE", 0, "File with seeds, one per line", 0 },
 	{ "keep", 'k', NULL, 0, "Keep the logs of all runs", 0 },
 	{ "verbose", 'v', NULL, 0, "Print each step", 0 },
@@ -351,6 +481,9 @@
 	case 't':
 		f->seconds = atoi(arg);
 		return 0;
+	case 'c':
+		soak_controls = atoi(arg);
+		return 0;
 	case 'i':
 		soak_session_servers = atoi(arg);
 		return 0;
@@ -367,6 +500,10 @@
 		if (f->seeds < 0 || f->seconds < 1)
 			argp_error(state, "--seeds and --seconds must be "
 					  "numbers above 0");
+		if (soak_controls < SOAK_CONTROLS_MIN ||
+		    soak_controls > SOAK_CONTROLS_MAX)
+			argp_error(state, "--controls must be from %d to %d",
+				   SOAK_CONTROLS_MIN, SOAK_CONTROLS_MAX);
 		if (soak_session_servers < SOAK_SESSION_SERVERS_MIN ||
 		    soak_session_servers > SOAK_SESSION_SERVERS_MAX)
 			argp_error(state,
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -10,7 +10,6 @@
 #include "soak.h"
 #include "support_platform.h"
 
-#define ROUTES_MAX 64
 /* Resolution of delays. */
 #define TICK_MS 1
 /* Buffer of a direction. Like in a network, a sender blocks when it is full. */
@@ -60,7 +59,7 @@
 	GMutex lock;
 	bool stop;
 	int routes_count;
-	struct route routes[ROUTES_MAX];
+	struct route routes[SOAK_ROUTES_MAX];
 	GPtrArray *conns;
 };
 
@@ -309,7 +308,7 @@
 		g_error("cannot listen for host %d", host);
 	g_mutex_lock(&p->lock);
 	number = p->routes_count++;
-	g_assert(number < ROUTES_MAX);
+	g_assert(number < SOAK_ROUTES_MAX);
 	p->routes[number] = (struct route){
 		.listen_fd = fd,
 		.target = address_of(net, host, port),
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -18,16 +18,20 @@
  * programs don't read the wall clock, so clock skew is not injected.
  */
 
-#define SOAK_CONTROLS 3
+/* All seeds are control instances; there may be others. */
+#define SOAK_CONTROLS_MIN 3
+#define SOAK_CONTROLS_MAX 8
 /* More than HOLDERS_PER_GROUP, so that some forward all operations. */
 #define SOAK_SESSION_SERVERS_MIN 5
-#define SOAK_SESSION_SERVERS_MAX 20
-#define SOAK_FIRST_SESSION_SERVER 8
-#define SOAK_STANDIN 28
-#define SOAK_HOSTS 32
+/* 80 processes of up to 160 MB, as the largest deployments limit them. */
+#define SOAK_SESSION_SERVERS_MAX 72
+#define SOAK_FIRST_SESSION_SERVER 9
+#define SOAK_STANDIN 81
+#define SOAK_HOSTS 82
 /* Others reach a host through the proxy, at its number plus this offset. */
 #define SOAK_PROXY_OFFSET 100
 #define SOAK_ENDPOINTS 3
+#define SOAK_ROUTES_MAX 176
 #define SOAK_CALLERS 10
 
 #define SOAK_PORT_ENDPOINT 5001
@@ -35,6 +39,9 @@
 /* After the last fault, all statements succeed again within this time. */
 #define SOAK_RECOVERY_MS 15000
 
+/** soak_controls - control instances of a run */
+extern int soak_controls;
+
 /** soak_session_servers - caller-facing instances of a run */
 extern int soak_session_servers;
 
