Propose a leader's other decisions in its own term only

The next leader counts leases and contacts by itself, from its own start.

Change: control_propose_as_leader() for these as well.

--- a/lib/daemon/control_leader.c
+++ b/lib/daemon/control_leader.c
@@ -141,7 +141,7 @@
 	LWS_STR_COPY(command.who, c->daemon->settings.name);
 	LWS_STR_COPY(command.group.group, group);
 	command.group.term = action->term;
-	control_propose(c, &command, NULL, NULL);
+	control_propose_as_leader(c, &command, NULL, NULL);
 }
 
 static void propose_primary(struct control *c, const char *group,
@@ -157,7 +157,7 @@
 	command.group.members_count = action->members_count;
 	memcpy(command.group.members, action->members,
 	       sizeof(command.group.members));
-	control_propose(c, &command, NULL, NULL);
+	control_propose_as_leader(c, &command, NULL, NULL);
 }
 
 static uint32_t ms_between(uint64_t from_us, uint64_t to_us)
@@ -276,7 +276,7 @@
 {
 	LWS_STR_COPY(command->who, c->daemon->settings.name);
 	command->time_ms = control_wall_ms();
-	control_propose(c, command, NULL, NULL);
+	control_propose_as_leader(c, command, NULL, NULL);
 }
 
 void control_leader_announce(struct control *c,
