Soak: each instance of a large fleet must serve once in a calm stretch

The calm stretch used the check of the end of a run, which wants all instances to serve in one pass. Now each must take a write, or return the newest configuration, once in that time. The check at the end is as it was.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -817,6 +817,37 @@
 			  current_count, soak_controls, why->str);
 }
 
+void soak_check_calm(struct soak_ledger *l)
+{
+	int64_t until = soak_now_ms() + SOAK_RECOVERY_MS;
+	g_autoptr(GString) why = g_string_new(NULL);
+	bool done[SOAK_HOSTS] = { false };
+	int left = soak_controls + soak_session_servers;
+
+	while (left && soak_now_ms() < until) {
+		g_string_truncate(why, 0);
+		for (int i = 1; i < SOAK_STANDIN; i++) {
+			bool control = i < SOAK_FIRST_SESSION_SERVER;
+
+			if (done[i] ||
+			    (control ? i > soak_controls
+				     : i >= SOAK_FIRST_SESSION_SERVER +
+						       soak_session_servers))
+				continue;
+			done[i] = control ? config_is_current(l, i, why)
+					  : write_succeeds(l, i);
+			if (done[i])
+				left--;
+			else if (!control)
+				g_string_append_printf(why, " host %d;", i);
+		}
+	}
+	if (left)
+		soak_fail("%d instances did not serve once in a calm stretch:"
+			  "%s",
+			  left, why->str);
+}
+
 /* Maps each "ITEM VALUE" to the number of its commits. */
 static GHashTable *read_log(const char *text)
 {
--- a/soak/main.c
+++ b/soak/main.c
@@ -325,7 +325,7 @@
 
 	end_faults(r);
 	run_for(r, CALM_MS);
-	soak_check_recovered(r->ledger);
+	soak_check_calm(r->ledger);
 	soak_log("kill %d control instances, remove their data", lost);
 	for (int i = 0; i < lost; i++) {
 		int host = 1 + (first + i) % soak_controls;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -186,6 +186,16 @@
  */
 void soak_check_recovered(struct soak_ledger *l);
 
+/**
+ * soak_check_calm() - check that each instance serves in a calm stretch
+ *
+ * Within SOAK_RECOVERY_MS each session server must take a write once, and each
+ * control instance return the newest configuration once. The operator goes on
+ * with evacuations and changes meanwhile, so not all need to do so at the same
+ * time.
+ */
+void soak_check_calm(struct soak_ledger *l);
+
 /**
  * soak_check_evacuations() - end the evacuations and check their order
  *
