Platform tests: remove what a killed process with a changed clock leaves

libfaketime keeps a file and a semaphore in /dev/shm for each process; one that is killed leaves both. /platform-daemon/clock-jumps/* left eight of them a case, now none.

--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -162,6 +162,18 @@
 	spawn(f, STANDIN_HOST, argv);
 }
 
+/* A process with a changed clock that is killed leaves these behind. */
+static void remove_shared_clock(GPid pid)
+{
+	g_autofree char *memory =
+		g_strdup_printf("/dev/shm/faketime_shm_%d", pid);
+	g_autofree char *semaphore =
+		g_strdup_printf("/dev/shm/sem.faketime_sem_%d", pid);
+
+	g_unlink(memory);
+	g_unlink(semaphore);
+}
+
 static void stop(struct test_fleet *f, int host, int signum)
 {
 	int status;
@@ -170,6 +182,7 @@
 		return;
 	kill(f->pids[host], signum);
 	waitpid(f->pids[host], &status, 0);
+	remove_shared_clock(f->pids[host]);
 	f->pids[host] = 0;
 }
 
