--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -118,15 +118,15 @@
 		g_strdup_printf("LACEWINGSPAN_CONFIG=%s/%d.conf", f->dir, host);
 	g_autofree char *time = g_strdup_printf(
 		"FAKETIME_TIMESTAMP_FILE=%s/%d.time", f->dir, host);
-	char *env[] = { config,
-			fake_clocks ? "LD_PRELOAD=/usr/$LIB/faketime/"
-				      "libfaketime.so.1"
-				    : daemon_variable,
-			time,
-			"DONT_FAKE_MONOTONIC=1",
-			"FAKETIME_NO_CACHE=1",
-			"ASAN_OPTIONS=detect_leaks=0:verify_asan_link_order=0",
-			NULL };
+	char *plain[] = { config, daemon_variable, NULL };
+	char *faked[] = { config,
+			  time,
+			  "LD_PRELOAD=/usr/$LIB/faketime/libfaketime.so.1",
+			  "DONT_FAKE_MONOTONIC=1",
+			  "FAKETIME_NO_CACHE=1",
+			  "ASAN_OPTIONS=verify_asan_link_order=0",
+			  NULL };
+	char **env = fake_clocks ? faked : plain;
 	g_autofree char *log = g_strdup_printf("%s/%d.log", f->dir, host);
 	int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 	g_autoptr(GError) error = NULL;
