Log what the choice of a failover rests on

The lines of a managed failover could not tell an endpoint that no longer had what it had answered from a call that took effect after its attempt had ended. promote_asked now has the position and incarnation of the chosen endpoint, the highest position that the voters told, the proof, and whether an earlier call is open; succession_ended and endpoint_restarted are new. No decision changes.

--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -68,6 +68,7 @@
 struct member {
 	char id[FLEET_NAME_MAX];
 	char addr[FLEET_ADDR_MAX];
+	uint64_t incarnation;
 	bool present;
 	bool leaving;
 	bool evacuated;
@@ -360,8 +361,10 @@
 	wait_for(s, "commit of the new primary", id);
 	enter_phase(s, now_us, PHASE_COMMIT_PRIMARY);
 	a = push_action(s, MANAGED_FAILOVER_COMMIT_PRIMARY);
-	if (a)
-		LWS_STR_COPY(a->endpoint, id);
+	if (!a)
+		return;
+	LWS_STR_COPY(a->endpoint, id);
+	a->took_us = now_us - s->started_us;
 }
 
 static void resume_all(struct managed_failover *s, uint64_t now_us)
@@ -529,6 +532,19 @@
 	return false;
 }
 
+/* Why no commit that a caller was told of is lost if @m is promoted. */
+static const char *proof_for(struct managed_failover *s, const struct member *m)
+{
+	const struct member *primary = find_member(s, s->group.primary);
+
+	if (m->answered && m->status.primary)
+		return "is primary";
+	if (is_log_complete(s) &&
+	    log_position_cmp(m->status.received, primary->status.received) >= 0)
+		return "log of the primary";
+	return s->sync_replicas ? "positions of the voters" : "all replicas";
+}
+
 static void request_promotion(struct managed_failover *s, uint64_t now_us,
 			      struct member *m)
 {
@@ -542,8 +558,15 @@
 	wait_for(s, "outcome of the promotion", m->id);
 	enter_phase(s, now_us, PHASE_PROMOTE);
 	a = push_action(s, MANAGED_FAILOVER_PROMOTE);
-	if (a)
-		LWS_STR_COPY(a->endpoint, m->id);
+	if (!a)
+		return;
+	LWS_STR_COPY(a->endpoint, m->id);
+	a->proof = proof_for(s, m);
+	a->received = m->status.received;
+	a->incarnation = m->incarnation;
+	a->earlier_call = s->earlier_call_unresolved;
+	if (s->acks_answered)
+		a->recorded = s->acks.acked;
 }
 
 /*
@@ -926,6 +949,17 @@
 
 /* Inputs */
 
+static void log_restart(struct managed_failover *s, const struct member *m)
+{
+	struct managed_failover_action *a =
+		push_action(s, MANAGED_FAILOVER_RESTARTED);
+
+	if (!a)
+		return;
+	LWS_STR_COPY(a->endpoint, m->id);
+	a->incarnation = m->incarnation;
+}
+
 void managed_failover_set_group(struct managed_failover *s, uint64_t now_us,
 				const struct fleet_group *group,
 				uint32_t sync_replicas)
@@ -940,13 +974,19 @@
 	s->members_count = group->count;
 	for (uint32_t i = 0; i < group->count; i++) {
 		struct member *m = &s->members[i];
+		uint64_t incarnation = group->endpoint[i].incarnation;
+		bool restarted;
 
-		*m = (struct member){ 0 };
+		*m = (struct member){ .incarnation = incarnation };
 		for (uint32_t k = 0; k < old_count; k++) {
 			if (strcmp(old[k].id, group->endpoint[i].id) == 0)
 				*m = old[k];
 		}
+		restarted = m->incarnation != incarnation;
+		m->incarnation = incarnation;
 		LWS_STR_COPY(m->id, group->endpoint[i].id);
+		if (restarted)
+			log_restart(s, m);
 		LWS_STR_COPY(m->addr, group->endpoint[i].addr);
 		m->present = group->endpoint[i].present;
 		m->leaving = group->endpoint[i].leaving;
--- a/lib/control/managed_failover.h
+++ b/lib/control/managed_failover.h
@@ -84,6 +84,8 @@
 	MANAGED_FAILOVER_ASK_VOTERS,
 	/** the attempt ended without a promotion; for the log */
 	MANAGED_FAILOVER_ABANDONED,
+	/** an endpoint has started again under its id; for the log */
+	MANAGED_FAILOVER_RESTARTED,
 };
 
 /**
@@ -102,7 +104,15 @@
  * @reason: MANAGED_FAILOVER_COMMIT_TOKEN: reason of the attempt, for the log.
  *          MANAGED_FAILOVER_ABANDONED: what the attempt waited for, with the
  *          name of the endpoint or voter in @endpoint, if it was one
- * @took_us: MANAGED_FAILOVER_ABANDONED: how long the attempt took
+ * @took_us: MANAGED_FAILOVER_ABANDONED, MANAGED_FAILOVER_COMMIT_PRIMARY: how
+ *           long the attempt took
+ * @proof: MANAGED_FAILOVER_PROMOTE: why no told commit is lost, for the log
+ * @received: MANAGED_FAILOVER_PROMOTE: position of @endpoint
+ * @recorded: MANAGED_FAILOVER_PROMOTE: highest position that the voters have
+ *            told, 0, 0 if they were not asked
+ * @incarnation: MANAGED_FAILOVER_PROMOTE, MANAGED_FAILOVER_RESTARTED: of
+ *               @endpoint
+ * @earlier_call: MANAGED_FAILOVER_PROMOTE: an earlier call has no known outcome
  */
 struct managed_failover_action {
 	enum managed_failover_action_type type;
@@ -114,6 +124,11 @@
 	bool promise;
 	const char *reason;
 	uint64_t took_us;
+	const char *proof;
+	struct log_position received;
+	struct log_position recorded;
+	uint64_t incarnation;
+	bool earlier_call;
 };
 
 /**
--- a/lib/daemon/control_managed_failover.c
+++ b/lib/daemon/control_managed_failover.c
@@ -260,9 +260,16 @@
 		return;
 	}
 	lws_counter_add(&c->daemon->counters, LWS_COUNTER_PROMOTIONS, 1);
-	lws_log_info(c->daemon->log, "promote_asked", "{s:s,s:s,s:I}", "group",
+	lws_log_info(c->daemon->log, "promote_asked",
+		     "{s:s,s:s,s:I,s:I,s:s,s:I,s:I,s:I,s:I,s:b}", "group",
 		     managed->name, "endpoint", action->endpoint, "fence",
-		     (json_int_t)action->fencing_token);
+		     (json_int_t)action->fencing_token, "incarnation",
+		     (json_int_t)action->incarnation, "proof", action->proof,
+		     "received_term", (json_int_t)action->received.term,
+		     "received", (json_int_t)action->received.number,
+		     "recorded_term", (json_int_t)action->recorded.term,
+		     "recorded", (json_int_t)action->recorded.number,
+		     "earlier_call", action->earlier_call);
 	c->daemon->adapter->promote(c->daemon->adapter->private_data, c,
 				    managed->name, action->endpoint,
 				    action->fencing_token);
@@ -286,6 +293,11 @@
 		request_promotion(c, managed, action);
 		return;
 	case MANAGED_FAILOVER_COMMIT_PRIMARY:
+		lws_log_info(c->daemon->log, "succession_ended",
+			     "{s:s,s:s,s:I,s:I}", "group", managed->name,
+			     "endpoint", action->endpoint, "fence",
+			     (json_int_t)action->fencing_token, "took_ms",
+			     (json_int_t)(action->took_us / LWS_US_PER_MS));
 		propose(c, managed, FLEET_GROUP_PRIMARY, action, NULL, NULL);
 		return;
 	case MANAGED_FAILOVER_COMMIT_REMOVAL:
@@ -298,6 +310,12 @@
 	case MANAGED_FAILOVER_ABANDONED:
 		log_abandoned(c, managed, action);
 		return;
+	case MANAGED_FAILOVER_RESTARTED:
+		lws_log_info(c->daemon->log, "endpoint_restarted",
+			     "{s:s,s:s,s:I}", "group", managed->name,
+			     "endpoint", action->endpoint, "incarnation",
+			     (json_int_t)action->incarnation);
+		return;
 	}
 }
 
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -178,6 +178,7 @@
 		case MANAGED_FAILOVER_COMMIT_REMOVAL:
 		case MANAGED_FAILOVER_ASK_VOTERS:
 		case MANAGED_FAILOVER_ABANDONED:
+		case MANAGED_FAILOVER_RESTARTED:
 			break;
 		}
 	}
--- a/tests/test_managed_failover.c
+++ b/tests/test_managed_failover.c
@@ -412,6 +412,8 @@
 		case MANAGED_FAILOVER_ABANDONED:
 			g_assert_nonnull(a.reason);
 			break;
+		case MANAGED_FAILOVER_RESTARTED:
+			break;
 		}
 	}
 }
