Failover model: a call is checked when it is carried out and takes effect later

The model checked the fencing token of a promotion when it took effect, so a higher token made each earlier call void. The platform checks it when it carries the call out, and the endpoint leads some hundred ms later (docs/PLATFORM.md's protocol page), whatever was called since.

The random runs end with 20 instead of 12 calm seconds: a call of the calm part may take 3 s twice. Restarts of an endpoint count its incarnation, as heartbeats do.

--- a/tests/test_managed_failover.c
+++ b/tests/test_managed_failover.c
@@ -46,9 +46,14 @@
 	struct ack_record *record;
 };
 
-/* A promotion call that the platform carries out late. */
+/*
+ * A promotion call that the platform carries out at @due_ms: it checks the
+ * fencing token then. An accepted one takes effect at @due_ms, whatever was
+ * called since.
+ */
 struct delayed_call {
 	bool used;
+	bool accepted;
 	uint64_t due_ms;
 	uint32_t endpoint;
 	uint64_t fencing_token;
@@ -80,9 +85,11 @@
 	uint32_t pending_token;
 	/* A replica that is not registered receives all commits. */
 	bool unregistered_replica;
+	/* Voters don't answer a question that asks for a promise. */
+	bool without_promises;
 	/* Number of promotion calls that stay without an answer. */
 	uint32_t unanswered_calls;
-	/* Time from a promotion call until the endpoint leads. */
+	/* Time from the acceptance of a call until its endpoint leads. */
 	uint32_t promotion_ms;
 };
 
@@ -219,14 +226,12 @@
 	}
 }
 
-static void promote(struct model *m, uint32_t i, uint64_t fencing_token)
+/* An accepted call takes effect, unless the endpoint doesn't run. */
+static void promote(struct model *m, uint32_t i)
 {
 	uint64_t term = 0;
 
-	if (fencing_token < m->token_seen || m->e[i].down)
-		return;
-	m->token_seen = fencing_token;
-	if (m->e[i].primary)
+	if (m->e[i].down || m->e[i].primary)
 		return;
 	m->promotions++;
 	if (log_position_cmp(m->e[i].received, m->told) < 0) {
@@ -282,17 +287,49 @@
 				  a->fencing_token, &status, STATEMENT_E_NONE);
 }
 
-static void delay_call(struct model *m, uint32_t endpoint,
-		       uint64_t fencing_token, uint64_t delay_ms)
+static void add_delayed(struct model *m, const struct delayed_call *call,
+			uint64_t delay_ms)
 {
 	for (size_t k = 0; k < G_N_ELEMENTS(m->delayed); k++) {
 		if (m->delayed[k].used)
 			continue;
-		m->delayed[k] =
-			(struct delayed_call){ true, m->now_ms + delay_ms,
-					       endpoint, fencing_token };
+		m->delayed[k] = *call;
+		m->delayed[k].used = true;
+		m->delayed[k].due_ms = m->now_ms + delay_ms;
 		return;
 	}
+	g_assert_not_reached();
+}
+
+static void delay_call(struct model *m, uint32_t endpoint,
+		       uint64_t fencing_token, uint64_t delay_ms)
+{
+	struct delayed_call call = { .endpoint = endpoint,
+				     .fencing_token = fencing_token };
+
+	add_delayed(m, &call, delay_ms);
+}
+
+/* The platform carries out a call; false if it refuses it. */
+static bool carry_out(struct model *m, uint32_t endpoint,
+		      uint64_t fencing_token)
+{
+	struct delayed_call call = { .accepted = true,
+				     .endpoint = endpoint,
+				     .fencing_token = fencing_token };
+
+	if (fencing_token < m->token_seen)
+		return false;
+	m->token_seen = fencing_token;
+	if (m->e[endpoint].down)
+		return false;
+	if (m->e[endpoint].primary)
+		return true;
+	if (m->promotion_ms)
+		add_delayed(m, &call, m->promotion_ms);
+	else
+		promote(m, endpoint);
+	return true;
 }
 
 static void handle_promotion(struct model *m,
@@ -312,16 +349,9 @@
 					  LWS_E_DEADLINE);
 		return;
 	}
-	if (a->fencing_token < m->token_seen || m->e[i].down) {
-		managed_failover_promoted(m->s, now_us(m), a->fencing_token,
-					  LWS_E_NOT_FOUND);
-		return;
-	}
-	if (m->promotion_ms)
-		delay_call(m, i, a->fencing_token, m->promotion_ms);
-	else
-		promote(m, i, a->fencing_token);
-	managed_failover_promoted(m->s, now_us(m), a->fencing_token, 0);
+	managed_failover_promoted(
+		m->s, now_us(m), a->fencing_token,
+		carry_out(m, i, a->fencing_token) ? 0 : LWS_E_NOT_FOUND);
 }
 
 static void ask_voters(struct model *m, uint64_t token, bool promise)
@@ -336,6 +366,7 @@
 		struct ack_answer answer;
 
 		if (m->d[i].unreachable || message_lost(m) ||
+		    (promise && m->without_promises) ||
 		    !ack_record_ask(m->d[i].record, &question, &answer) ||
 		    message_lost(m))
 			continue;
@@ -425,7 +456,11 @@
 		if (!m->delayed[k].used || m->now_ms < m->delayed[k].due_ms)
 			continue;
 		m->delayed[k].used = false;
-		promote(m, m->delayed[k].endpoint, m->delayed[k].fencing_token);
+		if (m->delayed[k].accepted)
+			promote(m, m->delayed[k].endpoint);
+		else
+			carry_out(m, m->delayed[k].endpoint,
+				  m->delayed[k].fencing_token);
 	}
 	if (lws_rng_below(&m->rng, 3) == 0)
 		commit(m);
@@ -647,6 +682,17 @@
 	set_group(m);
 }
 
+static void set_incarnation(struct model *m, uint32_t endpoint)
+{
+	for (uint32_t i = 0; i < m->group.count; i++) {
+		struct fleet_endpoint *e = &m->group.endpoint[i];
+
+		if (index_of(e->id) == endpoint)
+			e->incarnation++;
+	}
+	set_group(m);
+}
+
 static void become_leader(struct model *m)
 {
 	struct managed_failover_params params =
@@ -700,7 +746,9 @@
 		m->e[who].down = false;
 		m->e[who].primary = false;
 		m->e[who].term = 0;
+		m->e[who].paused_term = 0;
 		m->e[who].received = (struct log_position){ 0 };
+		set_incarnation(m, who);
 		return;
 	case EVENT_OLD_CLAIM:
 		format_id(who, id);
@@ -1160,6 +1208,114 @@
 	}
 }
 
+/*
+ * Ends a run of the tests below, which go on after a lost commit, so that the
+ * count of runs is known. Returns whether one was lost, or nobody leads.
+ */
+static bool end_run(struct model *m, const char *what, uint32_t value)
+{
+	bool failed = m->lost_commits || !is_led(m);
+
+	if (failed)
+		g_printerr("%s %u ms: %u lost, %s\n", what, value,
+			   m->lost_commits, is_led(m) ? "led" : "not led");
+	model_free(m);
+	return failed;
+}
+
+/*
+ * The same call is carried out at each moment of the next attempts, and takes
+ * effect 300 ms later. Guards against telling callers of commits while a call
+ * that the platform has accepted is still to take effect.
+ */
+static void test_accepted_call(void)
+{
+	uint32_t failed = 0;
+
+	for (uint32_t due_ms = 0; due_ms < 8000; due_ms += 20) {
+		struct model *m = model_create(due_ms);
+
+		run(m, 2000);
+		m->promotion_ms = 300;
+		m->group.term++;
+		m->e[1].paused_term = 2;
+		m->e[2].paused_term = 2;
+		m->e[1].disconnected_until_ms = m->now_ms + 8000;
+		m->unanswered_calls = due_ms / 20 % 4;
+		delay_call(m, 1, m->group.term, due_ms);
+		become_leader(m);
+		run(m, 24000);
+		failed += end_run(m, "call carried out after", due_ms);
+	}
+	if (failed)
+		g_test_fail_printf("%u of 400 moments", failed);
+}
+
+/*
+ * A call is answered and takes effect after its attempt has ended, and the
+ * primary that had crashed is back.
+ */
+static void test_slow_effect(void)
+{
+	static const uint32_t effects_ms[] = { 100,  300,  1000, 2400,
+					       2600, 3500, 5000 };
+	uint32_t failed = 0;
+
+	for (size_t k = 0; k < G_N_ELEMENTS(effects_ms); k++) {
+		for (uint32_t down_ms = 0; down_ms < 8000; down_ms += 80) {
+			struct model *m = model_create(down_ms);
+
+			run(m, 2000);
+			m->promotion_ms = effects_ms[k];
+			/* So e1 is chosen, and follows nobody afterwards. */
+			m->e[2].disconnected_until_ms = m->now_ms + 200;
+			run(m, 100);
+			m->e[0].down = true;
+			m->e[1].disconnected_until_ms = m->now_ms + 12000;
+			run(m, down_ms);
+			m->e[0].down = false;
+			run(m, 24000);
+			failed += end_run(m, "primary back after", down_ms);
+		}
+	}
+	if (failed)
+		g_test_fail_printf("%u of 700 runs", failed);
+}
+
+/*
+ * The chosen endpoint starts again under its id, with an empty log, after it
+ * has answered and while the promises of the voters are waited for.
+ */
+static void test_choice_starts_empty(void)
+{
+	uint32_t failed = 0;
+
+	for (uint32_t at_ms = 0; at_ms < 2000; at_ms += TICK_MS) {
+		struct model *m = model_create(7);
+
+		run(m, 2000);
+		m->promotion_ms = 300;
+		m->e[2].disconnected_until_ms = m->now_ms + 300;
+		run(m, 200);
+		m->e[0].down = true;
+		m->without_promises = true;
+		while (m->group.term == m->group.primary_term)
+			step(m);
+		run(m, at_ms);
+		happen(m, &(struct event){ 0, EVENT_STARTS_EMPTY, 1 });
+		run(m, 50);
+		m->without_promises = false;
+		run(m, 3000);
+		failed += m->lost_commits != 0;
+		if (m->lost_commits)
+			g_printerr("restart after %u ms: %u lost\n", at_ms,
+				   m->lost_commits);
+		model_free(m);
+	}
+	if (failed)
+		g_test_fail_printf("%u of 200 moments", failed);
+}
+
 /* An endpoint whose address belongs to another one now is removed. */
 static void test_address_reused(void)
 {
@@ -1185,9 +1341,16 @@
 					 14639, 17155, 18619, 19335,
 					 22027, 22750, 26630, 49279 };
 
-/* Crashes, restarts, interrupted replication, lost commands, delayed calls. */
-static void test_random_faults(void)
+/* Time from the acceptance of a call until its endpoint leads. */
+static const uint32_t promotion_times_ms[] = { 0, 100, 300, 1000, 3000 };
+
+/*
+ * Crashes, restarts, interrupted replication, lost commands, calls that are
+ * carried out late, and changes of the leader.
+ */
+static void test_random_faults(gconstpointer data)
 {
+	const uint32_t *promotion_ms = data;
 	uint32_t promotions = 0;
 	uint32_t lost_commits = 0;
 	uint32_t without_primary = 0;
@@ -1198,6 +1361,7 @@
 		struct model *m = model_create(seed);
 
 		run(m, 2000);
+		m->promotion_ms = *promotion_ms;
 		m->loss_percent = (uint32_t)(seed % 4) * 8;
 		for (int i = 0; i < 8; i++) {
 			uint32_t victim =
@@ -1207,6 +1371,8 @@
 			if (seed % 2 && lws_rng_below(&m->rng, 3) == 0)
 				evacuate(m,
 					 (uint32_t)lws_rng_below(&m->rng, 8));
+			if (*promotion_ms && lws_rng_below(&m->rng, 4) == 0)
+				become_leader(m);
 			switch (lws_rng_below(&m->rng, 3)) {
 			case 0:
 				m->e[victim].down = true;
@@ -1228,19 +1394,22 @@
 		for (uint32_t k = 0; k < ENDPOINTS; k++)
 			m->e[k].down = false;
 		evacuate(m, 0);
-		run(m, 12000);
+		run(m, 20000);
 		promotions += m->promotions;
 		lost_commits += m->lost_commits;
 		promoted_into += m->promoted_into;
 		without_primary += !m->e[index_of(m->group.primary)].primary;
-		if (m->lost_commits && g_test_verbose())
-			g_printerr("seed %lu lost %u\n", seed, m->lost_commits);
+		if (m->lost_commits)
+			g_printerr("seed %lu: %u lost\n", seed,
+				   m->lost_commits);
 		model_free(m);
 	}
-	g_assert_cmpuint(promotions, >, SEEDS / 2);
-	g_assert_cmpuint(lost_commits, ==, 0);
-	g_assert_cmpuint(without_primary, ==, 0);
-	g_assert_cmpuint(promoted_into, ==, 0);
+	if (promotions <= SEEDS / 2 || lost_commits || without_primary ||
+	    promoted_into)
+		g_test_fail_printf("%u promotions, %u lose commits, %u into an "
+				   "evacuated domain, %u runs without primary",
+				   promotions, lost_commits, promoted_into,
+				   without_primary);
 }
 
 int main(int argc, char **argv)
@@ -1284,8 +1453,19 @@
 	g_test_add_func("/managed-failover/leader-change-healthy",
 			test_leader_change_healthy);
 	g_test_add_func("/managed-failover/late-call", test_late_call);
+	g_test_add_func("/managed-failover/accepted-call", test_accepted_call);
+	g_test_add_func("/managed-failover/slow-effect", test_slow_effect);
+	g_test_add_func("/managed-failover/choice-starts-empty",
+			test_choice_starts_empty);
 	g_test_add_func("/managed-failover/address-reused",
 			test_address_reused);
-	g_test_add_func("/managed-failover/random-faults", test_random_faults);
+	for (size_t i = 0; i < G_N_ELEMENTS(promotion_times_ms); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/managed-failover/random-faults/promotion-%u-ms",
+			promotion_times_ms[i]);
+
+		g_test_add_data_func(path, &promotion_times_ms[i],
+				     test_random_faults);
+	}
 	return g_test_run();
 }
