An endpoint that started again under its id has answered nothing yet

Callers: commits they were told of would be gone after a promotion. Cause: the state machine of a failover kept all that an endpoint had answered for as long as its id was the same. One that was paused, and started again with an empty log while the voters' promises were waited for, was chosen by the position that it had before. Change: a new incarnation clears the answers, the pause, the claims and the end of the log of an endpoint. The reports and the record of the voters are by position and term and hold nothing of an endpoint's process. Not covered by this: a restart that the control group has not heard of yet.

--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -983,7 +983,9 @@
 				*m = old[k];
 		}
 		restarted = m->incarnation != incarnation;
-		m->incarnation = incarnation;
+		/* What it answered before its start no longer holds. */
+		if (restarted)
+			*m = (struct member){ .incarnation = incarnation };
 		LWS_STR_COPY(m->id, group->endpoint[i].id);
 		if (restarted)
 			log_restart(s, m);
