An accepted promotion stays open until it took effect or no longer can

Cause: an answered call with a higher fencing token was taken as the end of all earlier calls. It ends only those that the platform has not carried out yet: the platform checks the token when it carries a call out, and the endpoint leads some time later, whatever was called since. So a call for e1 that was accepted just before the former primary was promoted again (200, nothing changes), or one that was answered and took effect after its attempt had timed out, made e1 the leader after replication had been resumed and commits had been told. Class: the outcome of a request that was handed over is taken from the answer to another one. Change: the endpoint that is called for is committed before the call (FLEET_GROUP_CALL, one round trip of the control group more in a failover). While a call is open, replicas stay paused and the voters keep their promise. The next attempt, of any leader, promotes the endpoint that was called for, if it has everything that was told; nothing is left to wait for then. Otherwise another endpoint is promoted, but committed only call_effect_us (6 s) after the answer, and an endpoint that leads by an earlier call meanwhile is taken instead. Why it works: no commit is told between the choice of an endpoint and the commit of a primary, and no primary is committed while a call for another endpoint can take effect. Related paths: a refused call and one that was not sent are no open calls; a call to promote the present primary again is one, since it may be carried out after that was demoted. The failover without an adapter calls no platform. Tests: the model's commit of a call, /fleet/open-call; test_late_call names the earlier leader's call in the group's state, as a leader now does. In an upgrade, a call of a leader of the version before is not in the state: it is treated as before. Older control instances skip the new command.

--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -144,7 +144,8 @@
 	       a->present == b->present && a->leaving == b->leaving &&
 	       a->member == b->member && a->slots == b->slots &&
 	       a->incarnation == b->incarnation &&
-	       a->cold_index == b->cold_index;
+	       a->cold_index == b->cold_index &&
+	       a->called_term == b->called_term;
 }
 
 bool fleet_group_same(const struct fleet_group *a, const struct fleet_group *b)
@@ -580,6 +581,7 @@
 		endpoint->member = false;
 		endpoint->cold_left_ms = 0;
 		endpoint->cold_index = 0;
+		endpoint->called_term = 0;
 	}
 	if (announcement_is_stale(endpoint, announced))
 		return LWS_E_VERSION_CONFLICT;
@@ -652,6 +654,24 @@
 	return 0;
 }
 
+/* Only the newest term may be called for, until it has a primary. */
+static int apply_call(struct fleet *fleet, const struct fleet_command *command)
+{
+	struct fleet_group *group =
+		fleet_find_group(fleet, command->group.group);
+	struct fleet_endpoint *endpoint =
+		group ? fleet_find_endpoint(group, command->group.primary)
+		      : NULL;
+
+	if (!endpoint)
+		return LWS_E_NOT_FOUND;
+	if (command->group.term != group->term ||
+	    group->primary_term >= group->term)
+		return LWS_E_VERSION_CONFLICT;
+	endpoint->called_term = command->group.term;
+	return 0;
+}
+
 static int apply_primary(struct fleet *fleet,
 			 const struct fleet_command *command)
 {
@@ -670,8 +690,10 @@
 	}
 	group->primary_term = group->term;
 	LWS_STR_COPY(group->primary, command->group.primary);
-	for (uint32_t i = 0; i < group->count; i++)
+	for (uint32_t i = 0; i < group->count; i++) {
 		group->endpoint[i].member = false;
+		group->endpoint[i].called_term = 0;
+	}
 	for (uint32_t m = 0; m < command->group.members_count; m++)
 		fleet_find_endpoint(group, command->group.members[m])->member =
 			true;
@@ -807,6 +829,11 @@
 			 command->group.group, command->group.primary,
 			 (unsigned long long)command->group.term);
 		return;
+	case FLEET_GROUP_CALL:
+		snprintf(out, room, "group %s call %s term %llu",
+			 command->group.group, command->group.primary,
+			 (unsigned long long)command->group.term);
+		return;
 	case FLEET_INSTANCE_JOIN:
 	case FLEET_INSTANCE_LEAVE:
 		snprintf(out, room, "instance %s %s", command->instance.name,
@@ -865,6 +892,8 @@
 		return apply_leave(fleet, command);
 	case FLEET_GROUP_TERM:
 		return apply_term(fleet, command);
+	case FLEET_GROUP_CALL:
+		return apply_call(fleet, command);
 	case FLEET_GROUP_PRIMARY:
 		return apply_primary(fleet, command);
 	case FLEET_INSTANCE_JOIN:
--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -50,6 +50,8 @@
  * @cold_reported: the endpoint itself reported @cold_left_ms
  * @cold_index: log position of the last change of @cold_left_ms, 0 if it was
  *              never set; not used in announcements
+ * @called_term: fencing token of the newest call to promote it that may still
+ *               take effect, 0 for none; not used in announcements
  */
 struct fleet_endpoint {
 	char id[FLEET_NAME_MAX];
@@ -64,6 +66,7 @@
 	uint32_t cold_left_ms;
 	bool cold_reported;
 	uint64_t cold_index;
+	uint64_t called_term;
 };
 
 /**
@@ -222,6 +225,8 @@
 	FLEET_DOMAIN_EVACUATE,
 	/** undo FLEET_DOMAIN_EVACUATE */
 	FLEET_DOMAIN_RESTORE,
+	/** an endpoint is about to be promoted with the newest term */
+	FLEET_GROUP_CALL,
 	FLEET_COMMAND_TYPE_COUNT,
 };
 
--- a/lib/control/fleet_pack.c
+++ b/lib/control/fleet_pack.c
@@ -13,10 +13,11 @@
 static void endpoint_pack(struct pack_writer *w,
 			  const struct fleet_endpoint *endpoint)
 {
-	bool cold = endpoint->cold_left_ms || endpoint->cold_reported ||
-		    endpoint->cold_index;
+	bool called = endpoint->called_term != 0;
+	bool cold = called || endpoint->cold_left_ms ||
+		    endpoint->cold_reported || endpoint->cold_index;
 
-	pack_array(w, cold ? 12 : 9);
+	pack_array(w, called ? 13 : cold ? 12 : 9);
 	pack_str(w, endpoint->id);
 	pack_str(w, endpoint->addr);
 	pack_str(w, endpoint->failure_domain);
@@ -32,6 +33,8 @@
 	pack_u64(w, endpoint->cold_left_ms);
 	pack_bool(w, endpoint->cold_reported);
 	pack_u64(w, endpoint->cold_index);
+	if (called)
+		pack_u64(w, endpoint->called_term);
 }
 
 static void endpoint_unpack(struct pack_reader *r,
@@ -59,6 +62,8 @@
 		endpoint->cold_reported = pack_read_bool(&in);
 		endpoint->cold_index = pack_read_u64(&in);
 	}
+	if (in.next < in.count)
+		endpoint->called_term = pack_read_u64(&in);
 	if (pack_reader_end(&in))
 		r->rc = LWS_E_WIRE_FORMAT;
 }
@@ -134,6 +139,7 @@
 		[FLEET_INSTANCE_LEAVE] = 4,  [FLEET_CATALOG_REPLACE] = 3,
 		[FLEET_ENDPOINT_REMOVE] = 2, [FLEET_CATALOG_PATCH] = 3,
 		[FLEET_DOMAIN_EVACUATE] = 1, [FLEET_DOMAIN_RESTORE] = 1,
+		[FLEET_GROUP_CALL] = 4,
 	};
 
 	pack_array(w, 4 + fields[command->type]);
@@ -158,6 +164,7 @@
 		return;
 	case FLEET_GROUP_TERM:
 	case FLEET_GROUP_PRIMARY:
+	case FLEET_GROUP_CALL:
 		group_change_pack(w, command);
 		return;
 	case FLEET_INSTANCE_JOIN:
@@ -210,6 +217,7 @@
 		return;
 	case FLEET_GROUP_TERM:
 	case FLEET_GROUP_PRIMARY:
+	case FLEET_GROUP_CALL:
 		group_change_unpack(r, command);
 		return;
 	case FLEET_INSTANCE_JOIN:
--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -49,10 +49,14 @@
 	PHASE_STEP_DOWN,
 	/** replication is being paused */
 	PHASE_PAUSE,
+	/** the chosen endpoint is being committed */
+	PHASE_COMMIT_CALL,
 	/** the platform was asked to promote the chosen endpoint */
 	PHASE_PROMOTE,
 	/** waiting for the chosen endpoint to report that it is primary */
 	PHASE_AWAIT_PRIMARY,
+	/** it is primary; earlier calls for others may still take effect */
+	PHASE_SETTLE,
 	/** the new primary is being committed */
 	PHASE_COMMIT_PRIMARY,
 };
@@ -87,6 +91,10 @@
 	 */
 	bool was_primary;
 	struct log_position log_end;
+	/* Newest term with which it was called for, 0 for none. */
+	uint64_t called_term;
+	/* Calls up to this term have taken effect or never will. */
+	uint64_t void_term;
 };
 
 struct managed_failover {
@@ -115,6 +123,10 @@
 	 * call was unresolved: once it is primary, the call has taken effect.
 	 */
 	bool role_resolves_call;
+	/* An earlier call for the chosen endpoint was open. */
+	bool choice_was_called;
+	/* When the call of this attempt was answered, 0 before. */
+	uint64_t call_answered_us;
 	/* Answers of the voters in this attempt, and when they were asked. */
 	struct ack_survey_status acks;
 	bool acks_answered;
@@ -144,6 +156,7 @@
 		/* Longer than a promotion takes in any deployment. */
 		.attempt_timeout_us = 2500 * LWS_US_PER_MS,
 		.min_interval_us = 500 * LWS_US_PER_MS,
+		.call_effect_us = 6000 * LWS_US_PER_MS,
 	};
 }
 
@@ -221,6 +234,23 @@
 	return s->group.primary_term && strcmp(s->group.primary, m->id) == 0;
 }
 
+/* Whether a call to promote the endpoint may still take effect. */
+static bool is_called(const struct member *m)
+{
+	return m->called_term > m->void_term;
+}
+
+/* An endpoint other than @m, which may be NULL, with an open call, or NULL. */
+static const struct member *other_called(const struct managed_failover *s,
+					 const struct member *m)
+{
+	for (uint32_t i = 0; i < s->members_count; i++) {
+		if (&s->members[i] != m && is_called(&s->members[i]))
+			return &s->members[i];
+	}
+	return NULL;
+}
+
 /* Whether another endpoint, outside of evacuated domains, can take over. */
 static bool has_candidate_outside(const struct managed_failover *s)
 {
@@ -305,13 +335,16 @@
 	s->choice[0] = '\0';
 	s->started_us = now_us;
 	s->acks_answered = false;
+	s->call_answered_us = 0;
 	wait_for(s, "fencing token", NULL);
 	/*
 	 * If the newest token has no primary yet, an earlier leader may have
-	 * asked the platform for a promotion.
+	 * asked the platform for a promotion; one of an earlier version did not
+	 * commit for which endpoint.
 	 */
-	s->unresolved_call |=
-		s->group.term > s->group.primary_term && s->group.primary_term;
+	s->unresolved_call |= other_called(s, NULL) ||
+			      (s->group.term > s->group.primary_term &&
+			       s->group.primary_term);
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		s->members[i].answered = false;
 		s->members[i].paused = false;
@@ -455,18 +488,49 @@
 	return false;
 }
 
+static bool may_be_chosen(const struct managed_failover *s,
+			  const struct member *m)
+{
+	return m->present && !m->evacuated &&
+	       (!is_primary(s, m) || has_stepped_down(s, m));
+}
+
+/*
+ * An endpoint with an open call that has everything that callers were told of.
+ * If there is none but one may follow, @waits is set.
+ */
+static struct member *choose_called(struct managed_failover *s, bool *waits)
+{
+	for (uint32_t i = 0; i < s->members_count; i++) {
+		struct member *m = &s->members[i];
+
+		if (!is_called(m) || !may_be_chosen(s, m))
+			continue;
+		if ((m->paused || is_primary(s, m)) && is_safe(s, m))
+			return m;
+		*waits = true;
+	}
+	return NULL;
+}
+
 /*
  * The paused replica that received most, or a former primary that has even
- * more. NULL while it is not known to have all acknowledged commits; if only
- * replicas in evacuated domains received most, also NULL, as none of these is
- * promoted. A replica that does not answer is waited for for a while, as it may
- * have received more. Without sync_replicas all must answer.
+ * more; one with an open call before all others. NULL while it is not known to
+ * have all acknowledged commits; if only replicas in evacuated domains received
+ * most, also NULL, as none of these is promoted. A replica that does not answer
+ * is waited for for a while, as it may have received more. Without
+ * sync_replicas all must answer.
  */
 static struct member *choose_safe(struct managed_failover *s, uint64_t now_us)
 {
 	uint32_t missing_max = s->sync_replicas ? s->sync_replicas - 1 : 0;
 	struct member *best = NULL;
 	uint32_t missing = 0;
+	bool waits = false;
+
+	best = choose_called(s, &waits);
+	if (best || (waits && now_us - s->phase_since_us < SILENT_REPLICA_US))
+		return best;
 
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		struct member *m = &s->members[i];
@@ -489,6 +553,9 @@
 		wait_for(s, "replica outside of evacuated domains", NULL);
 		return NULL;
 	}
+	/* Callers must not be told of commits that the other one lacks. */
+	if (best && other_called(s, best) && !acks_known(s, true))
+		return NULL;
 	return best && is_safe(s, best) ? best : NULL;
 }
 
@@ -545,6 +612,7 @@
 	return s->sync_replicas ? "positions of the voters" : "all replicas";
 }
 
+/* Commits the choice, so that later leaders know for whom is called. */
 static void request_promotion(struct managed_failover *s, uint64_t now_us,
 			      struct member *m)
 {
@@ -554,6 +622,28 @@
 	s->role_resolves_call =
 		!s->unresolved_call && !(m->answered && m->status.primary);
 	s->earlier_call_unresolved = s->unresolved_call;
+	s->choice_was_called = is_called(m);
+	wait_for(s, "commit of the choice", m->id);
+	enter_phase(s, now_us, PHASE_COMMIT_CALL);
+	a = push_action(s, MANAGED_FAILOVER_COMMIT_CALL);
+	if (a)
+		LWS_STR_COPY(a->endpoint, m->id);
+}
+
+/* The call of this attempt was not made, or was refused. */
+static void void_call(struct managed_failover *s)
+{
+	struct member *m = find_member(s, s->choice);
+
+	if (m && !s->choice_was_called)
+		m->void_term = s->fencing_token;
+}
+
+static void call_promotion(struct managed_failover *s, uint64_t now_us,
+			   const struct member *m)
+{
+	struct managed_failover_action *a;
+
 	s->unresolved_call = true;
 	wait_for(s, "outcome of the promotion", m->id);
 	enter_phase(s, now_us, PHASE_PROMOTE);
@@ -607,6 +697,47 @@
 	enter_phase(s, now_us, phase);
 }
 
+/* Whether an endpoint with an open call can take over from the primary. */
+static bool called_can_follow(struct managed_failover *s)
+{
+	if (!acks_known(s, false))
+		return false;
+	for (uint32_t i = 0; i < s->members_count; i++) {
+		const struct member *m = &s->members[i];
+
+		if (is_called(m) && m->answered && !is_primary(s, m) &&
+		    may_be_chosen(s, m) && has_acknowledged(s, m))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * The primary is well, and a call for another endpoint may take effect at any
+ * moment. That endpoint takes over, unless it can't; then the primary is
+ * promoted again, and no caller is told of a commit until the call can't take
+ * effect any more.
+ */
+static void finish_call(struct managed_failover *s, uint64_t now_us,
+			struct member *primary)
+{
+	bool waited = now_us - s->phase_since_us >= SILENT_REPLICA_US;
+
+	if (!waited && called_can_follow(s)) {
+		pause_below(s, now_us, PHASE_PAUSE);
+		return;
+	}
+	if (waited && acks_known(s, true)) {
+		request_promotion(s, now_us, primary);
+		return;
+	}
+	if (!waited)
+		wait_for(s, "endpoint that was called for",
+			 other_called(s, primary)->id);
+	ask_voters(s, now_us, waited);
+	poll_members(s, now_us);
+}
+
 /*
  * Replaces the agreed primary, which reports to be primary. It needs nobody but
  * a replica that follows it; other members may be silent or gone.
@@ -618,7 +749,10 @@
 
 	/* It may stay: promoting it again ends the unfinished attempt. */
 	if (!s->primary_unwanted && !must_evacuate(s)) {
-		request_promotion(s, now_us, primary);
+		if (other_called(s, primary))
+			finish_call(s, now_us, primary);
+		else
+			request_promotion(s, now_us, primary);
 		return;
 	}
 	/*
@@ -739,7 +873,7 @@
 {
 	struct member *choice;
 
-	if (!is_log_complete(s))
+	if (!is_log_complete(s) || other_called(s, NULL))
 		ask_voters(s, now_us, true);
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		struct member *m = &s->members[i];
@@ -770,33 +904,75 @@
 		LWS_STR_COPY(a->endpoint, s->waits_for_name);
 		a->took_us = now_us - s->started_us;
 	}
+	if (s->phase == PHASE_COMMIT_CALL)
+		void_call(s);
 	if (!s->unresolved_call)
 		resume_all(s, now_us);
 	s->last_attempt_us = now_us;
 	enter_phase(s, now_us, PHASE_IDLE);
 }
 
+static bool calls_are_settled(const struct managed_failover *s, uint64_t now_us,
+			      const struct member *primary)
+{
+	return !other_called(s, primary) ||
+	       now_us - s->call_answered_us >= s->params.call_effect_us;
+}
+
 /* Asks the chosen endpoint for its role until it reports to be primary. */
 static void await_primary(struct managed_failover *s, uint64_t now_us)
 {
 	struct member *m = find_member(s, s->choice);
 
-	if (m && m->answered && m->status.primary) {
-		if (s->role_resolves_call)
-			s->unresolved_call = false;
-		/*
-		 * The platform may not have seen the token of this call, and
-		 * still carry out an earlier one for another endpoint, so no
-		 * commit may be acknowledged yet.
-		 */
-		if (s->unresolved_call)
-			abandon_attempt(s, now_us);
-		else
-			commit_primary(s, now_us, m->id);
+	if (!m)
 		return;
-	}
-	if (m)
+	if (!m->answered || !m->status.primary) {
 		poll(s, m, now_us, COMMAND_STATUS);
+		return;
+	}
+	/*
+	 * The platform may not have seen the token of this call, and still
+	 * accept an earlier one, so no commit may be told yet.
+	 */
+	if (!s->call_answered_us && !s->role_resolves_call) {
+		abandon_attempt(s, now_us);
+		return;
+	}
+	if (!calls_are_settled(s, now_us, m)) {
+		wait_for(s, "effect of an earlier call",
+			 other_called(s, m)->id);
+		enter_phase(s, now_us, PHASE_SETTLE);
+		return;
+	}
+	s->unresolved_call = false;
+	commit_primary(s, now_us, m->id);
+}
+
+/*
+ * Waits until no call that was accepted before the one of this attempt can take
+ * effect any more. If one does, its endpoint is the primary to be committed.
+ */
+static void settle_calls(struct managed_failover *s, uint64_t now_us)
+{
+	struct member *choice = find_member(s, s->choice);
+	struct member *newest = find_newest_primary(s);
+
+	if (!choice || !newest) {
+		abandon_attempt(s, now_us);
+		return;
+	}
+	if (newest != choice) {
+		choice->void_term = choice->called_term;
+		LWS_STR_COPY(s->choice, newest->id);
+	}
+	if (calls_are_settled(s, now_us, newest) &&
+	    now_us - newest->answered_us < s->params.command_retry_us) {
+		s->unresolved_call = false;
+		commit_primary(s, now_us, newest->id);
+		return;
+	}
+	for (uint32_t i = 0; i < s->members_count; i++)
+		send_if_due(s, &s->members[i], now_us, COMMAND_STATUS);
 }
 
 /* Reasons to start an attempt */
@@ -916,10 +1092,12 @@
 
 void managed_failover_tick(struct managed_failover *s, uint64_t now_us)
 {
-	if (s->phase != PHASE_IDLE &&
-	    now_us - s->phase_since_us > s->params.attempt_timeout_us) {
+	uint64_t timeout_us = s->params.attempt_timeout_us;
+
+	if (s->phase == PHASE_SETTLE)
+		timeout_us += s->params.call_effect_us;
+	if (s->phase != PHASE_IDLE && now_us - s->phase_since_us > timeout_us)
 		abandon_attempt(s, now_us);
-	}
 	switch (s->phase) {
 	case PHASE_IDLE:
 		check_idle(s, now_us);
@@ -940,7 +1118,11 @@
 	case PHASE_AWAIT_PRIMARY:
 		await_primary(s, now_us);
 		return;
+	case PHASE_SETTLE:
+		settle_calls(s, now_us);
+		return;
 	case PHASE_COMMIT_TOKEN:
+	case PHASE_COMMIT_CALL:
 	case PHASE_PROMOTE:
 	case PHASE_COMMIT_PRIMARY:
 		return;
@@ -985,7 +1167,9 @@
 		restarted = m->incarnation != incarnation;
 		/* What it answered before its start no longer holds. */
 		if (restarted)
-			*m = (struct member){ .incarnation = incarnation };
+			*m = (struct member){ .incarnation = incarnation,
+					      .void_term = m->void_term };
+		m->called_term = group->endpoint[i].called_term;
 		LWS_STR_COPY(m->id, group->endpoint[i].id);
 		if (restarted)
 			log_restart(s, m);
@@ -1025,6 +1209,19 @@
 		enter_phase(s, now_us, PHASE_TOKEN_COMMITTED);
 }
 
+void managed_failover_call_proposed(struct managed_failover *s, uint64_t now_us,
+				    uint64_t fencing_token, int rc)
+{
+	struct member *choice = find_member(s, s->choice);
+
+	if (s->phase != PHASE_COMMIT_CALL || fencing_token != s->fencing_token)
+		return;
+	if (rc || !choice)
+		abandon_attempt(s, now_us);
+	else
+		call_promotion(s, now_us, choice);
+}
+
 void managed_failover_set_evacuated(struct managed_failover *s,
 				    uint32_t endpoints)
 {
@@ -1129,12 +1326,13 @@
 	if (s->phase != PHASE_PROMOTE || fencing_token != s->fencing_token)
 		return;
 	if (rc == LWS_E_NOT_FOUND) {
+		void_call(s);
 		abandon_attempt(s, now_us);
 		return;
 	}
-	/* A completed promotion makes the platform refuse lower tokens. */
+	/* From now on the platform refuses lower tokens. */
 	if (!rc)
-		s->unresolved_call = false;
+		s->call_answered_us = now_us;
 	/*
 	 * A promotion call without an answer may still take effect, so the
 	 * attempt waits for the new primary in either case.
@@ -1151,6 +1349,7 @@
 	if (s->phase != PHASE_PROMOTE || fencing_token != s->fencing_token)
 		return;
 	s->unresolved_call = s->earlier_call_unresolved;
+	void_call(s);
 	wait_for(s, "lease of the leader", NULL);
 	abandon_attempt(s, now_us);
 }
--- a/lib/control/managed_failover.h
+++ b/lib/control/managed_failover.h
@@ -25,7 +25,8 @@
  *   2. all replicas are asked for the newest term they know; a primary that
  *      answers is demoted; then replication from primaries of that term and
  *      lower ones is paused;
- *   3. the platform is asked to promote the replica that received most, or the
+ *   3. the endpoint to be promoted is committed with the token, then the
+ *      platform is asked to promote it: the replica that received most, or the
  *      demoted primary again if it has more than all replicas;
  *   4. the new primary is committed.
  *
@@ -42,11 +43,21 @@
  * Until one of them holds, the promotion waits, if necessary until the primary
  * answers again: a failed primary returns with its log.
  *
- * An attempt that is abandoned before step 3 resumes replication. A promotion
- * call without an outcome may still be carried out later; only an answered
- * call with a higher fencing token rules that out. Until then replication
- * stays paused. The next attempt starts again at step 1, and checks first
- * whether an endpoint has become primary.
+ * An attempt that is abandoned before step 3 resumes replication. A call is
+ * open from then on until a new primary is committed. The platform may carry it
+ * out late if it has no answer; an answered call with a higher fencing token
+ * rules that out. But the platform checks the token only when it carries a call
+ * out, and the endpoint leads some time later, whatever was called since. So
+ * while a call is open,
+ *
+ *   - replication stays paused, and the voters keep their promise: no caller is
+ *     told of a commit;
+ *   - the next attempt, of this leader or another, prefers to promote the
+ *     endpoint that was called for, which has everything that was told, even if
+ *     the former primary is back: then nothing is left to wait for;
+ *   - if that is not possible, it promotes another endpoint, and commits it
+ * only after call_effect_us, by which all calls that were accepted before have
+ *     taken effect. An endpoint that leads by such a call is taken instead.
  */
 
 struct managed_failover;
@@ -58,12 +69,15 @@
  * @attempt_timeout_us: time without progress after which an attempt is
  *                      abandoned
  * @min_interval_us: shortest time between two attempts
+ * @call_effect_us: longest time from the acceptance of a promotion by the
+ *                  platform until the endpoint leads
  */
 struct managed_failover_params {
 	uint64_t report_ttl_us;
 	uint64_t command_retry_us;
 	uint64_t attempt_timeout_us;
 	uint64_t min_interval_us;
+	uint64_t call_effect_us;
 };
 
 /** managed_failover_params_default() - default settings */
@@ -74,6 +88,8 @@
 	MANAGED_FAILOVER_COMMIT_TOKEN,
 	/** send a command to an endpoint */
 	MANAGED_FAILOVER_COMMAND,
+	/** commit which endpoint is going to be promoted */
+	MANAGED_FAILOVER_COMMIT_CALL,
 	/** ask the platform to promote an endpoint */
 	MANAGED_FAILOVER_PROMOTE,
 	/** commit the new primary */
@@ -185,6 +201,16 @@
 				     uint64_t now_us, uint64_t fencing_token,
 				     int rc);
 
+/**
+ * managed_failover_call_proposed() - handle the outcome of a proposal
+ * @s: state machine
+ * @now_us: current time
+ * @fencing_token: token of the MANAGED_FAILOVER_COMMIT_CALL action
+ * @rc: 0 if the proposal was committed and applied
+ */
+void managed_failover_call_proposed(struct managed_failover *s, uint64_t now_us,
+				    uint64_t fencing_token, int rc);
+
 /** managed_failover_report() - handle a report about the primary */
 void managed_failover_report(struct managed_failover *s, uint64_t now_us,
 			     const char *instance, const char *failure_domain,
--- a/lib/daemon/control_managed_failover.c
+++ b/lib/daemon/control_managed_failover.c
@@ -198,9 +198,30 @@
 	talloc_free(token);
 }
 
+static void on_call_proposed(void *private_data, int rc, uint64_t version,
+			     uint64_t index)
+{
+	struct pending_token *token = private_data;
+	struct control *c = token->control;
+	struct managed_group *managed = find_managed(c, token->group);
+
+	(void)version;
+	(void)index;
+	if (managed && c->leader->term == token->leader_term) {
+		managed_failover_call_proposed(managed->failover,
+					       lws_time_now_us(),
+					       token->fencing_token, rc);
+		pump(c, managed);
+	}
+	talloc_free(token);
+}
+
+/* Proposes the token of an attempt, or the endpoint that it promotes. */
 static void propose_token(struct control *c,
 			  const struct managed_group *managed,
-			  const struct managed_failover_action *action)
+			  enum fleet_command_type type,
+			  const struct managed_failover_action *action,
+			  proposal_fn done)
 {
 	struct pending_token *token = talloc_zero(c, struct pending_token);
 
@@ -210,7 +231,7 @@
 	token->leader_term = c->leader->term;
 	token->fencing_token = action->fencing_token;
 	LWS_STR_COPY(token->group, managed->name);
-	propose(c, managed, FLEET_GROUP_TERM, action, token, on_token_proposed);
+	propose(c, managed, type, action, token, done);
 }
 
 static void propose_removal(struct control *c,
@@ -284,7 +305,12 @@
 			     "{s:s,s:I,s:s}", "group", managed->name, "fence",
 			     (json_int_t)action->fencing_token, "reason",
 			     action->reason);
-		propose_token(c, managed, action);
+		propose_token(c, managed, FLEET_GROUP_TERM, action,
+			      on_token_proposed);
+		return;
+	case MANAGED_FAILOVER_COMMIT_CALL:
+		propose_token(c, managed, FLEET_GROUP_CALL, action,
+			      on_call_proposed);
 		return;
 	case MANAGED_FAILOVER_COMMAND:
 		send_command(c, managed, action);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -197,6 +197,53 @@
 	talloc_free(fleet);
 }
 
+/* A call stays open, through a restart and a snapshot, until a primary is. */
+static void test_open_call(void)
+{
+	static const struct {
+		enum fleet_command_type type;
+		uint64_t term;
+		uint64_t open_term;
+	} steps[] = {
+		{ FLEET_ENDPOINT_JOIN, 0, 0 }, { FLEET_GROUP_TERM, 1, 0 },
+		{ FLEET_GROUP_CALL, 1, 1 },    { FLEET_ENDPOINT_JOIN, 0, 1 },
+		{ FLEET_GROUP_TERM, 2, 1 },    { FLEET_GROUP_CALL, 2, 2 },
+		{ FLEET_GROUP_PRIMARY, 2, 0 },
+	};
+	struct fleet *fleet = fleet_create(NULL);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		struct fleet_command c = { .type = steps[i].type };
+		struct pack_writer w;
+		struct fleet *copy;
+
+		if (steps[i].type == FLEET_ENDPOINT_JOIN) {
+			LWS_STR_COPY(c.endpoint.group, "g");
+			LWS_STR_COPY(c.endpoint.endpoint.id, "e1");
+			c.endpoint.endpoint.incarnation = 1 + i;
+			c.endpoint.endpoint.called_term = 7;
+		} else {
+			LWS_STR_COPY(c.group.group, "g");
+			LWS_STR_COPY(c.group.primary, "e1");
+			c.group.term = steps[i].term;
+		}
+		g_assert_cmpint(fleet_apply(fleet, 1 + i, &c).rc, ==, 0);
+		g_assert_cmpuint(fleet->groups[0].endpoint[0].called_term, ==,
+				 steps[i].open_term);
+		pack_writer_init(&w);
+		fleet_snapshot_pack(&w, fleet);
+		g_assert_cmpint(
+			fleet_snapshot_unpack(NULL, (const uint8_t *)w.buf.data,
+					      w.buf.size, &copy),
+			==, 0);
+		g_assert_true(
+			fleet_group_same(&copy->groups[0], &fleet->groups[0]));
+		talloc_free(copy);
+		pack_writer_clear(&w);
+	}
+	talloc_free(fleet);
+}
+
 struct term_case {
 	enum fleet_command_type type;
 	uint64_t term;
@@ -210,7 +257,11 @@
 	{ FLEET_GROUP_TERM, 1, "", LWS_E_VERSION_CONFLICT },
 	{ FLEET_GROUP_PRIMARY, 2, "e1", LWS_E_VERSION_CONFLICT },
 	{ FLEET_GROUP_PRIMARY, 1, "unknown", LWS_E_NOT_FOUND },
+	{ FLEET_GROUP_CALL, 1, "unknown", LWS_E_NOT_FOUND },
+	{ FLEET_GROUP_CALL, 2, "e1", LWS_E_VERSION_CONFLICT },
+	{ FLEET_GROUP_CALL, 1, "e1", 0 },
 	{ FLEET_GROUP_PRIMARY, 1, "e1", 0 },
+	{ FLEET_GROUP_CALL, 1, "e2", LWS_E_VERSION_CONFLICT },
 	{ FLEET_GROUP_PRIMARY, 1, "e2", LWS_E_VERSION_CONFLICT },
 	{ FLEET_GROUP_TERM, 3, "", 0 },
 	{ FLEET_GROUP_PRIMARY, 1, "e2", LWS_E_VERSION_CONFLICT },
@@ -705,6 +756,7 @@
 	g_test_add_func("/fleet/keys", test_keys);
 	g_test_add_func("/fleet/withdrawn-key-in-config",
 			test_withdrawn_key_in_config);
+	g_test_add_func("/fleet/open-call", test_open_call);
 	g_test_add_func("/fleet/terms", test_terms);
 	g_test_add_func("/fleet/audit", test_audit);
 	g_test_add_func("/fleet/announcements", test_announcements);
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -161,6 +161,13 @@
 			}
 			answer(d, h, &a);
 			break;
+		case MANAGED_FAILOVER_COMMIT_CALL:
+			managed_failover_call_proposed(
+				h->s, d->now_us, a.fencing_token,
+				a.fencing_token < d->agreed.term
+					? LWS_E_VERSION_CONFLICT
+					: 0);
+			break;
 		case MANAGED_FAILOVER_PROMOTE:
 			if (d->without_lease) {
 				managed_failover_not_sent(h->s, d->now_us,
--- a/tests/test_managed_failover.c
+++ b/tests/test_managed_failover.c
@@ -395,6 +395,27 @@
 	set_group(m);
 }
 
+static void set_called(struct model *m, const char *endpoint, uint64_t token)
+{
+	for (uint32_t i = 0; i < m->group.count; i++) {
+		if (strcmp(m->group.endpoint[i].id, endpoint) == 0)
+			m->group.endpoint[i].called_term = token;
+	}
+}
+
+static void commit_call(struct model *m,
+			const struct managed_failover_action *a)
+{
+	bool stale = a->fencing_token != m->group.term ||
+		     m->group.primary_term >= a->fencing_token;
+
+	if (!stale)
+		set_called(m, a->endpoint, a->fencing_token);
+	managed_failover_call_proposed(m->s, now_us(m), a->fencing_token,
+				       stale ? LWS_E_VERSION_CONFLICT : 0);
+	set_group(m);
+}
+
 static void perform(struct model *m)
 {
 	struct managed_failover_action a;
@@ -407,6 +428,9 @@
 		case MANAGED_FAILOVER_COMMAND:
 			handle_command(m, &a);
 			break;
+		case MANAGED_FAILOVER_COMMIT_CALL:
+			commit_call(m, &a);
+			break;
 		case MANAGED_FAILOVER_PROMOTE:
 			handle_promotion(m, &a);
 			break;
@@ -416,6 +440,8 @@
 				break;
 			m->group.primary_term = a.fencing_token;
 			LWS_STR_COPY(m->group.primary, a.endpoint);
+			for (uint32_t i = 0; i < m->group.count; i++)
+				m->group.endpoint[i].called_term = 0;
 			set_group(m);
 			break;
 		case MANAGED_FAILOVER_ASK_VOTERS:
@@ -1170,6 +1196,7 @@
 		m->e[2].paused_term = 2;
 		m->e[1].disconnected_until_ms = m->now_ms + 8000;
 		m->unanswered_calls = (uint32_t)seed % 4;
+		set_called(m, "e1", m->group.term);
 		delay_call(m, 1, m->group.term, 4000);
 		talloc_free(m->s);
 		m->s = managed_failover_create(NULL, &params, now_us(m));
@@ -1216,6 +1243,7 @@
 		m->e[2].paused_term = 2;
 		m->e[1].disconnected_until_ms = m->now_ms + 8000;
 		m->unanswered_calls = due_ms / 20 % 4;
+		set_called(m, "e1", m->group.term);
 		delay_call(m, 1, m->group.term, due_ms);
 		become_leader(m);
 		run(m, 24000);
--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -733,6 +733,7 @@
 
 		lost += !g_str_has_prefix(answer, row);
 	}
+	g_test_message("%u told writes", told->len);
 	if (lost || !told->len)
 		g_test_fail_printf("%u of %u told writes are lost", lost,
 				   told->len);
