Finish an open promotion also if another endpoint leads that isn't agreed

A leading endpoint that was not the agreed primary was promoted again while a call for another endpoint was open. That made a second open call, and the commit of either had to wait for call_effect_us. One function now decides for both cases, the agreed primary and another one that leads; an endpoint that leads by a call of its own stays, as no other choice would close that call.

--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -720,27 +720,28 @@
 }
 
 /*
- * The primary is well, and a call for another endpoint may take effect at any
- * moment. That endpoint takes over, unless it can't; then the primary is
- * promoted again, and no caller is told of a commit until the call can't take
- * effect any more.
+ * Promotes an endpoint that leads again, so that the platform refuses all calls
+ * that it has not carried out yet. If a call for another endpoint is open, that
+ * one takes over, since it may lead at any moment; if it can't, no caller is
+ * told of a commit until the call can't take effect any more.
  */
-static void finish_call(struct managed_failover *s, uint64_t now_us,
-			struct member *primary)
+static void promote_again(struct managed_failover *s, uint64_t now_us,
+			  struct member *primary)
 {
-	bool waited = now_us - s->phase_since_us >= SILENT_REPLICA_US;
+	const struct member *other = other_called(s, primary);
+	bool waited = is_called(primary) ||
+		      now_us - s->phase_since_us >= SILENT_REPLICA_US;
 
-	if (!waited && called_can_follow(s)) {
-		pause_below(s, now_us, PHASE_PAUSE);
+	if (!other || (waited && acks_known(s, true))) {
+		request_promotion(s, now_us, primary);
 		return;
 	}
-	if (waited && acks_known(s, true)) {
-		request_promotion(s, now_us, primary);
+	if (!waited && called_can_follow(s)) {
+		pause_below(s, now_us, PHASE_PAUSE);
 		return;
 	}
 	if (!waited)
-		wait_for(s, "endpoint that was called for",
-			 other_called(s, primary)->id);
+		wait_for(s, "endpoint that was called for", other->id);
 	ask_voters(s, now_us, waited);
 	poll_members(s, now_us);
 }
@@ -756,10 +757,7 @@
 
 	/* It may stay: promoting it again ends the unfinished attempt. */
 	if (!s->primary_unwanted && !must_evacuate(s)) {
-		if (other_called(s, primary))
-			finish_call(s, now_us, primary);
-		else
-			request_promotion(s, now_us, primary);
+		promote_again(s, now_us, primary);
 		return;
 	}
 	/*
@@ -802,14 +800,11 @@
 	if (!newest_primary && s->group.primary_term &&
 	    !awaits_primary(s, now_us))
 		ask_voters(s, now_us, false);
-	/*
-	 * An earlier promotion has taken effect. Promoting that endpoint again
-	 * changes no role, but invalidates all calls with lower tokens.
-	 */
+	/* An earlier promotion has taken effect. */
 	if (newest_primary && !is_primary(s, newest_primary) &&
 	    newest_primary->status.term >= newest_term(s)) {
 		if (s->unresolved_call)
-			request_promotion(s, now_us, newest_primary);
+			promote_again(s, now_us, newest_primary);
 		else
 			commit_primary(s, now_us, newest_primary->id);
 		return;
