Soak: calls and commands of the platform are late, promotions slow

The stand-in leaves a share of the calls for promotions and of PAUSE, RESUME and STEPDOWN unanswered and carries them out 2 to 12 s later, and adds a drawn time to that of a promotion; share and time come from the seed of the run, whose schedule of faults stays as it was. At the end of the faults, and before a calm stretch, all that is late is carried out at once.

--- a/programs/platform_standin/main.c
+++ b/programs/platform_standin/main.c
@@ -35,12 +35,19 @@
 	{ "effect-ms", 'e', "N", 0,
 	  "A promoted endpoint leads N ms after the call was accepted (100)",
 	  0 },
+	{ "effect-spread-ms", 'E', "N", 0,
+	  "Up to N ms are added to that while calls are late (0)", 0 },
+	{ "late-percent", 'L', "N", 0,
+	  "Share of calls and commands that get no answer and are carried out "
+	  "2 to 12 s later (0)",
+	  0 },
+	{ "seed", 's', "N", 0, "Seed of what is drawn at random (0)", 0 },
 	{ "held-calls", 'H', "N", 0,
 	  "The first N calls for promotions get no answer; each is carried out "
 	  "when the next call arrives, before that (0)",
 	  0 },
 	{ "deaf-to-resume", 'D', "ID", 0,
-	  "This endpoint carries out RESUME 10 s late, without an answer", 0 },
+	  "This endpoint carries out RESUME late, without an answer", 0 },
 	{ "work-ms", 'w', "N", 0, "Accepted, but not used", 0 },
 	{ 0 },
 };
@@ -91,6 +98,18 @@
 	case 'e':
 		p->effect_ms = parse_number(state, "--effect-ms", arg);
 		return 0;
+	case 'E':
+		p->effect_spread_ms =
+			parse_number(state, "--effect-spread-ms", arg);
+		return 0;
+	case 'L':
+		p->late_percent = parse_number(state, "--late-percent", arg);
+		if (p->late_percent > 100)
+			argp_error(state, "--late-percent: above 100");
+		return 0;
+	case 's':
+		p->seed = parse_number(state, "--seed", arg);
+		return 0;
 	case 'H':
 		p->held_calls = parse_number(state, "--held-calls", arg);
 		return 0;
@@ -122,6 +141,8 @@
 		standin_crash_primary(private_data);
 	else if (signum == SIGUSR2)
 		standin_drain_primary(private_data);
+	else if (signum == SIGHUP || signum == SIGRTMIN)
+		standin_set_late(private_data, signum == SIGRTMIN);
 	else {
 		standin_print_log(private_data);
 		exit(0);
@@ -135,7 +156,9 @@
 		.parser = parse_option,
 		.doc = "Stand-in of the platform for tests.\vSIGUSR1 crashes "
 		       "the primary, SIGUSR2 makes it announce that it is "
-		       "draining, SIGTERM prints the log and exits."
+		       "draining, SIGHUP carries out at once what is late, "
+		       "and nothing is late until SIGRTMIN, SIGTERM prints the "
+		       "log and exits."
 	};
 	struct standin_params params = {
 		.group = "g1", .lag_ms = 20, .effect_ms = 100, .work_ms = 2
@@ -153,6 +176,8 @@
 	}
 	tevent_add_signal(ev, s, SIGUSR1, 0, on_signal, s);
 	tevent_add_signal(ev, s, SIGUSR2, 0, on_signal, s);
+	tevent_add_signal(ev, s, SIGHUP, 0, on_signal, s);
+	tevent_add_signal(ev, s, SIGRTMIN, 0, on_signal, s);
 	tevent_add_signal(ev, s, SIGTERM, 0, on_signal, s);
 	return tevent_loop_wait(ev);
 }
--- a/programs/platform_standin/platform_standin.c
+++ b/programs/platform_standin/platform_standin.c
@@ -11,6 +11,7 @@
 #include "http1.h"
 #include "io_time.h"
 #include "lws_error.h"
+#include "lws_rng.h"
 #include "lws_str.h"
 #include "lws_time.h"
 #include "promotion_calls.h"
@@ -22,8 +23,11 @@
 #define TEXT_MAX 64
 #define ITEMS_MAX 4096
 #define PAIRS_MAX 256
-#define LATE_COMMAND_MS 10000
-#define CALL_POLL_MS 5
+/* What gets no answer is carried out after a time from this range. */
+#define LATE_MIN_MS 2000
+#define LATE_SPREAD_MS 10000
+#define COMMAND_MAX 32
+#define LATE_POLL_MS 5
 #define HEARTBEAT_MS 300
 #define ADDRS_MAX 8
 /* A draining endpoint is replaced after this multiple of return_ms. */
@@ -82,13 +86,26 @@
 	struct pair writes[PAIRS_MAX];
 };
 
+/* A command to an endpoint that gets no answer and is carried out late. */
+struct late_command {
+	struct late_command *next;
+	struct endpoint *endpoint;
+	/* Start of the endpoint that the command was sent to. */
+	uint64_t born_ms;
+	uint64_t due_us;
+	char text[COMMAND_MAX];
+};
+
 struct standin {
 	struct tevent_context *ev;
 	struct standin_params params;
 	struct http1_server *platform;
 	struct promotion_calls calls;
-	struct tevent_timer *call_timer;
+	struct late_command *late_commands;
 	uint32_t held_calls;
+	/* Calls and commands are late at random. */
+	bool late;
+	struct lws_rng rng;
 	struct endpoint endpoints[STANDIN_ENDPOINTS];
 	uint64_t commits_count;
 	struct commit *commits;
@@ -369,49 +386,58 @@
 	return applied_count(c->endpoint) < number;
 }
 
-static void pause_replication(struct session *c, uint64_t term)
+/* PAUSE, RESUME and STEPDOWN, without an answer. */
+static void carry_out_command(struct endpoint *e, const char *text)
 {
-	struct endpoint *e = c->endpoint;
+	uint64_t term = strtoull(text + strcspn(text, " "), NULL, 10);
 
-	if (!e->primary && term > e->term)
+	if (strncmp(text, "RESUME", 6) == 0) {
+		e->paused_below_term = 0;
+		catch_up(e);
+	} else if (term > e->term && *text == 'S') {
+		e->primary = false;
+	} else if (term > e->term && !e->primary) {
 		e->paused_below_term = term;
-	answer_status(c);
+	}
 }
 
-static void step_down(struct session *c, uint64_t term)
+static uint64_t late_us(struct standin *s)
 {
-	struct endpoint *e = c->endpoint;
+	return lws_time_now_us() +
+	       (LATE_MIN_MS + lws_rng_below(&s->rng, LATE_SPREAD_MS)) *
+		       LWS_US_PER_MS;
+}
 
-	if (term > e->term)
-		e->primary = false;
-	answer_status(c);
+static bool is_late(struct standin *s)
+{
+	return s->late && lws_rng_below(&s->rng, 100) < s->params.late_percent;
 }
 
-static void on_late_resume(struct tevent_context *ev, struct tevent_timer *te,
-			   struct timeval now, void *private_data)
+static bool is_deaf_to(const struct endpoint *e, const char *text)
 {
-	struct endpoint *e = private_data;
+	const char *deaf = e->standin->params.deaf_to_resume;
 
-	(void)ev;
-	(void)te;
-	(void)now;
-	e->paused_below_term = 0;
-	catch_up(e);
+	return deaf && strcmp(deaf, e->id) == 0 && strcmp(text, "RESUME") == 0;
 }
 
-static void resume(struct session *c)
+static void run_command(struct session *c, const char *text)
 {
 	struct endpoint *e = c->endpoint;
-	const char *deaf = e->standin->params.deaf_to_resume;
+	struct standin *s = e->standin;
+	struct late_command *late;
 
-	if (deaf && strcmp(deaf, e->id) == 0) {
-		tevent_add_timer(e->standin->ev, e->standin,
-				 io_in_ms(LATE_COMMAND_MS), on_late_resume, e);
+	if (!is_deaf_to(e, text) && !is_late(s)) {
+		carry_out_command(e, text);
+		answer_status(c);
 		return;
 	}
-	e->paused_below_term = 0;
-	catch_up(e);
-	answer_status(c);
+	late = talloc_zero(s, struct late_command);
+	late->endpoint = e;
+	late->born_ms = e->born_ms;
+	late->due_us = late_us(s);
+	LWS_STR_COPY(late->text, text);
+	late->next = s->late_commands;
+	s->late_commands = late;
 }
 
 static void run_statement(struct session *c, char *text)
@@ -426,12 +452,10 @@
 	rest = rest ? rest + 1 : text + strlen(text);
 	if (strcmp(text, "STATUS") == 0) {
 		answer_status(c);
-	} else if (strncmp(text, "PAUSE ", 6) == 0) {
-		pause_replication(c, strtoull(rest, NULL, 10));
-	} else if (strncmp(text, "STEPDOWN ", 9) == 0) {
-		step_down(c, strtoull(rest, NULL, 10));
-	} else if (strcmp(text, "RESUME") == 0) {
-		resume(c);
+	} else if (strncmp(text, "PAUSE ", 6) == 0 ||
+		   strncmp(text, "STEPDOWN ", 9) == 0 ||
+		   strcmp(text, "RESUME") == 0) {
+		run_command(c, text);
 	} else if (strcmp(text, "RESET") == 0) {
 		c->pairs_count = 0;
 		answer_success(c, NULL, "-");
@@ -657,6 +681,14 @@
 	s->commits_count = e->received;
 }
 
+static uint64_t effect_ms(struct standin *s)
+{
+	uint32_t spread = s->params.effect_spread_ms;
+
+	return s->params.effect_ms +
+	       (spread && s->late ? lws_rng_below(&s->rng, spread) : 0);
+}
+
 static bool carry_out(struct standin *s, const struct promotion_call *call)
 {
 	const struct endpoint *e = &s->endpoints[call->endpoint];
@@ -664,42 +696,75 @@
 					   .primary = e->primary };
 	struct promotion_call now = *call;
 
-	now.due = lws_time_now_us() + s->params.effect_ms * LWS_US_PER_MS;
+	now.due = lws_time_now_us() + effect_ms(s) * LWS_US_PER_MS;
 	return promotion_calls_carry_out(&s->calls, &now, &target);
 }
 
-static void on_call_timer(struct tevent_context *ev, struct tevent_timer *te,
-			  struct timeval now, void *private_data)
+static void finish_calls(struct standin *s, uint64_t now_us)
 {
-	struct standin *s = private_data;
 	struct promotion_call call;
 
-	(void)te;
-	(void)now;
-	s->call_timer = NULL;
-	while (promotion_calls_take(&s->calls, lws_time_now_us(), &call)) {
+	while (promotion_calls_take(&s->calls, now_us, &call)) {
 		if (call.accepted)
 			take_effect(&s->endpoints[call.endpoint]);
+		else
+			carry_out(s, &call);
 	}
-	if (promotion_calls_open(&s->calls))
-		s->call_timer = tevent_add_timer(ev, s, io_in_ms(CALL_POLL_MS),
-						 on_call_timer, s);
 }
 
-/* Carries out the calls that were held until the next one. */
-static void carry_out_held(struct standin *s)
+static void finish_commands(struct standin *s, uint64_t now_us)
 {
-	struct promotion_call call;
+	struct late_command **at = &s->late_commands;
+
+	while (*at) {
+		struct late_command *late = *at;
 
+		if (late->due_us > now_us) {
+			at = &late->next;
+			continue;
+		}
+		*at = late->next;
+		if (late->born_ms == late->endpoint->born_ms &&
+		    !late->endpoint->down)
+			carry_out_command(late->endpoint, late->text);
+		talloc_free(late);
+	}
+}
+
+static void on_late_timer(struct tevent_context *ev, struct tevent_timer *te,
+			  struct timeval now, void *private_data)
+{
+	struct standin *s = private_data;
+
+	(void)te;
+	(void)now;
+	finish_calls(s, lws_time_now_us());
+	finish_commands(s, lws_time_now_us());
+	tevent_add_timer(ev, s, io_in_ms(LATE_POLL_MS), on_late_timer, s);
+}
+
+/* Carries out the calls that wait, now. */
+static void carry_out_waiting(struct standin *s)
+{
 	for (uint32_t i = 0; i < PROMOTION_CALLS_MAX; i++) {
-		if (!s->calls.list[i].used || s->calls.list[i].accepted)
+		struct promotion_call call = s->calls.list[i];
+
+		if (!call.used || call.accepted)
 			continue;
-		call = s->calls.list[i];
 		s->calls.list[i].used = false;
 		carry_out(s, &call);
 	}
 }
 
+void standin_set_late(struct standin *s, bool late)
+{
+	s->late = late;
+	if (late)
+		return;
+	carry_out_waiting(s);
+	finish_commands(s, UINT64_MAX);
+}
+
 static int find_endpoint(const struct standin *s, const json_t *body)
 {
 	const char *id = json_string_value(json_object_get(body, "id"));
@@ -718,25 +783,21 @@
 	struct promotion_call call = { .fencing_token =
 					       strtoull(fence, NULL, 10) };
 	int at = find_endpoint(s, body);
-	bool accepted;
 
 	if (!call.fencing_token)
 		return 400;
 	if (at < 0)
 		return 409;
 	call.endpoint = (uint32_t)at;
-	if (s->held_calls) {
-		s->held_calls--;
-		call.due = UINT64_MAX;
+	if (s->held_calls || is_late(s)) {
+		call.due = s->held_calls ? UINT64_MAX : late_us(s);
+		s->held_calls -= s->held_calls > 0;
 		promotion_calls_add(&s->calls, &call);
 		return 0;
 	}
-	carry_out_held(s);
-	accepted = carry_out(s, &call);
-	if (!s->call_timer)
-		s->call_timer = tevent_add_timer(
-			s->ev, s, io_in_ms(CALL_POLL_MS), on_call_timer, s);
-	return accepted ? 200 : 409;
+	if (s->params.held_calls)
+		carry_out_waiting(s);
+	return carry_out(s, &call) ? 200 : 409;
 }
 
 static void on_request(void *private_data, struct http1_request *r)
@@ -861,6 +922,8 @@
 	s->ev = ev;
 	s->params = *params;
 	s->held_calls = params->held_calls;
+	s->late = params->late_percent > 0;
+	s->rng.seed = params->seed;
 	s->commits = talloc_zero_array(s, struct commit, COMMITS_MAX);
 	list = talloc_strdup(s, params->announce);
 	for (char *a = strtok_r(list, ",", &save);
@@ -874,5 +937,6 @@
 	    http1_server_create(s, ev, &server, &s->platform))
 		return NULL;
 	tevent_add_timer(ev, s, tevent_timeval_current(), on_heartbeat, s);
+	tevent_add_timer(ev, s, tevent_timeval_current(), on_late_timer, s);
 	return s;
 }
--- a/programs/platform_standin/platform_standin.h
+++ b/programs/platform_standin/platform_standin.h
@@ -27,10 +27,16 @@
  * @lag_ms: replicas apply a commit this late
  * @work_ms: accepted, but not used
  * @effect_ms: time from the acceptance of a promotion until its endpoint leads
+ * @effect_spread_ms: up to this much is added to @effect_ms, at random, while
+ *                    calls are late
+ * @late_percent: share of the calls for promotions, and of the commands that
+ *                change an endpoint, that get no answer and are carried out 2
+ * to 12 s later
+ * @seed: of what is drawn at random
  * @held_calls: number of calls for promotions that are not answered; each is
  *              carried out when the next call arrives, before that
- * @deaf_to_resume: id of an endpoint that carries out RESUME 10 s late and
- *                  without an answer; NULL for none
+ * @deaf_to_resume: id of an endpoint that carries out RESUME late and without
+ *                  an answer; NULL for none
  * @cold_ms: an endpoint reports that it is cold for this long after a start
  */
 struct standin_params {
@@ -43,6 +49,9 @@
 	uint32_t lag_ms;
 	uint32_t work_ms;
 	uint32_t effect_ms;
+	uint32_t effect_spread_ms;
+	uint32_t late_percent;
+	uint64_t seed;
 	uint32_t held_calls;
 	const char *deaf_to_resume;
 	uint32_t cold_ms;
@@ -66,6 +75,13 @@
 /** standin_drain_primary() - let the primary announce that it is draining */
 void standin_drain_primary(struct standin *s);
 
+/**
+ * standin_set_late() - whether calls and commands are late at random
+ *
+ * At the end of such a time, all that is late is carried out at once.
+ */
+void standin_set_late(struct standin *s, bool late);
+
 /** standin_print_log() - print one line for each commit on standard output */
 void standin_print_log(const struct standin *s);
 
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -104,8 +104,13 @@
 	g_autofree char *promote = g_strdup_printf(
 		"--promote=%s.%d:%d", f->net, SOAK_STANDIN, TEST_PORT_PROMOTE);
 	g_autoptr(GString) announce = g_string_new("--announce=");
-	char *argv[] = { path,		 listen, advertise, promote,
-			 STANDIN_RETURN, NULL,	 NULL };
+	g_autofree char *seed = g_strdup_printf("--seed=%u", soak_late.seed);
+	g_autofree char *late =
+		g_strdup_printf("--late-percent=%u", soak_late.percent);
+	g_autofree char *effect = g_strdup_printf("--effect-spread-ms=%u",
+						  soak_late.effect_spread_ms);
+	char *argv[] = { path, listen, advertise, promote, STANDIN_RETURN,
+			 NULL, seed,   late,	  effect,  NULL };
 
 	for (int i = 1; i <= soak_controls; i++)
 		g_string_append_printf(announce, "%s%s.%d:%d", i > 1 ? "," : "",
--- a/soak/main.c
+++ b/soak/main.c
@@ -44,6 +44,7 @@
 static gint failures;
 static gint64 started_us;
 static bool verbose;
+struct soak_late soak_late;
 int soak_controls = SOAK_CONTROLS_MIN;
 int soak_session_servers = SOAK_SESSION_SERVERS_MIN;
 
@@ -306,6 +307,7 @@
 static void end_faults(struct run *r)
 {
 	soak_log("end all faults");
+	soak_fleet_signal(r->fleet, SOAK_STANDIN, SIGHUP);
 	soak_proxy_heal(r->proxy);
 	memset(r->heal_ms, 0, sizeof(r->heal_ms));
 	soak_fleet_heal(r->fleet);
@@ -326,6 +328,7 @@
 	end_faults(r);
 	run_for(r, CALM_MS);
 	soak_check_calm(r->ledger);
+	soak_fleet_signal(r->fleet, SOAK_STANDIN, SIGRTMIN);
 	soak_log("kill %d control instances, remove their data", lost);
 	for (int i = 0; i < lost; i++) {
 		int host = 1 + (first + i) % soak_controls;
@@ -393,6 +396,20 @@
 	return net;
 }
 
+/* Not drawn from the run's own sequence, so that its schedule stays. */
+static struct soak_late late_of(uint64_t seed)
+{
+	static const uint32_t percents[] = { 0, 20, 40 };
+	static const uint32_t spreads_ms[] = { 1, 1000, 4500 };
+
+	return (struct soak_late){
+		.seed = (uint32_t)seed,
+		.percent = percents[seed % G_N_ELEMENTS(percents)],
+		.effect_spread_ms =
+			spreads_ms[seed / 3 % G_N_ELEMENTS(spreads_ms)],
+	};
+}
+
 static bool run_seed(uint64_t seed, int seconds, int number, bool keep)
 {
 	struct run r = { .rng = { .seed = seed } };
@@ -403,6 +420,7 @@
 	uint64_t answered;
 
 	started_us = g_get_monotonic_time();
+	soak_late = late_of(seed);
 	r.proxy = soak_proxy_start();
 	add_routes(&r, net);
 	r.fleet = soak_fleet_start(net, dir);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -45,6 +45,21 @@
 /** soak_session_servers - caller-facing instances of a run */
 extern int soak_session_servers;
 
+/**
+ * struct soak_late - late calls and commands at the stand-in (its flags)
+ * @seed: of what is late
+ * @percent: share of the calls for promotions and commands that are late
+ * @effect_spread_ms: longest time added to that of a promotion
+ */
+struct soak_late {
+	uint32_t seed;
+	uint32_t percent;
+	uint32_t effect_spread_ms;
+};
+
+/** soak_late - late calls and commands of the run, drawn from its seed */
+extern struct soak_late soak_late;
+
 /** soak_fail() - report a violated guarantee on standard error */
 void soak_fail(const char *format, ...) G_GNUC_PRINTF(1, 2);
 
