Several accepted calls for an endpoint stay open when it becomes the primary

Cause: the call was taken as closed when its endpoint led; that closes one of them. Change: if an endpoint was called for more than once, its calls stay open in the group's state when it becomes the primary. For call_effect_us after the commit it is replaced only with the voters' promise, and the wait for its effect; the primary serves as usual meanwhile.

--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -145,7 +145,8 @@
 	       a->member == b->member && a->slots == b->slots &&
 	       a->incarnation == b->incarnation &&
 	       a->cold_index == b->cold_index &&
-	       a->called_term == b->called_term;
+	       a->called_term == b->called_term &&
+	       a->called_again == b->called_again;
 }
 
 bool fleet_group_same(const struct fleet_group *a, const struct fleet_group *b)
@@ -582,6 +583,7 @@
 		endpoint->cold_left_ms = 0;
 		endpoint->cold_index = 0;
 		endpoint->called_term = 0;
+		endpoint->called_again = false;
 	}
 	if (announcement_is_stale(endpoint, announced))
 		return LWS_E_VERSION_CONFLICT;
@@ -668,6 +670,7 @@
 	if (command->group.term != group->term ||
 	    group->primary_term >= group->term)
 		return LWS_E_VERSION_CONFLICT;
+	endpoint->called_again = endpoint->called_term != 0;
 	endpoint->called_term = command->group.term;
 	return 0;
 }
@@ -691,8 +694,12 @@
 	group->primary_term = group->term;
 	LWS_STR_COPY(group->primary, command->group.primary);
 	for (uint32_t i = 0; i < group->count; i++) {
-		group->endpoint[i].member = false;
-		group->endpoint[i].called_term = 0;
+		struct fleet_endpoint *e = &group->endpoint[i];
+
+		e->member = false;
+		if (!e->called_again || strcmp(e->id, group->primary) != 0)
+			e->called_term = 0;
+		e->called_again = false;
 	}
 	for (uint32_t m = 0; m < command->group.members_count; m++)
 		fleet_find_endpoint(group, command->group.members[m])->member =
--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -52,6 +52,9 @@
  *              never set; not used in announcements
  * @called_term: fencing token of the newest call to promote it that may still
  *               take effect, 0 for none; not used in announcements
+ * @called_again: there were several such calls. Each of them may take effect,
+ * so
+ *                @called_term stays when the endpoint becomes the primary.
  */
 struct fleet_endpoint {
 	char id[FLEET_NAME_MAX];
@@ -67,6 +70,7 @@
 	bool cold_reported;
 	uint64_t cold_index;
 	uint64_t called_term;
+	bool called_again;
 };
 
 /**
--- a/lib/control/fleet_pack.c
+++ b/lib/control/fleet_pack.c
@@ -17,7 +17,7 @@
 	bool cold = called || endpoint->cold_left_ms ||
 		    endpoint->cold_reported || endpoint->cold_index;
 
-	pack_array(w, called ? 13 : cold ? 12 : 9);
+	pack_array(w, called ? 14 : cold ? 12 : 9);
 	pack_str(w, endpoint->id);
 	pack_str(w, endpoint->addr);
 	pack_str(w, endpoint->failure_domain);
@@ -33,8 +33,10 @@
 	pack_u64(w, endpoint->cold_left_ms);
 	pack_bool(w, endpoint->cold_reported);
 	pack_u64(w, endpoint->cold_index);
-	if (called)
-		pack_u64(w, endpoint->called_term);
+	if (!called)
+		return;
+	pack_u64(w, endpoint->called_term);
+	pack_bool(w, endpoint->called_again);
 }
 
 static void endpoint_unpack(struct pack_reader *r,
@@ -62,8 +64,10 @@
 		endpoint->cold_reported = pack_read_bool(&in);
 		endpoint->cold_index = pack_read_u64(&in);
 	}
-	if (in.next < in.count)
+	if (in.next < in.count) {
 		endpoint->called_term = pack_read_u64(&in);
+		endpoint->called_again = pack_read_bool(&in);
+	}
 	if (pack_reader_end(&in))
 		r->rc = LWS_E_WIRE_FORMAT;
 }
--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -130,6 +130,8 @@
 	bool choice_was_called;
 	/* When the call of this attempt was answered, 0 before. */
 	uint64_t call_answered_us;
+	/* Since when the agreed primary is known here. */
+	uint64_t primary_since_us;
 	/* Answers of the voters in this attempt, and when they were asked. */
 	struct ack_survey_status acks;
 	bool acks_answered;
@@ -993,8 +995,11 @@
 		return;
 	}
 	if (newest != choice) {
-		choice->void_term = choice->called_term;
+		/* Its only call has taken effect. */
+		if (!s->choice_was_called && !s->choice_status.primary)
+			choice->void_term = choice->called_term;
 		LWS_STR_COPY(s->choice, newest->id);
+		s->choice_was_called = true;
 	}
 	if (calls_are_settled(s, now_us, newest) &&
 	    now_us - newest->answered_us < s->params.command_retry_us) {
@@ -1108,10 +1113,25 @@
 	return false;
 }
 
+/*
+ * All calls were accepted before the primary was committed, or never will be.
+ * Several calls for it may have been accepted, and a later one would make it
+ * lead again after it has stepped down.
+ */
+static void void_old_calls(struct managed_failover *s, uint64_t now_us)
+{
+	if (s->group.term != s->group.primary_term ||
+	    now_us - s->primary_since_us < s->params.call_effect_us)
+		return;
+	for (uint32_t i = 0; i < s->members_count; i++)
+		s->members[i].void_term = s->members[i].called_term;
+}
+
 static void check_idle(struct managed_failover *s, uint64_t now_us)
 {
 	const char *reason;
 
+	void_old_calls(s, now_us);
 	if (now_us - s->last_attempt_us < s->params.min_interval_us)
 		return;
 	reason = reason_to_start(s, now_us);
@@ -1214,6 +1234,7 @@
 	if (s->phase == PHASE_COMMIT_TOKEN && group->term > s->fencing_token)
 		enter_phase(s, now_us, PHASE_IDLE);
 	if (primary_new) {
+		s->primary_since_us = now_us;
 		s->reports_count = 0;
 		s->probe_failed = false;
 		for (uint32_t i = 0; i < s->members_count; i++) {
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -197,7 +197,10 @@
 	talloc_free(fleet);
 }
 
-/* A call stays open, through a restart and a snapshot, until a primary is. */
+/*
+ * A call stays open, through a restart and a snapshot, until its endpoint is
+ * the primary, and beyond that if there were several.
+ */
 static void test_open_call(void)
 {
 	static const struct {
@@ -208,7 +211,9 @@
 		{ FLEET_ENDPOINT_JOIN, 0, 0 }, { FLEET_GROUP_TERM, 1, 0 },
 		{ FLEET_GROUP_CALL, 1, 1 },    { FLEET_ENDPOINT_JOIN, 0, 1 },
 		{ FLEET_GROUP_TERM, 2, 1 },    { FLEET_GROUP_CALL, 2, 2 },
-		{ FLEET_GROUP_PRIMARY, 2, 0 },
+		{ FLEET_GROUP_PRIMARY, 2, 2 }, { FLEET_GROUP_TERM, 3, 2 },
+		{ FLEET_GROUP_PRIMARY, 3, 0 }, { FLEET_GROUP_TERM, 4, 0 },
+		{ FLEET_GROUP_CALL, 4, 4 },    { FLEET_GROUP_PRIMARY, 4, 0 },
 	};
 	struct fleet *fleet = fleet_create(NULL);
 
--- a/tests/test_managed_failover.c
+++ b/tests/test_managed_failover.c
@@ -398,8 +398,24 @@
 static void set_called(struct model *m, const char *endpoint, uint64_t token)
 {
 	for (uint32_t i = 0; i < m->group.count; i++) {
-		if (strcmp(m->group.endpoint[i].id, endpoint) == 0)
-			m->group.endpoint[i].called_term = token;
+		struct fleet_endpoint *e = &m->group.endpoint[i];
+
+		if (strcmp(e->id, endpoint) != 0)
+			continue;
+		e->called_again = e->called_term != 0;
+		e->called_term = token;
+	}
+}
+
+/* As the commit of a primary does. */
+static void end_calls(struct model *m)
+{
+	for (uint32_t i = 0; i < m->group.count; i++) {
+		struct fleet_endpoint *e = &m->group.endpoint[i];
+
+		if (!e->called_again || strcmp(e->id, m->group.primary) != 0)
+			e->called_term = 0;
+		e->called_again = false;
 	}
 }
 
@@ -440,8 +456,7 @@
 				break;
 			m->group.primary_term = a.fencing_token;
 			LWS_STR_COPY(m->group.primary, a.endpoint);
-			for (uint32_t i = 0; i < m->group.count; i++)
-				m->group.endpoint[i].called_term = 0;
+			end_calls(m);
 			set_group(m);
 			break;
 		case MANAGED_FAILOVER_ASK_VOTERS:
@@ -1346,14 +1361,18 @@
 
 /*
  * Seeds that lost a commit or promoted into an evacuated domain: a role was
- * taken as the outcome of a call, or an old report as the present role.
+ * taken as the outcome of a call, an old report as the present role, or, in the
+ * second half, one of several accepted calls for an endpoint took effect after
+ * it had stepped down again.
  */
-static const uint64_t failed_seeds[] = { 3319,	6539,  6738,  10635,
-					 14639, 17155, 18619, 19335,
-					 22027, 22750, 26630, 49279 };
+static const uint64_t failed_seeds[] = {
+	3319,	 6539,	  6738,	   10635,   14639,   17155,   18619,   19335,
+	22027,	 22750,	  26630,   49279,   1031249, 1038031, 1038361, 1002983,
+	1007569, 1013673, 1019577, 1025221, 1030781, 1030929, 1031699, 1038137
+};
 
 /* Time from the acceptance of a call until its endpoint leads. */
-static const uint32_t promotion_times_ms[] = { 0, 100, 300, 1000, 3000 };
+static const uint32_t promotion_times_ms[] = { 0, 100, 300, 1000, 3000, 5000 };
 
 /*
  * Crashes, restarts, interrupted replication, lost commands, calls that are
