Open calls need the voters' promises only, not their records

But a voter keeps a promise whatever it knows, and one without a complete record stores nothing. ack_survey_status() counts these pledges now.

--- a/lib/control/ack_record.c
+++ b/lib/control/ack_record.c
@@ -165,11 +165,11 @@
 		s->count++;
 }
 
-static const struct ack_answer *complete_answer(const struct ack_survey *s,
-						uint64_t voter, uint64_t token)
+static const struct ack_answer *find_answer(const struct ack_survey *s,
+					    uint64_t voter, uint64_t token)
 {
 	for (uint32_t i = 0; s->token == token && i < s->count; i++) {
-		if (s->list[i].voter == voter && s->list[i].answer.complete)
+		if (s->list[i].voter == voter)
 			return &s->list[i].answer;
 	}
 	return NULL;
@@ -223,12 +223,14 @@
 	struct ack_survey_status status = { 0 };
 	struct position_list complete = { 0 };
 	struct position_list promised = { 0 };
+	uint32_t pledges = 0;
 
 	for (uint32_t i = 0; i < voters->count; i++) {
 		const struct ack_answer *answer =
-			complete_answer(s, voters->member[i].id, token);
+			find_answer(s, voters->member[i].id, token);
 
-		if (!answer) {
+		pledges += answer && answer->promised;
+		if (!answer || !answer->complete) {
 			LWS_STR_COPY(status.waits_for, voters->member[i].name);
 			continue;
 		}
@@ -240,6 +242,8 @@
 		status.missing = majority - complete.count;
 	if (promised.count < majority)
 		status.missing_promises = majority - promised.count;
+	if (pledges < majority)
+		status.missing_pledges = majority - pledges;
 	/* Without its promise, a voter may still record more. */
 	status.acked = highest_told(
 		status.missing_promises ? &complete : &promised, voters->count);
--- a/lib/control/ack_record.h
+++ b/lib/control/ack_record.h
@@ -143,12 +143,15 @@
  * struct ack_survey_status - what a majority of the voters says
  * @missing: answers that are missing to a majority
  * @missing_promises: promises that are missing to a majority
+ * @missing_pledges: the same, counting also the promises of voters whose record
+ *                   is not complete: they record nothing further either
  * @acked: no caller was told of a commit above this position, if @missing is 0
  * @waits_for: name of a voter without a complete answer, "" for none
  */
 struct ack_survey_status {
 	uint32_t missing;
 	uint32_t missing_promises;
+	uint32_t missing_pledges;
 	struct log_position acked;
 	char waits_for[FLEET_NAME_MAX];
 };
--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -468,6 +468,16 @@
 	return true;
 }
 
+/* Whether callers are told of no further commit until a primary is committed.
+ */
+static bool nothing_is_told(struct managed_failover *s)
+{
+	if (!s->sync_replicas || (s->acks_answered && !s->acks.missing_pledges))
+		return true;
+	wait_for(s, "promise of a voter", s->acks.waits_for);
+	return false;
+}
+
 static bool has_acknowledged(struct managed_failover *s, const struct member *m)
 {
 	return !s->sync_replicas ||
@@ -559,7 +569,7 @@
 		return NULL;
 	}
 	/* Callers must not be told of commits that the other one lacks. */
-	if (best && other_called(s, best) && !acks_known(s, true))
+	if (best && other_called(s, best) && !nothing_is_told(s))
 		return NULL;
 	return best && is_safe(s, best) ? best : NULL;
 }
@@ -734,7 +744,7 @@
 	bool waited = is_called(primary) ||
 		      now_us - s->phase_since_us >= SILENT_REPLICA_US;
 
-	if (!other || (waited && acks_known(s, true))) {
+	if (!other || (waited && nothing_is_told(s))) {
 		request_promotion(s, now_us, primary);
 		return;
 	}
--- a/tests/test_managed_failover.c
+++ b/tests/test_managed_failover.c
@@ -47,6 +47,17 @@
 	struct ack_record *record;
 };
 
+/* A command without an answer that an endpoint carries out late. */
+struct late_command {
+	bool used;
+	uint64_t due_ms;
+	uint32_t endpoint;
+	enum endpoint_command_kind kind;
+	uint64_t term;
+};
+
+#define LATE_COMMANDS_MAX 256
+
 struct model {
 	struct lws_rng rng;
 	uint64_t now_ms;
@@ -70,6 +81,9 @@
 	/* Promotion calls for a replica in an evacuated domain. */
 	uint32_t promoted_into;
 	uint32_t loss_percent;
+	/* A lost command that changes an endpoint is carried out late. */
+	bool lost_is_late;
+	struct late_command late[LATE_COMMANDS_MAX];
 	uint32_t pending_token;
 	/* A replica that is not registered receives all commits. */
 	bool unregistered_replica;
@@ -246,24 +260,65 @@
 	return lws_rng_below(&m->rng, 100) < m->loss_percent;
 }
 
+static void change_endpoint(struct model_endpoint *e,
+			    enum endpoint_command_kind kind, uint64_t term)
+{
+	if (kind == COMMAND_PAUSE && term > e->term && !e->primary)
+		e->paused_term = term;
+	if (kind == COMMAND_RESUME)
+		e->paused_term = 0;
+	if (kind == COMMAND_STEP_DOWN && term > e->term)
+		e->primary = false;
+}
+
+static void delay_command(struct model *m,
+			  const struct managed_failover_action *a)
+{
+	for (uint32_t i = 0; i < LATE_COMMANDS_MAX; i++) {
+		if (m->late[i].used)
+			continue;
+		m->late[i] = (struct late_command){
+			.used = true,
+			.due_ms = m->now_ms + 2000 +
+				  lws_rng_below(&m->rng, 10000),
+			.endpoint = index_of(a->endpoint),
+			.kind = a->command,
+			.term = a->term,
+		};
+		return;
+	}
+}
+
+static void run_late_commands(struct model *m)
+{
+	for (uint32_t i = 0; i < LATE_COMMANDS_MAX; i++) {
+		struct late_command *late = &m->late[i];
+
+		if (!late->used || late->due_ms > m->now_ms)
+			continue;
+		late->used = false;
+		if (!m->e[late->endpoint].down)
+			change_endpoint(&m->e[late->endpoint], late->kind,
+					late->term);
+	}
+}
+
 static void handle_command(struct model *m,
 			   const struct managed_failover_action *a)
 {
 	struct model_endpoint *e = &m->e[index_of(a->endpoint)];
 	struct endpoint_status status;
+	bool lost = e->down || e->unreachable || message_lost(m);
 
-	if (e->down || e->unreachable || message_lost(m)) {
+	if (lost) {
+		if (m->lost_is_late && a->command != COMMAND_STATUS)
+			delay_command(m, a);
 		managed_failover_answered(m->s, now_us(m), a->endpoint,
 					  a->command, a->fencing_token, NULL,
 					  STATEMENT_E_NONE);
 		return;
 	}
-	if (a->command == COMMAND_PAUSE && a->term > e->term && !e->primary)
-		e->paused_term = a->term;
-	if (a->command == COMMAND_RESUME)
-		e->paused_term = 0;
-	if (a->command == COMMAND_STEP_DOWN && a->term > e->term)
-		e->primary = false;
+	change_endpoint(e, a->command, a->term);
 	if (message_lost(m))
 		return;
 	status =
@@ -477,6 +532,7 @@
 {
 	m->now_ms += TICK_MS;
 	finish_calls(m);
+	run_late_commands(m);
 	if (lws_rng_below(&m->rng, 3) == 0)
 		commit(m);
 	for (uint32_t i = 0; m->now_ms % 1200 == 0 && i < ENDPOINTS; i++) {
@@ -1442,6 +1498,83 @@
 				   without_primary);
 }
 
+/* Of the runs with all faults, also beside each other. */
+static const uint32_t hostile_times_ms[] = { 300, 2000, 5000 };
+
+static void start_random_fault(struct model *m)
+{
+	uint32_t endpoint = (uint32_t)lws_rng_below(&m->rng, ENDPOINTS);
+	uint32_t domain = (uint32_t)lws_rng_below(&m->rng, DOMAINS);
+
+	switch (lws_rng_below(&m->rng, 10)) {
+	case 0:
+		m->e[endpoint].down = true;
+		return;
+	case 1:
+		m->e[endpoint].disconnected_until_ms =
+			m->now_ms + lws_rng_below(&m->rng, 6000);
+		return;
+	case 2:
+		m->e[endpoint].unreachable = true;
+		return;
+	case 3:
+		m->d[domain].unreachable = true;
+		return;
+	case 4:
+		m->d[domain].without_primary = true;
+		return;
+	case 5:
+		start_voter(m, domain);
+		return;
+	case 6:
+		m->unregistered_replica = !m->unregistered_replica;
+		return;
+	case 7:
+		become_leader(m);
+		return;
+	case 8:
+		evacuate(m, (uint32_t)lws_rng_below(&m->rng, 8));
+		return;
+	default:
+		heal(m);
+		return;
+	}
+}
+
+/*
+ * Late calls and commands, slow promotions and a change of the leader, beside
+ * endpoints that crash, are cut off or follow nobody, voters that start and
+ * instances that are cut off.
+ */
+static void test_random_hostile(gconstpointer data)
+{
+	const uint32_t *promotion_ms = data;
+	uint32_t failed = 0;
+	uint32_t promotions = 0;
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct model *m = model_create(seed);
+
+		run(m, 2000);
+		m->promotion_ms = *promotion_ms;
+		m->loss_percent = (uint32_t)(seed % 4) * 12;
+		m->lost_is_late = true;
+		for (int i = 0; i < 16; i++) {
+			start_random_fault(m);
+			run(m, lws_rng_below(&m->rng, 2000));
+		}
+		m->loss_percent = 0;
+		heal(m);
+		evacuate(m, 0);
+		run(m, 32000);
+		promotions += m->promotions;
+		failed += end_run(m, "seed and time", (uint32_t)seed);
+	}
+	if (failed || promotions <= SEEDS / 2)
+		g_test_fail_printf("%u of %u runs, %u promotions", failed,
+				   SEEDS, promotions);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1499,5 +1632,13 @@
 		g_test_add_data_func(path, &promotion_times_ms[i],
 				     test_random_faults);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(hostile_times_ms); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/managed-failover/random-hostile/promotion-%u-ms",
+			hostile_times_ms[i]);
+
+		g_test_add_data_func(path, &hostile_times_ms[i],
+				     test_random_hostile);
+	}
 	return g_test_run();
 }
