A restart keeps what an endpoint had shown of its log

A primary that had crashed was back, answered that it leads and then that it has stepped down, with all of its log; the heartbeat that told of its new start arrived 67 ms later and cleared these answers, which came after that start. A majority of the voters had started as well, so nothing else could show that its log is complete. Now a restart makes an endpoint be asked again, and keeps that it led in this attempt and the end of its log then: if it has lost its log, the answer says so. /managed-failover/choice-starts-empty/* pass as before.

--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -1205,6 +1205,19 @@
 	a->incarnation = m->incarnation;
 }
 
+/*
+ * An endpoint has started again: it has to be asked again. That it led, and the
+ * end of its log then, are kept to tell whether it has lost its log.
+ */
+static void forget_answers(struct member *m)
+{
+	m->answered = false;
+	m->paused = false;
+	m->claims_primary = false;
+	m->denies_since_us = 0;
+	m->command_sent = false;
+}
+
 void managed_failover_set_group(struct managed_failover *s, uint64_t now_us,
 				const struct fleet_group *group,
 				uint32_t sync_replicas)
@@ -1228,10 +1241,9 @@
 				*m = old[k];
 		}
 		restarted = m->incarnation != incarnation;
-		/* What it answered before its start no longer holds. */
 		if (restarted)
-			*m = (struct member){ .incarnation = incarnation,
-					      .void_term = m->void_term };
+			forget_answers(m);
+		m->incarnation = incarnation;
 		m->called_term = group->endpoint[i].called_term;
 		LWS_STR_COPY(m->id, group->endpoint[i].id);
 		if (restarted)
