Commit what is known of the told commits while no further one can be told

The primary had stepped down in an attempt that then failed, and a majority of the voters started: the next attempts knew neither that its log is complete nor what the voters had recorded. Class: a proof was kept in memory, of the leader and of the voters, while what it allows is still owed. Change: once a majority of the voters has promised, the end of the log of a primary that stepped down, or what the voters told, is committed in the group's state (FLEET_GROUP_SEAL). Later attempts take any endpoint that has received as much, the demoted primary among them. It ends with the commit of a primary. Test: /fleet/seal.

--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -153,7 +153,9 @@
 {
 	if (strcmp(a->name, b->name) != 0 || a->term != b->term ||
 	    a->primary_term != b->primary_term ||
-	    strcmp(a->primary, b->primary) != 0 || a->count != b->count)
+	    strcmp(a->primary, b->primary) != 0 || a->sealed != b->sealed ||
+	    log_position_cmp(a->sealed_end, b->sealed_end) != 0 ||
+	    a->count != b->count)
 		return false;
 	for (uint32_t i = 0; i < a->count; i++) {
 		if (!endpoint_same(&a->endpoint[i], &b->endpoint[i]))
@@ -675,6 +677,23 @@
 	return 0;
 }
 
+static int apply_seal(struct fleet *fleet, const struct fleet_command *command)
+{
+	struct fleet_group *group =
+		fleet_find_group(fleet, command->group.group);
+	struct log_position end = command->group.sealed_end;
+
+	if (!group)
+		return LWS_E_NOT_FOUND;
+	if (command->group.term != group->term ||
+	    group->primary_term >= group->term)
+		return LWS_E_VERSION_CONFLICT;
+	if (!group->sealed || log_position_cmp(end, group->sealed_end) < 0)
+		group->sealed_end = end;
+	group->sealed = true;
+	return 0;
+}
+
 static int apply_primary(struct fleet *fleet,
 			 const struct fleet_command *command)
 {
@@ -692,6 +711,8 @@
 			return LWS_E_NOT_FOUND;
 	}
 	group->primary_term = group->term;
+	group->sealed = false;
+	group->sealed_end = (struct log_position){ 0 };
 	LWS_STR_COPY(group->primary, command->group.primary);
 	for (uint32_t i = 0; i < group->count; i++) {
 		struct fleet_endpoint *e = &group->endpoint[i];
@@ -841,6 +862,13 @@
 			 command->group.group, command->group.primary,
 			 (unsigned long long)command->group.term);
 		return;
+	case FLEET_GROUP_SEAL:
+		snprintf(out, room, "group %s seal %llu.%llu term %llu",
+			 command->group.group,
+			 (unsigned long long)command->group.sealed_end.term,
+			 (unsigned long long)command->group.sealed_end.number,
+			 (unsigned long long)command->group.term);
+		return;
 	case FLEET_INSTANCE_JOIN:
 	case FLEET_INSTANCE_LEAVE:
 		snprintf(out, room, "instance %s %s", command->instance.name,
@@ -901,6 +929,8 @@
 		return apply_term(fleet, command);
 	case FLEET_GROUP_CALL:
 		return apply_call(fleet, command);
+	case FLEET_GROUP_SEAL:
+		return apply_seal(fleet, command);
 	case FLEET_GROUP_PRIMARY:
 		return apply_primary(fleet, command);
 	case FLEET_INSTANCE_JOIN:
--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -7,6 +7,7 @@
 #include "catalog.h"
 #include "cfg.h"
 #include "pack.h"
+#include "statement.h"
 
 /**
  * DOC: Replicated state of the fleet.
@@ -79,6 +80,8 @@
  * @term: highest term that was allocated
  * @primary_term: term in which @primary became primary, 0 before the first
  * @primary: endpoint id
+ * @sealed: no caller is told of a commit of @primary_term above @sealed_end
+ * @sealed_end: position, if @sealed
  * @count: number of endpoints
  * @endpoint: endpoints, in no particular order
  */
@@ -87,6 +90,8 @@
 	uint64_t term;
 	uint64_t primary_term;
 	char primary[FLEET_NAME_MAX];
+	bool sealed;
+	struct log_position sealed_end;
 	uint32_t count;
 	struct fleet_endpoint endpoint[FLEET_ENDPOINTS_MAX];
 };
@@ -231,6 +236,8 @@
 	FLEET_DOMAIN_RESTORE,
 	/** an endpoint is about to be promoted with the newest term */
 	FLEET_GROUP_CALL,
+	/** no further commit is told until the newest term has a primary */
+	FLEET_GROUP_SEAL,
 	FLEET_COMMAND_TYPE_COUNT,
 };
 
@@ -276,6 +283,7 @@
 			char group[FLEET_NAME_MAX];
 			uint64_t term;
 			char primary[FLEET_NAME_MAX];
+			struct log_position sealed_end;
 			uint32_t members_count;
 			char members[FLEET_ENDPOINTS_MAX][FLEET_NAME_MAX];
 		} group;
--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -130,6 +130,8 @@
 	bool choice_was_called;
 	/* When the call of this attempt was answered, 0 before. */
 	uint64_t call_answered_us;
+	/* The seal of this attempt was proposed. */
+	bool seal_proposed;
 	/* Since when the agreed primary is known here. */
 	uint64_t primary_since_us;
 	/* Answers of the voters in this attempt, and when they were asked. */
@@ -341,6 +343,7 @@
 	s->started_us = now_us;
 	s->acks_answered = false;
 	s->call_answered_us = 0;
+	s->seal_proposed = false;
 	wait_for(s, "fencing token", NULL);
 	/*
 	 * If the newest token has no primary yet, an earlier leader may have
@@ -472,12 +475,20 @@
  */
 static bool nothing_is_told(struct managed_failover *s)
 {
-	if (!s->sync_replicas || (s->acks_answered && !s->acks.missing_pledges))
+	if (!s->sync_replicas || s->group.sealed ||
+	    (s->acks_answered && !s->acks.missing_pledges))
 		return true;
 	wait_for(s, "promise of a voter", s->acks.waits_for);
 	return false;
 }
 
+/* Whether the endpoint has everything that callers may ever be told of. */
+static bool has_sealed(const struct managed_failover *s, const struct member *m)
+{
+	return s->group.sealed &&
+	       log_position_cmp(m->status.received, s->group.sealed_end) >= 0;
+}
+
 static bool has_acknowledged(struct managed_failover *s, const struct member *m)
 {
 	return !s->sync_replicas ||
@@ -495,6 +506,8 @@
 	if (is_log_complete(s) &&
 	    log_position_cmp(m->status.received, primary->status.received) >= 0)
 		return true;
+	if (has_sealed(s, m))
+		return true;
 	if (!acks_known(s, true))
 		return false;
 	if (has_acknowledged(s, m))
@@ -592,9 +605,22 @@
 }
 
 /*
- * Whether the attempt may go on without the primary: a replica has all
- * acknowledged commits. The voters promise only then: if a promotion has to
- * wait for the primary, callers that reach it are served meanwhile.
+ * Whether an endpoint that answered as a replica, also one that was demoted,
+ * has everything that callers were told of.
+ */
+static bool is_known_to_have_all(struct managed_failover *s,
+				 const struct member *m)
+{
+	if (!m->answered || m->status.primary)
+		return false;
+	return has_sealed(s, m) ||
+	       (acks_known(s, false) && has_acknowledged(s, m));
+}
+
+/*
+ * Whether the attempt may go on without the primary. The voters promise only
+ * then: if a promotion has to wait for the primary, callers that reach it are
+ * served meanwhile.
  */
 static bool may_go_on_without_primary(struct managed_failover *s,
 				      uint64_t now_us, bool all_answered)
@@ -602,18 +628,39 @@
 	if (!all_answered && (!s->sync_replicas ||
 			      now_us - s->phase_since_us < SILENT_REPLICA_US))
 		return false;
-	if (!acks_known(s, false))
-		return false;
 	for (uint32_t i = 0; i < s->members_count; i++) {
-		const struct member *m = &s->members[i];
-
-		if (m->answered && !is_primary(s, m) && has_acknowledged(s, m))
+		if (is_known_to_have_all(s, &s->members[i]))
 			return true;
 	}
-	wait_for(s, "replica with all acknowledged commits", NULL);
+	if (acks_known(s, false))
+		wait_for(s, "replica with all acknowledged commits", NULL);
 	return false;
 }
 
+/*
+ * Commits what is known of the told commits once no further one can be told. In
+ * phases that take long enough for that; a promotion doesn't wait for it.
+ */
+static void seal(struct managed_failover *s)
+{
+	const struct member *primary = find_member(s, s->group.primary);
+	struct managed_failover_action *a;
+	struct log_position end = s->acks.acked;
+
+	if (!s->sync_replicas || s->seal_proposed || !s->acks_answered ||
+	    s->acks.missing_pledges)
+		return;
+	if (is_log_complete(s))
+		end = primary->status.received;
+	else if (s->acks.missing || s->acks.missing_promises)
+		return;
+	a = push_action(s, MANAGED_FAILOVER_COMMIT_SEAL);
+	if (!a)
+		return;
+	a->received = end;
+	s->seal_proposed = true;
+}
+
 /* Why no commit that a caller was told of is lost if @m is promoted. */
 static const char *proof_for(struct managed_failover *s, const struct member *m)
 {
@@ -719,13 +766,11 @@
 /* Whether an endpoint with an open call can take over from the primary. */
 static bool called_can_follow(struct managed_failover *s)
 {
-	if (!acks_known(s, false))
-		return false;
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		const struct member *m = &s->members[i];
 
-		if (is_called(m) && m->answered && !is_primary(s, m) &&
-		    may_be_chosen(s, m) && has_acknowledged(s, m))
+		if (is_called(m) && may_be_chosen(s, m) &&
+		    is_known_to_have_all(s, m))
 			return true;
 	}
 	return false;
@@ -883,12 +928,26 @@
 	return unpaused > unpaused_max;
 }
 
+/*
+ * The primary has stepped down, and the promotion needs no promise of the
+ * voters. It is asked for only after a while, so that commits on their way to a
+ * caller are told before.
+ */
+static void ask_for_seal(struct managed_failover *s, uint64_t now_us)
+{
+	if (now_us - s->phase_since_us >= s->params.command_retry_us)
+		ask_voters(s, now_us, true);
+}
+
 static void pause_replicas(struct managed_failover *s, uint64_t now_us)
 {
 	struct member *choice;
 
 	if (!is_log_complete(s) || other_called(s, NULL))
 		ask_voters(s, now_us, true);
+	else
+		ask_for_seal(s, now_us);
+	seal(s);
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		struct member *m = &s->members[i];
 
@@ -939,6 +998,8 @@
 		abandon_attempt(s, now_us);
 		return;
 	}
+	ask_for_seal(s, now_us);
+	seal(s);
 	if (!m->answered) {
 		poll(s, m, now_us, COMMAND_STATUS);
 		return;
@@ -971,6 +1032,8 @@
 		return;
 	if (!m->answered || !m->status.primary) {
 		poll(s, m, now_us, COMMAND_STATUS);
+		ask_for_seal(s, now_us);
+		seal(s);
 		return;
 	}
 	/*
@@ -1434,8 +1497,8 @@
 			   uint64_t fencing_token,
 			   const struct ack_survey_status *status)
 {
-	if (fencing_token != s->fencing_token ||
-	    (s->phase != PHASE_QUERY && s->phase != PHASE_PAUSE))
+	if (fencing_token != s->fencing_token || s->phase < PHASE_QUERY ||
+	    s->phase > PHASE_AWAIT_PRIMARY)
 		return;
 	s->acks = *status;
 	s->acks_answered = true;
--- a/lib/control/managed_failover.h
+++ b/lib/control/managed_failover.h
@@ -40,6 +40,11 @@
  *     has them all. (Without sync_replicas, a primary acknowledges commits that
  *     no replica has, and this is not asked.)
  *
+ * What they show is committed as well: with the promise of a majority of the
+ * voters, no caller is told of a commit above that position until a primary is
+ * committed (a seal). Later attempts need neither the primary nor the voters
+ * then, of which all may have started again.
+ *
  * Until one of them holds, the promotion waits, if necessary until the primary
  * answers again: a failed primary returns with its log.
  *
@@ -88,6 +93,9 @@
 	MANAGED_FAILOVER_COMMIT_TOKEN,
 	/** send a command to an endpoint */
 	MANAGED_FAILOVER_COMMAND,
+	/** commit that no commit above @received is told; no outcome is needed
+	 */
+	MANAGED_FAILOVER_COMMIT_SEAL,
 	/** commit which endpoint is going to be promoted */
 	MANAGED_FAILOVER_COMMIT_CALL,
 	/** ask the platform to promote an endpoint */
@@ -123,7 +131,8 @@
  * @took_us: MANAGED_FAILOVER_ABANDONED, MANAGED_FAILOVER_COMMIT_PRIMARY: how
  *           long the attempt took
  * @proof: MANAGED_FAILOVER_PROMOTE: why no told commit is lost, for the log
- * @received: MANAGED_FAILOVER_PROMOTE: position of @endpoint
+ * @received: MANAGED_FAILOVER_PROMOTE: position of @endpoint;
+ *            MANAGED_FAILOVER_COMMIT_SEAL: position
  * @recorded: MANAGED_FAILOVER_PROMOTE: highest position that the voters have
  *            told, 0, 0 if they were not asked
  * @incarnation: MANAGED_FAILOVER_PROMOTE, MANAGED_FAILOVER_RESTARTED: of
--- a/lib/daemon/control_managed_failover.c
+++ b/lib/daemon/control_managed_failover.c
@@ -174,6 +174,7 @@
 	LWS_STR_COPY(command.group.group, managed->name);
 	LWS_STR_COPY(command.group.primary, action->endpoint);
 	command.group.term = action->fencing_token;
+	command.group.sealed_end = action->received;
 	control_propose_as_leader(c, &command, private_data, done);
 }
 
@@ -308,6 +309,14 @@
 		propose_token(c, managed, FLEET_GROUP_TERM, action,
 			      on_token_proposed);
 		return;
+	case MANAGED_FAILOVER_COMMIT_SEAL:
+		lws_log_info(c->daemon->log, "succession_sealed",
+			     "{s:s,s:I,s:I,s:I}", "group", managed->name,
+			     "fence", (json_int_t)action->fencing_token,
+			     "end_term", (json_int_t)action->received.term,
+			     "end", (json_int_t)action->received.number);
+		propose(c, managed, FLEET_GROUP_SEAL, action, NULL, NULL);
+		return;
 	case MANAGED_FAILOVER_COMMIT_CALL:
 		propose_token(c, managed, FLEET_GROUP_CALL, action,
 			      on_call_proposed);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -249,6 +249,74 @@
 	talloc_free(fleet);
 }
 
+/* A seal holds for the newest term, is never raised, and ends with a primary.
+ */
+static void test_seal(void)
+{
+	static const struct {
+		enum fleet_command_type type;
+		uint64_t term;
+		uint64_t end;
+		int rc;
+		bool sealed;
+		uint64_t sealed_end;
+	} steps[] = {
+		{ FLEET_ENDPOINT_JOIN, 0, 0, 0, false, 0 },
+		{ FLEET_GROUP_TERM, 1, 0, 0, false, 0 },
+		{ FLEET_GROUP_PRIMARY, 1, 0, 0, false, 0 },
+		{ FLEET_GROUP_SEAL, 1, 9, LWS_E_VERSION_CONFLICT, false, 0 },
+		{ FLEET_GROUP_TERM, 2, 0, 0, false, 0 },
+		{ FLEET_GROUP_SEAL, 1, 9, LWS_E_VERSION_CONFLICT, false, 0 },
+		{ FLEET_GROUP_SEAL, 2, 9, 0, true, 9 },
+		{ FLEET_GROUP_SEAL, 2, 12, 0, true, 9 },
+		{ FLEET_GROUP_TERM, 3, 0, 0, true, 9 },
+		{ FLEET_GROUP_SEAL, 3, 8, 0, true, 8 },
+		{ FLEET_GROUP_PRIMARY, 3, 0, 0, false, 0 },
+	};
+	struct fleet *fleet = fleet_create(NULL);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		struct fleet_command c = { .type = steps[i].type };
+		const struct fleet_group *g;
+		struct pack_writer w;
+		struct fleet_command read;
+		struct fleet *copy;
+
+		if (steps[i].type == FLEET_ENDPOINT_JOIN) {
+			LWS_STR_COPY(c.endpoint.group, "g");
+			LWS_STR_COPY(c.endpoint.endpoint.id, "e1");
+		} else {
+			LWS_STR_COPY(c.group.group, "g");
+			LWS_STR_COPY(c.group.primary, "e1");
+			c.group.term = steps[i].term;
+			c.group.sealed_end =
+				(struct log_position){ 1, steps[i].end };
+		}
+		pack_writer_init(&w);
+		fleet_command_pack(&w, &c);
+		g_assert_cmpint(
+			fleet_command_unpack(NULL, (const uint8_t *)w.buf.data,
+					     w.buf.size, &read),
+			==, 0);
+		pack_writer_clear(&w);
+		g_assert_cmpint(fleet_apply(fleet, 1 + i, &read).rc, ==,
+				steps[i].rc);
+		pack_writer_init(&w);
+		fleet_snapshot_pack(&w, fleet);
+		g_assert_cmpint(
+			fleet_snapshot_unpack(NULL, (const uint8_t *)w.buf.data,
+					      w.buf.size, &copy),
+			==, 0);
+		g = &copy->groups[0];
+		g_assert_true(fleet_group_same(g, &fleet->groups[0]));
+		g_assert_cmpint(g->sealed, ==, steps[i].sealed);
+		g_assert_cmpuint(g->sealed_end.number, ==, steps[i].sealed_end);
+		talloc_free(copy);
+		pack_writer_clear(&w);
+	}
+	talloc_free(fleet);
+}
+
 struct term_case {
 	enum fleet_command_type type;
 	uint64_t term;
@@ -762,6 +830,7 @@
 	g_test_add_func("/fleet/withdrawn-key-in-config",
 			test_withdrawn_key_in_config);
 	g_test_add_func("/fleet/open-call", test_open_call);
+	g_test_add_func("/fleet/seal", test_seal);
 	g_test_add_func("/fleet/terms", test_terms);
 	g_test_add_func("/fleet/audit", test_audit);
 	g_test_add_func("/fleet/announcements", test_announcements);
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -181,6 +181,7 @@
 						  a.fencing_token,
 						  LWS_E_DEADLINE);
 			break;
+		case MANAGED_FAILOVER_COMMIT_SEAL:
 		case MANAGED_FAILOVER_COMMIT_PRIMARY:
 		case MANAGED_FAILOVER_COMMIT_REMOVAL:
 		case MANAGED_FAILOVER_ASK_VOTERS:
--- a/tests/test_managed_failover.c
+++ b/tests/test_managed_failover.c
@@ -487,6 +487,19 @@
 	set_group(m);
 }
 
+static void commit_seal(struct model *m,
+			const struct managed_failover_action *a)
+{
+	struct fleet_group *g = &m->group;
+
+	if (a->fencing_token != g->term || g->primary_term >= g->term)
+		return;
+	if (!g->sealed || log_position_cmp(a->received, g->sealed_end) < 0)
+		g->sealed_end = a->received;
+	g->sealed = true;
+	set_group(m);
+}
+
 static void perform(struct model *m)
 {
 	struct managed_failover_action a;
@@ -499,6 +512,9 @@
 		case MANAGED_FAILOVER_COMMAND:
 			handle_command(m, &a);
 			break;
+		case MANAGED_FAILOVER_COMMIT_SEAL:
+			commit_seal(m, &a);
+			break;
 		case MANAGED_FAILOVER_COMMIT_CALL:
 			commit_call(m, &a);
 			break;
@@ -510,6 +526,7 @@
 			    m->group.primary_term >= a.fencing_token)
 				break;
 			m->group.primary_term = a.fencing_token;
+			m->group.sealed = false;
 			LWS_STR_COPY(m->group.primary, a.endpoint);
 			end_calls(m);
 			set_group(m);
