A call also needs the voters' promise if the primary has stepped down

Found by a reviewer who had not seen the work: a call rests on the complete log of the demoted primary and gets no answer; the primary crashes and, as no other endpoint was promoted, leads again when it is back. It is still the agreed primary. What it acknowledges, through a replica that is not registered or one whose restart ended its pause, was recorded and told; then the late call takes effect. Change: each call waits for the promise of a majority of the voters, asked for as the replicas are paused; a leader that holds its lease reaches that majority. So the seal is always committed before the call. A role is taken as the outcome of a call only for an endpoint that was not the agreed primary, for the same reason.

--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -119,8 +119,9 @@
 	/* The same, before the present attempt asked for its promotion. */
 	bool earlier_call_unresolved;
 	/*
-	 * The chosen endpoint was no primary before the call, and no earlier
-	 * call was unresolved: once it is primary, the call has taken effect.
+	 * The chosen endpoint was no primary before the call, nor the one that
+	 * leads again after a crash, and no earlier call was unresolved: once
+	 * it is primary, the call has taken effect.
 	 */
 	bool role_resolves_call;
 	/* What the choice rests on: its role and position. */
@@ -556,6 +557,12 @@
 	uint32_t missing = 0;
 	bool waits = false;
 
+	/*
+	 * Also if the primary has stepped down: one that crashes leads again
+	 * when it is back, as long as no other endpoint was promoted.
+	 */
+	if (!nothing_is_told(s))
+		return NULL;
 	best = choose_called(s, &waits);
 	if (best || (waits && now_us - s->phase_since_us < SILENT_REPLICA_US))
 		return best;
@@ -581,9 +588,6 @@
 		wait_for(s, "replica outside of evacuated domains", NULL);
 		return NULL;
 	}
-	/* Callers must not be told of commits that the other one lacks. */
-	if (best && other_called(s, best) && !nothing_is_told(s))
-		return NULL;
 	return best && is_safe(s, best) ? best : NULL;
 }
 
@@ -637,10 +641,7 @@
 	return false;
 }
 
-/*
- * Commits what is known of the told commits once no further one can be told. In
- * phases that take long enough for that; a promotion doesn't wait for it.
- */
+/* Commits what is known of the told commits; no further one can be told. */
 static void seal(struct managed_failover *s)
 {
 	const struct member *primary = find_member(s, s->group.primary);
@@ -681,8 +682,8 @@
 	struct managed_failover_action *a;
 
 	LWS_STR_COPY(s->choice, m->id);
-	s->role_resolves_call =
-		!s->unresolved_call && !(m->answered && m->status.primary);
+	s->role_resolves_call = !s->unresolved_call && !is_primary(s, m) &&
+				!(m->answered && m->status.primary);
 	s->earlier_call_unresolved = s->unresolved_call;
 	s->choice_was_called = is_called(m);
 	s->choice_status = m->status;
@@ -928,25 +929,11 @@
 	return unpaused > unpaused_max;
 }
 
-/*
- * The primary has stepped down, and the promotion needs no promise of the
- * voters. It is asked for only after a while, so that commits on their way to a
- * caller are told before.
- */
-static void ask_for_seal(struct managed_failover *s, uint64_t now_us)
-{
-	if (now_us - s->phase_since_us >= s->params.command_retry_us)
-		ask_voters(s, now_us, true);
-}
-
 static void pause_replicas(struct managed_failover *s, uint64_t now_us)
 {
 	struct member *choice;
 
-	if (!is_log_complete(s) || other_called(s, NULL))
-		ask_voters(s, now_us, true);
-	else
-		ask_for_seal(s, now_us);
+	ask_voters(s, now_us, true);
 	seal(s);
 	for (uint32_t i = 0; i < s->members_count; i++) {
 		struct member *m = &s->members[i];
@@ -998,8 +985,6 @@
 		abandon_attempt(s, now_us);
 		return;
 	}
-	ask_for_seal(s, now_us);
-	seal(s);
 	if (!m->answered) {
 		poll(s, m, now_us, COMMAND_STATUS);
 		return;
@@ -1032,8 +1017,6 @@
 		return;
 	if (!m->answered || !m->status.primary) {
 		poll(s, m, now_us, COMMAND_STATUS);
-		ask_for_seal(s, now_us);
-		seal(s);
 		return;
 	}
 	/*
@@ -1069,7 +1052,8 @@
 	}
 	if (newest != choice) {
 		/* Its only call has taken effect. */
-		if (!s->choice_was_called && !s->choice_status.primary)
+		if (!s->choice_was_called && !s->choice_status.primary &&
+		    !is_primary(s, choice))
 			choice->void_term = choice->called_term;
 		LWS_STR_COPY(s->choice, newest->id);
 		s->choice_was_called = true;
@@ -1497,8 +1481,8 @@
 			   uint64_t fencing_token,
 			   const struct ack_survey_status *status)
 {
-	if (fencing_token != s->fencing_token || s->phase < PHASE_QUERY ||
-	    s->phase > PHASE_AWAIT_PRIMARY)
+	if (fencing_token != s->fencing_token ||
+	    (s->phase != PHASE_QUERY && s->phase != PHASE_PAUSE))
 		return;
 	s->acks = *status;
 	s->acks_answered = true;
--- a/lib/control/managed_failover.h
+++ b/lib/control/managed_failover.h
@@ -32,13 +32,13 @@
  *
  * A replica that is not registered yet cannot be paused, and one that has left
  * took its log with it: commits that only such a replica received would be
- * lost. So one of two more conditions must hold before step 3:
+ * lost. So before step 3 a majority of the voters promises to record no further
+ * commits (ack_record.h), and the chosen endpoint must be known to have all
+ * recorded ones, in one of two ways:
  *
  *   - the primary has stepped down: its log is complete;
- *   - a majority of the voters tells which commits were acknowledged and
- *     promises to record no further ones (ack_record.h), and the chosen replica
- *     has them all. (Without sync_replicas, a primary acknowledges commits that
- *     no replica has, and this is not asked.)
+ *   - the voters tell which commits they have recorded. (Without sync_replicas,
+ * a primary acknowledges commits that no replica has, and this is not asked.)
  *
  * What they show is committed as well: with the promise of a majority of the
  * voters, no caller is told of a commit above that position until a primary is
--- a/tests/test_managed_failover.c
+++ b/tests/test_managed_failover.c
@@ -1377,6 +1377,57 @@
 		g_test_fail_printf("%u of 700 runs", failed);
 }
 
+static bool is_any_called(const struct model *m)
+{
+	for (uint32_t i = 0; i < m->group.count; i++) {
+		if (m->group.endpoint[i].called_term)
+			return true;
+	}
+	return false;
+}
+
+/* What lets a primary that leads again acknowledge commits. */
+enum receiver {
+	RECEIVER_NONE,
+	RECEIVER_UNREGISTERED,
+	/* A replica that started again, which ends its pause. */
+	RECEIVER_RESTARTED,
+};
+
+/*
+ * A primary that has stepped down crashes, and leads again when it is back,
+ * while the call for another endpoint is late. Guards against telling callers
+ * of what it acknowledges then.
+ */
+static void test_leads_again(gconstpointer data)
+{
+	enum receiver receiver = (enum receiver)GPOINTER_TO_INT(data);
+	uint32_t failed = 0;
+
+	for (uint32_t seed = 1; seed <= 400; seed++) {
+		struct model *m = model_create(seed);
+
+		run(m, 2000);
+		m->promotion_ms = 300;
+		m->unanswered_calls = 1;
+		evacuate(m, 1);
+		while (!is_any_called(m))
+			step(m);
+		run(m, 50);
+		m->e[0].primary = true;
+		m->unregistered_replica = receiver == RECEIVER_UNREGISTERED;
+		for (uint32_t i = 1; i < ENDPOINTS; i++) {
+			if (receiver == RECEIVER_RESTARTED &&
+			    !m->group.endpoint[i].called_term)
+				m->e[i].paused_term = 0;
+		}
+		run(m, 24000);
+		failed += end_run(m, "seed and time", seed);
+	}
+	if (failed)
+		g_test_fail_printf("%u of 400 runs", failed);
+}
+
 /*
  * The chosen endpoint starts again under its id, with an empty log, after it
  * has answered and while the promises of the voters are waited for. The control
@@ -1635,6 +1686,14 @@
 	g_test_add_func("/managed-failover/late-call", test_late_call);
 	g_test_add_func("/managed-failover/accepted-call", test_accepted_call);
 	g_test_add_func("/managed-failover/slow-effect", test_slow_effect);
+	g_test_add_data_func("/managed-failover/leads-again/alone",
+			     GINT_TO_POINTER(RECEIVER_NONE), test_leads_again);
+	g_test_add_data_func("/managed-failover/leads-again/unregistered",
+			     GINT_TO_POINTER(RECEIVER_UNREGISTERED),
+			     test_leads_again);
+	g_test_add_data_func("/managed-failover/leads-again/restarted",
+			     GINT_TO_POINTER(RECEIVER_RESTARTED),
+			     test_leads_again);
 	g_test_add_data_func("/managed-failover/choice-starts-empty/announced",
 			     GINT_TO_POINTER(true), test_choice_starts_empty);
 	g_test_add_data_func("/managed-failover/choice-starts-empty/unheard",
