The outcome of a committed call starts no proposals

Read by the reviewer, not seen: the callback of a finished proposal proposed and applied further commands while the list of proposals was being gone through, which may free its entries. The actions follow with the change of the state, in the same step of the event loop, as after the commit of a token.

--- a/lib/daemon/control_managed_failover.c
+++ b/lib/daemon/control_managed_failover.c
@@ -208,12 +208,14 @@
 
 	(void)version;
 	(void)index;
-	if (managed && c->leader->term == token->leader_term) {
+	/*
+	 * The actions follow with the changed state: proposals are being
+	 * finished.
+	 */
+	if (managed && c->leader->term == token->leader_term)
 		managed_failover_call_proposed(managed->failover,
 					       lws_time_now_us(),
 					       token->fencing_token, rc);
-		pump(c, managed);
-	}
 	talloc_free(token);
 }
 
