An endpoint with an open call isn't forgotten for an old answer

An answer that an endpoint's old address belongs to another one removed it from the group, although it had been registered at a new address, and its open call with it; so did the reuse of its entry in a full group. Change: such an answer counts only for the address and start that were asked; an entry with an open call isn't reused. No test: the daemon's callback is not linked into one; the removal itself is tested by /managed-failover/address-reused.

--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -469,7 +469,9 @@
 	for (uint32_t i = 0; i < group->count; i++) {
 		struct fleet_endpoint *endpoint = &group->endpoint[i];
 
-		if (!endpoint->present && !endpoint->member)
+		/* A call for it that is forgotten may still take effect. */
+		if (!endpoint->present && !endpoint->member &&
+		    !endpoint->called_term)
 			return endpoint;
 	}
 	return NULL;
--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -220,6 +220,7 @@
 		return;
 	LWS_STR_COPY(a->endpoint, m->id);
 	LWS_STR_COPY(a->addr, m->addr);
+	a->incarnation = m->incarnation;
 	a->command = kind;
 	a->term = term;
 	m->command_sent = true;
--- a/lib/control/managed_failover.h
+++ b/lib/control/managed_failover.h
@@ -135,8 +135,8 @@
  *            MANAGED_FAILOVER_COMMIT_SEAL: position
  * @recorded: MANAGED_FAILOVER_PROMOTE: highest position that the voters have
  *            told, 0, 0 if they were not asked
- * @incarnation: MANAGED_FAILOVER_PROMOTE, MANAGED_FAILOVER_RESTARTED: of
- *               @endpoint
+ * @incarnation: MANAGED_FAILOVER_COMMAND, MANAGED_FAILOVER_PROMOTE,
+ *               MANAGED_FAILOVER_RESTARTED: of @endpoint
  * @earlier_call: MANAGED_FAILOVER_PROMOTE: an earlier call has no known outcome
  */
 struct managed_failover_action {
--- a/lib/daemon/control_managed_failover.c
+++ b/lib/daemon/control_managed_failover.c
@@ -20,6 +20,9 @@
 	struct control *control;
 	char group[FLEET_NAME_MAX];
 	char endpoint[FLEET_NAME_MAX];
+	/* Address that it was sent to, and the start of the endpoint then. */
+	char addr[FLEET_ADDR_MAX];
+	uint64_t incarnation;
 	enum endpoint_command_kind kind;
 	uint64_t leader_term;
 	uint64_t fencing_token;
@@ -70,6 +73,22 @@
 
 /* Actions */
 
+/*
+ * Whether the endpoint is still where a command was sent to. If not, a refusal
+ * there does not tell that it is gone.
+ */
+static bool is_still_there(const struct control *c,
+			   const struct pending_command *pending)
+{
+	const struct fleet_group *group =
+		fleet_find_group(c->fleet, pending->group);
+	const struct fleet_endpoint *e =
+		group ? fleet_find_endpoint(group, pending->endpoint) : NULL;
+
+	return e && e->incarnation == pending->incarnation &&
+	       strcmp(e->addr, pending->addr) == 0;
+}
+
 static void on_answer(void *private_data, const struct endpoint_status *status,
 		      enum statement_error error)
 {
@@ -92,6 +111,8 @@
 			     "group", pending->group, "endpoint",
 			     pending->endpoint, "error",
 			     statement_error_name(error));
+	if (error == STATEMENT_E_MISROUTED && !is_still_there(c, pending))
+		error = STATEMENT_E_NONE;
 	if (managed && control_leads(c, pending->leader_term)) {
 		managed_failover_answered(
 			managed->failover, lws_time_now_us(), pending->endpoint,
@@ -151,6 +172,8 @@
 	pending->fencing_token = action->fencing_token;
 	LWS_STR_COPY(pending->group, managed->name);
 	LWS_STR_COPY(pending->endpoint, action->endpoint);
+	LWS_STR_COPY(pending->addr, action->addr);
+	pending->incarnation = action->incarnation;
 	/* A command that is not sent is repeated later. */
 	if (!on_may_send(pending)) {
 		log_not_sent(c, managed->name, action->endpoint, "no_lease");
@@ -253,6 +276,8 @@
 	LWS_STR_COPY(command.who, c->daemon->settings.name);
 	LWS_STR_COPY(command.endpoint.group, managed->name);
 	command.endpoint.endpoint = *e;
+	/* Not used, and not known to the previous version. */
+	command.endpoint.endpoint.called_term = 0;
 	control_propose_as_leader(c, &command, NULL, NULL);
 }
 
