A lost new primary ends the wait for earlier calls; a refused call leaves none open

A refused call (409, 429) left replicas paused although nothing was open. An attempt whose chosen endpoint is gone ends at once.

--- a/lib/control/ack_record.c
+++ b/lib/control/ack_record.c
@@ -156,7 +156,11 @@
 		at++;
 	if (at == RAFT_VOTERS_MAX)
 		return;
-	/* Answers to the same question may arrive in another order. */
+	/*
+	 * Answers to the same question may arrive in another order. A voter
+	 * that has started since stores nothing either, until a primary is
+	 * committed.
+	 */
 	if (at < s->count && s->list[at].answer.promised && !answer->promised)
 		return;
 	s->list[at].voter = voter;
--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -36,6 +36,12 @@
  */
 #define SILENT_REPLICA_US (500 * LWS_US_PER_MS)
 
+/*
+ * Time without an answer after which a new primary that is not agreed yet
+ * counts as lost: a few commands.
+ */
+#define SETTLE_SILENT_US (1000 * LWS_US_PER_MS)
+
 enum phase {
 	/** no attempt in progress */
 	PHASE_IDLE,
@@ -1014,8 +1020,10 @@
 {
 	struct member *m = find_member(s, s->choice);
 
-	if (!m)
+	if (!m) {
+		abandon_attempt(s, now_us);
 		return;
+	}
 	if (!m->answered || !m->status.primary) {
 		poll(s, m, now_us, COMMAND_STATUS);
 		return;
@@ -1045,8 +1053,15 @@
 static void settle_calls(struct managed_failover *s, uint64_t now_us)
 {
 	struct member *choice = find_member(s, s->choice);
-	struct member *newest = find_newest_primary(s);
+	struct member *newest;
+
+	for (uint32_t i = 0; i < s->members_count; i++) {
+		struct member *m = &s->members[i];
 
+		if (now_us - m->answered_us > SETTLE_SILENT_US)
+			m->answered = false;
+	}
+	newest = find_newest_primary(s);
 	if (!choice || !newest) {
 		abandon_attempt(s, now_us);
 		return;
@@ -1450,6 +1465,7 @@
 	if (s->phase != PHASE_PROMOTE || fencing_token != s->fencing_token)
 		return;
 	if (rc == LWS_E_NOT_FOUND) {
+		s->unresolved_call = s->earlier_call_unresolved;
 		void_call(s);
 		abandon_attempt(s, now_us);
 		return;
