Commit the end of a primary's log before it is asked to step down

All voters were killed and had no complete record; the primary crashed, was back, answered that it leads, and stepped down 5 ms later; then the leader was lost. Every endpoint has the whole log, but only the memory of that leader knew that the primary's is complete, and the voters can't be asked before a primary is committed. Class: as with the seal, a proof that is kept only by who may be lost. Change: the position with which the primary answered that it leads is committed before the command (FLEET_GROUP_DEMOTE). Any later attempt that finds it as a replica with as much knows that it has stepped down with a complete log. It ends with the commit of a primary. One round trip of the control group more in a planned change. Test: /fleet/seal.

--- a/lib/control/fleet.c
+++ b/lib/control/fleet.c
@@ -155,6 +155,8 @@
 	    a->primary_term != b->primary_term ||
 	    strcmp(a->primary, b->primary) != 0 || a->sealed != b->sealed ||
 	    log_position_cmp(a->sealed_end, b->sealed_end) != 0 ||
+	    a->demoting != b->demoting ||
+	    log_position_cmp(a->demoted_end, b->demoted_end) != 0 ||
 	    a->count != b->count)
 		return false;
 	for (uint32_t i = 0; i < a->count; i++) {
@@ -679,17 +681,23 @@
 	return 0;
 }
 
-static int apply_seal(struct fleet *fleet, const struct fleet_command *command)
+/* Of the newest term, while it has no primary. */
+static int apply_end(struct fleet *fleet, const struct fleet_command *command)
 {
 	struct fleet_group *group =
 		fleet_find_group(fleet, command->group.group);
-	struct log_position end = command->group.sealed_end;
+	struct log_position end = command->group.end;
 
 	if (!group)
 		return LWS_E_NOT_FOUND;
 	if (command->group.term != group->term ||
 	    group->primary_term >= group->term)
 		return LWS_E_VERSION_CONFLICT;
+	if (command->type == FLEET_GROUP_DEMOTE) {
+		group->demoting = true;
+		group->demoted_end = end;
+		return 0;
+	}
 	if (!group->sealed || log_position_cmp(end, group->sealed_end) < 0)
 		group->sealed_end = end;
 	group->sealed = true;
@@ -715,6 +723,8 @@
 	group->primary_term = group->term;
 	group->sealed = false;
 	group->sealed_end = (struct log_position){ 0 };
+	group->demoting = false;
+	group->demoted_end = (struct log_position){ 0 };
 	LWS_STR_COPY(group->primary, command->group.primary);
 	for (uint32_t i = 0; i < group->count; i++) {
 		struct fleet_endpoint *e = &group->endpoint[i];
@@ -865,10 +875,12 @@
 			 (unsigned long long)command->group.term);
 		return;
 	case FLEET_GROUP_SEAL:
-		snprintf(out, room, "group %s seal %llu.%llu term %llu",
+	case FLEET_GROUP_DEMOTE:
+		snprintf(out, room, "group %s %s %llu.%llu term %llu",
 			 command->group.group,
-			 (unsigned long long)command->group.sealed_end.term,
-			 (unsigned long long)command->group.sealed_end.number,
+			 command->type == FLEET_GROUP_SEAL ? "seal" : "demote",
+			 (unsigned long long)command->group.end.term,
+			 (unsigned long long)command->group.end.number,
 			 (unsigned long long)command->group.term);
 		return;
 	case FLEET_INSTANCE_JOIN:
@@ -932,7 +944,8 @@
 	case FLEET_GROUP_CALL:
 		return apply_call(fleet, command);
 	case FLEET_GROUP_SEAL:
-		return apply_seal(fleet, command);
+	case FLEET_GROUP_DEMOTE:
+		return apply_end(fleet, command);
 	case FLEET_GROUP_PRIMARY:
 		return apply_primary(fleet, command);
 	case FLEET_INSTANCE_JOIN:
--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -80,6 +80,8 @@
  * @term: highest term that was allocated
  * @primary_term: term in which @primary became primary, 0 before the first
  * @primary: endpoint id
+ * @demoting: @primary was asked to step down since it was agreed
+ * @demoted_end: end of its log while it still led, if @demoting
  * @sealed: no caller is told of a commit of @primary_term above @sealed_end
  * @sealed_end: position, if @sealed
  * @count: number of endpoints
@@ -90,6 +92,8 @@
 	uint64_t term;
 	uint64_t primary_term;
 	char primary[FLEET_NAME_MAX];
+	bool demoting;
+	struct log_position demoted_end;
 	bool sealed;
 	struct log_position sealed_end;
 	uint32_t count;
@@ -238,6 +242,8 @@
 	FLEET_GROUP_CALL,
 	/** no further commit is told until the newest term has a primary */
 	FLEET_GROUP_SEAL,
+	/** the primary is about to be asked to step down */
+	FLEET_GROUP_DEMOTE,
 	FLEET_COMMAND_TYPE_COUNT,
 };
 
@@ -283,7 +289,7 @@
 			char group[FLEET_NAME_MAX];
 			uint64_t term;
 			char primary[FLEET_NAME_MAX];
-			struct log_position sealed_end;
+			struct log_position end;
 			uint32_t members_count;
 			char members[FLEET_ENDPOINTS_MAX][FLEET_NAME_MAX];
 		} group;
--- a/lib/control/fleet_pack.c
+++ b/lib/control/fleet_pack.c
@@ -113,21 +113,20 @@
 		pack_str(w, command->group.members[i]);
 }
 
-static void seal_pack(struct pack_writer *w,
-		      const struct fleet_command *command)
+static void end_pack(struct pack_writer *w, const struct fleet_command *command)
 {
 	pack_str(w, command->group.group);
 	pack_u64(w, command->group.term);
-	pack_u64(w, command->group.sealed_end.term);
-	pack_u64(w, command->group.sealed_end.number);
+	pack_u64(w, command->group.end.term);
+	pack_u64(w, command->group.end.number);
 }
 
-static void seal_unpack(struct pack_reader *r, struct fleet_command *command)
+static void end_unpack(struct pack_reader *r, struct fleet_command *command)
 {
 	pack_read_str(r, command->group.group, FLEET_NAME_MAX);
 	command->group.term = pack_read_u64(r);
-	command->group.sealed_end.term = pack_read_u64(r);
-	command->group.sealed_end.number = pack_read_u64(r);
+	command->group.end.term = pack_read_u64(r);
+	command->group.end.number = pack_read_u64(r);
 }
 
 static void group_change_unpack(struct pack_reader *r,
@@ -161,6 +160,7 @@
 		[FLEET_ENDPOINT_REMOVE] = 2, [FLEET_CATALOG_PATCH] = 3,
 		[FLEET_DOMAIN_EVACUATE] = 1, [FLEET_DOMAIN_RESTORE] = 1,
 		[FLEET_GROUP_CALL] = 4,	     [FLEET_GROUP_SEAL] = 4,
+		[FLEET_GROUP_DEMOTE] = 4,
 	};
 
 	pack_array(w, 4 + fields[command->type]);
@@ -189,7 +189,8 @@
 		group_change_pack(w, command);
 		return;
 	case FLEET_GROUP_SEAL:
-		seal_pack(w, command);
+	case FLEET_GROUP_DEMOTE:
+		end_pack(w, command);
 		return;
 	case FLEET_INSTANCE_JOIN:
 	case FLEET_INSTANCE_LEAVE:
@@ -245,7 +246,8 @@
 		group_change_unpack(r, command);
 		return;
 	case FLEET_GROUP_SEAL:
-		seal_unpack(r, command);
+	case FLEET_GROUP_DEMOTE:
+		end_unpack(r, command);
 		return;
 	case FLEET_INSTANCE_JOIN:
 	case FLEET_INSTANCE_LEAVE:
@@ -299,8 +301,9 @@
 	for (uint32_t g = 0; g < fleet->groups_count; g++) {
 		const struct fleet_group *group = &fleet->groups[g];
 
-		/* Instances of the previous version read groups without it. */
-		pack_array(w, group->sealed ? 7 : 5);
+		/* Instances of the previous version read groups without these.
+		 */
+		pack_array(w, group->sealed || group->demoting ? 11 : 5);
 		pack_str(w, group->name);
 		pack_u64(w, group->term);
 		pack_u64(w, group->primary_term);
@@ -308,9 +311,13 @@
 		pack_array(w, group->count);
 		for (uint32_t i = 0; i < group->count; i++)
 			endpoint_pack(w, &group->endpoint[i]);
-		if (group->sealed) {
+		if (group->sealed || group->demoting) {
+			pack_bool(w, group->sealed);
 			pack_u64(w, group->sealed_end.term);
 			pack_u64(w, group->sealed_end.number);
+			pack_bool(w, group->demoting);
+			pack_u64(w, group->demoted_end.term);
+			pack_u64(w, group->demoted_end.number);
 		}
 	}
 }
@@ -337,10 +344,13 @@
 		endpoint_unpack(&list, &group->endpoint[i]);
 	if (pack_reader_end(&list))
 		r->rc = LWS_E_WIRE_FORMAT;
-	group->sealed = in.next < in.count;
-	if (group->sealed) {
+	if (in.next < in.count) {
+		group->sealed = pack_read_bool(&in);
 		group->sealed_end.term = pack_read_u64(&in);
 		group->sealed_end.number = pack_read_u64(&in);
+		group->demoting = pack_read_bool(&in);
+		group->demoted_end.term = pack_read_u64(&in);
+		group->demoted_end.number = pack_read_u64(&in);
 	}
 	if (pack_reader_end(&in))
 		r->rc = LWS_E_WIRE_FORMAT;
--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -137,8 +137,9 @@
 	bool choice_was_called;
 	/* When the call of this attempt was answered, 0 before. */
 	uint64_t call_answered_us;
-	/* The seal of this attempt was proposed. */
+	/* The seal, or the demotion, of this attempt was proposed. */
 	bool seal_proposed;
+	bool demotion_proposed;
 	/* Since when the agreed primary is known here. */
 	uint64_t primary_since_us;
 	/* Answers of the voters in this attempt, and when they were asked. */
@@ -352,6 +353,7 @@
 	s->acks_answered = false;
 	s->call_answered_us = 0;
 	s->seal_proposed = false;
+	s->demotion_proposed = false;
 	wait_for(s, "fencing token", NULL);
 	/*
 	 * If the newest token has no primary yet, an earlier leader may have
@@ -451,17 +453,33 @@
 }
 
 /*
- * Whether the primary has stepped down in this attempt, so that its log has
- * everything and gets nothing more.
+ * Whether the primary has stepped down since it was agreed, so that its log has
+ * everything and gets nothing more. It was seen as the primary in this attempt
+ * or in an earlier one, and has not lost its log since.
  */
 static bool is_log_complete(struct managed_failover *s)
 {
 	const struct member *m = find_member(s, s->group.primary);
 
-	return m && has_stepped_down(s, m) && m->was_primary &&
+	if (!m || !has_stepped_down(s, m))
+		return false;
+	if (s->group.demoting &&
+	    log_position_cmp(m->status.received, s->group.demoted_end) >= 0)
+		return true;
+	return m->was_primary &&
 	       log_position_cmp(m->status.received, m->log_end) >= 0;
 }
 
+/* Whether the endpoint has all that a primary had which stepped down. */
+static bool has_complete_log(struct managed_failover *s, const struct member *m)
+{
+	const struct member *primary = find_member(s, s->group.primary);
+
+	return is_log_complete(s) &&
+	       log_position_cmp(m->status.received, primary->status.received) >=
+		       0;
+}
+
 /*
  * Whether it is known which commits callers may have been told of. With
  * @promise, they will not be told of further ones either.
@@ -509,12 +527,7 @@
  */
 static bool is_safe(struct managed_failover *s, const struct member *m)
 {
-	const struct member *primary = find_member(s, s->group.primary);
-
-	if (is_log_complete(s) &&
-	    log_position_cmp(m->status.received, primary->status.received) >= 0)
-		return true;
-	if (has_sealed(s, m))
+	if (has_complete_log(s, m) || has_sealed(s, m))
 		return true;
 	if (!acks_known(s, true))
 		return false;
@@ -624,7 +637,7 @@
 {
 	if (!m->answered || m->status.primary)
 		return false;
-	return has_sealed(s, m) ||
+	return has_sealed(s, m) || has_complete_log(s, m) ||
 	       (acks_known(s, false) && has_acknowledged(s, m));
 }
 
@@ -672,13 +685,12 @@
 /* Why no commit that a caller was told of is lost if @m is promoted. */
 static const char *proof_for(struct managed_failover *s, const struct member *m)
 {
-	const struct member *primary = find_member(s, s->group.primary);
-
 	if (m->answered && m->status.primary)
 		return "is primary";
-	if (is_log_complete(s) &&
-	    log_position_cmp(m->status.received, primary->status.received) >= 0)
+	if (has_complete_log(s, m))
 		return "log of the primary";
+	if (has_sealed(s, m))
+		return "seal";
 	return s->sync_replicas ? "positions of the voters" : "all replicas";
 }
 
@@ -885,6 +897,22 @@
 		poll_members(s, now_us);
 }
 
+/* Whether the end of the primary's log is committed; otherwise proposes it. */
+static bool commit_demotion(struct managed_failover *s,
+			    const struct member *primary)
+{
+	struct managed_failover_action *a;
+
+	if (s->group.demoting || s->demotion_proposed)
+		return s->group.demoting;
+	a = push_action(s, MANAGED_FAILOVER_COMMIT_DEMOTION);
+	if (!a)
+		return false;
+	a->received = primary->status.received;
+	s->demotion_proposed = true;
+	return false;
+}
+
 /*
  * Demotes a primary that answers before another endpoint is chosen. Load
  * pattern: the endpoints of a group are replaced one after the other while the
@@ -901,7 +929,8 @@
 		return;
 	}
 	if (!has_stepped_down(s, primary)) {
-		poll(s, primary, now_us, COMMAND_STEP_DOWN);
+		if (commit_demotion(s, primary))
+			poll(s, primary, now_us, COMMAND_STEP_DOWN);
 		return;
 	}
 	poll_members(s, now_us);
--- a/lib/control/managed_failover.h
+++ b/lib/control/managed_failover.h
@@ -23,8 +23,9 @@
  *   1. a fencing token is committed in the log of the control group, by a
  *      proposal of this leader;
  *   2. all replicas are asked for the newest term they know; a primary that
- *      answers is demoted; then replication from primaries of that term and
- *      lower ones is paused;
+ *      answers is demoted, after the end of its log was committed, so that
+ * later attempts know its log when they see it again; then replication from
+ *      primaries of that term and lower ones is paused;
  *   3. the endpoint to be promoted is committed with the token, then the
  *      platform is asked to promote it: the replica that received most, or the
  *      demoted primary again if it has more than all replicas;
@@ -96,6 +97,9 @@
 	/** commit that no commit above @received is told; no outcome is needed
 	 */
 	MANAGED_FAILOVER_COMMIT_SEAL,
+	/** commit the end of the primary's log, @received, before it steps down
+	 */
+	MANAGED_FAILOVER_COMMIT_DEMOTION,
 	/** commit which endpoint is going to be promoted */
 	MANAGED_FAILOVER_COMMIT_CALL,
 	/** ask the platform to promote an endpoint */
@@ -132,7 +136,8 @@
  *           long the attempt took
  * @proof: MANAGED_FAILOVER_PROMOTE: why no told commit is lost, for the log
  * @received: MANAGED_FAILOVER_PROMOTE: position of @endpoint;
- *            MANAGED_FAILOVER_COMMIT_SEAL: position
+ *            MANAGED_FAILOVER_COMMIT_SEAL, MANAGED_FAILOVER_COMMIT_DEMOTION:
+ *            position
  * @recorded: MANAGED_FAILOVER_PROMOTE: highest position that the voters have
  *            told, 0, 0 if they were not asked
  * @incarnation: MANAGED_FAILOVER_COMMAND, MANAGED_FAILOVER_PROMOTE,
--- a/lib/daemon/control_managed_failover.c
+++ b/lib/daemon/control_managed_failover.c
@@ -197,7 +197,7 @@
 	LWS_STR_COPY(command.group.group, managed->name);
 	LWS_STR_COPY(command.group.primary, action->endpoint);
 	command.group.term = action->fencing_token;
-	command.group.sealed_end = action->received;
+	command.group.end = action->received;
 	control_propose_as_leader(c, &command, private_data, done);
 }
 
@@ -344,6 +344,9 @@
 			     "end", (json_int_t)action->received.number);
 		propose(c, managed, FLEET_GROUP_SEAL, action, NULL, NULL);
 		return;
+	case MANAGED_FAILOVER_COMMIT_DEMOTION:
+		propose(c, managed, FLEET_GROUP_DEMOTE, action, NULL, NULL);
+		return;
 	case MANAGED_FAILOVER_COMMIT_CALL:
 		propose_token(c, managed, FLEET_GROUP_CALL, action,
 			      on_call_proposed);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -271,7 +271,11 @@
 		{ FLEET_GROUP_SEAL, 2, 12, 0, true, 9 },
 		{ FLEET_GROUP_TERM, 3, 0, 0, true, 9 },
 		{ FLEET_GROUP_SEAL, 3, 8, 0, true, 8 },
+		{ FLEET_GROUP_DEMOTE, 2, 7, LWS_E_VERSION_CONFLICT, true, 8 },
+		{ FLEET_GROUP_DEMOTE, 3, 7, 0, true, 8 },
 		{ FLEET_GROUP_PRIMARY, 3, 0, 0, false, 0 },
+		{ FLEET_GROUP_TERM, 4, 0, 0, false, 0 },
+		{ FLEET_GROUP_DEMOTE, 4, 7, 0, false, 0 },
 	};
 	struct fleet *fleet = fleet_create(NULL);
 
@@ -289,8 +293,7 @@
 			LWS_STR_COPY(c.group.group, "g");
 			LWS_STR_COPY(c.group.primary, "e1");
 			c.group.term = steps[i].term;
-			c.group.sealed_end =
-				(struct log_position){ 1, steps[i].end };
+			c.group.end = (struct log_position){ 1, steps[i].end };
 		}
 		pack_writer_init(&w);
 		fleet_command_pack(&w, &c);
@@ -309,6 +312,11 @@
 			==, 0);
 		g = &copy->groups[0];
 		g_assert_true(fleet_group_same(g, &fleet->groups[0]));
+		g_assert_cmpint(g->demoting, ==,
+				steps[i].type == FLEET_GROUP_DEMOTE &&
+					!steps[i].rc);
+		g_assert_cmpuint(g->demoted_end.number, ==,
+				 g->demoting ? steps[i].end : 0);
 		g_assert_cmpint(g->sealed, ==, steps[i].sealed);
 		g_assert_cmpuint(g->sealed_end.number, ==, steps[i].sealed_end);
 		talloc_free(copy);
--- a/tests/test_managed_failover.c
+++ b/tests/test_managed_failover.c
@@ -500,6 +500,18 @@
 	set_group(m);
 }
 
+static void commit_demotion(struct model *m,
+			    const struct managed_failover_action *a)
+{
+	struct fleet_group *g = &m->group;
+
+	if (a->fencing_token != g->term || g->primary_term >= g->term)
+		return;
+	g->demoting = true;
+	g->demoted_end = a->received;
+	set_group(m);
+}
+
 static void perform(struct model *m)
 {
 	struct managed_failover_action a;
@@ -515,6 +527,9 @@
 		case MANAGED_FAILOVER_COMMIT_SEAL:
 			commit_seal(m, &a);
 			break;
+		case MANAGED_FAILOVER_COMMIT_DEMOTION:
+			commit_demotion(m, &a);
+			break;
 		case MANAGED_FAILOVER_COMMIT_CALL:
 			commit_call(m, &a);
 			break;
@@ -527,6 +542,7 @@
 				break;
 			m->group.primary_term = a.fencing_token;
 			m->group.sealed = false;
+			m->group.demoting = false;
 			LWS_STR_COPY(m->group.primary, a.endpoint);
 			end_calls(m);
 			set_group(m);
