--- a/programs/platform_standin/platform_standin.c
+++ b/programs/platform_standin/platform_standin.c
@@ -922,7 +922,7 @@
 	s->ev = ev;
 	s->params = *params;
 	s->held_calls = params->held_calls;
-	s->late = params->late_percent > 0;
+	s->late = params->late_percent > 0 || params->effect_spread_ms > 0;
 	s->rng.seed = params->seed;
 	s->commits = talloc_zero_array(s, struct commit, COMMITS_MAX);
 	list = talloc_strdup(s, params->announce);
