Tell replicas to resume until they have, and after a pause that may be late

One that was lost, a PAUSE that is carried out after it, and replicas that an earlier attempt, or an earlier leader, had paused and that did not answer in the last one stayed paused, and nobody looked. Change: who was told to pause is told to resume, each second until it answers so, and each 3 s for as long as an unanswered pause may still arrive (12 s). A new leader does so for all replicas of a group once it has a primary. The rule is a part of the failover's state machine; a replica that has left is not told. /leadership/promotion-not-sent counts what a new leader resumes as well: 2, then 4.

--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -97,6 +97,15 @@
 	 */
 	bool was_primary;
 	struct log_position log_end;
+	/*
+	 * It is told to resume until it answers that it isn't paused, and at
+	 * least until @pause_late_us: a pause without an answer may be late.
+	 */
+	bool resuming;
+	uint64_t resume_at_us;
+	uint64_t pause_late_us;
+	bool pause_sent;
+	uint32_t pauses_unanswered;
 	/* Newest term with which it was called for, 0 for none. */
 	uint64_t called_term;
 	/* Calls up to this term have taken effect or never will. */
@@ -171,6 +180,9 @@
 		/* Longer than a promotion takes in any deployment. */
 		.attempt_timeout_us = 2500 * LWS_US_PER_MS,
 		.min_interval_us = 500 * LWS_US_PER_MS,
+		.late_command_us = 12000 * LWS_US_PER_MS,
+		.resume_retry_us = 1000 * LWS_US_PER_MS,
+		.resume_interval_us = 3000 * LWS_US_PER_MS,
 		.call_effect_us = 6000 * LWS_US_PER_MS,
 	};
 }
@@ -230,6 +242,10 @@
 	a->incarnation = m->incarnation;
 	a->command = kind;
 	a->term = term;
+	if (kind == COMMAND_PAUSE) {
+		m->pause_sent = true;
+		m->pauses_unanswered++;
+	}
 	m->command_sent = true;
 	m->command_sent_us = now_us;
 }
@@ -418,22 +434,49 @@
 	a->took_us = now_us - s->started_us;
 }
 
+/* Also resumes endpoints that an earlier leader has paused. */
 static void resume_all(struct managed_failover *s, uint64_t now_us)
 {
 	for (uint32_t i = 0; i < s->members_count; i++) {
-		/*
-		 * Includes endpoints whose replication an earlier leader
-		 * paused, according to their status.
-		 */
-		if (s->members[i].paused ||
-		    (s->members[i].answered &&
-		     s->members[i].status.paused_below_term))
-			send_command(s, &s->members[i], now_us, COMMAND_RESUME,
-				     0);
-		s->members[i].paused = false;
+		struct member *m = &s->members[i];
+
+		if (!m->pause_sent &&
+		    !(m->answered && m->status.paused_below_term))
+			continue;
+		m->resuming = true;
+		if (m->pauses_unanswered)
+			m->pause_late_us = now_us + s->params.late_command_us;
+		m->paused = false;
+		m->pause_sent = false;
+		m->pauses_unanswered = 0;
+		m->resume_at_us = now_us + s->params.resume_retry_us;
+		send_command(s, m, now_us, COMMAND_RESUME, 0);
+	}
+}
+
+static void repeat_resume(struct managed_failover *s, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < s->members_count; i++) {
+		struct member *m = &s->members[i];
+
+		if (!m->resuming || !m->present || is_primary(s, m) ||
+		    now_us < m->resume_at_us)
+			continue;
+		m->resume_at_us = now_us + s->params.resume_retry_us;
+		send_command(s, m, now_us, COMMAND_RESUME, 0);
 	}
 }
 
+/* An answer to a command that resumes. */
+static void resumed(struct managed_failover *s, struct member *m,
+		    uint64_t now_us)
+{
+	if (m->status.paused_below_term)
+		return;
+	m->resuming = now_us < m->pause_late_us;
+	m->resume_at_us = now_us + s->params.resume_interval_us;
+}
+
 static bool more_recent(const struct member *a, const struct member *b)
 {
 	int cmp = log_position_cmp(a->status.received, b->status.received);
@@ -1234,6 +1277,8 @@
 	const char *reason;
 
 	void_old_calls(s, now_us);
+	if (s->group.term == s->group.primary_term)
+		repeat_resume(s, now_us);
 	if (now_us - s->last_attempt_us < s->params.min_interval_us)
 		return;
 	reason = reason_to_start(s, now_us);
@@ -1317,6 +1362,8 @@
 	struct member old[FLEET_ENDPOINTS_MAX];
 	uint32_t old_count = s->members_count;
 	bool primary_new = s->group.primary_term != group->primary_term;
+	/* An earlier leader may have left replicas paused. */
+	bool resuming = !old_count && group->primary_term;
 
 	memcpy(old, s->members, sizeof(old));
 	s->group = *group;
@@ -1336,6 +1383,10 @@
 		if (restarted)
 			forget_answers(m);
 		m->incarnation = incarnation;
+		if (resuming) {
+			m->resuming = true;
+			m->pause_late_us = now_us + s->params.late_command_us;
+		}
 		m->called_term = group->endpoint[i].called_term;
 		LWS_STR_COPY(m->id, group->endpoint[i].id);
 		if (restarted)
@@ -1481,8 +1532,12 @@
 		m->was_primary = true;
 		m->log_end = status->received;
 	}
+	if (kind == COMMAND_PAUSE && m->pauses_unanswered)
+		m->pauses_unanswered--;
 	if (kind == COMMAND_PAUSE && status->paused_below_term >= s->pause_term)
 		m->paused = true;
+	if (kind == COMMAND_RESUME)
+		resumed(s, m, now_us);
 	managed_failover_tick(s, now_us);
 }
 
--- a/lib/control/managed_failover.h
+++ b/lib/control/managed_failover.h
@@ -49,12 +49,14 @@
  * Until one of them holds, the promotion waits, if necessary until the primary
  * answers again: a failed primary returns with its log.
  *
- * An attempt that is abandoned before step 3 resumes replication. A call is
- * open from then on until a new primary is committed. The platform may carry it
- * out late if it has no answer; an answered call with a higher fencing token
- * rules that out. But the platform checks the token only when it carries a call
- * out, and the endpoint leads some time later, whatever was called since. So
- * while a call is open,
+ * An attempt that is abandoned before step 3 resumes replication. A replica is
+ * told to resume until it has answered so, and for as long as a command to
+ * pause it that got no answer may still arrive. A new leader tells all of them
+ * once. A call is open from then on until a new primary is committed. The
+ * platform may carry it out late if it has no answer; an answered call with a
+ * higher fencing token rules that out. But the platform checks the token only
+ * when it carries a call out, and the endpoint leads some time later, whatever
+ * was called since. So while a call is open,
  *
  *   - replication stays paused, and the voters keep their promise: no caller is
  *     told of a commit;
@@ -75,6 +77,12 @@
  * @attempt_timeout_us: time without progress after which an attempt is
  *                      abandoned
  * @min_interval_us: shortest time between two attempts
+ * @late_command_us: longest time until an endpoint carries out a command
+ * without an answer
+ * @resume_retry_us: time without an answer after which a replica is told again
+ * to resume
+ * @resume_interval_us: the same after an answer, while it may be paused by a
+ * late command
  * @call_effect_us: longest time from the acceptance of a promotion by the
  *                  platform until the endpoint leads
  */
@@ -83,6 +91,9 @@
 	uint64_t command_retry_us;
 	uint64_t attempt_timeout_us;
 	uint64_t min_interval_us;
+	uint64_t late_command_us;
+	uint64_t resume_retry_us;
+	uint64_t resume_interval_us;
 	uint64_t call_effect_us;
 };
 
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -379,12 +379,14 @@
 	init_duel(&d, 1);
 	d.without_lease = true;
 	pass_time(&d, 600);
+	/* A new leader resumes both, as another may have paused them. */
+	g_assert_cmpuint(d.resumed, ==, 2);
 	commit(&d, 0);
 	learn_outcome(&d, 0);
 	see_group(&d, 0);
 	pass_time(&d, 100);
 	g_assert_cmpuint(d.promotions, ==, 0);
-	g_assert_cmpuint(d.resumed, ==, 2);
+	g_assert_cmpuint(d.resumed, ==, 4);
 	d.without_lease = false;
 	while (h->proposed == 2)
 		pass_time(&d, 100);
