--- a/lib/control/fleet.h
+++ b/lib/control/fleet.h
@@ -54,8 +54,7 @@
  * @called_term: fencing token of the newest call to promote it that may still
  *               take effect, 0 for none; not used in announcements
  * @called_again: there were several such calls. Each of them may take effect,
- * so
- *                @called_term stays when the endpoint becomes the primary.
+ *                so @called_term stays when the endpoint becomes the primary.
  */
 struct fleet_endpoint {
 	char id[FLEET_NAME_MAX];
--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -540,8 +540,7 @@
 	return true;
 }
 
-/* Whether callers are told of no further commit until a primary is committed.
- */
+/* Whether no caller is told of a commit until a primary is committed. */
 static bool nothing_is_told(struct managed_failover *s)
 {
 	if (!s->sync_replicas || s->group.sealed ||
--- a/lib/control/managed_failover.h
+++ b/lib/control/managed_failover.h
@@ -23,9 +23,9 @@
  *   1. a fencing token is committed in the log of the control group, by a
  *      proposal of this leader;
  *   2. all replicas are asked for the newest term they know; a primary that
- *      answers is demoted, after the end of its log was committed, so that
- * later attempts know its log when they see it again; then replication from
- *      primaries of that term and lower ones is paused;
+ *      answers is demoted, after the end of its log was committed for later
+ *      attempts; then replication from primaries of that term and lower
+ *      ones is paused;
  *   3. the endpoint to be promoted is committed with the token, then the
  *      platform is asked to promote it: the replica that received most, or the
  *      demoted primary again if it has more than all replicas;
@@ -38,8 +38,9 @@
  * recorded ones, in one of two ways:
  *
  *   - the primary has stepped down: its log is complete;
- *   - the voters tell which commits they have recorded. (Without sync_replicas,
- * a primary acknowledges commits that no replica has, and this is not asked.)
+ *   - the voters tell which commits they have recorded. (Without
+ *     sync_replicas, a primary acknowledges commits that no replica has, and
+ *     this is not asked.)
  *
  * What they show is committed as well: with the promise of a majority of the
  * voters, no caller is told of a commit above that position until a primary is
@@ -51,8 +52,9 @@
  *
  * An attempt that is abandoned before step 3 resumes replication. A replica is
  * told to resume until it has answered so, and for as long as a command to
- * pause it that got no answer may still arrive. A new leader tells all of them
- * once. A call is open from then on until a new primary is committed. The
+ * pause it that got no answer may still arrive; a new leader tells all of them.
+ *
+ * From step 3 on, the call is open until a new primary is committed. The
  * platform may carry it out late if it has no answer; an answered call with a
  * higher fencing token rules that out. But the platform checks the token only
  * when it carries a call out, and the endpoint leads some time later, whatever
@@ -64,8 +66,9 @@
  *     endpoint that was called for, which has everything that was told, even if
  *     the former primary is back: then nothing is left to wait for;
  *   - if that is not possible, it promotes another endpoint, and commits it
- * only after call_effect_us, by which all calls that were accepted before have
- *     taken effect. An endpoint that leads by such a call is taken instead.
+ *     only after call_effect_us, by which all calls that were accepted before
+ *     have taken effect. An endpoint that leads by such a call is taken
+ *     instead.
  */
 
 struct managed_failover;
@@ -77,12 +80,12 @@
  * @attempt_timeout_us: time without progress after which an attempt is
  *                      abandoned
  * @min_interval_us: shortest time between two attempts
- * @late_command_us: longest time until an endpoint carries out a command
- * without an answer
- * @resume_retry_us: time without an answer after which a replica is told again
- * to resume
- * @resume_interval_us: the same after an answer, while it may be paused by a
- * late command
+ * @late_command_us: longest time until a command without an answer is carried
+ *                   out
+ * @resume_retry_us: time without an answer after which a command to resume is
+ *                   repeated
+ * @resume_interval_us: time after an answer after which it is repeated, while a
+ *                      late command may pause the replica
  * @call_effect_us: longest time from the acceptance of a promotion by the
  *                  platform until the endpoint leads
  */
@@ -105,11 +108,9 @@
 	MANAGED_FAILOVER_COMMIT_TOKEN,
 	/** send a command to an endpoint */
 	MANAGED_FAILOVER_COMMAND,
-	/** commit that no commit above @received is told; no outcome is needed
-	 */
+	/** commit that nothing above @received is told; needs no outcome */
 	MANAGED_FAILOVER_COMMIT_SEAL,
-	/** commit the end of the primary's log, @received, before it steps down
-	 */
+	/** commit the end, @received, of a log before its primary steps down */
 	MANAGED_FAILOVER_COMMIT_DEMOTION,
 	/** commit which endpoint is going to be promoted */
 	MANAGED_FAILOVER_COMMIT_CALL,
--- a/programs/platform_standin/platform_standin.h
+++ b/programs/platform_standin/platform_standin.h
@@ -31,7 +31,7 @@
  *                    calls are late
  * @late_percent: share of the calls for promotions, and of the commands that
  *                change an endpoint, that get no answer and are carried out 2
- * to 12 s later
+ *                to 12 s later
  * @seed: of what is drawn at random
  * @held_calls: number of calls for promotions that are not answered; each is
  *              carried out when the next call arrives, before that
--- a/programs/platform_standin/promotion_calls.h
+++ b/programs/platform_standin/promotion_calls.h
@@ -45,7 +45,8 @@
 	struct promotion_call list[PROMOTION_CALLS_MAX];
 };
 
-/** struct promotion_target - state of an endpoint when its call is carried out
+/**
+ * struct promotion_target - state of an endpoint when its call is carried out
  * @running: it runs
  * @primary: it leads
  */
