--- a/review/10/scenario-2.c
+++ b/review/10/scenario-2.c
@@ -115,7 +115,6 @@
 {
 	pthread_t threads[CONSUMERS];
 	char config[4096];
-	struct kit_conn c;
 	int64_t acknowledged_ms;
 	int rate = kit_trouble() ? 0 : RATE;
 	int allowed;
@@ -126,9 +125,7 @@
 	kit_add_group("g1");
 	make_config(config, sizeof(config), 3, RATE);
 	(void)kit_apply(config);
-	for (int i = 0; i < 100 && !open_session(&c, i % 2); i++)
-		kit_sleep_ms(100);
-	kit_close(&c);
+	kit_await_service("pay", "key-one");
 	for (int i = 0; i < CONSUMERS; i++)
 		pthread_create(&threads[i], NULL, consume, (void *)(intptr_t)i);
 	kit_sleep_ms(BEFORE_MS);
--- a/review/6/scenario-2.c
+++ b/review/6/scenario-2.c
@@ -136,21 +136,12 @@
 	bool kills = kit_trouble() && strcmp(only, "loss") != 0;
 	bool loses = kit_trouble() && strcmp(only, "kill") != 0;
 	pthread_t threads[CONSUMERS];
-	struct kit_conn c;
-	bool open = false;
 
 	kit_open_record(argc > 1 ? argv[1] : ".");
 	kit_start(FRONTS);
 	kit_add_group("g1");
 	(void)kit_apply(config);
-	for (int i = 0; i < 100 && !open; i++) {
-		open = open_session(&c, 0, "pay");
-		kit_sleep_ms(100);
-	}
-	if (!open)
-		kit_end(2);
-	kit_close(&c);
-	kit_sleep_ms(3000);
+	kit_await_service("pay", "key-one");
 	for (int i = 0; i < CONSUMERS; i++)
 		pthread_create(&threads[i], NULL, consume, (void *)(intptr_t)i);
 	kit_sleep_ms(BEFORE_MS);
--- a/review/8/scenario-2.c
+++ b/review/8/scenario-2.c
@@ -12,6 +12,8 @@
 #include "kit.h"
 
 #define CONSUMERS 6
+/* After a refusal. */
+#define BACKOFF_MS 100
 #define GRACE_MS 6000
 #define RUN_MS 15000
 #define STOP_AT_MS 4000
@@ -95,8 +97,12 @@
 			 i % 4 == 3 ? "WRITE item%d paid" : "READ item%d", i);
 		a = kit_query(c, id, text, 3000);
 		check(id, &a, front);
-		if (kit_ok(&a) || (!a.closed && !a.late))
+		if (kit_ok(&a))
 			continue;
+		if (!a.closed && !a.late) {
+			kit_sleep_ms(BACKOFF_MS);
+			continue;
+		}
 		kit_close(c);
 		open = false;
 		/* The balancer has taken the stopping process out of rotation. */
@@ -109,19 +115,14 @@
 int main(int argc, char **argv)
 {
 	pthread_t threads[CONSUMERS];
-	struct kit_conn c;
 	char config[4096];
-	int front = 0;
 
 	kit_open_record(argc > 1 ? argv[1] : ".");
 	kit_start(2);
 	kit_add_group("g1");
 	make_config(config, sizeof(config));
 	(void)kit_apply(config);
-	for (int i = 0; i < 100 && !open_session(&c, &front); i++)
-		kit_sleep_ms(100);
-	kit_close(&c);
-	kit_sleep_ms(3000);
+	kit_await_service("pay", "key-one");
 
 	start_ms = kit_now_ms();
 	for (int i = 0; i < CONSUMERS; i++)
--- a/review/kit-2/kit.c
+++ b/review/kit-2/kit.c
@@ -182,6 +182,8 @@
 	uint64_t commits;
 	struct commit log[COMMITS_MAX / 10];
 	uint64_t fence;
+	/* Newest term that a backend has led. */
+	uint64_t newest_term;
 	int64_t lead_at_ms;
 	int lead;
 };
@@ -192,6 +194,8 @@
 	char id[32];
 	int fd;
 	bool gone;
+	/* It receives nothing, and does not hear of a new term. */
+	bool deaf;
 	bool primary;
 	uint64_t term;
 	uint64_t held;
@@ -280,7 +284,6 @@
 static void settle(struct group *g)
 {
 	struct backend *next;
-	uint64_t term = 0;
 
 	if (!g->lead_at_ms || kit_now_ms() < g->lead_at_ms)
 		return;
@@ -293,18 +296,16 @@
 
 		if (&groups[b->group] != g)
 			continue;
-		if (b->term > term)
-			term = b->term;
 		b->primary = false;
 	}
 	next->primary = true;
-	next->term = term + 1;
+	next->term = ++g->newest_term;
 	next->held = 0;
 	g->commits = next->received;
 	for (int i = 0; i < backends_count; i++) {
 		struct backend *b = &backends[i];
 
-		if (&groups[b->group] != g || b->gone || b == next)
+		if (&groups[b->group] != g || b->gone || b->deaf || b == next)
 			continue;
 		b->received = g->commits;
 		b->term = next->term;
@@ -334,7 +335,7 @@
 	for (int i = 0; i < backends_count; i++) {
 		struct backend *b = &backends[i];
 
-		if (b->group != p->group || b == p || b->gone ||
+		if (b->group != p->group || b == p || b->gone || b->deaf ||
 		    b->held > p->term)
 			continue;
 		b->received = g->commits;
@@ -414,13 +415,15 @@
 		for (int i = 0; i < backends_count; i++) {
 			struct backend *p = &backends[i];
 
-			if (p->group != b->group || !p->primary || p->gone)
+			if (p->group != b->group || !p->primary || p->gone ||
+			    b->deaf)
 				continue;
 			b->received = p->received;
 			b->term = p->term;
 		}
 	} else if (strncmp(text, "PAUSE ", 6) == 0) {
-		if (term > b->term && !b->primary)
+		/* Only with a term above the newest term. */
+		if (term > groups[b->group].newest_term && !b->primary)
 			b->held = term;
 	} else if (term > b->term) {
 		b->primary = false;
@@ -787,6 +790,7 @@
 		runs = calloc(RUNS_MAX, sizeof(*runs));
 	snprintf(g->name, sizeof(g->name), "%s", name);
 	g->commits = 1;
+	g->newest_term = 1;
 	g->log[0].term = 1;
 	for (int i = 0; i < 3; i++) {
 		struct backend *b = &backends[backends_count];
@@ -813,7 +817,47 @@
 	backends[nth].gone = true;
 	backends[nth].primary = false;
 	pthread_mutex_unlock(&lock);
-	kit_log("%s is lost for good", backends[nth].id);
+	kit_log("%s is down", backends[nth].id);
+}
+
+void kit_deafen(int nth, bool deaf)
+{
+	pthread_mutex_lock(&lock);
+	backends[nth].deaf = deaf;
+	for (int i = 0; i < backends_count; i++) {
+		struct backend *p = &backends[i];
+
+		if (deaf || p->group != backends[nth].group || !p->primary ||
+		    p->gone || backends[nth].held > p->term)
+			continue;
+		backends[nth].received = p->received;
+		backends[nth].term = p->term;
+	}
+	pthread_mutex_unlock(&lock);
+	kit_log("%s %s", backends[nth].id,
+		deaf ? "receives nothing" : "receives again");
+}
+
+void kit_return_backend(int nth)
+{
+	struct backend *b = &backends[nth];
+
+	b->fd = listen_at(100 + nth, KIT_PORT_BACKEND);
+	if (b->fd < 0)
+		kit_end(2);
+	pthread_mutex_lock(&lock);
+	settle_all();
+	b->primary = b->term == groups[b->group].newest_term;
+	b->held = 0;
+	b->seq = 0;
+	b->born_ms = wall_ms();
+	b->gone = false;
+	b->beat_now = true;
+	pthread_mutex_unlock(&lock);
+	kit_log("%s is back with its log, as %s", b->id,
+		b->primary ? "primary" : "replica");
+	start_thread(serve_backend, b);
+	start_thread(send_heartbeats, b);
 }
 
 int kit_primary_of(int group)
@@ -1250,3 +1294,29 @@
 		a.state ? a.state : '-');
 	return a;
 }
+
+void kit_await_service(const char *database, const char *key)
+{
+	static struct kit_conn c;
+	int64_t until = kit_now_ms() + 40000;
+	int64_t since = kit_now_ms();
+
+	while (kit_now_ms() < since + 2000) {
+		if (kit_now_ms() > until)
+			kit_end(2);
+		for (int i = 0; i < fronts; i++) {
+			struct kit_answer a = { .closed = true };
+
+			if (kit_connect(&c, kit_front_host(i))) {
+				a = kit_startup(&c, database, key);
+				if (kit_ok(&a))
+					a = kit_query(&c, "warm", "READ warm",
+						      2000);
+				kit_close(&c);
+			}
+			if (!kit_ok(&a))
+				since = kit_now_ms();
+		}
+		kit_sleep_ms(100);
+	}
+}
--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.h
@@ -42,6 +42,13 @@
 void kit_add_group(const char *name);
 /* Ends a backend for good; its address refuses connections. */
 void kit_lose_backend(int nth);
+/*
+ * A backend that was lost starts again with its log, as a replica if another
+ * one was promoted.
+ */
+void kit_return_backend(int nth);
+/* A replica that receives nothing, or receives again. */
+void kit_deafen(int nth, bool deaf);
 int kit_primary_of(int group);
 
 /* A statement that ran at an endpoint: a copy of the newest with this id. */
@@ -84,5 +91,10 @@
 struct kit_answer kit_query(struct kit_conn *c, const char *id,
 			    const char *text, int timeout_ms);
 bool kit_ok(const struct kit_answer *a);
+/*
+ * Waits until every caller-facing process serves reads for 2 s without an error;
+ * ends with 2 after 40 s.
+ */
+void kit_await_service(const char *database, const char *key);
 
 #endif
