--- a/review/10/scenario-2.c
+++ b/review/10/scenario-2.c
@@ -165,7 +165,7 @@
 	const char *only = getenv("ONLY") ? getenv("ONLY") : "";
 	pthread_t threads[CONSUMERS];
 
-	kit_open_record(argc > 1 ? argv[1] : ".");
+	kit_open_record(argc > 1 ? argv[1] : "record.txt");
 	kit_start(FRONTS);
 	kit_add_group("g1");
 	(void)kit_apply(config);
--- a/review/6/scenario-2.c
+++ b/review/6/scenario-2.c
@@ -137,7 +137,7 @@
 	bool loses = kit_trouble() && strcmp(only, "kill") != 0;
 	pthread_t threads[CONSUMERS];
 
-	kit_open_record(argc > 1 ? argv[1] : ".");
+	kit_open_record(argc > 1 ? argv[1] : "record.txt");
 	kit_start(FRONTS);
 	kit_add_group("g1");
 	(void)kit_apply(config);
--- a/review/7/scenario-2.c
+++ b/review/7/scenario-2.c
@@ -159,7 +159,7 @@
 {
 	pthread_t threads[CONSUMERS];
 
-	kit_open_record(argc > 1 ? argv[1] : ".");
+	kit_open_record(argc > 1 ? argv[1] : "record.txt");
 	kit_start(FRONTS);
 	kit_add_group("g1");
 	(void)kit_apply(config);
--- a/review/8/scenario-2.c
+++ b/review/8/scenario-2.c
@@ -117,7 +117,7 @@
 	pthread_t threads[CONSUMERS];
 	char config[4096];
 
-	kit_open_record(argc > 1 ? argv[1] : ".");
+	kit_open_record(argc > 1 ? argv[1] : "record.txt");
 	kit_start(2);
 	kit_add_group("g1");
 	make_config(config, sizeof(config));
--- a/review/kit-2/kit.c
+++ b/review/kit-2/kit.c
@@ -65,12 +65,11 @@
 		nanosleep(&t, NULL);
 }
 
-void kit_open_record(const char *folder)
+void kit_open_record(const char *path)
 {
-	char path[512];
-
-	snprintf(path, sizeof(path), "%s/record.txt", folder);
 	record = fopen(path, "w");
+	if (!record)
+		exit(2);
 	started_ms = kit_now_ms();
 	signal(SIGPIPE, SIG_IGN);
 }
--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.h
@@ -22,8 +22,8 @@
 #define KIT_PORT_PROMOTE 8466
 #define KIT_PORT_BACKEND 5001
 
-/* Record */
-void kit_open_record(const char *folder);
+/* Record, the file record.txt of a case */
+void kit_open_record(const char *path);
 void kit_log(const char *format, ...) __attribute__((format(printf, 1, 2)));
 int64_t kit_now_ms(void);
 void kit_sleep_ms(int64_t ms);
