Raft: a set of voters keeps its index when the log is compacted

What callers would see: writes in doubt, then refused, for good.

Cause: the set of voters is identified by the index of the entry that set it. An instance counts the recordings of a position by that identity, so voters of one set didn't add up to a majority, and the leader took the records of running voters for those of another set.

Ruled out: comparing the members of the set instead. A set can return after another one was in force, and its records must not pass for the earlier ones.

--- a/lib/control/raft.c
+++ b/lib/control/raft.c
@@ -248,11 +248,13 @@
 	if (index <= r->snap.index || index > r->applied)
 		return LWS_E_ARGUMENT;
 	snap.voters = r->snap.voters;
+	snap.voters_index = r->snap.voters_index;
 	drop = (uint32_t)(index - r->snap.index);
 	for (uint32_t i = 0; i < drop; i++) {
-		if (r->log[i].kind == RAFT_ENTRY_VOTERS)
-			memcpy(&snap.voters, r->log[i].data,
-			       sizeof(snap.voters));
+		if (r->log[i].kind != RAFT_ENTRY_VOTERS)
+			continue;
+		memcpy(&snap.voters, r->log[i].data, sizeof(snap.voters));
+		snap.voters_index = r->log[i].index;
 	}
 	for (uint32_t i = 0; i < drop; i++)
 		talloc_free(r->log[i].data);
--- a/lib/control/raft.h
+++ b/lib/control/raft.h
@@ -79,6 +79,8 @@
  * @index: index of the last entry that it covers
  * @term: term of that entry
  * @voters: voters as of that entry
+ * @voters_index: index of the entry that set them, so that it is the same at a
+ *                voter that has the entry and at one that has the snapshot
  * @len: length of @data in bytes
  * @data: opaque state of the application
  */
@@ -86,6 +88,7 @@
 	uint64_t index;
 	uint64_t term;
 	struct raft_voters voters;
+	uint64_t voters_index;
 	uint32_t len;
 	uint8_t *data;
 };
--- a/lib/control/raft_log.c
+++ b/lib/control/raft_log.c
@@ -175,7 +175,7 @@
 static void recompute_voters(struct raft *r)
 {
 	struct raft_voters voters = r->snap.voters;
-	uint64_t index = r->snap.index;
+	uint64_t index = r->snap.voters_index;
 
 	for (uint32_t i = 0; i < r->log_count; i++) {
 		if (r->log[i].kind != RAFT_ENTRY_VOTERS)
--- a/lib/control/raft_replication.c
+++ b/lib/control/raft_replication.c
@@ -188,7 +188,7 @@
 	raft_log_truncate(r, r->snap.index + 1);
 	talloc_free(r->snap.data);
 	raft_copy_snapshot(r, &r->snap, snap);
-	raft_adopt_voters(r, &snap->voters, snap->index);
+	raft_adopt_voters(r, &snap->voters, snap->voters_index);
 	r->commit = snap->index;
 	r->applied = snap->index;
 }
--- a/lib/control/store.c
+++ b/lib/control/store.c
@@ -91,11 +91,16 @@
 
 void raft_snapshot_pack(struct pack_writer *w, const struct raft_snapshot *snap)
 {
-	pack_array(w, 4);
+	/* Earlier versions read four items. */
+	bool has_voters_index = snap->voters_index != snap->index;
+
+	pack_array(w, has_voters_index ? 5 : 4);
 	pack_u64(w, snap->index);
 	pack_u64(w, snap->term);
 	voters_pack(w, &snap->voters);
 	pack_bin(w, snap->data, snap->len);
+	if (has_voters_index)
+		pack_u64(w, snap->voters_index);
 }
 
 void raft_snapshot_unpack(struct pack_reader *r, void *mem_ctx,
@@ -113,7 +118,8 @@
 	snap->term = pack_read_u64(&in);
 	voters_unpack(&in, &snap->voters);
 	data = pack_read_bin(&in, &snap->len);
-	if (pack_reader_end(&in)) {
+	snap->voters_index = in.count > 4 ? pack_read_u64(&in) : snap->index;
+	if (pack_reader_end(&in) || snap->voters_index > snap->index) {
 		*snap = (struct raft_snapshot){ 0 };
 		r->rc = LWS_E_WIRE_FORMAT;
 		return;
--- a/lib/daemon/control_log.c
+++ b/lib/daemon/control_log.c
@@ -572,9 +572,9 @@
 		      const uint8_t *secret, const struct raft_voters *voters)
 {
 	struct fleet *fleet;
-	struct raft_snapshot snap = { .index = 1,
-				      .term = 1,
-				      .voters = *voters };
+	struct raft_snapshot snap = {
+		.index = 1, .term = 1, .voters_index = 1, .voters = *voters
+	};
 	struct pack_writer w;
 	int rc;
 
--- a/tests/support_raft.c
+++ b/tests/support_raft.c
@@ -266,7 +266,9 @@
 				     uint64_t seed)
 {
 	struct fake_rafts *f = talloc_zero(mem_ctx, struct fake_rafts);
-	struct raft_snapshot first = { .index = 1, .term = 1 };
+	struct raft_snapshot first = { .index = 1,
+				       .term = 1,
+				       .voters_index = 1 };
 	uint64_t zero = 0;
 
 	f->rng.seed = seed;
--- a/tests/support_sim.c
+++ b/tests/support_sim.c
@@ -61,7 +61,9 @@
 				      .election_timeout_us = ELECTION_US,
 				      .heartbeat_us = ELECTION_US / 4,
 				      .seed = sim->p.seed * 31 + (uint64_t)i };
-	struct raft_snapshot snap = { .index = 1, .term = 1 };
+	struct raft_snapshot snap = { .index = 1,
+				      .term = 1,
+				      .voters_index = 1 };
 
 	snap.voters.count = sim->p.voters;
 	for (uint32_t v = 0; v < sim->p.voters; v++)
--- a/tests/test_disk.c
+++ b/tests/test_disk.c
@@ -177,6 +177,45 @@
 	tear_down(f);
 }
 
+/*
+ * The index of the set of voters, in a snapshot of this version and in one
+ * without it. Guards against a set that has another index after a restart.
+ */
+static void test_voters_index(void)
+{
+	static const struct {
+		uint64_t index;
+		uint64_t voters_index;
+		int rc;
+	} cases[] = {
+		{ 24, 4, 0 },
+		{ 24, 24, 0 },
+		{ 24, 25, LWS_E_STORE_CORRUPT },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct store_record record = { .type = STORE_SNAPSHOT };
+		void *ctx = talloc_new(NULL);
+		msgpack_sbuffer out;
+		size_t used;
+
+		record.snap.index = cases[i].index;
+		record.snap.voters_index = cases[i].voters_index;
+		record.snap.voters.count = 1;
+		record.snap.voters.member[0].id = 1;
+		msgpack_sbuffer_init(&out);
+		g_assert_cmpint(store_encode(&out, &record), ==, 0);
+		g_assert_cmpint(store_decode(ctx, (const uint8_t *)out.data,
+					     out.size, &record, &used),
+				==, cases[i].rc);
+		if (!cases[i].rc)
+			g_assert_cmpuint(record.snap.voters_index, ==,
+					 cases[i].voters_index);
+		msgpack_sbuffer_destroy(&out);
+		talloc_free(ctx);
+	}
+}
+
 /**
  * struct damage_case - damage done to a file of three synced records
  * @name: printed name of the case
@@ -365,6 +404,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/disk/append-and-replace", test_append_and_replace);
 	g_test_add_func("/disk/full", test_full_disk);
+	g_test_add_func("/disk/voters-index", test_voters_index);
 	g_test_add_func("/disk/damage", test_damage);
 	g_test_add_func("/disk/failed-sync", test_failed_sync);
 	g_test_add_func("/disk/replaced-damage", test_replaced_damage);
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -322,6 +322,54 @@
 	talloc_free(f);
 }
 
+struct voters_index_case {
+	const char *name;
+	/* The voter gets a snapshot from the leader, or reads its own. */
+	bool behind;
+};
+
+static const struct voters_index_case voters_index_cases[] = {
+	{ "own-snapshot", false },
+	{ "snapshot-of-the-leader", true },
+};
+
+/*
+ * A voter restarts after its log was compacted. Guards against voters that
+ * count the same set as different ones: no position had a majority then.
+ */
+static void test_voters_index(gconstpointer data)
+{
+	const struct voters_index_case *c = data;
+	struct fake_rafts *f = fake_rafts_create(NULL, 3, 13);
+	uint64_t index;
+	uint32_t victim;
+
+	fake_rafts_run(f, SECOND);
+	fake_rafts_lose_disk(f, 0, 200);
+	g_assert_true(fake_rafts_replace_voter(f, 0, 100));
+	fake_rafts_run(f, SECOND);
+	victim = ((uint32_t)fake_rafts_leader(f) + 1) % 3;
+	index = raft_voters_index(f->nodes[victim].raft);
+	g_assert_cmpuint(index, >, 1);
+	if (c->behind)
+		fake_rafts_crash(f, victim);
+	propose_values(f, 20);
+	for (uint32_t n = 0; n < 3; n++) {
+		if (f->nodes[n].up)
+			fake_rafts_compact(f, n);
+	}
+	fake_rafts_run(f, SECOND);
+	if (!c->behind)
+		fake_rafts_crash(f, victim);
+	fake_rafts_restart(f, victim);
+	fake_rafts_run(f, SECOND);
+	g_assert_cmpuint(raft_snapshot_index(f->nodes[victim].raft), >, index);
+	for (uint32_t n = 0; n < 3; n++)
+		g_assert_cmpuint(raft_voters_index(f->nodes[n].raft), ==,
+				 index);
+	talloc_free(f);
+}
+
 static void test_leadership_transfer(void)
 {
 	struct fake_rafts *f = fake_rafts_create(NULL, 3, 5);
@@ -381,6 +429,13 @@
 	g_test_add_func("/raft/lost-disk-no-vote", test_lost_disk_has_no_vote);
 	g_test_add_func("/raft/restart-after-500-entries",
 			test_restart_after_many_entries);
+	for (size_t i = 0; i < G_N_ELEMENTS(voters_index_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/raft/voters-index/%s", voters_index_cases[i].name);
+
+		g_test_add_data_func(path, &voters_index_cases[i],
+				     test_voters_index);
+	}
 	g_test_add_func("/raft/leadership-transfer", test_leadership_transfer);
 	g_test_add_func("/raft/params", test_params);
 	return g_test_run();
