Managed failover: a pause without effect raises its term

Cause: a pause has an effect only above the newest term that any endpoint has led. An attempt took one more than the newest term in the answers, for ever.

The failover model could not show it: its promotions told all endpoints the new term, and its endpoints compared a pause with the term that they knew.

Ruled out: a higher term from the start. A pause that is carried out late, after the promotion, must have no effect.

Change: a replica that answers a pause without being paused shows that a newer term exists. The term is raised by one, up to the newest known term plus the token of the attempt, and all replicas are paused again at once.

--- a/lib/control/managed_failover.c
+++ b/lib/control/managed_failover.c
@@ -105,6 +105,7 @@
 	uint64_t resume_at_us;
 	uint64_t pause_late_us;
 	bool pause_sent;
+	uint64_t pause_sent_term;
 	uint32_t pauses_unanswered;
 	/* Newest term with which it was called for, 0 for none. */
 	uint64_t called_term;
@@ -122,6 +123,8 @@
 	enum phase phase;
 	uint64_t fencing_token;
 	uint64_t pause_term;
+	/* No endpoint has led a term as high as this. */
+	uint64_t pause_term_max;
 	char choice[FLEET_NAME_MAX];
 	uint64_t phase_since_us;
 	uint64_t last_attempt_us;
@@ -244,6 +247,7 @@
 	a->term = term;
 	if (kind == COMMAND_PAUSE) {
 		m->pause_sent = true;
+		m->pause_sent_term = term;
 		m->pauses_unanswered++;
 	}
 	m->command_sent = true;
@@ -822,9 +826,37 @@
 			enum phase phase)
 {
 	s->pause_term = newest_term(s) + 1;
+	/* Each promotion had a token, and led one term higher. */
+	s->pause_term_max = newest_term(s) + s->fencing_token;
 	enter_phase(s, now_us, phase);
 }
 
+/*
+ * A pause needs a term above the newest one. If no endpoint that answers has
+ * heard of the newest term, as its primary was lost just after its promotion, a
+ * pause has no effect. The term is raised step by step: a pause with a higher
+ * term than necessary would also hold back the next primary's commits if it is
+ * carried out late.
+ */
+static void pause_answered(struct managed_failover *s, struct member *m)
+{
+	if (m->status.paused_below_term >= s->pause_term) {
+		m->paused = true;
+		return;
+	}
+	if (s->phase != PHASE_PAUSE || m->status.primary)
+		return;
+	if (m->pause_sent_term == s->pause_term &&
+	    s->pause_term < s->pause_term_max) {
+		s->pause_term++;
+		for (uint32_t i = 0; i < s->members_count; i++)
+			s->members[i].paused = false;
+	}
+	/* The next pause has a higher term: no reason to wait. */
+	if (m->pause_sent_term < s->pause_term)
+		m->command_sent = false;
+}
+
 /* Whether an endpoint with an open call can take over from the primary. */
 static bool called_can_follow(struct managed_failover *s)
 {
@@ -1533,8 +1565,8 @@
 	}
 	if (kind == COMMAND_PAUSE && m->pauses_unanswered)
 		m->pauses_unanswered--;
-	if (kind == COMMAND_PAUSE && status->paused_below_term >= s->pause_term)
-		m->paused = true;
+	if (kind == COMMAND_PAUSE)
+		pause_answered(s, m);
 	if (kind == COMMAND_RESUME)
 		resumed(s, m, now_us);
 	managed_failover_tick(s, now_us);
--- a/tests/test_managed_failover.c
+++ b/tests/test_managed_failover.c
@@ -26,6 +26,8 @@
 struct model_endpoint {
 	bool down;
 	bool leaving;
+	/* It never runs again, and nobody says so. */
+	bool lost;
 	/* Position of the last commit that it received. */
 	struct log_position received;
 	uint64_t term;
@@ -64,6 +66,8 @@
 	struct managed_failover *s;
 	struct fleet_group group;
 	struct model_endpoint e[ENDPOINTS];
+	/* Term of the newest promotion that took effect. */
+	uint64_t newest_term;
 	struct model_domain d[DOMAINS];
 	struct raft_voters voters;
 	struct ack_survey survey;
@@ -147,6 +151,7 @@
 		m->e[i].received.term = 1;
 	}
 	m->e[0].primary = true;
+	m->newest_term = 1;
 	m->told.term = 1;
 	managed_failover_set_domains(m->s, 3);
 	managed_failover_set_group(m->s, now_us(m), &m->group, 1);
@@ -231,11 +236,10 @@
 /* An accepted call takes effect, unless the endpoint doesn't run. */
 static void promote(struct model *m, uint32_t i)
 {
-	uint64_t term = 0;
-
 	if (m->e[i].down || m->e[i].primary)
 		return;
 	m->promotions++;
+	m->newest_term++;
 	if (log_position_cmp(m->e[i].received, m->told) < 0) {
 		m->lost_commits++;
 		if (g_test_verbose())
@@ -244,12 +248,10 @@
 				   m->e[i].received.number, m->told.term,
 				   m->told.number);
 	}
-	for (uint32_t k = 0; k < ENDPOINTS; k++)
-		term = MAX(term, m->e[k].term);
+	m->e[i].term = m->newest_term;
 	for (uint32_t k = 0; k < ENDPOINTS; k++) {
 		m->e[k].primary = k == i;
 		m->e[k].paused_term = 0;
-		m->e[k].term = term + 1;
 		if (log_position_cmp(m->e[k].received, m->e[i].received) > 0)
 			m->e[k].received = m->e[i].received;
 	}
@@ -260,10 +262,12 @@
 	return lws_rng_below(&m->rng, 100) < m->loss_percent;
 }
 
-static void change_endpoint(struct model_endpoint *e,
+/* A pause needs a term above the newest one, which the endpoint may not know.
+ */
+static void change_endpoint(struct model *m, struct model_endpoint *e,
 			    enum endpoint_command_kind kind, uint64_t term)
 {
-	if (kind == COMMAND_PAUSE && term > e->term && !e->primary)
+	if (kind == COMMAND_PAUSE && term > m->newest_term && !e->primary)
 		e->paused_term = term;
 	if (kind == COMMAND_RESUME)
 		e->paused_term = 0;
@@ -298,7 +302,7 @@
 			continue;
 		late->used = false;
 		if (!m->e[late->endpoint].down)
-			change_endpoint(&m->e[late->endpoint], late->kind,
+			change_endpoint(m, &m->e[late->endpoint], late->kind,
 					late->term);
 	}
 }
@@ -318,7 +322,7 @@
 					  STATEMENT_E_NONE);
 		return;
 	}
-	change_endpoint(e, a->command, a->term);
+	change_endpoint(m, e, a->command, a->term);
 	if (message_lost(m))
 		return;
 	status =
@@ -737,7 +741,11 @@
 	EVENT_LEAVES,
 	/** the endpoint is gone, and its log with it */
 	EVENT_GONE,
+	/** the endpoint never runs again, and nobody says so */
+	EVENT_LOST,
 	EVENT_CRASH,
+	/** the endpoint runs again, with its log */
+	EVENT_BACK,
 	/** the endpoint starts again under its id, and knows nothing */
 	EVENT_STARTS_EMPTY,
 	/** an old heartbeat of the endpoint arrives: it claims to be primary */
@@ -852,9 +860,16 @@
 		m->e[who].leaving = true;
 		remove_from_group(m, who);
 		return;
+	case EVENT_LOST:
+		m->e[who].down = true;
+		m->e[who].lost = true;
+		return;
 	case EVENT_CRASH:
 		m->e[who].down = true;
 		return;
+	case EVENT_BACK:
+		m->e[who].down = false;
+		return;
 	case EVENT_STARTS_EMPTY:
 		start_empty(&m->e[who]);
 		set_incarnation(m, who);
@@ -874,7 +889,7 @@
 {
 	m->unregistered_replica = false;
 	for (uint32_t i = 0; i < ENDPOINTS; i++) {
-		m->e[i].down = m->e[i].leaving;
+		m->e[i].down = m->e[i].leaving || m->e[i].lost;
 		m->e[i].unreachable = false;
 		m->e[i].disconnected_until_ms = 0;
 	}
@@ -1024,6 +1039,20 @@
 	  1 },
 };
 
+/*
+ * Cases in which a primary is lost for good, and another endpoint has all that
+ * callers were told of. Guards against waiting for an answer that never comes.
+ */
+static const struct event_case lost_primary_cases[] = {
+	/* No other endpoint has heard of its term. */
+	{ "new-primary",
+	  { { 500, EVENT_DEAF, 2 },
+	    { 700, EVENT_CRASH, 0 },
+	    { 3000, EVENT_LOST, 1 },
+	    { 3100, EVENT_BACK, 0 } },
+	  2 },
+};
+
 /* Whether an endpoint has all commits that callers were told of. */
 static bool told_is_kept(const struct model *m)
 {
@@ -1744,6 +1773,13 @@
 		g_test_add_data_func(path, &silent_member_cases[i],
 				     test_events);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(lost_primary_cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/managed-failover/lost-primary/%s",
+					lost_primary_cases[i].name);
+
+		g_test_add_data_func(path, &lost_primary_cases[i], test_events);
+	}
 	g_test_add_func("/managed-failover/all-orders", test_all_orders);
 	g_test_add_func("/managed-failover/evacuation-leader-change",
 			test_evacuation_leader_change);
