--- a/lib/common/lws_counter.c
+++ b/lib/common/lws_counter.c
@@ -18,6 +18,7 @@
 	[LWS_COUNTER_CONFIRMATION_LAPSES] = "confirmation_lapses",
 	[LWS_COUNTER_READS_UNCONFIRMED] = "config_reads_unconfirmed",
 	[LWS_COUNTER_LOG_SYNCS] = "log_syncs",
+	[LWS_COUNTER_ACK_SYNCS] = "ack_syncs",
 	[LWS_COUNTER_CALLER_PROTOCOL_ERRORS] = "caller_protocol_errors",
 };
 
--- a/lib/control/ack_record.c
+++ b/lib/control/ack_record.c
@@ -13,10 +13,16 @@
 	struct log_position acked;
 	/* Nothing is recorded for lower terms. */
 	uint64_t promised;
-	/* Something may have been recorded or promised that is not known. */
+	/* Something may have been told that is not known. */
 	bool incomplete;
+	/* Something that this voter recorded may be lost. */
+	bool forgetful;
 	/* Set of voters in which it is known to be complete. */
 	uint64_t config;
+	/* Read from disk, and not yet compared with the set of voters. */
+	bool restored;
+	/* Differs from what is on disk, if it is complete. */
+	bool unsaved;
 };
 
 struct ack_record {
@@ -46,25 +52,58 @@
 	if (!grown)
 		return NULL;
 	r->list = grown;
-	grown[r->count] = (struct group_record){ .config = r->config };
+	grown[r->count] =
+		(struct group_record){ .config = r->config, .unsaved = true };
 	LWS_STR_COPY(grown[r->count].group, group);
 	return &grown[r->count++];
 }
 
+void ack_record_restore(struct ack_record *r, const struct ack_saved *saved)
+{
+	struct group_record *g = find_or_add(r, saved->group);
+
+	if (!g)
+		return;
+	g->acked = saved->acked;
+	g->config = saved->config;
+	g->forgetful = saved->forgetful;
+	g->restored = true;
+	g->unsaved = false;
+}
+
+/*
+ * Promises that were made before were for tokens up to that of the state, which
+ * were committed before the voters were asked.
+ */
+static void begin_group(struct group_record *g, const struct fleet_group *group,
+			const struct ack_tenure *tenure)
+{
+	bool valid = g->restored && !g->forgetful && g->config >= tenure->since;
+
+	g->incomplete = group->primary_term != 0 && !valid;
+	g->forgetful = g->incomplete && (g->forgetful || !tenure->remembers);
+	g->restored = false;
+	if (!valid) {
+		g->config = tenure->config;
+		g->unsaved = true;
+	}
+	if (g->term < group->primary_term)
+		g->term = group->primary_term;
+	if (g->promised < group->term)
+		g->promised = group->term;
+}
+
 void ack_record_begin(struct ack_record *r, const struct fleet *fleet,
-		      uint64_t epoch, uint64_t config)
+		      const struct ack_tenure *tenure)
 {
-	r->epoch = epoch;
-	r->config = config;
+	r->epoch = tenure->epoch;
+	r->config = tenure->config;
 	for (uint32_t i = 0; i < fleet->groups_count; i++) {
 		const struct fleet_group *group = &fleet->groups[i];
 		struct group_record *g = find_or_add(r, group->name);
 
-		if (!g)
-			continue;
-		g->incomplete = group->primary_term != 0;
-		if (g->term < group->primary_term)
-			g->term = group->primary_term;
+		if (g)
+			begin_group(g, group, tenure);
 	}
 }
 
@@ -86,8 +125,10 @@
 		  struct log_position position)
 {
 	g->term = term;
-	if (log_position_cmp(position, g->acked) > 0)
-		g->acked = position;
+	if (log_position_cmp(position, g->acked) <= 0)
+		return;
+	g->acked = position;
+	g->unsaved = true;
 }
 
 static bool is_complete(const struct ack_record *r,
@@ -96,6 +137,34 @@
 	return r->epoch && !g->incomplete;
 }
 
+bool ack_record_at(const struct ack_record *r, uint32_t at,
+		   struct ack_saved *saved)
+{
+	*saved = (struct ack_saved){ 0 };
+	if (at >= r->count)
+		return false;
+	if (!is_complete(r, &r->list[at]) && !r->list[at].forgetful)
+		return true;
+	LWS_STR_COPY(saved->group, r->list[at].group);
+	saved->forgetful = r->list[at].forgetful;
+	saved->config = r->list[at].config;
+	saved->acked = r->list[at].acked;
+	return true;
+}
+
+bool ack_record_next_unsaved(struct ack_record *r, struct ack_saved *saved)
+{
+	for (uint32_t i = 0; i < r->count; i++) {
+		struct group_record *g = &r->list[i];
+
+		if (!g->unsaved || !is_complete(r, g))
+			continue;
+		g->unsaved = false;
+		return ack_record_at(r, i, saved);
+	}
+	return false;
+}
+
 bool ack_record_store(struct ack_record *r, const char *group, uint64_t term,
 		      struct log_position position)
 {
@@ -123,6 +192,8 @@
 		.complete = is_complete(r, g),
 		.epoch = r->epoch,
 		.config = g->config,
+		.current = r->epoch && !g->forgetful && question->config &&
+			   question->config == question->adopted,
 		.acked = g->acked,
 	};
 	return true;
@@ -137,7 +208,9 @@
 	if (!g || !epoch || epoch != r->epoch || term < g->term)
 		return;
 	raise(g, term, position);
+	g->unsaved |= g->incomplete || g->config != config;
 	g->incomplete = false;
+	g->forgetful = false;
 	g->config = config;
 }
 
@@ -183,7 +256,7 @@
 struct position_list {
 	uint32_t count;
 	struct log_position at[RAFT_VOTERS_MAX];
-	/* A voter may lack what was recorded in an earlier set of voters. */
+	/* A voter may lack what was told in an earlier set of voters. */
 	bool unsettled;
 };
 
@@ -204,17 +277,21 @@
 
 /*
  * The highest position that a majority may have recorded: those that answered
- * with at least this position, and all that did not answer.
+ * with at least this position, and all that did not answer. In an earlier set
+ * of voters others may have recorded it; but any majority of those that
+ * answered shares a voter with those, or was told since.
  */
 static struct log_position highest_told(struct position_list *list,
 					uint32_t voters)
 {
 	uint32_t majority = voters / 2 + 1;
 	uint32_t silent = voters - list->count;
-	uint32_t at = silent < majority && !list->unsettled
-			      ? majority - silent - 1
-			      : 0;
+	uint32_t at = 0;
 
+	if (list->unsettled && list->count > majority)
+		at = list->count - majority;
+	else if (!list->unsettled && silent < majority)
+		at = majority - silent - 1;
 	qsort(list->at, list->count, sizeof(list->at[0]), by_position);
 	return at < list->count ? list->at[at] : (struct log_position){ 0 };
 }
@@ -253,3 +330,22 @@
 		status.missing_promises ? &complete : &promised, voters->count);
 	return status;
 }
+
+enum ack_cover_source ack_cover_source(const struct ack_survey *records,
+				       const struct raft_voters *voters,
+				       uint64_t config,
+				       const struct ack_answer *answer,
+				       struct log_position *position)
+{
+	struct ack_survey_status status =
+		ack_survey_status(records, voters, config, config);
+
+	if (!config || !answer->epoch ||
+	    (answer->complete && answer->config == config))
+		return ACK_COVER_NONE;
+	if (answer->current && !status.missing) {
+		*position = status.acked;
+		return ACK_COVER_RECORDS;
+	}
+	return answer->complete ? ACK_COVER_NONE : ACK_COVER_PRIMARY;
+}
--- a/lib/control/ack_record.h
+++ b/lib/control/ack_record.h
@@ -26,18 +26,30 @@
  * The two majorities share a voter. So the promoted endpoint must have the
  * highest position that was told, and callers know of no later commit.
  *
- * The record is kept in memory. A voter that has started, or has just become a
- * voter, does not know what was recorded or promised before. It records nothing
- * and its answers don't count until the leader, while there is no attempt, has
- * told it a position that the primary reported afterwards: no earlier commit is
- * above.
- * Changes of the voters are covered as well, since two consecutive sets of
- * voters have no disjoint majorities, and positions are told only after a
- * change was committed.
+ * A position counts as recorded once it is synced to disk, so a voter that
+ * starts again knows what it recorded. What it promised follows from the newest
+ * token in the replicated state. Its record is complete: together with what a
+ * majority of the other voters have, nothing is missing.
+ *
+ * A record is incomplete if its voter is new, may have missed a set of voters,
+ * or has lost its file. Such a voter records nothing and its answers don't
+ * count until the leader has told it a position that no earlier told commit is
+ * above (ack_cover_source()):
+ *
+ *   - the highest position that a majority of complete records can have. Each
+ *     of these voters must have answered in the present set of voters: none of
+ *     them adds to a majority of an earlier one any more. It needs no primary.
+ *   - a position that the primary reported since, while there is no attempt,
+ *     if too few records are complete, or if the voter itself may have lost a
+ *     position that an instance has counted.
+ *
+ * The end of the primary's log may be above all that was acknowledged; if the
+ * primary is lost then, no endpoint ever has it. So records that are complete
+ * never take it over. After a change of the voters they are settled by what a
+ * majority of them has, too.
  *
  * A minority may have recorded a position that no caller was told of. It
- * doesn't count if enough voters answer that have not recorded it, and all of
- * them were complete in the present set of voters.
+ * doesn't count if enough voters answer that have not recorded it.
  */
 
 struct ack_record;
@@ -47,12 +59,16 @@
  * @group: group
  * @term: term of the primary
  * @token: fencing token of the failover attempt, or the newest term
+ * @config: set of voters of the leader, 0 if it is not committed yet
+ * @adopted: set of voters of the voter that is asked
  * @promise: nothing may be recorded for terms below @token from now on
  */
 struct ack_question {
 	const char *group;
 	uint64_t term;
 	uint64_t token;
+	uint64_t config;
+	uint64_t adopted;
 	bool promise;
 };
 
@@ -64,6 +80,8 @@
  * @epoch: identifies the time since when the voter records
  * @config: set of voters in which @complete is known to hold: no caller was
  *          told of a commit above @acked before that set was committed
+ * @current: the voter has the same set of voters as the leader, and has lost
+ *           nothing that it recorded itself
  * @acked: highest recorded position, 0, 0 for none
  */
 struct ack_answer {
@@ -72,22 +90,58 @@
 	bool complete;
 	uint64_t epoch;
 	uint64_t config;
+	bool current;
+	struct log_position acked;
+};
+
+/**
+ * struct ack_saved - what a voter keeps of the record of a group on its disk
+ * @group: group
+ * @forgetful: the record is incomplete, and positions that this voter recorded
+ *             may be lost
+ * @config: set of voters in which the record is complete
+ * @acked: highest recorded position, 0, 0 for none
+ */
+struct ack_saved {
+	char group[FLEET_NAME_MAX];
+	bool forgetful;
+	uint64_t config;
 	struct log_position acked;
 };
 
 /** ack_record_create() - create an empty record, NULL if out of memory */
 struct ack_record *ack_record_create(void *mem_ctx);
 
+/**
+ * ack_record_restore() - take over what an earlier process of this voter saved
+ *
+ * To be called before the first ack_record_begin(), in the order of saving.
+ */
+void ack_record_restore(struct ack_record *r, const struct ack_saved *saved);
+
+/**
+ * struct ack_tenure - the time in which an instance is a voter
+ * @epoch: not used before by any voter of this name, not 0
+ * @config: identifies the set of voters
+ * @since: set of voters since which it has been one all along
+ * @remembers: all that earlier processes of this voter recorded was restored
+ */
+struct ack_tenure {
+	uint64_t epoch;
+	uint64_t config;
+	uint64_t since;
+	bool remembers;
+};
+
 /**
  * ack_record_begin() - begin to record as a voter
  * @r: record
  * @fleet: replicated state; it has everything that was committed before this
  *         process started and before it became a voter
- * @epoch: not used before by any voter of this name, not 0
- * @config: identifies the set of voters
+ * @tenure: tenure that begins
  */
 void ack_record_begin(struct ack_record *r, const struct fleet *fleet,
-		      uint64_t epoch, uint64_t config);
+		      const struct ack_tenure *tenure);
 
 /** ack_record_end() - this instance is no voter any more */
 void ack_record_end(struct ack_record *r);
@@ -95,9 +149,30 @@
 /** ack_record_begun() - whether ack_record_begin() was called last */
 bool ack_record_begun(const struct ack_record *r);
 
+/**
+ * ack_record_next_unsaved() - take what has changed since it was taken last
+ *
+ * Return: false if there is nothing to save.
+ */
+bool ack_record_next_unsaved(struct ack_record *r, struct ack_saved *saved);
+
+/**
+ * ack_record_at() - read what is to be saved of a group
+ * @r: record
+ * @at: index of the group
+ * @saved: result, with an empty @group if there is nothing to save
+ *
+ * Return: false if there is no such group.
+ */
+bool ack_record_at(const struct ack_record *r, uint32_t at,
+		   struct ack_saved *saved);
+
 /**
  * ack_record_store() - record the position of an acknowledged commit
  *
+ * It may be confirmed only once what ack_record_next_unsaved() returns from
+ * then on is synced.
+ *
  * Return: false if the term has passed or the record is not complete.
  */
 bool ack_record_store(struct ack_record *r, const char *group, uint64_t term,
@@ -112,16 +187,15 @@
 		    struct ack_answer *answer);
 
 /**
- * ack_record_cover() - complete the record of a group
+ * ack_record_cover() - complete the record of a group, or settle it
  * @r: record
  * @group: group
  * @term: term of the primary
- * @epoch: epoch of the answer after which the primary was asked
- * @config: set of voters, committed before the primary was asked
- * @position: end of the primary's log
+ * @epoch: epoch of the answer that the leader got
+ * @config: set of voters, committed before the position was asked for
+ * @position: no caller was told of a higher one before
  *
- * Only a leader whose lease is held may ask for it, and only while there is no
- * failover attempt.
+ * Only a leader whose lease is held may ask for it.
  */
 void ack_record_cover(struct ack_record *r, const char *group, uint64_t term,
 		      uint64_t epoch, uint64_t config,
@@ -171,4 +245,28 @@
 					   const struct raft_voters *voters,
 					   uint64_t config, uint64_t token);
 
+/** enum ack_cover_source - what a record is to be completed or settled with */
+enum ack_cover_source {
+	/** nothing is missing, or nothing can be done yet */
+	ACK_COVER_NONE,
+	/** the position that a majority of records can have */
+	ACK_COVER_RECORDS,
+	/** the end of the primary's log */
+	ACK_COVER_PRIMARY,
+};
+
+/**
+ * ack_cover_source() - decide how to complete or settle the record of a voter
+ * @records: answers with @current set, added with @config as their token
+ * @voters: voters
+ * @config: identifies them, 0 if they are not committed yet
+ * @answer: answer of the voter to be completed
+ * @position: ACK_COVER_RECORDS: result
+ */
+enum ack_cover_source ack_cover_source(const struct ack_survey *records,
+				       const struct raft_voters *voters,
+				       uint64_t config,
+				       const struct ack_answer *answer,
+				       struct log_position *position);
+
 #endif
--- a/lib/control/raft.c
+++ b/lib/control/raft.c
@@ -373,6 +373,11 @@
 	return r->voters_index;
 }
 
+uint64_t raft_voter_since(const struct raft *r)
+{
+	return r->voter_since;
+}
+
 const struct raft_voters *raft_voters(const struct raft *r)
 {
 	return &r->voters;
--- a/lib/control/raft.h
+++ b/lib/control/raft.h
@@ -345,6 +345,13 @@
 const struct raft_voters *raft_voters(const struct raft *r);
 /** raft_voters_index() - index of the entry that set the voters */
 uint64_t raft_voters_index(const struct raft *r);
+/**
+ * raft_voter_since() - since when this member has been a voter all along
+ *
+ * Return: raft_voters_index() of the first set, or of a later one if the sets
+ * before are not known; 0 if it is no voter.
+ */
+uint64_t raft_voter_since(const struct raft *r);
 /** raft_is_voter() - whether the member with identity @id is a voter in @v */
 bool raft_is_voter(const struct raft_voters *v, uint64_t id);
 const struct raft_snapshot *raft_snapshot(const struct raft *r);
--- a/lib/control/raft_log.c
+++ b/lib/control/raft_log.c
@@ -161,6 +161,12 @@
 void raft_adopt_voters(struct raft *r, const struct raft_voters *voters,
 		       uint64_t index)
 {
+	bool was_voter = raft_is_voter(&r->voters, r->params.self);
+
+	if (!raft_is_voter(voters, r->params.self))
+		r->voter_since = 0;
+	else if (!was_voter || !r->voter_since)
+		r->voter_since = index;
 	r->voters = *voters;
 	r->voters_index = index;
 	if (raft_is_voter(&r->voters, r->learner))
--- a/lib/control/raft_replication.c
+++ b/lib/control/raft_replication.c
@@ -188,6 +188,9 @@
 	raft_log_truncate(r, r->snap.index + 1);
 	talloc_free(r->snap.data);
 	raft_copy_snapshot(r, &r->snap, snap);
+	/* Sets between the two are not known. */
+	if (r->voters_index != snap->voters_index)
+		r->voter_since = 0;
 	raft_adopt_voters(r, &snap->voters, snap->voters_index);
 	r->commit = snap->index;
 	r->applied = snap->index;
--- a/lib/control/store.h
+++ b/lib/control/store.h
@@ -4,18 +4,20 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "ack_record.h"
 #include "pack.h"
 #include "raft.h"
 
 /**
- * DOC: Format of the Raft log file.
+ * DOC: Format of the Raft log file, and of the file of acknowledged commits.
  *
- * One file holds records in the order of writing: the identity of the data
- * directory, then hard states, snapshots and entries. A record is a header of
- * STORE_HEADER_BYTES (checksum of the header, payload size, number of bytes of
- * the file that were synced before the record was written, xxHash64 of the
- * payload) and a msgpack payload. A later entry with an index at or below the
- * last one truncates the log there.
+ * A file holds records in the order of writing: the identity of the data
+ * directory, then hard states, snapshots and entries, or positions of
+ * acknowledged commits, of which the last one of a group counts. A record is a
+ * header of STORE_HEADER_BYTES (checksum of the header, payload size, number of
+ * bytes of the file that were synced before the record was written, xxHash64 of
+ * the payload) and a msgpack payload. A later entry with an index at or below
+ * the last one truncates the log there.
  *
  * Reading: an incomplete record at the end of the file, or a tail of zeros,
  * was never synced and is truncated. A power loss may keep any subset of the
@@ -43,6 +45,7 @@
 	STORE_HARD_STATE,
 	STORE_ENTRY,
 	STORE_SNAPSHOT,
+	STORE_ACK,
 	STORE_RECORD_TYPE_COUNT,
 };
 
@@ -63,6 +66,7 @@
 		} hard;
 		struct raft_entry entry;
 		struct raft_snapshot snap;
+		struct ack_saved ack;
 	};
 };
 
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -335,16 +335,19 @@
 	c->rate_client = rate_client_create(c);
 	c->ack_client = ack_client_create(c);
 	c->ack_record = ack_record_create(c);
+	c->ack_replies = ack_replies_create(c);
 	c->sync.poll_us = SYNC_POLL_US;
 	c->sync.timeout_us = SYNC_TIMEOUT_US;
 	d->control_queue = message_queue_create(c, ev, c);
 	if (!c->fleet || !c->sync_log || !c->rate_client || !c->ack_client ||
-	    !c->ack_record || !d->control_queue)
+	    !c->ack_record || !c->ack_replies || !d->control_queue)
 		rc = LWS_E_NOMEM;
 	if (!rc && d->settings.rate_share_ms)
 		rate_client_use_shares(c->rate_client);
 	if (!rc && d->settings.data)
 		rc = control_log_open(c);
+	if (!rc && d->settings.data)
+		rc = control_acks_open(c);
 	if (!rc)
 		rc = control_peers_start(c);
 	if (!rc && !d->adapter)
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -6,6 +6,7 @@
 
 #include "ack_client.h"
 #include "ack_record.h"
+#include "ack_replies.h"
 #include "address_book.h"
 #include "confirm_watch.h"
 #include "daemon.h"
@@ -185,6 +186,17 @@
 	struct ack_client *ack_client;
 	struct ack_record *ack_record;
 	uint64_t ack_epoch;
+	/* Its file: writes queued and synced; whether it is this voter's. */
+	struct disk *ack_disk;
+	uint64_t ack_seq;
+	uint64_t ack_durable_seq;
+	uint32_t ack_file_records;
+	bool ack_file_valid;
+	/* All that earlier processes of this voter recorded was in the file. */
+	bool ack_remembers;
+	/* raft_voter_since() as the record began. */
+	uint64_t ack_since;
+	struct ack_replies *ack_replies;
 
 	/* Rate limit tokens of this instance. */
 	struct rate_client *rate_client;
@@ -255,6 +267,7 @@
 void control_sync_tick(struct control *c, uint64_t now_us);
 void control_push_downstreams(struct control *c);
 struct peer *control_peer_of_member(struct control *c, uint64_t member);
+struct peer *control_peer_named(struct control *c, const char *name);
 struct peer *control_leader_peer(struct control *c);
 void control_report_tick(struct control *c, uint64_t now_us);
 void control_sync_now(struct control *c);
@@ -300,6 +313,8 @@
 				   const struct wire_ack *answer);
 
 /* control_acks.c: acknowledged commits */
+/* Reads the file of the record; after control_log_open(). */
+int control_acks_open(struct control *c);
 void control_record_ack(struct control *c, const char *group, uint64_t term,
 			struct log_position position);
 void control_acks_message(struct control *c, struct peer *peer,
--- a/lib/daemon/control_acks.c
+++ b/lib/daemon/control_acks.c
@@ -1,9 +1,12 @@
+#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
+#include <unistd.h>
 
 #include "control.h"
 #include "control_managed.h"
 #include "endpoint_call.h"
+#include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
 
@@ -15,6 +18,119 @@
 /* Time between two questions whether the records are complete. */
 #define COVER_INTERVAL_US (250 * LWS_US_PER_MS)
 #define STATUS_TIMEOUT_MS 230
+/* Questions after which all voters that can answer have done so. */
+#define COVERS_BEFORE_PRIMARY 2
+#define ACK_FILE "acks"
+/* Records after which the file is replaced by one of each group. */
+#define ACK_FILE_RECORDS_MAX 16384
+
+static void reply_synced(struct control *c);
+
+/* The file of this voter's record */
+
+static void replace_file(struct control *c)
+{
+	struct store_record *records =
+		talloc_zero_array(c, struct store_record, FLEET_GROUPS_MAX + 1);
+	struct ack_saved saved;
+	uint32_t count = 1;
+
+	if (!records)
+		return;
+	records[0].type = STORE_IDENTITY;
+	records[0].identity = c->identity;
+	for (uint32_t i = 0; ack_record_at(c->ack_record, i, &saved); i++) {
+		if (!*saved.group)
+			continue;
+		records[count].type = STORE_ACK;
+		records[count++].ack = saved;
+	}
+	disk_replace(c->ack_disk, ++c->ack_seq, records, count);
+	c->ack_file_records = count;
+	talloc_free(records);
+}
+
+/* Queues writes of what has changed; c->ack_seq is the last one. */
+static void save_record(struct control *c)
+{
+	struct store_record record = { .type = STORE_ACK };
+
+	while (ack_record_next_unsaved(c->ack_record, &record.ack)) {
+		disk_append(c->ack_disk, ++c->ack_seq, &record);
+		c->ack_file_records++;
+	}
+	if (c->ack_file_records > ACK_FILE_RECORDS_MAX)
+		replace_file(c);
+}
+
+static int on_record(void *private_data, const struct store_record *record)
+{
+	struct control *c = private_data;
+
+	c->ack_file_records++;
+	if (record->type == STORE_IDENTITY)
+		c->ack_file_valid =
+			record->identity.member == c->identity.member;
+	else if (record->type == STORE_ACK && c->ack_file_valid)
+		ack_record_restore(c->ack_record, &record->ack);
+	return 0;
+}
+
+static void on_durable(void *private_data, uint64_t seq)
+{
+	struct control *c = private_data;
+
+	if (seq > c->ack_durable_seq)
+		c->ack_durable_seq = seq;
+	lws_counter_add(&c->daemon->counters, LWS_COUNTER_ACK_SYNCS, 1);
+	reply_synced(c);
+}
+
+static void on_disk_error(void *private_data, int rc)
+{
+	struct control *c = private_data;
+
+	lws_log_error(c->daemon->log, "disk_write_failed", "{s:s,s:s}", "file",
+		      ACK_FILE, "error", lws_error_name(rc));
+}
+
+/* A file that can't be read is lost; the leader completes the record then. */
+static int discard_file(struct control *c, const struct disk_params *params)
+{
+	char *path =
+		talloc_asprintf(c, "%s/" ACK_FILE, c->daemon->settings.data);
+	int rc = path && !unlink(path) ? 0 : LWS_E_IO;
+
+	talloc_free(path);
+	lws_log_error(c->daemon->log, "ack_record_lost", "{s:s}", "file",
+		      ACK_FILE);
+	TALLOC_FREE(c->ack_record);
+	c->ack_record = ack_record_create(c);
+	c->ack_file_valid = false;
+	if (!c->ack_record)
+		return LWS_E_NOMEM;
+	return rc ? rc : disk_open(c, params, &c->ack_disk);
+}
+
+int control_acks_open(struct control *c)
+{
+	struct disk_params params = {
+		.directory = c->daemon->settings.data,
+		.file = ACK_FILE,
+		.queue = c->daemon->control_queue,
+		.private_data = c,
+		.on_record = on_record,
+		.on_durable = on_durable,
+		.on_error = on_disk_error,
+	};
+	int rc = disk_open(c, &params, &c->ack_disk);
+
+	if (rc == LWS_E_STORE_CORRUPT)
+		rc = discard_file(c, &params);
+	/* An identity without entries in the log has recorded nothing. */
+	c->ack_remembers = c->ack_file_valid || !raft_last_index(c->raft);
+	return rc;
+}
 
 /* Requests of this instance */
 
@@ -33,18 +149,52 @@
 					    stored->term, recorded);
 }
 
-/* Returns false if the position is not recorded here. */
-static bool store(struct control *c, const struct wire_ack *request,
-		  struct wire_ack *reply)
+/* Tells an instance, which may be this one, that its position is recorded. */
+static void reply_stored(struct control *c, const struct ack_waiting *waiting)
+{
+	struct wire_msg msg = { .type = WIRE_ACK_STORED };
+	struct peer *p;
+
+	LWS_STR_COPY(msg.ack.group, waiting->request.group);
+	msg.ack.term = waiting->request.term;
+	msg.ack.position = waiting->request.position;
+	msg.ack.voter = raft_is_voter(raft_voters(c->raft), c->identity.member);
+	msg.ack.config = raft_voters_index(c->raft);
+	msg.ack.voters = raft_voters(c->raft)->count;
+	if (strcmp(waiting->instance, c->daemon->settings.name) == 0) {
+		on_stored(c, waiting->instance, &msg.ack);
+		return;
+	}
+	p = control_peer_named(c, waiting->instance);
+	if (p)
+		peer_send(p, &msg);
+}
+
+static void reply_synced(struct control *c)
+{
+	struct ack_waiting waiting;
+
+	while (ack_replies_next(c->ack_replies, c->ack_durable_seq, &waiting))
+		reply_stored(c, &waiting);
+}
+
+/* Records a position and replies once it is synced, if it is recorded here. */
+static void store(struct control *c, const char *instance,
+		  const struct wire_ack *request)
 {
+	struct ack_waiting waiting = {
+		.request = { .term = request->term,
+			     .position = request->position }
+	};
+
 	if (!c->raft || !ack_record_store(c->ack_record, request->group,
 					  request->term, request->position))
-		return false;
-	*reply = *request;
-	reply->voter = raft_is_voter(raft_voters(c->raft), c->identity.member);
-	reply->config = raft_voters_index(c->raft);
-	reply->voters = raft_voters(c->raft)->count;
-	return true;
+		return;
+	LWS_STR_COPY(waiting.instance, instance);
+	LWS_STR_COPY(waiting.request.group, request->group);
+	save_record(c);
+	ack_replies_add(c->ack_replies, c->ack_seq, &waiting);
+	reply_synced(c);
 }
 
 static void send_request(struct control *c, const struct ack_request *request)
@@ -52,15 +202,13 @@
 	struct wire_msg msg = { .type = WIRE_ACK_STORE,
 				.ack = { .term = request->term,
 					 .position = request->position } };
-	struct wire_ack own;
 
 	LWS_STR_COPY(msg.ack.group, request->group);
 	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p)) {
 		if (peer_hello(p)->member)
 			peer_send(p, &msg);
 	}
-	if (store(c, &msg.ack, &own))
-		on_stored(c, c->daemon->settings.name, &own);
+	store(c, c->daemon->settings.name, &msg.ack);
 }
 
 void control_record_ack(struct control *c, const char *group, uint64_t term,
@@ -86,21 +234,41 @@
 	       c->fleet->applied_index >= raft_voters_index(c->raft);
 }
 
+static void begin_record(struct control *c)
+{
+	struct ack_tenure tenure = {
+		.config = raft_voters_index(c->raft),
+		.since = raft_voter_since(c->raft),
+		.remembers = c->ack_remembers,
+	};
+
+	/* Not the same twice in a process; 0 has another meaning. */
+	c->ack_epoch = c->ack_epoch ? c->ack_epoch + 1 : c->daemon->incarnation;
+	if (!c->ack_epoch)
+		c->ack_epoch = 1;
+	tenure.epoch = c->ack_epoch;
+	c->ack_since = tenure.since;
+	ack_record_begin(c->ack_record, c->fleet, &tenure);
+	/* With what is not remembered, before anything is recorded. */
+	if (!c->ack_file_valid)
+		replace_file(c);
+	c->ack_file_valid = true;
+}
+
+static void end_record(struct control *c)
+{
+	ack_record_end(c->ack_record);
+	ack_replies_clear(c->ack_replies);
+}
+
 static void update_record(struct control *c, uint64_t now_us)
 {
-	bool begun = ack_record_begun(c->ack_record);
-
-	if (!raft_is_voter(raft_voters(c->raft), c->identity.member)) {
-		ack_record_end(c->ack_record);
-	} else if (!begun && may_begin(c, now_us)) {
-		/* Not the same twice in a process; 0 has another meaning. */
-		c->ack_epoch = c->ack_epoch ? c->ack_epoch + 1
-					    : c->daemon->incarnation;
-		if (!c->ack_epoch)
-			c->ack_epoch = 1;
-		ack_record_begin(c->ack_record, c->fleet, c->ack_epoch,
-				 raft_voters_index(c->raft));
-	}
+	/* It may have missed a set of voters without this instance. */
+	if (raft_voter_since(c->raft) != c->ack_since)
+		end_record(c);
+	if (!ack_record_begun(c->ack_record) && may_begin(c, now_us))
+		begin_record(c);
+	save_record(c);
 }
 
 static bool answer(struct control *c, const struct wire_ack *ask,
@@ -109,22 +277,46 @@
 	struct ack_question question = { .group = ask->group,
 					 .term = ask->term,
 					 .token = ask->token,
+					 .config = ask->config,
 					 .promise = ask->promise };
 	struct ack_answer own;
 
-	if (!c->raft || !ack_record_ask(c->ack_record, &question, &own))
+	if (!c->raft)
+		return false;
+	question.adopted = raft_voters_index(c->raft);
+	if (!ack_record_ask(c->ack_record, &question, &own))
 		return false;
 	*out = *ask;
 	out->promise = own.promised;
 	out->complete = own.complete;
 	out->epoch = own.epoch;
 	out->config = own.config;
+	out->voter = own.current;
 	out->position = own.acked;
 	return true;
 }
 
+struct ack_answer control_ack_answer(const struct wire_ack *answer)
+{
+	return (struct ack_answer){ .token = answer->token,
+				    .promised = answer->promise,
+				    .complete = answer->complete,
+				    .epoch = answer->epoch,
+				    .config = answer->config,
+				    .current = answer->voter,
+				    .acked = answer->position };
+}
+
 /* Questions of the leader */
 
+/* The set of voters that is committed, 0 if a change is in progress. */
+static uint64_t committed_config(const struct control *c)
+{
+	uint64_t config = raft_voters_index(c->raft);
+
+	return config <= raft_commit_index(c->raft) ? config : 0;
+}
+
 void control_ask_voters(struct control *c, const struct managed_group *managed,
 			uint64_t token, bool promise)
 {
@@ -139,6 +331,7 @@
 		return;
 	LWS_STR_COPY(msg.ack.group, managed->name);
 	msg.ack.term = group->primary_term;
+	msg.ack.config = committed_config(c);
 	for (uint32_t i = 0; i < voters->count; i++) {
 		struct peer *p =
 			control_peer_of_member(c, voters->member[i].id);
@@ -156,10 +349,7 @@
 struct cover_call {
 	struct control *control;
 	uint64_t voter;
-	uint64_t epoch;
-	uint64_t term;
-	uint64_t config;
-	char group[FLEET_NAME_MAX];
+	struct wire_ack cover;
 	char primary[FLEET_NAME_MAX];
 };
 
@@ -167,27 +357,28 @@
 		      uint64_t now_us)
 {
 	return c->leader && raft_lease_held(c->raft, now_us) &&
-	       raft_voters_index(c->raft) <= raft_commit_index(c->raft) &&
-	       group && group->primary_term &&
+	       committed_config(c) && group && group->primary_term;
+}
+
+/* A primary tells nothing while another endpoint may be promoted. */
+static bool may_ask_primary(const struct control *c,
+			    const struct fleet_group *group, uint64_t now_us)
+{
+	return may_cover(c, group, now_us) &&
 	       group->term == group->primary_term;
 }
 
-static void send_cover(struct control *c, const struct cover_call *call,
-		       struct log_position position)
+static void send_cover(struct control *c, uint64_t voter,
+		       const struct wire_ack *cover)
 {
-	struct wire_msg msg = { .type = WIRE_ACK_COVER,
-				.ack = { .term = call->term,
-					 .epoch = call->epoch,
-					 .config = call->config,
-					 .position = position } };
-	struct peer *p = control_peer_of_member(c, call->voter);
+	struct wire_msg msg = { .type = WIRE_ACK_COVER, .ack = *cover };
+	struct peer *p = control_peer_of_member(c, voter);
 
-	LWS_STR_COPY(msg.ack.group, call->group);
 	if (p)
 		peer_send(p, &msg);
-	else if (call->voter == c->identity.member)
-		ack_record_cover(c->ack_record, call->group, call->term,
-				 call->epoch, call->config, position);
+	else if (voter == c->identity.member)
+		ack_record_cover(c->ack_record, cover->group, cover->term,
+				 cover->epoch, cover->config, cover->position);
 }
 
 static void on_primary_status(void *private_data,
@@ -197,20 +388,22 @@
 	struct cover_call *call = private_data;
 	struct control *c = call->control;
 	const struct fleet_group *group =
-		fleet_find_group(c->fleet, call->group);
+		fleet_find_group(c->fleet, call->cover.group);
 
 	/* Without an answer, the voter is asked again. */
 	(void)error;
 	if (status && status->primary &&
-	    may_cover(c, group, lws_time_now_us()) &&
-	    group->primary_term == call->term &&
-	    raft_voters_index(c->raft) == call->config)
-		send_cover(c, call, status->received);
+	    may_ask_primary(c, group, lws_time_now_us()) &&
+	    group->primary_term == call->cover.term &&
+	    raft_voters_index(c->raft) == call->cover.config) {
+		call->cover.position = status->received;
+		send_cover(c, call->voter, &call->cover);
+	}
 	talloc_free(call);
 }
 
 static void ask_primary(struct control *c, const struct fleet_group *group,
-			uint64_t voter, uint64_t epoch)
+			uint64_t voter, const struct wire_ack *cover)
 {
 	const struct fleet_endpoint *primary =
 		fleet_find_endpoint(group, group->primary);
@@ -230,13 +423,10 @@
 	}
 	pending->control = c;
 	pending->voter = voter;
-	pending->epoch = epoch;
-	pending->term = group->primary_term;
-	pending->config = raft_voters_index(c->raft);
-	LWS_STR_COPY(pending->group, group->name);
+	pending->cover = *cover;
 	LWS_STR_COPY(pending->primary, primary->id);
 	call.addr = primary->addr;
-	call.group = pending->group;
+	call.group = pending->cover.group;
 	call.endpoint = pending->primary;
 	if (endpoint_call_start(c, c->ev, &call))
 		talloc_free(pending);
@@ -289,9 +479,15 @@
 
 	if (now_us - managed->cover_asked_us < COVER_INTERVAL_US ||
 	    !may_cover(c, group, now_us) ||
-	    all_covered(c, managed, group->primary_term))
+	    all_covered(c, managed, group->primary_term)) {
 		return;
+	}
+	if (managed->cover_config != raft_voters_index(c->raft)) {
+		managed->cover_config = raft_voters_index(c->raft);
+		managed->covers_asked = 0;
+	}
 	managed->cover_asked_us = now_us;
+	managed->covers_asked++;
 	control_ask_voters(c, managed, group->term, false);
 }
 
@@ -325,14 +521,36 @@
 {
 	const struct fleet_group *group =
 		fleet_find_group(c->fleet, managed->name);
+	struct ack_answer own = control_ack_answer(answer);
+	struct wire_ack cover = { .term = answer->term,
+				  .epoch = answer->epoch,
+				  .config = raft_voters_index(c->raft) };
+	uint64_t now_us = lws_time_now_us();
+	enum ack_cover_source source;
 
 	if (!group || answer->term != group->primary_term)
 		return;
 	if (answer->complete)
 		set_covered(c, managed, voter, answer);
-	if (answer->epoch && may_cover(c, group, lws_time_now_us()) &&
-	    !is_covered(c, managed, voter, answer->term))
-		ask_primary(c, group, voter, answer->epoch);
+	if (!may_cover(c, group, now_us))
+		return;
+	if (own.current) {
+		struct ack_answer record = own;
+
+		record.token = committed_config(c);
+		record.promised = false;
+		ack_survey_add(&managed->records, voter, &record);
+	}
+	LWS_STR_COPY(cover.group, group->name);
+	source = ack_cover_source(&managed->records, raft_voters(c->raft),
+				  committed_config(c), &own, &cover.position);
+	/* Other voters may not have answered yet. */
+	if (source == ACK_COVER_RECORDS)
+		send_cover(c, voter, &cover);
+	else if (source == ACK_COVER_PRIMARY &&
+		 managed->covers_asked >= COVERS_BEFORE_PRIMARY &&
+		 may_ask_primary(c, group, now_us))
+		ask_primary(c, group, voter, &cover);
 }
 
 /* Messages and time */
@@ -341,18 +559,16 @@
 			  const struct wire_msg *msg)
 {
 	const struct wire_hello *hello = peer_hello(peer);
-	struct wire_msg reply = { .type = WIRE_ACK_STORED };
+	struct wire_msg reply = { .type = WIRE_ACK_ANSWER };
 
 	switch (msg->type) {
 	case WIRE_ACK_STORE:
-		if (store(c, &msg->ack, &reply.ack))
-			peer_send(peer, &reply);
+		store(c, hello->name, &msg->ack);
 		return;
 	case WIRE_ACK_STORED:
 		on_stored(c, hello->name, &msg->ack);
 		return;
 	case WIRE_ACK_ASK:
-		reply.type = WIRE_ACK_ANSWER;
 		if (answer(c, &msg->ack, &reply.ack))
 			peer_send(peer, &reply);
 		return;
--- a/lib/daemon/control_log.c
+++ b/lib/daemon/control_log.c
@@ -256,6 +256,7 @@
 		return raft_restore_snapshot(c->raft, &record->snap);
 	case STORE_ENTRY:
 		return raft_restore_entry(c->raft, &record->entry);
+	case STORE_ACK:
 	case STORE_RECORD_TYPE_COUNT:
 		break;
 	}
--- a/lib/daemon/control_managed.h
+++ b/lib/daemon/control_managed.h
@@ -26,22 +26,31 @@
  * @name: group
  * @failover: state machine
  * @survey: answers of the voters in the attempt in progress
- * @covered: voters whose records need no completion
- * @cover_asked_us: when the voters were last asked for that
+ * @records: answers of the voters that complete and settle their records
+ * @covered: voters whose records need none of that
+ * @cover_asked_us: when the voters were last asked for it
+ * @cover_config: in which set of voters they were asked
+ * @covers_asked: how many times in that set
  */
 struct managed_group {
 	struct managed_group *next;
 	char name[FLEET_NAME_MAX];
 	struct managed_failover *failover;
 	struct ack_survey survey;
+	struct ack_survey records;
 	struct covered_voter covered[RAFT_VOTERS_MAX];
 	uint64_t cover_asked_us;
+	uint64_t cover_config;
+	uint32_t covers_asked;
 };
 
 /** control_ask_voters() - ask for the acknowledged commits of a group */
 void control_ask_voters(struct control *c, const struct managed_group *managed,
 			uint64_t token, bool promise);
 
+/** control_ack_answer() - read the answer of a voter */
+struct ack_answer control_ack_answer(const struct wire_ack *answer);
+
 /** control_cover_tick() - have incomplete records of a group completed */
 void control_cover_tick(struct control *c, struct managed_group *managed,
 			uint64_t now_us);
--- a/lib/daemon/control_managed_failover.c
+++ b/lib/daemon/control_managed_failover.c
@@ -474,12 +474,7 @@
 				   const struct wire_ack *answer)
 {
 	struct managed_group *managed = find_managed(c, answer->group);
-	struct ack_answer own = { .token = answer->token,
-				  .promised = answer->promise,
-				  .complete = answer->complete,
-				  .epoch = answer->epoch,
-				  .config = answer->config,
-				  .acked = answer->position };
+	struct ack_answer own = control_ack_answer(answer);
 	struct ack_survey_status status;
 	uint64_t config = raft_voters_index(c->raft);
 
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -45,14 +45,12 @@
 				     raft_term(c->raft));
 }
 
-struct peer *control_leader_peer(struct control *c)
+struct peer *control_peer_named(struct control *c, const char *name)
 {
 	struct peer *found = NULL;
 
-	if (follows_raft_leader(c))
-		return control_peer_of_member(c, raft_leader(c->raft));
 	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p)) {
-		if (strcmp(peer_hello(p)->name, c->leader_name) != 0)
+		if (strcmp(peer_hello(p)->name, name) != 0)
 			continue;
 		if (!found || peer_dialled(p))
 			found = p;
@@ -60,6 +58,13 @@
 	return found;
 }
 
+struct peer *control_leader_peer(struct control *c)
+{
+	if (follows_raft_leader(c))
+		return control_peer_of_member(c, raft_leader(c->raft));
+	return control_peer_named(c, c->leader_name);
+}
+
 /* Name of the leader according to sync replies, "" if that is no newer. */
 static const char *heard_leader_name(const struct control *c)
 {
--- a/lib/io/disk.c
+++ b/lib/io/disk.c
@@ -320,22 +320,34 @@
 	return rc;
 }
 
+static int lock_directory(struct disk *disk)
+{
+	char *path = talloc_asprintf(disk, "%s/lock", disk->params.directory);
+
+	disk->lock_fd = open(path, O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+	if (disk->lock_fd < 0)
+		return LWS_E_IO;
+	return flock(disk->lock_fd, LOCK_EX | LOCK_NB) ? LWS_E_BUSY : 0;
+}
+
 static int open_files(struct disk *disk)
 {
 	const char *directory = disk->params.directory;
-	char *lock_path = talloc_asprintf(disk, "%s/lock", directory);
+	const char *file = disk->params.file ? disk->params.file : "log";
+	int rc = 0;
 
-	disk->path = talloc_asprintf(disk, "%s/log", directory);
-	disk->new_path = talloc_asprintf(disk, "%s/log.new", directory);
+	disk->path = talloc_asprintf(disk, "%s/%s", directory, file);
+	disk->new_path = talloc_asprintf(disk, "%s.new", disk->path);
 	if (mkdir(directory, 0700) && errno != EEXIST)
 		return LWS_E_IO;
 	disk->directory_fd =
 		open(directory, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-	disk->lock_fd = open(lock_path, O_CREAT | O_RDWR | O_CLOEXEC, 0600);
-	if (disk->directory_fd < 0 || disk->lock_fd < 0)
+	if (disk->directory_fd < 0)
 		return LWS_E_IO;
-	if (flock(disk->lock_fd, LOCK_EX | LOCK_NB))
-		return LWS_E_BUSY;
+	if (!disk->params.file)
+		rc = lock_directory(disk);
+	if (rc)
+		return rc;
 	disk->fd = open(disk->path, O_CREAT | O_RDWR | O_CLOEXEC, 0600);
 	if (disk->fd < 0 || fsync(disk->directory_fd))
 		return LWS_E_IO;
--- a/lib/io/disk.h
+++ b/lib/io/disk.h
@@ -7,7 +7,7 @@
 #include "store.h"
 
 /**
- * DOC: The durable log file of one data directory.
+ * DOC: A durable log file in a data directory.
  *
  * A dedicated thread writes and syncs the file, so that no event loop blocks
  * on disk I/O. Appends that are queued together share one sync. A failed write
@@ -21,6 +21,8 @@
 /**
  * struct disk_params - settings and callbacks
  * @directory: data directory, created if it does not exist
+ * @file: name of the file, NULL for "log". The directory is locked for that
+ *        one only; its owner may have others in the same directory.
  * @queue: message queue of the owner's thread
  * @private_data: passed to the callbacks
  * @on_record: called during disk_open() for each record, in order; the data
@@ -33,6 +35,7 @@
  */
 struct disk_params {
 	const char *directory;
+	const char *file;
 	struct message_queue *queue;
 	void *private_data;
 	int (*on_record)(void *private_data, const struct store_record *record);
--- a/tests/test_acks.c
+++ b/tests/test_acks.c
@@ -5,6 +5,7 @@
 
 #include "ack_client.h"
 #include "ack_record.h"
+#include "ack_replies.h"
 #include "lws_str.h"
 #include "lws_time.h"
 
@@ -147,6 +148,7 @@
 	const struct record_case *c = data;
 	struct fleet *fleet = fleet_create(NULL);
 	struct ack_record *r = ack_record_create(fleet);
+	struct ack_tenure tenure = { .config = CONFIG, .since = CONFIG };
 
 	fleet->groups_count = 1;
 	fleet->groups = talloc_zero_array(fleet, struct fleet_group, 1);
@@ -157,7 +159,8 @@
 		switch (step->type) {
 		case STEP_BEGIN:
 			fleet->groups[0].primary_term = step->term;
-			ack_record_begin(r, fleet, step->token, CONFIG);
+			tenure.epoch = step->token;
+			ack_record_begin(r, fleet, &tenure);
 			break;
 		case STEP_END:
 			ack_record_end(r);
@@ -180,6 +183,165 @@
 	talloc_free(fleet);
 }
 
+/* A voter that starts again with what it saved */
+
+/**
+ * struct restart_case - a process that recorded 7 in term 1 is followed by
+ *                       another one, which is asked in set CONFIG
+ * @name: name
+ * @saved_config: set of voters in which the record was complete; 0 if the
+ *                file is lost
+ * @since: set of voters since which it has been a voter all along
+ * @group_term: newest token of the group
+ * @forgets: the process that starts doesn't know that nothing is lost
+ * @complete: expected: the record is complete
+ * @current: expected: the voter has lost nothing that it recorded
+ * @stores: expected: it records further commits of term 1
+ */
+struct restart_case {
+	const char *name;
+	uint64_t saved_config;
+	uint64_t since;
+	uint64_t group_term;
+	bool forgets;
+	bool complete;
+	bool current;
+	bool stores;
+};
+
+static const struct restart_case restart_cases[] = {
+	{ "keeps-its-record", CONFIG, CONFIG, 1, .complete = true,
+	  .current = true, .stores = true },
+	{ "keeps-its-record-through-changes-of-others", CONFIG - 2, CONFIG - 2,
+	  1, .complete = true, .current = true, .stores = true },
+	{ "was-no-voter-in-between", CONFIG - 2, CONFIG, 1, .current = true },
+	{ "keeps-its-promise", CONFIG, CONFIG, 2, .complete = true,
+	  .current = true },
+	{ "has-lost-its-file", 0, CONFIG, 1, .forgets = true },
+	{ "is-new", 0, CONFIG, 1, .current = true },
+};
+
+static void test_restart(gconstpointer data)
+{
+	const struct restart_case *c = data;
+	struct fleet *fleet = fleet_create(NULL);
+	struct ack_record *r = ack_record_create(fleet);
+	struct ack_tenure tenure = { .epoch = 9,
+				     .config = CONFIG,
+				     .since = c->since,
+				     .remembers = !c->forgets };
+	struct ack_saved saved = { .group = GROUP,
+				   .config = c->saved_config,
+				   .acked = { 1, 7 } };
+	struct ack_question question = { .group = GROUP,
+					 .term = 1,
+					 .token = c->group_term,
+					 .config = CONFIG,
+					 .adopted = CONFIG };
+	struct log_position next = { 1, 8 };
+	struct ack_answer answer;
+
+	fleet->groups_count = 1;
+	fleet->groups = talloc_zero_array(fleet, struct fleet_group, 1);
+	LWS_STR_COPY(fleet->groups[0].name, GROUP);
+	fleet->groups[0].primary_term = 1;
+	fleet->groups[0].term = c->group_term;
+	if (c->saved_config)
+		ack_record_restore(r, &saved);
+	ack_record_begin(r, fleet, &tenure);
+	g_assert_true(ack_record_ask(r, &question, &answer));
+	g_assert_cmpint(answer.complete, ==, c->complete);
+	g_assert_cmpint(answer.current, ==, c->current);
+	g_assert_cmpuint(answer.acked.number, ==, c->saved_config ? 7 : 0);
+	g_assert_cmpint(ack_record_store(r, GROUP, 1, next), ==, c->stores);
+	g_assert_cmpint(ack_record_next_unsaved(r, &saved), ==, c->stores);
+	g_assert_true(ack_record_at(r, 0, &saved));
+	g_assert_cmpint(saved.forgetful, ==, c->forgets);
+	if (c->stores)
+		g_assert_cmpuint(saved.acked.number, ==, 8);
+	g_assert_false(ack_record_next_unsaved(r, &saved));
+	talloc_free(fleet);
+}
+
+/* Replies that wait for the disk */
+
+enum reply_step_type {
+	/** a request of instance @who for position @number is in write @seq */
+	REPLY_ADD,
+	/** after write @seq is synced, instance @who gets @number, 0 for none
+	 */
+	REPLY_EXPECT,
+};
+
+struct reply_step {
+	enum reply_step_type type;
+	char who;
+	uint64_t number;
+	uint64_t seq;
+};
+
+struct reply_case {
+	const char *name;
+	struct reply_step steps[STEPS_MAX];
+};
+
+static const struct reply_case reply_cases[] = {
+	{ "waits-for-its-write",
+	  { { REPLY_ADD, 'a', 7, 2 },
+	    { REPLY_EXPECT, 'a', 0, 1 },
+	    { REPLY_EXPECT, 'a', 7, 2 },
+	    { REPLY_EXPECT, 'a', 0, 2 } } },
+	{ "repeated-request-has-one-reply",
+	  { { REPLY_ADD, 'a', 7, 1 },
+	    { REPLY_ADD, 'a', 7, 1 },
+	    { REPLY_ADD, 'a', 6, 1 },
+	    { REPLY_EXPECT, 'a', 7, 1 },
+	    { REPLY_EXPECT, 'a', 0, 1 } } },
+	/* The disk stalls: the first reply is not put off. */
+	{ "newest-request-replaces-the-second",
+	  { { REPLY_ADD, 'a', 7, 1 },
+	    { REPLY_ADD, 'a', 8, 2 },
+	    { REPLY_ADD, 'b', 9, 3 },
+	    { REPLY_ADD, 'a', 10, 4 },
+	    { REPLY_EXPECT, 'a', 7, 3 },
+	    { REPLY_EXPECT, 'b', 9, 3 },
+	    { REPLY_EXPECT, 'a', 0, 3 },
+	    { REPLY_EXPECT, 'a', 10, 4 } } },
+};
+
+static void test_replies(gconstpointer data)
+{
+	const struct reply_case *c = data;
+	struct ack_replies *q = ack_replies_create(NULL);
+
+	for (uint32_t i = 0; i < STEPS_MAX && c->steps[i].who; i++) {
+		const struct reply_step *step = &c->steps[i];
+		struct ack_waiting waiting = {
+			.instance = { step->who },
+			.request = { .group = GROUP,
+				     .term = 1,
+				     .position = { 1, step->number } }
+		};
+		struct ack_waiting next = { 0 };
+		bool any;
+
+		if (step->type == REPLY_ADD) {
+			ack_replies_add(q, step->seq, &waiting);
+			continue;
+		}
+		any = ack_replies_next(q, step->seq, &next);
+		g_assert_cmpint(any, ==, step->number != 0);
+		g_assert_cmpuint(next.request.position.number, ==,
+				 step->number);
+		if (any)
+			g_assert_cmpint(next.instance[0], ==, step->who);
+	}
+	ack_replies_clear(q);
+	g_assert_false(
+		ack_replies_next(q, UINT64_MAX, &(struct ack_waiting){ 0 }));
+	talloc_free(q);
+}
+
 /* Answers of the voters to the leader */
 
 struct survey_case {
@@ -202,47 +364,47 @@
 	{ "majority",
 	  3,
 	  2,
-	  { { 1, { 5, true, true, 1, CONFIG, { 1, 7 } } },
-	    { 3, { 5, true, true, 1, CONFIG, { 1, 9 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
+	    { 3, { 5, true, true, 1, CONFIG, true, { 1, 9 } } } },
 	  0,
 	  0,
 	  9 },
 	{ "incomplete-does-not-count",
 	  3,
 	  2,
-	  { { 1, { 5, true, true, 1, CONFIG, { 1, 7 } } },
-	    { 3, { 5, true, false, 1, CONFIG, { 1, 9 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
+	    { 3, { 5, true, false, 1, CONFIG, true, { 1, 9 } } } },
 	  1,
 	  1,
 	  7 },
 	{ "other-instance-does-not-count",
 	  3,
 	  2,
-	  { { 1, { 5, true, true, 1, CONFIG, { 1, 7 } } },
-	    { 4, { 5, true, true, 1, CONFIG, { 1, 9 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
+	    { 4, { 5, true, true, 1, CONFIG, true, { 1, 9 } } } },
 	  1,
 	  1,
 	  7 },
 	{ "without-promise",
 	  3,
 	  2,
-	  { { 1, { 5, true, true, 1, CONFIG, { 1, 7 } } },
-	    { 2, { 5, false, true, 1, CONFIG, { 1, 8 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
+	    { 2, { 5, false, true, 1, CONFIG, true, { 1, 8 } } } },
 	  0,
 	  1,
 	  8 },
 	{ "promise-is-not-undone",
 	  1,
 	  2,
-	  { { 1, { 5, true, true, 1, CONFIG, { 1, 7 } } },
-	    { 1, { 5, false, true, 1, CONFIG, { 1, 6 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
+	    { 1, { 5, false, true, 1, CONFIG, true, { 1, 6 } } } },
 	  0,
 	  0,
 	  7 },
 	{ "earlier-question",
 	  1,
 	  1,
-	  { { 1, { 4, true, true, 1, CONFIG, { 1, 7 } } } },
+	  { { 1, { 4, true, true, 1, CONFIG, true, { 1, 7 } } } },
 	  1,
 	  1,
 	  0 },
@@ -250,18 +412,18 @@
 	{ "recorded-by-a-minority",
 	  3,
 	  3,
-	  { { 1, { 5, true, true, 1, CONFIG, { 1, 9 } } },
-	    { 2, { 5, true, true, 1, CONFIG, { 1, 7 } } },
-	    { 3, { 5, true, true, 1, CONFIG, { 1, 6 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 9 } } },
+	    { 2, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
+	    { 3, { 5, true, true, 1, CONFIG, true, { 1, 6 } } } },
 	  0,
 	  0,
 	  7 },
 	{ "recorded-by-a-minority-one-without-promise",
 	  3,
 	  3,
-	  { { 1, { 5, true, true, 1, CONFIG, { 1, 9 } } },
-	    { 2, { 5, true, true, 1, CONFIG, { 1, 7 } } },
-	    { 3, { 5, false, true, 1, CONFIG, { 1, 6 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 9 } } },
+	    { 2, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
+	    { 3, { 5, false, true, 1, CONFIG, true, { 1, 6 } } } },
 	  0,
 	  0,
 	  9 },
@@ -270,16 +432,16 @@
 	{ "recorded-in-another-set-of-voters",
 	  2,
 	  2,
-	  { { 1, { 5, true, true, 1, CONFIG, { 1, 9 } } },
-	    { 2, { 5, true, true, 1, CONFIG - 1, { 1, 7 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 9 } } },
+	    { 2, { 5, true, true, 1, CONFIG - 1, true, { 1, 7 } } } },
 	  0,
 	  0,
 	  9 },
 	{ "four-voters",
 	  4,
 	  2,
-	  { { 1, { 5, true, true, 1, CONFIG, { 1, 7 } } },
-	    { 2, { 5, true, true, 1, CONFIG, { 1, 7 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
+	    { 2, { 5, true, true, 1, CONFIG, true, { 1, 7 } } } },
 	  1,
 	  1,
 	  7 },
@@ -305,6 +467,100 @@
 
 /* Replies of the voters to an instance */
 
+/* What completes or settles a record */
+
+struct cover_case {
+	const char *name;
+	uint32_t count;
+	struct {
+		bool complete;
+		bool current;
+		uint64_t config;
+		uint64_t number;
+	} answers[3];
+	/* Of the voter that answered last. */
+	enum ack_cover_source source;
+	uint64_t number;
+};
+
+static const struct cover_case cover_cases[] = {
+	{ "settled",
+	  2,
+	  { { true, true, CONFIG, 7 }, { true, true, CONFIG, 6 } },
+	  ACK_COVER_NONE,
+	  0 },
+	{ "new-voter",
+	  3,
+	  { { true, true, CONFIG, 7 },
+	    { true, true, CONFIG, 6 },
+	    { false, true, CONFIG, 0 } },
+	  ACK_COVER_RECORDS,
+	  7 },
+	{ "new-voter-beside-a-silent-one",
+	  2,
+	  { { true, true, CONFIG, 7 }, { false, true, CONFIG, 0 } },
+	  ACK_COVER_PRIMARY,
+	  0 },
+	/* An instance may have counted what it has forgotten. */
+	{ "file-is-lost",
+	  3,
+	  { { true, true, CONFIG, 7 },
+	    { true, true, CONFIG, 6 },
+	    { false, false, CONFIG, 0 } },
+	  ACK_COVER_PRIMARY,
+	  0 },
+	/* The end of the primary's log may be above all that was told. */
+	{ "other-set-of-voters",
+	  3,
+	  { { true, true, CONFIG - 1, 7 },
+	    { true, true, CONFIG - 1, 9 },
+	    { true, true, CONFIG - 1, 6 } },
+	  ACK_COVER_RECORDS,
+	  7 },
+	{ "other-set-of-voters-without-a-majority",
+	  1,
+	  { { true, true, CONFIG - 1, 7 } },
+	  ACK_COVER_NONE,
+	  0 },
+	/* It may still add to a majority of the set that it has. */
+	{ "set-of-voters-not-adopted",
+	  2,
+	  { { true, false, CONFIG - 1, 7 }, { false, true, CONFIG, 0 } },
+	  ACK_COVER_PRIMARY,
+	  0 },
+};
+
+static void test_cover(gconstpointer data)
+{
+	const struct cover_case *c = data;
+	struct raft_voters voters = { .count = 3 };
+	struct ack_survey records = { 0 };
+	struct ack_answer answer = { 0 };
+	struct log_position position = { 0 };
+
+	for (uint32_t i = 0; i < voters.count; i++)
+		voters.member[i].id = i + 1;
+	for (uint32_t i = 0; i < c->count; i++) {
+		answer = (struct ack_answer){
+			.token = CONFIG,
+			.complete = c->answers[i].complete,
+			.current = c->answers[i].current,
+			.epoch = 1,
+			.config = c->answers[i].config,
+			.acked = { 1, c->answers[i].number },
+		};
+		if (answer.current)
+			ack_survey_add(&records, i + 1, &answer);
+	}
+	g_assert_cmpint(
+		ack_cover_source(&records, &voters, CONFIG, &answer, &position),
+		==, c->source);
+	g_assert_cmpuint(position.number, ==, c->number);
+	g_assert_cmpint(
+		ack_cover_source(&records, &voters, 0, &answer, &position), ==,
+		ACK_COVER_NONE);
+}
+
 struct client_case {
 	const char *name;
 	uint32_t count;
@@ -423,6 +679,24 @@
 
 		g_test_add_data_func(path, &survey_cases[i], test_survey);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(restart_cases); i++) {
+		g_autofree char *path = g_strdup_printf("/acks/restart/%s",
+							restart_cases[i].name);
+
+		g_test_add_data_func(path, &restart_cases[i], test_restart);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(reply_cases); i++) {
+		g_autofree char *path = g_strdup_printf("/acks/replies/%s",
+							reply_cases[i].name);
+
+		g_test_add_data_func(path, &reply_cases[i], test_replies);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(cover_cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/acks/cover/%s", cover_cases[i].name);
+
+		g_test_add_data_func(path, &cover_cases[i], test_cover);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(client_cases); i++) {
 		g_autofree char *path = g_strdup_printf("/acks/client/%s",
 							client_cases[i].name);
--- a/tests/test_managed_failover.c
+++ b/tests/test_managed_failover.c
@@ -45,8 +45,11 @@
 	bool unreachable;
 	/* The instance does not reach the primary. */
 	bool without_primary;
-	/* Record of the voter. */
+	/* Record of the voter, and what of it is synced to its disk. */
 	struct ack_record *record;
+	struct ack_saved disk;
+	/* Set of voters since which it is one. */
+	uint64_t since;
 };
 
 /* A command without an answer that an endpoint carries out late. */
@@ -70,7 +73,11 @@
 	uint64_t newest_term;
 	struct model_domain d[DOMAINS];
 	struct raft_voters voters;
+	/* Identifies them. */
+	uint64_t config;
 	struct ack_survey survey;
+	/* Answers that complete and settle the records of the voters. */
+	struct ack_survey records;
 	/* Has the group, for voters that start. */
 	struct fleet *fleet;
 	uint64_t epochs;
@@ -97,6 +104,8 @@
 	uint32_t unanswered_calls;
 	/* Time from the acceptance of a call until its endpoint leads. */
 	uint32_t promotion_ms;
+	/* Part of the positions that voters record are not synced at once. */
+	bool disks_slow;
 };
 
 static uint64_t now_us(const struct model *m)
@@ -114,13 +123,54 @@
 	return (uint32_t)atoi(id + 1);
 }
 
-/* The voter has nothing in memory and the newest state. */
-static void start_voter(struct model *m, uint32_t domain)
+/* The voter's disk may be slow: then the position is not synced yet. */
+static bool sync_record(struct model_domain *d, bool slow)
 {
+	if (slow)
+		return false;
+	while (ack_record_next_unsaved(d->record, &d->disk))
+		continue;
+	return true;
+}
+
+static void begin_record(struct model *m, uint32_t domain, bool remembers)
+{
+	struct model_domain *d = &m->d[domain];
+	struct ack_tenure tenure = { .epoch = ++m->epochs,
+				     .config = m->config,
+				     .since = d->since,
+				     .remembers = remembers };
+
 	m->fleet->groups[0] = m->group;
-	talloc_free(m->d[domain].record);
-	m->d[domain].record = ack_record_create(m->fleet);
-	ack_record_begin(m->d[domain].record, m->fleet, ++m->epochs, 1);
+	talloc_free(d->record);
+	d->record = ack_record_create(m->fleet);
+	if (*d->disk.group)
+		ack_record_restore(d->record, &d->disk);
+	ack_record_begin(d->record, m->fleet, &tenure);
+	sync_record(d, false);
+}
+
+/* The voter's process starts again, or after a loss of power; it has a disk. */
+static void restart_voter(struct model *m, uint32_t domain)
+{
+	begin_record(m, domain, true);
+}
+
+/* The voter has neither memory nor its file, and the newest state. */
+static void start_voter(struct model *m, uint32_t domain)
+{
+	m->d[domain].disk = (struct ack_saved){ 0 };
+	begin_record(m, domain, false);
+}
+
+/* The domain's voter has lost its disk, and a new voter takes its place. */
+static void replace_voter(struct model *m, uint32_t domain)
+{
+	m->config++;
+	m->voters.member[domain].id += DOMAINS;
+	m->d[domain].since = m->config;
+	m->d[domain].disk = (struct ack_saved){ 0 };
+	begin_record(m, domain, true);
 }
 
 static struct model *model_create(uint64_t seed)
@@ -135,8 +185,10 @@
 	m->fleet->groups = talloc_zero_array(m->fleet, struct fleet_group, 1);
 	LWS_STR_COPY(m->fleet->groups[0].name, "g");
 	m->voters.count = DOMAINS;
+	m->config = 1;
 	for (uint32_t i = 0; i < DOMAINS; i++) {
 		m->voters.member[i].id = i + 1;
+		m->d[i].since = m->config;
 		start_voter(m, i);
 	}
 	m->s = managed_failover_create(NULL, &params, now_us(m));
@@ -191,11 +243,14 @@
 	uint32_t recorded = 0;
 
 	for (uint32_t i = 0; i < DOMAINS; i++) {
+		bool slow = m->disks_slow && lws_rng_below(&m->rng, 4) == 0;
+
 		if ((m->d[i].unreachable || m->d[writer].unreachable) &&
 		    i != writer)
 			continue;
 		recorded += ack_record_store(m->d[i].record, "g",
-					     m->group.primary_term, position);
+					     m->group.primary_term, position) &&
+			    sync_record(&m->d[i], slow);
 	}
 	if (recorded > DOMAINS / 2)
 		m->told = position;
@@ -401,6 +456,8 @@
 	struct ack_question question = { .group = "g",
 					 .term = m->group.primary_term,
 					 .token = token,
+					 .config = m->config,
+					 .adopted = m->config,
 					 .promise = promise };
 	struct ack_survey_status status;
 
@@ -412,34 +469,65 @@
 		    !ack_record_ask(m->d[i].record, &question, &answer) ||
 		    message_lost(m))
 			continue;
-		ack_survey_add(&m->survey, i + 1, &answer);
+		ack_survey_add(&m->survey, m->voters.member[i].id, &answer);
 	}
-	status = ack_survey_status(&m->survey, &m->voters, 1, token);
+	status = ack_survey_status(&m->survey, &m->voters, m->config, token);
 	managed_failover_acks(m->s, now_us(m), token, &status);
 }
 
-/* As control_cover_tick(): completes the records of voters that started. */
+/* End of the log of a primary that may be asked, or NULL. */
+static const struct log_position *cover_by_primary(const struct model *m)
+{
+	const struct model_endpoint *primary =
+		&m->e[index_of(m->group.primary)];
+
+	if (m->group.term != m->group.primary_term || primary->down ||
+	    primary->unreachable || !primary->primary)
+		return NULL;
+	return &primary->received;
+}
+
+/* As control_cover_tick(): completes and settles the records of the voters. */
 static void cover(struct model *m)
 {
 	struct ack_question question = { .group = "g",
 					 .term = m->group.primary_term,
-					 .token = m->group.term };
-	const struct model_endpoint *primary;
+					 .token = m->group.term,
+					 .config = m->config,
+					 .adopted = m->config };
+	struct ack_answer answers[DOMAINS] = { 0 };
+	const struct log_position *end;
 
-	if (!m->group.primary_term || m->group.term != m->group.primary_term)
-		return;
-	primary = &m->e[index_of(m->group.primary)];
-	if (primary->down || primary->unreachable || !primary->primary)
+	if (!m->group.primary_term)
 		return;
+	end = cover_by_primary(m);
 	for (uint32_t i = 0; i < DOMAINS; i++) {
-		struct ack_answer answer;
+		struct ack_answer record;
 
-		if (!m->d[i].unreachable &&
-		    ack_record_ask(m->d[i].record, &question, &answer) &&
-		    !answer.complete)
+		if (m->d[i].unreachable ||
+		    !ack_record_ask(m->d[i].record, &question, &answers[i]))
+			continue;
+		record = answers[i];
+		record.token = m->config;
+		record.promised = false;
+		if (record.current)
+			ack_survey_add(&m->records, m->voters.member[i].id,
+				       &record);
+	}
+	for (uint32_t i = 0; i < DOMAINS; i++) {
+		struct log_position position;
+		enum ack_cover_source source =
+			ack_cover_source(&m->records, &m->voters, m->config,
+					 &answers[i], &position);
+
+		if (source == ACK_COVER_PRIMARY && end)
+			position = *end;
+		if (source == ACK_COVER_RECORDS ||
+		    (source == ACK_COVER_PRIMARY && end))
 			ack_record_cover(m->d[i].record, "g",
-					 m->group.primary_term, answer.epoch, 1,
-					 primary->received);
+					 m->group.primary_term,
+					 answers[i].epoch, m->config, position);
+		sync_record(&m->d[i], false);
 	}
 }
 
@@ -558,6 +646,9 @@
 			break;
 		case MANAGED_FAILOVER_ABANDONED:
 			g_assert_nonnull(a.reason);
+			if (g_test_verbose())
+				g_printerr("%lu ms: waited for %s %s\n",
+					   m->now_ms, a.reason, a.endpoint);
 			break;
 		case MANAGED_FAILOVER_RESTARTED:
 			break;
@@ -731,8 +822,10 @@
 	EVENT_DOMAIN_CUT_OFF,
 	/** the domain's instance does not reach the primary any more */
 	EVENT_WITHOUT_PRIMARY,
-	/** the domain's voter starts again */
+	/** the domain's voter has lost its disk and starts again */
 	EVENT_VOTER_STARTS,
+	/** the domain's voter starts again */
+	EVENT_VOTER_RESTARTS,
 	/** a replica that is not registered receives all commits from now on */
 	EVENT_UNREGISTERED_REPLICA,
 	/** the endpoint receives nothing */
@@ -822,6 +915,7 @@
 	talloc_free(m->s);
 	m->s = managed_failover_create(NULL, &params, now_us(m));
 	m->survey = (struct ack_survey){ 0 };
+	m->records = (struct ack_survey){ 0 };
 	managed_failover_set_domains(m->s, 3);
 	set_group(m);
 }
@@ -846,6 +940,9 @@
 	case EVENT_VOTER_STARTS:
 		start_voter(m, who);
 		return;
+	case EVENT_VOTER_RESTARTS:
+		restart_voter(m, who);
+		return;
 	case EVENT_UNREGISTERED_REPLICA:
 		m->unregistered_replica = true;
 		return;
@@ -1044,6 +1141,40 @@
  * callers were told of. Guards against waiting for an answer that never comes.
  */
 static const struct event_case lost_primary_cases[] = {
+	/* All processes are killed; the voters know what they recorded. */
+	{ "beside-restart-of-all-voters",
+	  { { 1000, EVENT_LOST, 0 },
+	    { 1000, EVENT_VOTER_RESTARTS, 0 },
+	    { 1000, EVENT_VOTER_RESTARTS, 1 },
+	    { 1000, EVENT_VOTER_RESTARTS, 2 } },
+	  1 },
+	{ "before-restart-of-all-voters",
+	  { { 1000, EVENT_LOST, 0 },
+	    { 1800, EVENT_VOTER_RESTARTS, 0 },
+	    { 1810, EVENT_VOTER_RESTARTS, 1 },
+	    { 1820, EVENT_VOTER_RESTARTS, 2 },
+	    { 1830, EVENT_NEW_LEADER, 0 } },
+	  1 },
+	/* It said that it leaves, and never answers. */
+	{ "as-it-leaves",
+	  { { 1000, EVENT_LEAVES, 0 }, { 1010, EVENT_LOST, 0 } },
+	  1 },
+	/* A voter without a disk beside two that restart: a majority knows. */
+	{ "beside-a-lost-disk",
+	  { { 1000, EVENT_LOST, 0 },
+	    { 1000, EVENT_VOTER_STARTS, 0 },
+	    { 1000, EVENT_VOTER_RESTARTS, 1 },
+	    { 1000, EVENT_VOTER_RESTARTS, 2 } },
+	  1 },
+	/* The log of the primary has commits that nobody acknowledged. */
+	{ "after-restart-beside-silent-replicas",
+	  { { 500, EVENT_DEAF, 1 },
+	    { 500, EVENT_DEAF, 2 },
+	    { 800, EVENT_VOTER_RESTARTS, 0 },
+	    { 800, EVENT_VOTER_RESTARTS, 1 },
+	    { 800, EVENT_VOTER_RESTARTS, 2 },
+	    { 2500, EVENT_LOST, 0 } },
+	  1 },
 	/* No other endpoint has heard of its term. */
 	{ "new-primary",
 	  { { 500, EVENT_DEAF, 2 },
@@ -1051,6 +1182,16 @@
 	    { 3000, EVENT_LOST, 1 },
 	    { 3100, EVENT_BACK, 0 } },
 	  2 },
+	{ "new-primary-and-restart-of-all-voters",
+	  { { 500, EVENT_DEAF, 2 },
+	    { 700, EVENT_CRASH, 0 },
+	    { 3000, EVENT_LOST, 1 },
+	    { 3100, EVENT_BACK, 0 },
+	    { 3500, EVENT_VOTER_RESTARTS, 0 },
+	    { 3500, EVENT_VOTER_RESTARTS, 1 },
+	    { 3500, EVENT_VOTER_RESTARTS, 2 },
+	    { 3600, EVENT_NEW_LEADER, 0 } },
+	  2 },
 };
 
 /* Whether an endpoint has all commits that callers were told of. */
@@ -1704,6 +1845,166 @@
 				   failed, SEEDS, promotions, paused);
 }
 
+static void restart_all_voters(struct model *m)
+{
+	for (uint32_t i = 0; i < DOMAINS; i++)
+		restart_voter(m, i);
+	become_leader(m);
+}
+
+/* One disk may be lost at a time, and a majority must agree on the new voter.
+ */
+static bool may_replace_voter(const struct model *m, uint32_t domain)
+{
+	for (uint32_t i = 0; i < DOMAINS; i++) {
+		struct ack_saved saved;
+
+		if (i != domain && m->d[i].unreachable)
+			return false;
+		if (!ack_record_at(m->d[i].record, 0, &saved) ||
+		    !*saved.group || saved.forgetful)
+			return false;
+	}
+	return true;
+}
+
+static void try_replace_voter(struct model *m, uint32_t domain)
+{
+	if (may_replace_voter(m, domain))
+		replace_voter(m, domain);
+}
+
+/* The primary is lost for good, unless another endpoint was before. */
+static void lose_primary(struct model *m)
+{
+	for (uint32_t i = 0; i < ENDPOINTS; i++) {
+		if (m->e[i].lost)
+			return;
+	}
+	for (uint32_t i = 0; i < ENDPOINTS; i++) {
+		m->e[i].lost = m->e[i].primary;
+		m->e[i].down |= m->e[i].primary;
+	}
+}
+
+static void start_fault_beside_loss(struct model *m)
+{
+	uint32_t endpoint = (uint32_t)lws_rng_below(&m->rng, ENDPOINTS);
+	uint32_t domain = (uint32_t)lws_rng_below(&m->rng, DOMAINS);
+
+	switch (lws_rng_below(&m->rng, 10)) {
+	case 0:
+		m->e[endpoint].down = true;
+		return;
+	case 1:
+		m->e[endpoint].disconnected_until_ms =
+			m->now_ms + lws_rng_below(&m->rng, 6000);
+		return;
+	case 2:
+		for (uint32_t i = 0; i < ENDPOINTS; i++)
+			m->e[i].disconnected_until_ms =
+				m->now_ms + lws_rng_below(&m->rng, 6000);
+		return;
+	case 3:
+		restart_all_voters(m);
+		return;
+	case 4:
+		restart_voter(m, domain);
+		return;
+	case 5:
+		try_replace_voter(m, domain);
+		return;
+	case 6:
+		m->d[domain].unreachable = true;
+		return;
+	case 7:
+		become_leader(m);
+		return;
+	case 8:
+		lose_primary(m);
+		return;
+	default:
+		heal(m);
+		return;
+	}
+}
+
+/*
+ * All at about the same time: one replica receives nothing, the other one and
+ * the primary crash or are lost, voters restart, and one is replaced.
+ */
+static void strike(struct model *m)
+{
+	uint32_t deaf = (uint32_t)lws_rng_below(&m->rng, ENDPOINTS);
+	uint64_t due_ms[7];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(due_ms); i++)
+		due_ms[i] = m->now_ms + TICK_MS +
+			    lws_rng_below(&m->rng, 200) * TICK_MS;
+	for (uint32_t t = 0; t < 2400; t += TICK_MS) {
+		uint32_t domain = (uint32_t)lws_rng_below(&m->rng, DOMAINS);
+
+		step(m);
+		if (m->now_ms == due_ms[0])
+			m->e[deaf].disconnected_until_ms = m->now_ms + 6000;
+		if (m->now_ms == due_ms[1])
+			m->e[(deaf + 1) % ENDPOINTS].down = true;
+		if (m->now_ms == due_ms[2])
+			m->e[(deaf + 2) % ENDPOINTS].down = true;
+		if (m->now_ms == due_ms[3])
+			lose_primary(m);
+		if (m->now_ms == due_ms[4])
+			restart_all_voters(m);
+		if (m->now_ms == due_ms[5])
+			try_replace_voter(m, domain);
+		if (m->now_ms == due_ms[6])
+			restart_voter(m, domain);
+	}
+	run(m, lws_rng_below(&m->rng, 6000));
+	heal(m);
+	run(m, lws_rng_below(&m->rng, 6000));
+}
+
+/*
+ * A primary is lost for good beside voters that restart, one that loses its
+ * disk, endpoints that crash and replicas that receive nothing. Guards against
+ * a group that never gets a primary again though an endpoint has all commits
+ * that callers were told of, and against losing one.
+ */
+static void test_random_loss(gconstpointer data)
+{
+	const uint32_t *promotion_ms = data;
+	uint32_t failed = 0;
+	uint32_t paused = 0;
+	uint32_t promotions = 0;
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct model *m = model_create(seed);
+
+		run(m, 2000);
+		m->promotion_ms = *promotion_ms;
+		m->loss_percent = (uint32_t)(seed % 4) * 8;
+		m->lost_is_late = seed % 8 >= 4;
+		m->disks_slow = seed % 3 == 0;
+		for (int i = 0; seed % 5 < 3 && i < 16; i++) {
+			start_fault_beside_loss(m);
+			run(m, lws_rng_below(&m->rng, 2000));
+		}
+		for (int i = 0; seed % 5 >= 3 && i < 4; i++)
+			strike(m);
+		m->loss_percent = 0;
+		heal(m);
+		run(m, 32000);
+		promotions += m->promotions;
+		paused += is_led(m) && is_any_paused(m);
+		failed += end_run(m, "seed and time", (uint32_t)seed);
+	}
+	if (failed || paused || promotions <= SEEDS / 2)
+		g_test_fail_printf("%u of %u runs, %u promotions, %u runs with "
+				   "a paused replica",
+				   failed, SEEDS, promotions, paused);
+}
+
 /*
  * The primary is back before the voters let another endpoint be promoted, and
  * part of the commands gets no answer and is carried out late. Guards against
@@ -1821,5 +2122,13 @@
 		g_test_add_data_func(path, &hostile_times_ms[i],
 				     test_random_hostile);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(hostile_times_ms); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/managed-failover/random-loss/promotion-%u-ms",
+			hostile_times_ms[i]);
+
+		g_test_add_data_func(path, &hostile_times_ms[i],
+				     test_random_loss);
+	}
 	return g_test_run();
 }
--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -692,6 +692,41 @@
 	check_primary_loss(SIGUSR2);
 }
 
+/*
+ * All processes are killed in the second in which the primary is lost for good.
+ * Guards against voters that don't know what they recorded before: the group
+ * never got a primary again, though both replicas had everything.
+ */
+static void test_primary_lost_beside_restart(void)
+{
+	struct test_fleet *f = fleet_start(3);
+	struct line_conn *c = open_session(f, "pay", "k1");
+
+	for (int i = 0; i < 20; i++) {
+		g_autofree char *write = g_strdup_printf("WRITE i%d v%d", i, i);
+
+		expect(c, write, "COMPLETE write-tag|READY I");
+	}
+	close_line(c);
+	kill(f->pids[STANDIN_HOST], SIGUSR1);
+	for (int i = 0; i <= (int)f->controls; i++)
+		stop(f, i ? i : SESSION_HOST, SIGKILL);
+	for (int i = 0; i <= (int)f->controls; i++)
+		start_daemon(f, i ? i : SESSION_HOST);
+	wait_until_ready(f);
+	c = open_session(f, "pay", "k1");
+	expect_eventually(c, "WRITE after it", "COMPLETE write-tag|READY I");
+	for (int i = 0; i < 20 && !g_test_failed(); i++) {
+		g_autofree char *read = g_strdup_printf("READ i%d", i);
+		g_autofree char *row = g_strdup_printf(
+			"DATAROW v%d:-|COMPLETE read-tag|READY I", i);
+
+		expect_eventually(c, read, row);
+	}
+	close_line(c);
+	fleet_stop(f);
+}
+
 /* Until a call that was accepted late has taken effect, and callers write. */
 #define LATE_CALL_MS 14000
 
@@ -2165,6 +2200,8 @@
 	g_test_add_func("/platform-daemon/primary-leaving",
 			test_primary_leaving);
 	g_test_add_func("/platform-daemon/accepted-call", test_accepted_call);
+	g_test_add_func("/platform-daemon/primary-lost-beside-restart",
+			test_primary_lost_beside_restart);
 	g_test_add_func("/platform-daemon/configuration", test_configuration);
 	g_test_add_func("/platform-daemon/stop", test_stop);
 	g_test_add_func("/platform-daemon/announcement-registered",
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -370,6 +370,40 @@
 	talloc_free(f);
 }
 
+/*
+ * A voter is replaced while another one is away, and gets the change as an
+ * entry or in a snapshot. Guards against a voter that takes its record of
+ * acknowledged commits for complete though it may have missed a set of voters.
+ */
+static void test_voter_since(gconstpointer data)
+{
+	const struct voters_index_case *c = data;
+	struct fake_rafts *f = fake_rafts_create(NULL, 3, 13);
+	uint64_t index;
+
+	fake_rafts_run(f, SECOND);
+	g_assert_cmpuint(raft_voter_since(f->nodes[1].raft), ==, 1);
+	fake_rafts_lose_disk(f, 0, 200);
+	g_assert_cmpuint(raft_voter_since(f->nodes[0].raft), ==, 0);
+	g_assert_true(fake_rafts_replace_voter(f, 0, 100));
+	fake_rafts_run(f, SECOND);
+	index = raft_voters_index(f->nodes[1].raft);
+	/* It was added, then the one that it replaces was removed. */
+	g_assert_cmpuint(raft_voter_since(f->nodes[0].raft), ==, index - 1);
+	g_assert_cmpuint(raft_voter_since(f->nodes[1].raft), ==, 1);
+	if (!c->behind) {
+		propose_values(f, 20);
+		fake_rafts_compact(f, 1);
+		fake_rafts_run(f, SECOND);
+	}
+	fake_rafts_crash(f, 1);
+	fake_rafts_restart(f, 1);
+	/* Without the entries, what was before is not known. */
+	g_assert_cmpuint(raft_voter_since(f->nodes[1].raft), ==,
+			 c->behind ? 1 : index);
+	talloc_free(f);
+}
+
 static void test_leadership_transfer(void)
 {
 	struct fake_rafts *f = fake_rafts_create(NULL, 3, 5);
@@ -436,6 +470,10 @@
 		g_test_add_data_func(path, &voters_index_cases[i],
 				     test_voters_index);
 	}
+	g_test_add_data_func("/raft/voter-since/own-snapshot",
+			     &voters_index_cases[0], test_voter_since);
+	g_test_add_data_func("/raft/voter-since/own-entries",
+			     &voters_index_cases[1], test_voter_since);
 	g_test_add_func("/raft/leadership-transfer", test_leadership_transfer);
 	g_test_add_func("/raft/params", test_params);
 	return g_test_run();
