Planned stop: sessions end one after the other, and nothing is cut off

Cause: a stopping instance ended sessions only in a pause of 10 ms, and refused nothing.

Ruled out: closing right after an answer. The next statement is on its way then, and its caller would not know whether it was run.

Change: sessions end one after the other until half of the time, just after a pause of the caller has begun or in one that has lasted long; callers without a pause are refused as not run. What has no answer shortly before the process ends gets one.

--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -16,6 +16,8 @@
  * open new sessions at other instances.
  */
 #define DRAIN_IDLE_DELAY_MS 2300
+/* The last part of the time, in which the last answers reach their callers. */
+#define DRAIN_ANSWER_PART 20
 
 uint64_t control_wall_ms(void)
 {
@@ -247,11 +249,18 @@
 void control_begin_drain(struct control *c)
 {
 	struct daemon *d = c->daemon;
+	uint64_t now_us = lws_time_now_us();
+	uint64_t drain_us = d->settings.drain_ms * LWS_US_PER_MS;
+	struct pooler_stop stop = {
+		.accept_until_us = now_us + drain_us / 2,
+		.answer_by_us =
+			now_us + drain_us - drain_us / DRAIN_ANSWER_PART,
+	};
 
 	if (c->draining)
 		return;
 	c->draining = true;
-	c->drain_started_us = lws_time_now_us();
+	c->drain_started_us = now_us;
 	atomic_store(&d->draining, true);
 	lws_log_info(d->log, "drain", NULL);
 	for (uint32_t i = 0; i < d->settings.workers; i++)
@@ -259,10 +268,7 @@
 	if (c->session_server)
 		session_server_drain(
 			c->session_server,
-			c->drain_started_us +
-				DRAIN_IDLE_DELAY_MS * LWS_US_PER_MS,
-			c->drain_started_us +
-				d->settings.drain_ms * LWS_US_PER_MS / 2);
+			now_us + DRAIN_IDLE_DELAY_MS * LWS_US_PER_MS, &stop);
 }
 
 static void drain_tick(struct control *c, uint64_t now_us)
--- a/lib/daemon/session_server.c
+++ b/lib/daemon/session_server.c
@@ -43,7 +43,7 @@
 	uint32_t unopened;
 	bool draining;
 	uint64_t close_idle_us;
-	uint64_t open_until_us;
+	struct pooler_stop stop;
 	bool pooler_draining;
 	uint64_t malformed;
 };
@@ -609,7 +609,7 @@
 	if (server->draining && !server->pooler_draining &&
 	    now_us >= server->close_idle_us) {
 		server->pooler_draining = true;
-		pooler_drain(server->pooler, now_us, server->open_until_us);
+		pooler_drain(server->pooler, now_us, &server->stop);
 	}
 	pooler_tick(server->pooler, now_us);
 	arm_timer(server);
@@ -665,11 +665,11 @@
 }
 
 void session_server_drain(struct session_server *server, uint64_t close_idle_us,
-			  uint64_t open_until_us)
+			  const struct pooler_stop *stop)
 {
 	server->draining = true;
 	server->close_idle_us = close_idle_us;
-	server->open_until_us = open_until_us;
+	server->stop = *stop;
 	forward_io_drain(server->forward);
 }
 
--- a/lib/daemon/session_server.h
+++ b/lib/daemon/session_server.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "pooler.h"
 #include "statement.h"
 
 /**
@@ -59,10 +60,10 @@
  * session_server_drain() - begin a graceful shutdown
  * @server: session server
  * @close_idle_us: idle sessions are closed from this time on
- * @open_until_us: transactions may continue until this time
+ * @stop: times of the shutdown
  */
 void session_server_drain(struct session_server *server, uint64_t close_idle_us,
-			  uint64_t open_until_us);
+			  const struct pooler_stop *stop);
 
 /**
  * session_server_accept_forward() - take over a connection of another instance
--- a/lib/session/pooler.c
+++ b/lib/session/pooler.c
@@ -124,6 +124,7 @@
 	struct pooler *p = s->pooler;
 
 	s->idle_since_us = now_us;
+	s->refuse_at_us = p->stop.accept_until_us;
 	s->next = p->sessions;
 	if (p->sessions)
 		p->sessions->prev = s;
@@ -240,7 +241,8 @@
 
 /*
  * Load pattern: no endpoint had room for the statement, or none has answered it
- * in time. Tells which: what was sent may have run.
+ * in time, or before this process ends. Tells which: what was sent may have
+ * run.
  */
 static void refuse_expired(struct pool_session *s, uint64_t now_us)
 {
@@ -275,7 +277,7 @@
 					"the endpoint had no room in time");
 		return;
 	}
-	if (job->place == JOB_QUEUED)
+	if (job->place == JOB_QUEUED || job->place == JOB_WAITS_FOR_TOKEN)
 		pooler_dequeue(s);
 	if (conn) {
 		s->conn = NULL;
@@ -294,9 +296,10 @@
 {
 	struct pool_job *job = &s->job;
 
-	if (job->place == JOB_WAITS_FOR_TOKEN)
+	if (job->place == JOB_WAITS_FOR_TOKEN &&
+	    !pooler_stop_answers(s, now_us))
 		return;
-	if (now_us >= job->deadline_us) {
+	if (now_us >= job->deadline_us || pooler_stop_answers(s, now_us)) {
 		refuse_expired(s, now_us);
 		return;
 	}
@@ -315,7 +318,7 @@
 
 	if (s->state != TRANSACTION_NONE) {
 		bool idle = idle_us && now_us - s->idle_since_us > idle_us;
-		bool stop = p->draining && now_us >= p->transactions_until_us;
+		bool stop = pooler_stop_ends_transaction(s, now_us);
 
 		if (s->state == TRANSACTION_OPEN && !s->lost_error &&
 		    (idle || stop)) {
@@ -328,7 +331,7 @@
 		}
 		return;
 	}
-	if (p->draining && now_us - s->idle_since_us >= POOL_DRAIN_IDLE_US) {
+	if (pooler_stop_ends_session(s, now_us)) {
 		p->ops.end_session(p->ops.private_data, s->user);
 		pooler_free_session(s);
 	}
@@ -456,14 +459,6 @@
 		pool_report(p->groups[i], true);
 }
 
-void pooler_drain(struct pooler *p, uint64_t now_us,
-		  uint64_t transactions_until_us)
-{
-	(void)now_us;
-	p->draining = true;
-	p->transactions_until_us = transactions_until_us;
-}
-
 uint32_t pooler_sessions(const struct pooler *p)
 {
 	return p->sessions_count;
--- a/lib/session/pooler.h
+++ b/lib/session/pooler.h
@@ -289,17 +289,30 @@
 /** pooler_resend_reports() - report suspect primaries to a new receiver */
 void pooler_resend_reports(struct pooler *p);
 
+/**
+ * struct pooler_stop - times of a planned shutdown
+ * @accept_until_us: operations are accepted, and open transactions go on, until
+ *                   then
+ * @answer_by_us: what has no answer by then gets one: that it was not run, or
+ *                that its outcome is unknown
+ */
+struct pooler_stop {
+	uint64_t accept_until_us;
+	uint64_t answer_by_us;
+};
+
 /**
  * pooler_drain() - start a planned shutdown
  * @p: pooler
  * @now_us: time
- * @transactions_until_us: open transactions may continue until then
+ * @stop: times of the shutdown
  *
- * From the next tick on, a session outside a transaction is ended once it has
- * been idle long enough for its caller to have received the last reply.
+ * From now on until @accept_until_us, sessions outside a transaction are ended
+ * one after the other, each once it has been idle long enough for its caller to
+ * have received the last reply. A caller that does not pause gets BUSY.
  */
 void pooler_drain(struct pooler *p, uint64_t now_us,
-		  uint64_t transactions_until_us);
+		  const struct pooler_stop *stop);
 
 /** pooler_sessions() - number of open sessions */
 uint32_t pooler_sessions(const struct pooler *p);
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -475,6 +475,9 @@
 	/* Arrival time of the BEGIN. */
 	uint64_t began_us;
 	uint64_t idle_since_us;
+	/* While draining: when to end the session, and to refuse operations. */
+	uint64_t end_at_us;
+	uint64_t refuse_at_us;
 	/* Position and group of the last commit with a position. */
 	struct log_position committed;
 	char committed_group[CATALOG_NAME_MAX];
@@ -521,8 +524,8 @@
 	/* Time of the last tick. */
 	uint64_t tick_us;
 	bool draining;
-	/* While draining: time until which open transactions may continue. */
-	uint64_t transactions_until_us;
+	/* While draining. */
+	struct pooler_stop stop;
 	struct pooler_stats stats;
 };
 
@@ -714,4 +717,15 @@
 void pool_end_transaction(struct pool_conn *c, uint64_t now_us);
 void pool_update_evacuations(struct pooler *p, const struct fleet *fleet);
 
+/* pooler_stop.c */
+/* Whether a statement outside a transaction is refused. */
+bool pooler_stop_refuses(const struct pool_session *s, uint64_t now_us);
+/* Whether to end a session, whose caller pauses. */
+bool pooler_stop_ends_session(const struct pool_session *s, uint64_t now_us);
+/* Whether to end an open transaction. */
+bool pooler_stop_ends_transaction(const struct pool_session *s,
+				  uint64_t now_us);
+/* Whether to answer a statement that is in progress. */
+bool pooler_stop_answers(const struct pool_session *s, uint64_t now_us);
+
 #endif
--- a/lib/session/pooler_statement.c
+++ b/lib/session/pooler_statement.c
@@ -569,6 +569,11 @@
 			      "the statement cannot be read");
 		return;
 	}
+	if (pooler_stop_refuses(s, now_us)) {
+		pooler_refuse(s, now_us, STATEMENT_E_BUSY, TRANSACTION_NONE,
+			      "stopping");
+		return;
+	}
 	if (s->state == TRANSACTION_FAILED) {
 		in_failed_transaction(s, now_us);
 		return;
--- a/tests/test_platform_daemon.c
+++ b/tests/test_platform_daemon.c
@@ -847,6 +847,64 @@
 }
 
 /* Sum of a counter over the instances that accept callers. */
+#define BUSY_CALLERS 6
+
+/* A caller that sends one statement after the other until its session ends. */
+struct busy_caller {
+	struct line_conn *line;
+	GThread *thread;
+	/* Its last statement was answered. */
+	bool answered;
+};
+
+static gpointer send_statements(gpointer data)
+{
+	struct busy_caller *caller = data;
+
+	do {
+		g_autofree char *answer = NULL;
+
+		answer = query(caller->line, "WRITE x y");
+		caller->answered = *answer != '\0';
+		if (g_str_has_prefix(answer, "ERROR BUSY"))
+			g_usleep(100 * 1000);
+	} while (caller->answered &&
+		 test_read(caller->line->fd, caller->line->in, 1) >= 0);
+	return NULL;
+}
+
+/*
+ * Callers send one statement after the other when SIGTERM comes. Guards against
+ * statements that are taken until the process ends, and have no answer then.
+ */
+static void test_stop_beside_busy_callers(void)
+{
+	struct test_fleet *f = fleet_start(3);
+	struct busy_caller callers[BUSY_CALLERS] = { 0 };
+	gint64 stopped_us;
+	int status;
+
+	for (uint32_t i = 0; i < BUSY_CALLERS; i++) {
+		callers[i].line = open_session(f, "pay", "k1");
+		callers[i].thread =
+			g_thread_new("caller", send_statements, &callers[i]);
+	}
+	g_usleep(500 * 1000);
+	stopped_us = g_get_monotonic_time();
+	kill(f->pids[SESSION_HOST], SIGTERM);
+	waitpid(f->pids[SESSION_HOST], &status, 0);
+	f->pids[SESSION_HOST] = 0;
+	g_assert_cmpint(g_get_monotonic_time() - stopped_us, <,
+			TEST_GRACE_MS * 1000);
+	for (uint32_t i = 0; i < BUSY_CALLERS; i++) {
+		g_thread_join(callers[i].thread);
+		/* The session ended in a pause of its caller. */
+		g_assert_true(callers[i].answered);
+		close_line(callers[i].line);
+	}
+	fleet_stop(f);
+}
+
 static long sum_of_metric(const struct test_fleet *f, const char *name)
 {
 	long sum = 0;
@@ -2204,6 +2262,8 @@
 			test_primary_lost_beside_restart);
 	g_test_add_func("/platform-daemon/configuration", test_configuration);
 	g_test_add_func("/platform-daemon/stop", test_stop);
+	g_test_add_func("/platform-daemon/stop-beside-busy-callers",
+			test_stop_beside_busy_callers);
 	g_test_add_func("/platform-daemon/announcement-registered",
 			test_announcement_registered);
 	g_test_add_func("/platform-daemon/odd-entries", test_odd_entries);
