Record of acknowledged commits: the file apart, replies go where requests came from

Found on reading the changes again; no behaviour seen by callers was at fault.

- The file of the record is lib/daemon/control_ack_file.c.
- A reply that waited for a sync took any connection to the instance; one that has gone silent would have delayed it.
It takes the one that the request came from, if that still exists.
- highest_told() says why it is right in a set of voters that is not settled.

--- a/lib/control/ack_record.c
+++ b/lib/control/ack_record.c
@@ -276,10 +276,12 @@
 }
 
 /*
- * The highest position that a majority may have recorded: those that answered
- * with at least this position, and all that did not answer. In an earlier set
- * of voters others may have recorded it; but any majority of those that
- * answered shares a voter with those, or was told since.
+ * The highest position that callers may have been told of. If all records are
+ * settled in this set of voters, a majority must have recorded it: those that
+ * answered with at least this position, and all that did not answer. Otherwise
+ * it may have been told in an earlier set; any majority of those that answered
+ * includes a voter that recorded it then, or was settled later. So the lowest
+ * of what such majorities have is enough.
  */
 static struct log_position highest_told(struct position_list *list,
 					uint32_t voters)
--- a/lib/control/ack_record.h
+++ b/lib/control/ack_record.h
@@ -28,8 +28,7 @@
  *
  * A position counts as recorded once it is synced to disk, so a voter that
  * starts again knows what it recorded. What it promised follows from the newest
- * token in the replicated state. Its record is complete: together with what a
- * majority of the other voters have, nothing is missing.
+ * token in the replicated state.
  *
  * A record is incomplete if its voter is new, may have missed a set of voters,
  * or has lost its file. Such a voter records nothing and its answers don't
--- a/lib/control/ack_replies.h
+++ b/lib/control/ack_replies.h
@@ -18,9 +18,16 @@
 
 struct ack_replies;
 
-/** struct ack_waiting - a reply that waits; @instance is who asked */
+/**
+ * struct ack_waiting - a reply that waits
+ * @instance: who asked
+ * @origin: connection that the request came from; only compared, as it may be
+ *          closed meanwhile
+ * @request: the request
+ */
 struct ack_waiting {
 	char instance[FLEET_NAME_MAX];
+	const void *origin;
 	struct ack_request request;
 };
 
--- a/lib/control/managed_failover.h
+++ b/lib/control/managed_failover.h
@@ -25,7 +25,8 @@
  *   2. all replicas are asked for the newest term they know; a primary that
  *      answers is demoted, after the end of its log was committed for later
  *      attempts; then replication from primaries of that term and lower
- *      ones is paused;
+ *      ones is paused. A pause without effect shows that a newer term exists,
+ *      and is repeated with a higher one;
  *   3. the endpoint to be promoted is committed with the token, then the
  *      platform is asked to promote it: the replica that received most, or the
  *      demoted primary again if it has more than all replicas;
--- a/lib/control/raft_internal.h
+++ b/lib/control/raft_internal.h
@@ -59,8 +59,7 @@
 	struct raft_voters voters;
 	/* Index of the entry or snapshot that set the voters. */
 	uint64_t voters_index;
-	/* Set since which this member has been a voter all along, 0 for none.
-	 */
+	/* raft_voter_since() */
 	uint64_t voter_since;
 	struct progress progress[RAFT_VOTERS_MAX + 1];
 	uint64_t learner;
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -353,7 +353,7 @@
 	if (!rc && d->settings.data)
 		rc = control_log_open(c);
 	if (!rc && d->settings.data)
-		rc = control_acks_open(c);
+		rc = control_ack_file_open(c);
 	if (!rc)
 		rc = control_peers_start(c);
 	if (!rc && !d->adapter)
--- a/lib/daemon/control.h
+++ b/lib/daemon/control.h
@@ -267,7 +267,9 @@
 void control_sync_tick(struct control *c, uint64_t now_us);
 void control_push_downstreams(struct control *c);
 struct peer *control_peer_of_member(struct control *c, uint64_t member);
-struct peer *control_peer_named(struct control *c, const char *name);
+/* A connection to an instance, @preferred if that one still exists. */
+struct peer *control_peer_named(struct control *c, const char *name,
+				const void *preferred);
 struct peer *control_leader_peer(struct control *c);
 void control_report_tick(struct control *c, uint64_t now_us);
 void control_sync_now(struct control *c);
@@ -312,9 +314,17 @@
 void control_managed_failover_acks(struct control *c, uint64_t voter,
 				   const struct wire_ack *answer);
 
+/* control_ack_file.c: file of the record of acknowledged commits */
+/* Restores the record; to be called after control_log_open(). */
+int control_ack_file_open(struct control *c);
+/* Queues writes of what has changed in the record. */
+void control_ack_file_save(struct control *c);
+/* Makes the file this voter's, before anything is recorded. */
+void control_ack_file_begin(struct control *c);
+
 /* control_acks.c: acknowledged commits */
-/* Reads the file of the record; after control_log_open(). */
-int control_acks_open(struct control *c);
+/* Sends the replies whose positions are synced. */
+void control_acks_synced(struct control *c);
 void control_record_ack(struct control *c, const char *group, uint64_t term,
 			struct log_position position);
 void control_acks_message(struct control *c, struct peer *peer,
--- a/lib/daemon/control_acks.c
+++ b/lib/daemon/control_acks.c
@@ -1,12 +1,9 @@
-#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
-#include <unistd.h>
 
 #include "control.h"
 #include "control_managed.h"
 #include "endpoint_call.h"
-#include "lws_error.h"
 #include "lws_str.h"
 #include "lws_time.h"
 
@@ -20,117 +17,6 @@
 #define STATUS_TIMEOUT_MS 230
 /* Questions after which all voters that can answer have done so. */
 #define COVERS_BEFORE_PRIMARY 2
-#define ACK_FILE "acks"
-/* Records after which the file is replaced by one of each group. */
-#define ACK_FILE_RECORDS_MAX 16384
-
-static void reply_synced(struct control *c);
-
-/* The file of this voter's record */
-
-static void replace_file(struct control *c)
-{
-	struct store_record *records =
-		talloc_zero_array(c, struct store_record, FLEET_GROUPS_MAX + 1);
-	struct ack_saved saved;
-	uint32_t count = 1;
-
-	if (!records)
-		return;
-	records[0].type = STORE_IDENTITY;
-	records[0].identity = c->identity;
-	for (uint32_t i = 0; ack_record_at(c->ack_record, i, &saved); i++) {
-		if (!*saved.group)
-			continue;
-		records[count].type = STORE_ACK;
-		records[count++].ack = saved;
-	}
-	disk_replace(c->ack_disk, ++c->ack_seq, records, count);
-	c->ack_file_records = count;
-	talloc_free(records);
-}
-
-/* Queues writes of what has changed; c->ack_seq is the last one. */
-static void save_record(struct control *c)
-{
-	struct store_record record = { .type = STORE_ACK };
-
-	while (ack_record_next_unsaved(c->ack_record, &record.ack)) {
-		disk_append(c->ack_disk, ++c->ack_seq, &record);
-		c->ack_file_records++;
-	}
-	if (c->ack_file_records > ACK_FILE_RECORDS_MAX)
-		replace_file(c);
-}
-
-static int on_record(void *private_data, const struct store_record *record)
-{
-	struct control *c = private_data;
-
-	c->ack_file_records++;
-	if (record->type == STORE_IDENTITY)
-		c->ack_file_valid =
-			record->identity.member == c->identity.member;
-	else if (record->type == STORE_ACK && c->ack_file_valid)
-		ack_record_restore(c->ack_record, &record->ack);
-	return 0;
-}
-
-static void on_durable(void *private_data, uint64_t seq)
-{
-	struct control *c = private_data;
-
-	if (seq > c->ack_durable_seq)
-		c->ack_durable_seq = seq;
-	lws_counter_add(&c->daemon->counters, LWS_COUNTER_ACK_SYNCS, 1);
-	reply_synced(c);
-}
-
-static void on_disk_error(void *private_data, int rc)
-{
-	struct control *c = private_data;
-
-	lws_log_error(c->daemon->log, "disk_write_failed", "{s:s,s:s}", "file",
-		      ACK_FILE, "error", lws_error_name(rc));
-}
-
-/* A file that can't be read is lost; the leader completes the record then. */
-static int discard_file(struct control *c, const struct disk_params *params)
-{
-	char *path =
-		talloc_asprintf(c, "%s/" ACK_FILE, c->daemon->settings.data);
-	int rc = path && !unlink(path) ? 0 : LWS_E_IO;
-
-	talloc_free(path);
-	lws_log_error(c->daemon->log, "ack_record_lost", "{s:s}", "file",
-		      ACK_FILE);
-	TALLOC_FREE(c->ack_record);
-	c->ack_record = ack_record_create(c);
-	c->ack_file_valid = false;
-	if (!c->ack_record)
-		return LWS_E_NOMEM;
-	return rc ? rc : disk_open(c, params, &c->ack_disk);
-}
-
-int control_acks_open(struct control *c)
-{
-	struct disk_params params = {
-		.directory = c->daemon->settings.data,
-		.file = ACK_FILE,
-		.queue = c->daemon->control_queue,
-		.private_data = c,
-		.on_record = on_record,
-		.on_durable = on_durable,
-		.on_error = on_disk_error,
-	};
-	int rc = disk_open(c, &params, &c->ack_disk);
-
-	if (rc == LWS_E_STORE_CORRUPT)
-		rc = discard_file(c, &params);
-	/* An identity without entries in the log has recorded nothing. */
-	c->ack_remembers = c->ack_file_valid || !raft_last_index(c->raft);
-	return rc;
-}
 
 /* Requests of this instance */
 
@@ -165,12 +51,12 @@
 		on_stored(c, waiting->instance, &msg.ack);
 		return;
 	}
-	p = control_peer_named(c, waiting->instance);
+	p = control_peer_named(c, waiting->instance, waiting->origin);
 	if (p)
 		peer_send(p, &msg);
 }
 
-static void reply_synced(struct control *c)
+void control_acks_synced(struct control *c)
 {
 	struct ack_waiting waiting;
 
@@ -178,13 +64,19 @@
 		reply_stored(c, &waiting);
 }
 
-/* Records a position and replies once it is synced, if it is recorded here. */
-static void store(struct control *c, const char *instance,
+/*
+ * Records a position and replies once it is synced, if it is recorded here.
+ * @peer is NULL for a request of this instance.
+ */
+static void store(struct control *c, const struct peer *peer,
 		  const struct wire_ack *request)
 {
+	const char *instance =
+		peer ? peer_hello(peer)->name : c->daemon->settings.name;
 	struct ack_waiting waiting = {
+		.origin = peer,
 		.request = { .term = request->term,
-			     .position = request->position }
+			     .position = request->position },
 	};
 
 	if (!c->raft || !ack_record_store(c->ack_record, request->group,
@@ -192,9 +84,9 @@
 		return;
 	LWS_STR_COPY(waiting.instance, instance);
 	LWS_STR_COPY(waiting.request.group, request->group);
-	save_record(c);
+	control_ack_file_save(c);
 	ack_replies_add(c->ack_replies, c->ack_seq, &waiting);
-	reply_synced(c);
+	control_acks_synced(c);
 }
 
 static void send_request(struct control *c, const struct ack_request *request)
@@ -208,7 +100,7 @@
 		if (peer_hello(p)->member)
 			peer_send(p, &msg);
 	}
-	store(c, c->daemon->settings.name, &msg.ack);
+	store(c, NULL, &msg.ack);
 }
 
 void control_record_ack(struct control *c, const char *group, uint64_t term,
@@ -249,10 +141,7 @@
 	tenure.epoch = c->ack_epoch;
 	c->ack_since = tenure.since;
 	ack_record_begin(c->ack_record, c->fleet, &tenure);
-	/* With what is not remembered, before anything is recorded. */
-	if (!c->ack_file_valid)
-		replace_file(c);
-	c->ack_file_valid = true;
+	control_ack_file_begin(c);
 }
 
 static void end_record(struct control *c)
@@ -268,7 +157,7 @@
 		end_record(c);
 	if (!ack_record_begun(c->ack_record) && may_begin(c, now_us))
 		begin_record(c);
-	save_record(c);
+	control_ack_file_save(c);
 }
 
 static bool answer(struct control *c, const struct wire_ack *ask,
@@ -563,7 +452,7 @@
 
 	switch (msg->type) {
 	case WIRE_ACK_STORE:
-		store(c, hello->name, &msg->ack);
+		store(c, peer, &msg->ack);
 		return;
 	case WIRE_ACK_STORED:
 		on_stored(c, hello->name, &msg->ack);
--- a/lib/daemon/control_peers.c
+++ b/lib/daemon/control_peers.c
@@ -45,13 +45,16 @@
 				     raft_term(c->raft));
 }
 
-struct peer *control_peer_named(struct control *c, const char *name)
+struct peer *control_peer_named(struct control *c, const char *name,
+				const void *preferred)
 {
 	struct peer *found = NULL;
 
 	for (struct peer *p = peer_hub_first(c->hub); p; p = peer_hub_next(p)) {
 		if (strcmp(peer_hello(p)->name, name) != 0)
 			continue;
+		if (p == preferred)
+			return p;
 		if (!found || peer_dialled(p))
 			found = p;
 	}
@@ -62,7 +65,7 @@
 {
 	if (follows_raft_leader(c))
 		return control_peer_of_member(c, raft_leader(c->raft));
-	return control_peer_named(c, c->leader_name);
+	return control_peer_named(c, c->leader_name, NULL);
 }
 
 /* Name of the leader according to sync replies, "" if that is no newer. */
