Record of acknowledged commits: an answer says which set of voters it was given in

Found on reading the changes again, not seen by callers.

Cause: an answer counts for others only if its voter had adopted the present set of voters. It said so for the set of the question, and the leader took it for an answer in the set of the moment in which it arrived. After a change in between, a voter that still adds to a majority of the earlier set could have completed a record without a position that is told a moment later.

Change: the answer names the set that its voter has, and the leader compares it with the present one (ack_cover_add()). The question needs no set any more.

Tests: /acks/cover/set-of-voters-not-adopted with the set instead of a flag; the initialisers of the other cases have the new fields, their expectations stay.

--- a/lib/control/ack_record.c
+++ b/lib/control/ack_record.c
@@ -192,8 +192,8 @@
 		.complete = is_complete(r, g),
 		.epoch = r->epoch,
 		.config = g->config,
-		.current = r->epoch && !g->forgetful && question->config &&
-			   question->config == question->adopted,
+		.remembers = r->epoch && !g->forgetful,
+		.adopted = (uint32_t)question->adopted,
 		.acked = g->acked,
 	};
 	return true;
@@ -333,6 +333,25 @@
 	return status;
 }
 
+/* A voter that has an earlier set may still add to a majority of that one. */
+static bool is_current(const struct ack_answer *answer, uint64_t config)
+{
+	return config && answer->remembers &&
+	       answer->adopted == (uint32_t)config;
+}
+
+void ack_cover_add(struct ack_survey *records, uint64_t config, uint64_t voter,
+		   const struct ack_answer *answer)
+{
+	struct ack_answer record = *answer;
+
+	if (!is_current(answer, config))
+		return;
+	record.token = config;
+	record.promised = false;
+	ack_survey_add(records, voter, &record);
+}
+
 enum ack_cover_source ack_cover_source(const struct ack_survey *records,
 				       const struct raft_voters *voters,
 				       uint64_t config,
@@ -345,7 +364,7 @@
 	if (!config || !answer->epoch ||
 	    (answer->complete && answer->config == config))
 		return ACK_COVER_NONE;
-	if (answer->current && !status.missing) {
+	if (is_current(answer, config) && !status.missing) {
 		*position = status.acked;
 		return ACK_COVER_RECORDS;
 	}
--- a/lib/control/ack_record.h
+++ b/lib/control/ack_record.h
@@ -58,15 +58,13 @@
  * @group: group
  * @term: term of the primary
  * @token: fencing token of the failover attempt, or the newest term
- * @config: set of voters of the leader, 0 if it is not committed yet
- * @adopted: set of voters of the voter that is asked
+ * @adopted: set of voters of the voter that is asked; not sent to it
  * @promise: nothing may be recorded for terms below @token from now on
  */
 struct ack_question {
 	const char *group;
 	uint64_t term;
 	uint64_t token;
-	uint64_t config;
 	uint64_t adopted;
 	bool promise;
 };
@@ -79,8 +77,8 @@
  * @epoch: identifies the time since when the voter records
  * @config: set of voters in which @complete is known to hold: no caller was
  *          told of a commit above @acked before that set was committed
- * @current: the voter has the same set of voters as the leader, and has lost
- *           nothing that it recorded itself
+ * @remembers: the voter has lost nothing that it recorded itself
+ * @adopted: set of voters that it had as it answered
  * @acked: highest recorded position, 0, 0 for none
  */
 struct ack_answer {
@@ -89,7 +87,8 @@
 	bool complete;
 	uint64_t epoch;
 	uint64_t config;
-	bool current;
+	bool remembers;
+	uint32_t adopted;
 	struct log_position acked;
 };
 
@@ -254,9 +253,19 @@
 	ACK_COVER_PRIMARY,
 };
 
+/**
+ * ack_cover_add() - take an answer into account for others
+ * @records: answers so far
+ * @config: identifies the set of voters, 0 if it is not committed yet
+ * @voter: voter
+ * @answer: its answer, which may be one to an earlier question
+ */
+void ack_cover_add(struct ack_survey *records, uint64_t config, uint64_t voter,
+		   const struct ack_answer *answer);
+
 /**
  * ack_cover_source() - decide how to complete or settle the record of a voter
- * @records: answers with @current set, added with @config as their token
+ * @records: answers that were added
  * @voters: voters
  * @config: identifies them, 0 if they are not committed yet
  * @answer: answer of the voter to be completed
--- a/lib/daemon/control_acks.c
+++ b/lib/daemon/control_acks.c
@@ -166,7 +166,6 @@
 	struct ack_question question = { .group = ask->group,
 					 .term = ask->term,
 					 .token = ask->token,
-					 .config = ask->config,
 					 .promise = ask->promise };
 	struct ack_answer own;
 
@@ -180,7 +179,8 @@
 	out->complete = own.complete;
 	out->epoch = own.epoch;
 	out->config = own.config;
-	out->voter = own.current;
+	out->voter = own.remembers;
+	out->voters = own.adopted;
 	out->position = own.acked;
 	return true;
 }
@@ -192,7 +192,8 @@
 				    .complete = answer->complete,
 				    .epoch = answer->epoch,
 				    .config = answer->config,
-				    .current = answer->voter,
+				    .remembers = answer->voter,
+				    .adopted = answer->voters,
 				    .acked = answer->position };
 }
 
@@ -220,7 +221,6 @@
 		return;
 	LWS_STR_COPY(msg.ack.group, managed->name);
 	msg.ack.term = group->primary_term;
-	msg.ack.config = committed_config(c);
 	for (uint32_t i = 0; i < voters->count; i++) {
 		struct peer *p =
 			control_peer_of_member(c, voters->member[i].id);
@@ -368,9 +368,8 @@
 
 	if (now_us - managed->cover_asked_us < COVER_INTERVAL_US ||
 	    !may_cover(c, group, now_us) ||
-	    all_covered(c, managed, group->primary_term)) {
+	    all_covered(c, managed, group->primary_term))
 		return;
-	}
 	if (managed->cover_config != raft_voters_index(c->raft)) {
 		managed->cover_config = raft_voters_index(c->raft);
 		managed->covers_asked = 0;
@@ -423,13 +422,7 @@
 		set_covered(c, managed, voter, answer);
 	if (!may_cover(c, group, now_us))
 		return;
-	if (own.current) {
-		struct ack_answer record = own;
-
-		record.token = committed_config(c);
-		record.promised = false;
-		ack_survey_add(&managed->records, voter, &record);
-	}
+	ack_cover_add(&managed->records, committed_config(c), voter, &own);
 	LWS_STR_COPY(cover.group, group->name);
 	source = ack_cover_source(&managed->records, raft_voters(c->raft),
 				  committed_config(c), &own, &cover.position);
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -314,11 +314,11 @@
  * @position: ACK_STORE, ACK_STORED, ACK_ANSWER, ACK_COVER: position
  * @token: ACK_ASK, ACK_ANSWER: token of the question
  * @epoch: ACK_ANSWER, ACK_COVER: epoch of the voter
- * @config: ACK_STORED, ACK_ASK, ACK_ANSWER, ACK_COVER: identifies the set of
- *          voters
- * @voters: ACK_STORED: number of voters in that set
- * @voter: ACK_STORED: the sender is one of them. ACK_ANSWER: it has the set of
- *         the question, and has lost nothing that it recorded itself
+ * @config: ACK_STORED, ACK_ANSWER, ACK_COVER: identifies the set of voters
+ * @voters: ACK_STORED: number of voters in that set. ACK_ANSWER: low 32 bits of
+ *          the index of the set that the sender has
+ * @voter: ACK_STORED: the sender is one of them. ACK_ANSWER: it has lost
+ * nothing that it recorded itself
  * @promise: ACK_ASK, ACK_ANSWER: nothing is recorded for terms below @token
  * @complete: ACK_ANSWER: nothing is missing in the record of the term
  */
--- a/tests/test_acks.c
+++ b/tests/test_acks.c
@@ -195,7 +195,7 @@
  * @group_term: newest token of the group
  * @forgets: the process that starts doesn't know that nothing is lost
  * @complete: expected: the record is complete
- * @current: expected: the voter has lost nothing that it recorded
+ * @remembers: expected: the voter has lost nothing that it recorded
  * @stores: expected: it records further commits of term 1
  */
 struct restart_case {
@@ -205,20 +205,20 @@
 	uint64_t group_term;
 	bool forgets;
 	bool complete;
-	bool current;
+	bool remembers;
 	bool stores;
 };
 
 static const struct restart_case restart_cases[] = {
 	{ "keeps-its-record", CONFIG, CONFIG, 1, .complete = true,
-	  .current = true, .stores = true },
+	  .remembers = true, .stores = true },
 	{ "keeps-its-record-through-changes-of-others", CONFIG - 2, CONFIG - 2,
-	  1, .complete = true, .current = true, .stores = true },
-	{ "was-no-voter-in-between", CONFIG - 2, CONFIG, 1, .current = true },
+	  1, .complete = true, .remembers = true, .stores = true },
+	{ "was-no-voter-in-between", CONFIG - 2, CONFIG, 1, .remembers = true },
 	{ "keeps-its-promise", CONFIG, CONFIG, 2, .complete = true,
-	  .current = true },
+	  .remembers = true },
 	{ "has-lost-its-file", 0, CONFIG, 1, .forgets = true },
-	{ "is-new", 0, CONFIG, 1, .current = true },
+	{ "is-new", 0, CONFIG, 1, .remembers = true },
 };
 
 static void test_restart(gconstpointer data)
@@ -236,7 +236,6 @@
 	struct ack_question question = { .group = GROUP,
 					 .term = 1,
 					 .token = c->group_term,
-					 .config = CONFIG,
 					 .adopted = CONFIG };
 	struct log_position next = { 1, 8 };
 	struct ack_answer answer;
@@ -251,7 +250,8 @@
 	ack_record_begin(r, fleet, &tenure);
 	g_assert_true(ack_record_ask(r, &question, &answer));
 	g_assert_cmpint(answer.complete, ==, c->complete);
-	g_assert_cmpint(answer.current, ==, c->current);
+	g_assert_cmpint(answer.remembers, ==, c->remembers);
+	g_assert_cmpuint(answer.adopted, ==, CONFIG);
 	g_assert_cmpuint(answer.acked.number, ==, c->saved_config ? 7 : 0);
 	g_assert_cmpint(ack_record_store(r, GROUP, 1, next), ==, c->stores);
 	g_assert_cmpint(ack_record_next_unsaved(r, &saved), ==, c->stores);
@@ -364,47 +364,47 @@
 	{ "majority",
 	  3,
 	  2,
-	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
-	    { 3, { 5, true, true, 1, CONFIG, true, { 1, 9 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, CONFIG, { 1, 7 } } },
+	    { 3, { 5, true, true, 1, CONFIG, true, CONFIG, { 1, 9 } } } },
 	  0,
 	  0,
 	  9 },
 	{ "incomplete-does-not-count",
 	  3,
 	  2,
-	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
-	    { 3, { 5, true, false, 1, CONFIG, true, { 1, 9 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, CONFIG, { 1, 7 } } },
+	    { 3, { 5, true, false, 1, CONFIG, true, CONFIG, { 1, 9 } } } },
 	  1,
 	  1,
 	  7 },
 	{ "other-instance-does-not-count",
 	  3,
 	  2,
-	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
-	    { 4, { 5, true, true, 1, CONFIG, true, { 1, 9 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, CONFIG, { 1, 7 } } },
+	    { 4, { 5, true, true, 1, CONFIG, true, CONFIG, { 1, 9 } } } },
 	  1,
 	  1,
 	  7 },
 	{ "without-promise",
 	  3,
 	  2,
-	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
-	    { 2, { 5, false, true, 1, CONFIG, true, { 1, 8 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, CONFIG, { 1, 7 } } },
+	    { 2, { 5, false, true, 1, CONFIG, true, CONFIG, { 1, 8 } } } },
 	  0,
 	  1,
 	  8 },
 	{ "promise-is-not-undone",
 	  1,
 	  2,
-	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
-	    { 1, { 5, false, true, 1, CONFIG, true, { 1, 6 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, CONFIG, { 1, 7 } } },
+	    { 1, { 5, false, true, 1, CONFIG, true, CONFIG, { 1, 6 } } } },
 	  0,
 	  0,
 	  7 },
 	{ "earlier-question",
 	  1,
 	  1,
-	  { { 1, { 4, true, true, 1, CONFIG, true, { 1, 7 } } } },
+	  { { 1, { 4, true, true, 1, CONFIG, true, CONFIG, { 1, 7 } } } },
 	  1,
 	  1,
 	  0 },
@@ -412,18 +412,18 @@
 	{ "recorded-by-a-minority",
 	  3,
 	  3,
-	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 9 } } },
-	    { 2, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
-	    { 3, { 5, true, true, 1, CONFIG, true, { 1, 6 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, CONFIG, { 1, 9 } } },
+	    { 2, { 5, true, true, 1, CONFIG, true, CONFIG, { 1, 7 } } },
+	    { 3, { 5, true, true, 1, CONFIG, true, CONFIG, { 1, 6 } } } },
 	  0,
 	  0,
 	  7 },
 	{ "recorded-by-a-minority-one-without-promise",
 	  3,
 	  3,
-	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 9 } } },
-	    { 2, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
-	    { 3, { 5, false, true, 1, CONFIG, true, { 1, 6 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, CONFIG, { 1, 9 } } },
+	    { 2, { 5, true, true, 1, CONFIG, true, CONFIG, { 1, 7 } } },
+	    { 3, { 5, false, true, 1, CONFIG, true, CONFIG, { 1, 6 } } } },
 	  0,
 	  0,
 	  9 },
@@ -432,16 +432,16 @@
 	{ "recorded-in-another-set-of-voters",
 	  2,
 	  2,
-	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 9 } } },
-	    { 2, { 5, true, true, 1, CONFIG - 1, true, { 1, 7 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, CONFIG, { 1, 9 } } },
+	    { 2, { 5, true, true, 1, CONFIG - 1, true, CONFIG, { 1, 7 } } } },
 	  0,
 	  0,
 	  9 },
 	{ "four-voters",
 	  4,
 	  2,
-	  { { 1, { 5, true, true, 1, CONFIG, true, { 1, 7 } } },
-	    { 2, { 5, true, true, 1, CONFIG, true, { 1, 7 } } } },
+	  { { 1, { 5, true, true, 1, CONFIG, true, CONFIG, { 1, 7 } } },
+	    { 2, { 5, true, true, 1, CONFIG, true, CONFIG, { 1, 7 } } } },
 	  1,
 	  1,
 	  7 },
@@ -474,7 +474,8 @@
 	uint32_t count;
 	struct {
 		bool complete;
-		bool current;
+		bool remembers;
+		uint64_t adopted;
 		uint64_t config;
 		uint64_t number;
 	} answers[3];
@@ -486,46 +487,49 @@
 static const struct cover_case cover_cases[] = {
 	{ "settled",
 	  2,
-	  { { true, true, CONFIG, 7 }, { true, true, CONFIG, 6 } },
+	  { { true, true, CONFIG, CONFIG, 7 },
+	    { true, true, CONFIG, CONFIG, 6 } },
 	  ACK_COVER_NONE,
 	  0 },
 	{ "new-voter",
 	  3,
-	  { { true, true, CONFIG, 7 },
-	    { true, true, CONFIG, 6 },
-	    { false, true, CONFIG, 0 } },
+	  { { true, true, CONFIG, CONFIG, 7 },
+	    { true, true, CONFIG, CONFIG, 6 },
+	    { false, true, CONFIG, CONFIG, 0 } },
 	  ACK_COVER_RECORDS,
 	  7 },
 	{ "new-voter-beside-a-silent-one",
 	  2,
-	  { { true, true, CONFIG, 7 }, { false, true, CONFIG, 0 } },
+	  { { true, true, CONFIG, CONFIG, 7 },
+	    { false, true, CONFIG, CONFIG, 0 } },
 	  ACK_COVER_PRIMARY,
 	  0 },
 	/* An instance may have counted what it has forgotten. */
 	{ "file-is-lost",
 	  3,
-	  { { true, true, CONFIG, 7 },
-	    { true, true, CONFIG, 6 },
-	    { false, false, CONFIG, 0 } },
+	  { { true, true, CONFIG, CONFIG, 7 },
+	    { true, true, CONFIG, CONFIG, 6 },
+	    { false, false, CONFIG, CONFIG, 0 } },
 	  ACK_COVER_PRIMARY,
 	  0 },
 	/* The end of the primary's log may be above all that was told. */
 	{ "other-set-of-voters",
 	  3,
-	  { { true, true, CONFIG - 1, 7 },
-	    { true, true, CONFIG - 1, 9 },
-	    { true, true, CONFIG - 1, 6 } },
+	  { { true, true, CONFIG, CONFIG - 1, 7 },
+	    { true, true, CONFIG, CONFIG - 1, 9 },
+	    { true, true, CONFIG, CONFIG - 1, 6 } },
 	  ACK_COVER_RECORDS,
 	  7 },
 	{ "other-set-of-voters-without-a-majority",
 	  1,
-	  { { true, true, CONFIG - 1, 7 } },
+	  { { true, true, CONFIG, CONFIG - 1, 7 } },
 	  ACK_COVER_NONE,
 	  0 },
 	/* It may still add to a majority of the set that it has. */
 	{ "set-of-voters-not-adopted",
 	  2,
-	  { { true, false, CONFIG - 1, 7 }, { false, true, CONFIG, 0 } },
+	  { { true, true, CONFIG - 1, CONFIG - 1, 7 },
+	    { false, true, CONFIG, CONFIG, 0 } },
 	  ACK_COVER_PRIMARY,
 	  0 },
 };
@@ -542,15 +546,14 @@
 		voters.member[i].id = i + 1;
 	for (uint32_t i = 0; i < c->count; i++) {
 		answer = (struct ack_answer){
-			.token = CONFIG,
 			.complete = c->answers[i].complete,
-			.current = c->answers[i].current,
+			.remembers = c->answers[i].remembers,
+			.adopted = (uint32_t)c->answers[i].adopted,
 			.epoch = 1,
 			.config = c->answers[i].config,
 			.acked = { 1, c->answers[i].number },
 		};
-		if (answer.current)
-			ack_survey_add(&records, i + 1, &answer);
+		ack_cover_add(&records, CONFIG, i + 1, &answer);
 	}
 	g_assert_cmpint(
 		ack_cover_source(&records, &voters, CONFIG, &answer, &position),
--- a/tests/test_managed_failover.c
+++ b/tests/test_managed_failover.c
@@ -456,7 +456,6 @@
 	struct ack_question question = { .group = "g",
 					 .term = m->group.primary_term,
 					 .token = token,
-					 .config = m->config,
 					 .adopted = m->config,
 					 .promise = promise };
 	struct ack_survey_status status;
@@ -493,7 +492,6 @@
 	struct ack_question question = { .group = "g",
 					 .term = m->group.primary_term,
 					 .token = m->group.term,
-					 .config = m->config,
 					 .adopted = m->config };
 	struct ack_answer answers[DOMAINS] = { 0 };
 	const struct log_position *end;
@@ -502,17 +500,11 @@
 		return;
 	end = cover_by_primary(m);
 	for (uint32_t i = 0; i < DOMAINS; i++) {
-		struct ack_answer record;
-
 		if (m->d[i].unreachable ||
 		    !ack_record_ask(m->d[i].record, &question, &answers[i]))
 			continue;
-		record = answers[i];
-		record.token = m->config;
-		record.promised = false;
-		if (record.current)
-			ack_survey_add(&m->records, m->voters.member[i].id,
-				       &record);
+		ack_cover_add(&m->records, m->config, m->voters.member[i].id,
+			      &answers[i]);
 	}
 	for (uint32_t i = 0; i < DOMAINS; i++) {
 		struct log_position position;
