Pooler: a primary whose lease has lapsed is asked also without callers

Cause: a primary is replaced once instances of several failure domains report that it does not answer. An instance whose callers have all gone elsewhere asks it nothing, and reports nothing, for ever.

Ruled out: fewer domains for an attempt, or the leader's probe and the lapsed lease alone. Both fail as well if the primary is only cut off from the control instances, while callers of other domains are served.

--- a/lib/session/pooler_group.c
+++ b/lib/session/pooler_group.c
@@ -246,6 +246,23 @@
 	return since < now_us ? now_us - since : 0;
 }
 
+/*
+ * Whether to ask a primary that may be lost though no caller needs it now. Load
+ * pattern: all callers of an instance have gone elsewhere, and a primary is
+ * replaced only if the instances of several failure domains don't reach it. Its
+ * lease has lapsed, or it was suspected when there were callers.
+ */
+static bool must_ask_primary(const struct pool_endpoint *e, uint64_t now_us)
+{
+	uint64_t pause_us =
+		POOL_HANG_FACTOR * e->group->pooler->params.suspect_us;
+
+	if (!e->suspect && (e->present || e->leaving_since_us))
+		return false;
+	return oldest_unanswered_us(e, false) == UINT64_MAX &&
+	       now_us - e->last_contact_us > pause_us;
+}
+
 /*
  * A long statement is no sign of a failure. A leadership check needs no slot,
  * and connections are accepted at any load. So a primary becomes suspect when
@@ -266,7 +283,8 @@
 		(unanswered_us(e, true, now_us) > suspect_us / 2 &&
 		 unanswered_us(e, false, now_us) > suspect_us) ||
 		unanswered_us(e, false, now_us) > suspect_us * POOL_HANG_FACTOR;
-	if (!suspect && unanswered_us(e, false, now_us) > suspect_us / 2)
+	if ((!suspect && unanswered_us(e, false, now_us) > suspect_us / 2) ||
+	    must_ask_primary(e, now_us))
 		pool_check_primary(g, now_us);
 	if (suspect != e->suspect) {
 		e->suspect = suspect;
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -416,6 +416,37 @@
  * Both replicas lag too far behind: each instance sends each of them only one
  * statement per pause, and keeps the others queued.
  */
+/*
+ * No caller uses the group when its primary is lost. Guards against instances
+ * that report nothing, so that the primary is never replaced, and against those
+ * that suspect it for good after it has returned.
+ */
+static void test_lost_primary_without_callers(void)
+{
+	struct pool_sim_params params = pool_sim_abay(7);
+	struct pool_sim *sim = pool_sim_create(&params);
+	uint64_t reports;
+
+	sim->stopped = true;
+	pool_sim_run(sim, 2000 * MS);
+	g_assert_cmpuint(sim->reports, ==, 0);
+	sim->endpoints[0].unresponsive = true;
+	sim->endpoints[0].refuses_connections = true;
+	sim->fleet->groups[0].endpoint[0].present = false;
+	pool_sim_fleet_changed(sim);
+	pool_sim_run(sim, 3000 * MS);
+	g_assert_cmpuint(sim->reports, >=, params.instances);
+	sim->endpoints[0].unresponsive = false;
+	sim->endpoints[0].refuses_connections = false;
+	sim->fleet->groups[0].endpoint[0].present = true;
+	pool_sim_fleet_changed(sim);
+	pool_sim_run(sim, 3000 * MS);
+	reports = sim->reports;
+	pool_sim_run(sim, 3000 * MS);
+	g_assert_cmpuint(sim->reports, ==, reports);
+	pool_sim_free(sim);
+}
+
 static void test_lagging_replicas_get_few_statements(void)
 {
 	struct pool_sim_params params = pool_sim_refugio(1);
@@ -1630,6 +1661,8 @@
 			test_day_fresh_reads_at_former_primary);
 	g_test_add_func("/pooler/forward/opens-few-connections",
 			test_forward_opens_few_connections);
+	g_test_add_func("/pooler/lost-primary-without-callers",
+			test_lost_primary_without_callers);
 	g_test_add_func("/pooler/lagging-replicas-get-few-statements",
 			test_lagging_replicas_get_few_statements);
 	g_test_add_func("/pooler/learned/refuses-unreplaced",
