Record of acknowledged commits: a complete record takes over nothing

Cause: the new voter had to take over the end of the primary's log, as too few others answered. When the changed set was settled, its bound reached the record of the other one that answered, and through both the third.

Change: only incomplete records are completed. A complete one stays what its voter recorded: since it was a voter in all sets in between, any majority of such records bounds what was told (highest_told()). So the bound of one new voter doesn't count any more once a majority of the others answers.

--- a/lib/control/ack_record.c
+++ b/lib/control/ack_record.c
@@ -280,7 +280,7 @@
  * settled in this set of voters, a majority must have recorded it: those that
  * answered with at least this position, and all that did not answer. Otherwise
  * it may have been told in an earlier set; any majority of those that answered
- * includes a voter that recorded it then, or was settled later. So the lowest
+ * includes a voter that recorded it then, or was completed later. So the lowest
  * of what such majorities have is enough.
  */
 static struct log_position highest_told(struct position_list *list,
@@ -361,12 +361,11 @@
 	struct ack_survey_status status =
 		ack_survey_status(records, voters, config, config);
 
-	if (!config || !answer->epoch ||
-	    (answer->complete && answer->config == config))
+	if (!config || !answer->epoch || answer->complete)
 		return ACK_COVER_NONE;
 	if (is_current(answer, config) && !status.missing) {
 		*position = status.acked;
 		return ACK_COVER_RECORDS;
 	}
-	return answer->complete ? ACK_COVER_NONE : ACK_COVER_PRIMARY;
+	return ACK_COVER_PRIMARY;
 }
--- a/lib/control/ack_record.h
+++ b/lib/control/ack_record.h
@@ -43,9 +43,8 @@
  *     position that an instance has counted.
  *
  * The end of the primary's log may be above all that was acknowledged; if the
- * primary is lost then, no endpoint ever has it. So records that are complete
- * never take it over. After a change of the voters they are settled by what a
- * majority of them has, too.
+ * primary is lost then, no endpoint ever has it. So a record that is complete
+ * never takes over a position, neither from the primary nor from others.
  *
  * A minority may have recorded a position that no caller was told of. It
  * doesn't count if enough voters answer that have not recorded it.
@@ -185,7 +184,7 @@
 		    struct ack_answer *answer);
 
 /**
- * ack_record_cover() - complete the record of a group, or settle it
+ * ack_record_cover() - complete the record of a group
  * @r: record
  * @group: group
  * @term: term of the primary
@@ -243,7 +242,7 @@
 					   const struct raft_voters *voters,
 					   uint64_t config, uint64_t token);
 
-/** enum ack_cover_source - what a record is to be completed or settled with */
+/** enum ack_cover_source - what a record is to be completed with */
 enum ack_cover_source {
 	/** nothing is missing, or nothing can be done yet */
 	ACK_COVER_NONE,
@@ -264,7 +263,7 @@
 		   const struct ack_answer *answer);
 
 /**
- * ack_cover_source() - decide how to complete or settle the record of a voter
+ * ack_cover_source() - decide how to complete the record of a voter
  * @records: answers that were added
  * @voters: voters
  * @config: identifies them, 0 if they are not committed yet
--- a/lib/daemon/control_acks.c
+++ b/lib/daemon/control_acks.c
@@ -339,7 +339,6 @@
 
 		if (v->voter == voter)
 			return v->term == term &&
-			       v->config == raft_voters_index(c->raft) &&
 			       v->incarnation == incarnation_of(c, voter);
 	}
 	return false;
@@ -400,7 +399,6 @@
 			.voter = voter,
 			.incarnation = incarnation_of(c, voter),
 			.term = answer->term,
-			.config = answer->config,
 		};
 }
 
--- a/lib/daemon/control_managed.h
+++ b/lib/daemon/control_managed.h
@@ -12,13 +12,11 @@
  * @voter: identity, 0 for an unused entry
  * @incarnation: of the process that answered
  * @term: term
- * @config: set of voters in which it is
  */
 struct covered_voter {
 	uint64_t voter;
 	uint64_t incarnation;
 	uint64_t term;
-	uint64_t config;
 };
 
 /**
@@ -26,8 +24,8 @@
  * @name: group
  * @failover: state machine
  * @survey: answers of the voters in the attempt in progress
- * @records: answers of the voters that complete and settle their records
- * @covered: voters whose records need none of that
+ * @records: answers of the voters that complete the records of others
+ * @covered: voters whose records are complete
  * @cover_asked_us: when the voters were last asked for it
  * @cover_config: in which set of voters they were asked
  * @covers_asked: how many times in that set
