--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,8 +5,10 @@
 cd "$(dirname "$0")/.."
 make -s -j4 BUILD=target target/platform_standin
 mkdir -p target/review-3
-cc -std=gnu11 -O1 -Wall -Wextra -o target/review-3/backend \
-	review/kit-3/backend.c -lpthread
+for name in backend proxy; do
+	cc -std=gnu11 -D_GNU_SOURCE -O1 -Wall -Wextra \
+		-o "target/review-3/$name" "review/kit-3/$name.c" -lpthread
+done
 for dir in review/1[1-5]; do
 	n=${dir#review/}
 	for source in "$dir"/*.c; do
