--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,10 +5,8 @@
 cd "$(dirname "$0")/.."
 make -s -j4 BUILD=target target/platform_standin
 mkdir -p target/review-3
-for name in backend proxy; do
-	cc -std=gnu11 -D_GNU_SOURCE -O1 -Wall -Wextra \
-		-o "target/review-3/$name" "review/kit-3/$name.c" -lpthread
-done
+cc -std=gnu11 -D_GNU_SOURCE -O1 -Wall -Wextra \
+	-o target/review-3/backend review/kit-3/backend.c -lpthread
 for dir in review/1[1-5]; do
 	n=${dir#review/}
 	for source in "$dir"/*.c; do
--- a/review/kit-3/fleet.sh
+++ b/review/kit-3/fleet.sh
@@ -38,8 +38,6 @@
 }
 
 core_ip() { echo "$NET.$((10 + $1))"; }
-# Where other machines reach the internal port: at a proxy, with PROXY=1.
-core_reached() { echo "$NET.$((${PROXY:-0} * 100 + 10 + $1))"; }
 edge_ip() { echo "$NET.$((30 + $1))"; }
 
 # Settings as the pages show them, with the bounds of the small deployments.
@@ -54,7 +52,7 @@
 	zones.z3=r1
 	zones.z4=r1
 	internal_ports=7560,7575
-	seeds=$(core_reached 1):8462,$(core_reached 2):8462,$(core_reached 3):8462
+	seeds=$(core_ip 1):8462,$(core_ip 2):8462,$(core_ip 3):8462
 	bootstrap=$4
 	heartbeat_ms=1200
 	cloud_api.address=$CLOUD
@@ -91,7 +89,7 @@
 	settings "core-$1" "$(core_ip "$1")" "$1" "${2:-true}" core \
 		>"$TMP/core-$1.conf"
 	start "core-$1" env -i PATH="$PATH" \
-		LACEWINGSPAN_PEER_ADVERTISE="$(core_reached "$1"):7560" \
+		LACEWINGSPAN_PEER_ADVERTISE="$(core_ip "$1"):7560" \
 		LACEWINGSPAN_CONFIG="$TMP/core-$1.conf" "$DAEMON"
 }
 
@@ -102,15 +100,6 @@
 		LACEWINGSPAN_CONFIG="$TMP/edge-$1.conf" "$DAEMON"
 }
 
-start_proxy() {
-	local n pairs=
-	for n in 1 2 3 4; do
-		pairs="$pairs $(core_reached $n):7560=$(core_ip $n):7560"
-	done
-	# shellcheck disable=SC2086
-	start proxy "$TOOLS/proxy" "$TMP/cut" $pairs
-}
-
 # Four core and eight edge machines in four zones.
 start_fleet() {
 	local n
