--- a/review/11/client.c
+++ b/review/11/client.c
@@ -41,17 +41,18 @@
 	char body[2048];
 	int status;
 
-	snprintf(body, sizeof(body),
-		 "{\"version\":%d,\"routes\":[{\"name\":\"r1\",\"host\":\"db1\","
-		 "\"path_prefix\":\"/\",\"type\":\"primary\",\"timeout_ms\":%d,"
-		 "\"target_latency_ms\":120,\"priority\":1,\"service\":\"svc1\","
-		 "\"max_attempts\":2,\"public\":false}],\"services\":[{\"name\":"
-		 "\"svc1\",\"health_path\":\"/health\",\"max_conns\":21,"
-		 "\"protocol\":\"h1\",\"tls\":false,\"sync_replicas\":1}],"
-		 "\"limits\":{\"tx_idle_ms\":3000},\"tenants\":[{\"name\":"
-		 "\"tenant1\",\"api_keys\":[\"key1\"],\"priority\":1,"
-		 "\"rate_per_s\":100,\"burst\":100}]}",
-		 version, 800 + version % 10);
+	snprintf(
+		body, sizeof(body),
+		"{\"version\":%d,\"routes\":[{\"name\":\"r1\",\"host\":\"db1\","
+		"\"path_prefix\":\"/\",\"type\":\"primary\",\"timeout_ms\":%d,"
+		"\"target_latency_ms\":120,\"priority\":1,\"service\":\"svc1\","
+		"\"max_attempts\":2,\"public\":false}],\"services\":[{\"name\":"
+		"\"svc1\",\"health_path\":\"/health\",\"max_conns\":21,"
+		"\"protocol\":\"h1\",\"tls\":false,\"sync_replicas\":1}],"
+		"\"limits\":{\"tx_idle_ms\":3000},\"tenants\":[{\"name\":"
+		"\"tenant1\",\"api_keys\":[\"key1\"],\"priority\":1,"
+		"\"rate_per_s\":100,\"burst\":100}]}",
+		version, 800 + version % 10);
 	note("config %d sent", version);
 	for (int i = 0; i < cores_count && !stop; i++) {
 		status = http_call(cores[(version + i) % cores_count], "POST",
@@ -71,9 +72,9 @@
 	for (int n = 0; !stop; n++) {
 		char text[4096];
 		int version = 0;
-		int status = http_call(cores[n % cores_count], "GET",
-				       "/v1/config/read", "", text,
-				       sizeof(text));
+		int status =
+			http_call(cores[n % cores_count], "GET",
+				  "/v1/config/read", "", text, sizeof(text));
 
 		(void)sscanf(text, "{\"version\":%d", &version);
 		if (status == 200)
--- a/review/12/client.c
+++ b/review/12/client.c
@@ -15,7 +15,8 @@
 #define THAW_AFTER_MS 500
 #define PAUSE_MS 4000
 
-/* The route of the first database moves; the others keep both services in use. */
+/* The route of the first database moves; the others keep both services in use.
+ */
 enum { MOVED, STAYS, STAYS_TOO };
 static const char *const databases[] = { "moved", "stays", "stays-too" };
 
@@ -42,14 +43,13 @@
 	pthread_mutex_unlock(&lock);
 }
 
-static void make_config(char *out, size_t size, int version, const char *service,
-			int timeout_ms)
+static void make_config(char *out, size_t size, int version,
+			const char *service, int timeout_ms)
 {
 	size_t n;
 
-	n = (size_t)snprintf(
-		out, size,
-		"{\"version\":%d,\"routes\":[", version);
+	n = (size_t)snprintf(out, size, "{\"version\":%d,\"routes\":[",
+			     version);
 	for (int i = 0; i < 3; i++)
 		n += (size_t)snprintf(
 			out + n, size - n,
@@ -71,8 +71,9 @@
 			"\"max_conns\":21,\"protocol\":\"h1\",\"tls\":false,"
 			"\"sync_replicas\":1}",
 			i > 1 ? "," : "", i);
-	n += (size_t)snprintf(out + n, size - n,
-			      "],\"limits\":{\"tx_idle_ms\":3000},\"tenants\":[");
+	n += (size_t)snprintf(
+		out + n, size - n,
+		"],\"limits\":{\"tx_idle_ms\":3000},\"tenants\":[");
 	for (int i = 0; i < CUSTOMERS; i++)
 		n += (size_t)snprintf(
 			out + n, size - n,
@@ -91,9 +92,9 @@
 	note("config %d service %s timeout_ms %d sent", version, service,
 	     timeout_ms);
 	for (int i = 0; i < 60; i++) {
-		int status = http_call(cores[(version + i) % cores_count],
-				       "POST", "/v1/config/replace", body, NULL,
-				       0);
+		int status =
+			http_call(cores[(version + i) % cores_count], "POST",
+				  "/v1/config/replace", body, NULL, 0);
 
 		if (status == 200) {
 			note("config %d acknowledged", version);
--- a/review/13/client.c
+++ b/review/13/client.c
@@ -15,7 +15,8 @@
 #define SETTLE_MS 150
 #define PAUSE_MS 4000
 
-/* The route of the first database moves; the others keep both services in use. */
+/* The route of the first database moves; the others keep both services in use.
+ */
 enum { MOVED, STAYS, STAYS_TOO };
 static const char *const databases[] = { "moved", "stays", "stays-too" };
 
@@ -41,14 +42,13 @@
 	pthread_mutex_unlock(&lock);
 }
 
-static void make_config(char *out, size_t size, int version, const char *service,
-			int timeout_ms)
+static void make_config(char *out, size_t size, int version,
+			const char *service, int timeout_ms)
 {
 	size_t n;
 
-	n = (size_t)snprintf(
-		out, size,
-		"{\"version\":%d,\"routes\":[", version);
+	n = (size_t)snprintf(out, size, "{\"version\":%d,\"routes\":[",
+			     version);
 	for (int i = 0; i < 3; i++)
 		n += (size_t)snprintf(
 			out + n, size - n,
@@ -70,8 +70,9 @@
 			"\"max_conns\":21,\"protocol\":\"h1\",\"tls\":false,"
 			"\"sync_replicas\":1}",
 			i > 1 ? "," : "", i);
-	n += (size_t)snprintf(out + n, size - n,
-			      "],\"limits\":{\"tx_idle_ms\":3000},\"tenants\":[");
+	n += (size_t)snprintf(
+		out + n, size - n,
+		"],\"limits\":{\"tx_idle_ms\":3000},\"tenants\":[");
 	for (int i = 0; i < CUSTOMERS; i++)
 		n += (size_t)snprintf(
 			out + n, size - n,
@@ -90,9 +91,9 @@
 	note("config %d service %s timeout_ms %d sent", version, service,
 	     timeout_ms);
 	for (int i = 0; i < 60; i++) {
-		int status = http_call(cores[(version + i) % cores_count],
-				       "POST", "/v1/config/replace", body, NULL,
-				       0);
+		int status =
+			http_call(cores[(version + i) % cores_count], "POST",
+				  "/v1/config/replace", body, NULL, 0);
 
 		if (status == 200) {
 			note("config %d acknowledged", version);
@@ -150,9 +151,8 @@
 		char key[16];
 
 		snprintf(key, sizeof(key), "key%d", i % CUSTOMERS);
-		if (s->conn.fd < 0 &&
-		    !open_session(&s->conn, edges[s->edge], databases[MOVED],
-				  key))
+		if (s->conn.fd < 0 && !open_session(&s->conn, edges[s->edge],
+						    databases[MOVED], key))
 			continue;
 		a = ask(&s->conn, "QUERY %s-%d-%s WRITE %s %d-%s", s->item,
 			round, service, s->item, round, service);
@@ -208,8 +208,7 @@
 	for (bool served = false; !served;) {
 		struct conn c;
 
-		served = open_session(&c, edges[0], databases[MOVED],
-				      "key0") &&
+		served = open_session(&c, edges[0], databases[MOVED], "key0") &&
 			 ask(&c, "QUERY probe READ s0").success;
 		close_session(&c);
 		if (now_s() > end)
--- a/review/14/client.c
+++ b/review/14/client.c
@@ -36,17 +36,18 @@
 {
 	char body[2048];
 
-	snprintf(body, sizeof(body),
-		 "{\"version\":%d,\"routes\":[{\"name\":\"r1\",\"host\":\"db1\","
-		 "\"path_prefix\":\"/\",\"type\":\"primary\",\"timeout_ms\":800,"
-		 "\"target_latency_ms\":120,\"priority\":1,\"service\":\"svc1\","
-		 "\"max_attempts\":2,\"public\":false}],\"services\":[{\"name\":"
-		 "\"svc1\",\"health_path\":\"/health\",\"max_conns\":21,"
-		 "\"protocol\":\"h1\",\"tls\":false,\"sync_replicas\":1}],"
-		 "\"limits\":{\"tx_idle_ms\":3000},\"tenants\":[{\"name\":"
-		 "\"tenant1\",\"api_keys\":[\"key1\"],\"priority\":1,"
-		 "\"rate_per_s\":%d,\"burst\":%d}]}",
-		 version, limit, limit);
+	snprintf(
+		body, sizeof(body),
+		"{\"version\":%d,\"routes\":[{\"name\":\"r1\",\"host\":\"db1\","
+		"\"path_prefix\":\"/\",\"type\":\"primary\",\"timeout_ms\":800,"
+		"\"target_latency_ms\":120,\"priority\":1,\"service\":\"svc1\","
+		"\"max_attempts\":2,\"public\":false}],\"services\":[{\"name\":"
+		"\"svc1\",\"health_path\":\"/health\",\"max_conns\":21,"
+		"\"protocol\":\"h1\",\"tls\":false,\"sync_replicas\":1}],"
+		"\"limits\":{\"tx_idle_ms\":3000},\"tenants\":[{\"name\":"
+		"\"tenant1\",\"api_keys\":[\"key1\"],\"priority\":1,"
+		"\"rate_per_s\":%d,\"burst\":%d}]}",
+		version, limit, limit);
 	note("config %d sent: rate_per_s %d, burst %d", version, limit, limit);
 	for (int i = 0; i < 60; i++) {
 		if (http_call(cores[i % cores_count], "POST",
--- a/review/kit-3/backend.c
+++ b/review/kit-3/backend.c
@@ -223,8 +223,7 @@
 		pthread_mutex_lock(&lock);
 		received = commits_count;
 		pthread_mutex_unlock(&lock);
-		return reply(l,
-			     "DATAROW %s 1 1.%d 0 %d 0 1\r\nCOMPLETE -\r\n",
+		return reply(l, "DATAROW %s 1 1.%d 0 %d 0 1\r\nCOMPLETE -\r\n",
 			     is_primary(l) ? "primary" : "replica", received,
 			     is_primary(l) ? 0 : (int)(lag_s * 1000));
 	}
@@ -275,8 +274,10 @@
 	char id[NAME_SIZE + 16];
 
 	snprintf(id, sizeof(id), "%s-%d", service, l->backend);
-	if (sscanf(line, "STARTUP %63s %63s %63s", name, l->tenant, expect) < 2 ||
-	    strcmp(name, service) != 0 || (*expect && strcmp(expect, id) != 0)) {
+	if (sscanf(line, "STARTUP %63s %63s %63s", name, l->tenant, expect) <
+		    2 ||
+	    strcmp(name, service) != 0 ||
+	    (*expect && strcmp(expect, id) != 0)) {
 		(void)send_all(l->conn.fd, "ERROR MISROUTED -\r\n", 19);
 		return false;
 	}
@@ -391,9 +392,9 @@
 				 service, ip, port + i, i + 1,
 				 i ? "replica" : "primary", seq + 1, born_ms);
 			for (int k = 0; k < cores_count; k++) {
-				if (http_call(cores[(seq + i + k) % cores_count],
-					      "POST", path, body, NULL,
-					      0) == 200)
+				if (http_call(
+					    cores[(seq + i + k) % cores_count],
+					    "POST", path, body, NULL, 0) == 200)
 					break;
 			}
 		}
--- a/review/kit-3/net.h
+++ b/review/kit-3/net.h
@@ -49,7 +49,8 @@
 		return false;
 	*colon = '\0';
 	*out = (struct sockaddr_in){ .sin_family = AF_INET,
-				     .sin_port = htons((uint16_t)atoi(colon + 1)) };
+				     .sin_port =
+					     htons((uint16_t)atoi(colon + 1)) };
 	return inet_pton(AF_INET, copy, &out->sin_addr) == 1;
 }
 
@@ -158,8 +159,7 @@
 		else if (strncmp(line, "COMPLETE ", 9) == 0)
 			snprintf(a.tag, sizeof(a.tag), "%.127s", line + 9);
 		else if (strncmp(line, "ERROR ", 6) == 0)
-			snprintf(a.error, sizeof(a.error), "%.127s",
-				 line + 6);
+			snprintf(a.error, sizeof(a.error), "%.127s", line + 6);
 		else if (strncmp(line, "READY ", 6) == 0) {
 			a.received = true;
 			a.state = line[6];
@@ -197,8 +197,8 @@
 
 /* Returns the HTTP status, or 0 without an answer. */
 static inline int http_call(const char *addr, const char *method,
-			    const char *path, const char *body,
-			    char *out, size_t size)
+			    const char *path, const char *body, char *out,
+			    size_t size)
 {
 	char head[512];
 	char *answer;
@@ -210,10 +210,11 @@
 
 	if (fd < 0)
 		return 0;
-	snprintf(head, sizeof(head),
-		 "%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n"
-		 "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
-		 method, path, addr, strlen(body));
+	snprintf(
+		head, sizeof(head),
+		"%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n"
+		"Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
+		method, path, addr, strlen(body));
 	answer = calloc(1, room + 1);
 	if (send_all(fd, head, strlen(head)) &&
 	    send_all(fd, body, strlen(body))) {
