Pooler: a session remembers its commits by group, and takes all along

Cause: a session kept one position, of its last commit, with one group. And an operation took the position of the accepting instance's group to the holder, whose configuration may give another group.

Change: struct session_marks, a mark for each group, shared with the tokens of the built-in interface. The whole list travels with an operation, and the holder, which chooses the group, picks its own. What isn't known (more than 32 groups, messages of an earlier version) is read at the primary; 0, 0 is a known "none". A holder says that it reads lists by a WIRE_FORWARD_PONG without a question, which earlier versions ignore; until then an operation has the earlier form, and a holder takes its position only if both have the same configuration. docs/design/session-marks.md.

--- a/lib/authenticate/session_token.c
+++ b/lib/authenticate/session_token.c
@@ -40,12 +40,12 @@
 	uint8_t *at = raw;
 
 	*at++ = VERSION;
-	*at++ = token->overflow ? FLAG_OVERFLOW : 0;
+	*at++ = token->marks.overflow ? FLAG_OVERFLOW : 0;
 	at = put_u64(at, token->customer);
-	for (uint32_t i = 0; i < token->count; i++) {
-		at = put_u64(at, token->marks[i].group);
-		at = put_u64(at, token->marks[i].term);
-		at = put_u64(at, token->marks[i].position);
+	for (uint32_t i = 0; i < token->marks.count; i++) {
+		at = put_u64(at, token->marks.list[i].group);
+		at = put_u64(at, token->marks.list[i].term);
+		at = put_u64(at, token->marks.list[i].position);
 	}
 	crypto_generichash(at, MAC_BYTES, raw, (size_t)(at - raw), secret,
 			   SESSION_SECRET_BYTES);
@@ -82,45 +82,23 @@
 		return LWS_E_TOKEN_BAD;
 	if (check_mac(raw, len, secret) || raw[0] != VERSION)
 		return LWS_E_TOKEN_BAD;
-	token->overflow = raw[1] & FLAG_OVERFLOW;
+	token->marks.overflow = raw[1] & FLAG_OVERFLOW;
 	at = get_u64(at + 2, &token->customer);
-	token->count =
+	token->marks.count =
 		(uint32_t)((len - HEADER_BYTES - MAC_BYTES) / MARK_BYTES);
-	for (uint32_t i = 0; i < token->count; i++) {
-		at = get_u64(at, &token->marks[i].group);
-		at = get_u64(at, &token->marks[i].term);
-		at = get_u64(at, &token->marks[i].position);
+	for (uint32_t i = 0; i < token->marks.count; i++) {
+		at = get_u64(at, &token->marks.list[i].group);
+		at = get_u64(at, &token->marks.list[i].term);
+		at = get_u64(at, &token->marks.list[i].position);
 	}
 	return token->customer == customer ? 0 : LWS_E_TOKEN_FOREIGN;
 }
 
-const struct session_mark *session_token_find(const struct session_token *token,
-					      uint64_t group)
-{
-	for (uint32_t i = 0; i < token->count; i++) {
-		if (token->marks[i].group == group)
-			return &token->marks[i];
-	}
-	return NULL;
-}
-
 void session_token_advance(struct session_token *token, uint64_t group,
 			   uint64_t term, uint64_t position)
 {
-	struct session_mark *mark =
-		(struct session_mark *)session_token_find(token, group);
+	struct session_mark *mark = session_marks_at(&token->marks, group);
 
-	if (!mark && token->count == SESSION_GROUPS_MAX) {
-		/* Drop the first mark; reads of its group go to the primary. */
-		memmove(token->marks, token->marks + 1,
-			(SESSION_GROUPS_MAX - 1) * sizeof(*mark));
-		token->count--;
-		token->overflow = true;
-	}
-	if (!mark) {
-		mark = &token->marks[token->count++];
-		*mark = (struct session_mark){ .group = group };
-	}
 	if (term > mark->term)
 		mark->term = term;
 	if (position > mark->position)
--- a/lib/authenticate/session_token.h
+++ b/lib/authenticate/session_token.h
@@ -5,6 +5,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "session_marks.h"
+
 /**
  * DOC: Session tokens.
  *
@@ -18,35 +20,17 @@
  * keyed BLAKE2b hash of all preceding bytes (16). Integers are little-endian.
  */
 
-#define SESSION_GROUPS_MAX 32
 #define SESSION_SECRET_BYTES 32
 #define SESSION_TEXT_MAX 1536
 
-/**
- * struct session_mark - high-water mark of the session's writes to one group
- * @group: session_name_hash() of the group
- * @term: highest term of an acknowledged write
- * @position: highest log position of an acknowledged write
- */
-struct session_mark {
-	uint64_t group;
-	uint64_t term;
-	uint64_t position;
-};
-
 /**
  * struct session_token - a decoded token
  * @customer: session_name_hash() of the customer it was issued to
- * @overflow: the session wrote to more groups than fit; reads of a group that
- *            is not listed go to its primary
- * @count: number of @marks
- * @marks: one for each group, in order of the first write to the group
+ * @marks: what the session wrote
  */
 struct session_token {
 	uint64_t customer;
-	bool overflow;
-	uint32_t count;
-	struct session_mark marks[SESSION_GROUPS_MAX];
+	struct session_marks marks;
 };
 
 /** session_name_hash() - hash the name of a customer or group */
@@ -74,10 +58,6 @@
 int session_token_decode(const char *text, const uint8_t *secret,
 			 uint64_t customer, struct session_token *token);
 
-/** session_token_find() - mark of a group, NULL when it is not listed */
-const struct session_mark *session_token_find(const struct session_token *token,
-					      uint64_t group);
-
 /**
  * session_token_advance() - record an acknowledged write
  *
--- a/lib/daemon/caller_request_parse.c
+++ b/lib/daemon/caller_request_parse.c
@@ -199,13 +199,13 @@
 static void set_session_position(struct caller_request *request)
 {
 	const struct session_mark *mark =
-		session_token_find(&request->token, request->group_hash);
+		session_marks_find(&request->token.marks, request->group_hash);
 	struct router_request *routing = &request->group_request->routing;
 
 	if (mark) {
 		routing->mark_term = mark->term;
 		routing->mark_position = mark->position;
-	} else if (request->token.overflow) {
+	} else if (request->token.marks.overflow) {
 		routing->at_primary = true;
 	}
 }
--- a/lib/daemon/forward_channel.c
+++ b/lib/daemon/forward_channel.c
@@ -115,6 +115,7 @@
 	link->channels = ch;
 	link->channels_count++;
 	msg.forward.channel = ch->number;
+	msg.forward.operation.marks_listed = link->lists_marks;
 	forward_send(link, &msg);
 	return ch;
 }
--- a/lib/daemon/forward_internal.h
+++ b/lib/daemon/forward_internal.h
@@ -33,6 +33,12 @@
 	struct stream *stream;
 	enum link_state state;
 	bool hello_received;
+	/*
+	 * Dialled: the holder reads lists of marks. It says so by a
+	 * WIRE_FORWARD_PONG without a question, which earlier versions ignore.
+	 */
+	bool lists_marks;
+	bool pinged;
 	struct link_watch watch;
 	uint64_t last_channel;
 	uint32_t channels_count;
--- a/lib/daemon/forward_io.c
+++ b/lib/daemon/forward_io.c
@@ -167,6 +167,7 @@
 		forward_send_type(link, WIRE_FORWARD_PONG);
 		return 0;
 	case WIRE_FORWARD_PONG:
+		link->lists_marks |= !link->pinged;
 		return 0;
 	case WIRE_FORWARD_DRAIN:
 		if (link->holder)
@@ -313,6 +314,7 @@
 		return;
 	}
 	forward_send_type(link, WIRE_FORWARD_HELLO);
+	forward_send_type(link, WIRE_FORWARD_PONG);
 	if (io->draining)
 		forward_send_type(link, WIRE_FORWARD_DRAIN);
 }
@@ -327,6 +329,7 @@
 	case LINK_WATCH_WAIT:
 		return;
 	case LINK_WATCH_PING:
+		link->pinged = true;
 		forward_send_type(link, WIRE_FORWARD_PING);
 		return;
 	case LINK_WATCH_NOT_CONNECTED:
--- a/lib/session/forward.h
+++ b/lib/session/forward.h
@@ -3,6 +3,7 @@
 
 #include "cfg.h"
 #include "session.h"
+#include "session_marks.h"
 #include "statement.h"
 
 /**
@@ -21,7 +22,12 @@
  * @key: hash of the caller's API key; the holder checks it again
  * @version: catalog version at the accepting instance; the holder takes the
  *           operation only if its own catalog is not older
- * @committed: position of the session's last commit in the group; 0, 0 for none
+ * @marks_listed: @marks is what the accepting instance knows. A message of an
+ *                earlier version has @committed instead, and so has one to an
+ *                instance that is not known to read @marks
+ * @marks: what the session committed, by group: the holder chooses the group
+ * @committed: position of the last commit in the group that the database has in
+ *             @version of the catalog; 0, 0 for none
  * @values_count, @values: session values
  * @prepared_count, @prepared: prepared statements that the operation may use
  * @statement: first statement
@@ -30,6 +36,8 @@
 	struct text database;
 	uint8_t key[CFG_HASH_BYTES];
 	uint64_t version;
+	bool marks_listed;
+	struct session_marks marks;
 	struct log_position committed;
 	uint32_t values_count;
 	const struct session_value *values;
--- a/lib/session/pooler.c
+++ b/lib/session/pooler.c
@@ -396,6 +396,7 @@
 	p->groups = grown;
 	g->pooler = p;
 	LWS_STR_COPY(g->name, name);
+	g->name_hash = session_name_hash(name);
 	p->groups[p->groups_count++] = g;
 	return g;
 }
--- a/lib/session/pooler_answers.c
+++ b/lib/session/pooler_answers.c
@@ -105,9 +105,7 @@
 		return false;
 	/* Setup commands before the BEGIN do not confirm leadership. */
 	if (conn->step == STEP_BEGIN)
-		return !conn->expected &&
-		       !(s->job.kind == JOB_FIRST_IN_TRANSACTION &&
-			 s->read_only && s->reads != CATALOG_READS_PRIMARY);
+		return !conn->expected && !s->job.anywhere;
 	return conn->step == STEP_STATEMENT && s->job.writes;
 }
 
--- a/lib/session/pooler_dispatch.c
+++ b/lib/session/pooler_dispatch.c
@@ -179,14 +179,20 @@
 	uint64_t age_us = s->max_age_ms * LWS_US_PER_MS;
 	const struct pool_position_sample *sample = oldest_sample_since(
 		job->group, from_us > age_us ? from_us - age_us : 0);
+	const struct session_mark *mark;
+	struct log_position committed;
 
 	if (!sample)
 		return false;
 	job->min_position = sample->position;
-	if (s->reads == CATALOG_READS_YOUR_WRITES &&
-	    strcmp(s->committed_group, job->group->name) == 0 &&
-	    log_position_cmp(s->committed, job->min_position) > 0)
-		job->min_position = s->committed;
+	if (s->reads != CATALOG_READS_YOUR_WRITES)
+		return true;
+	mark = session_marks_find(&s->marks, job->group->name_hash);
+	if (!mark)
+		return true;
+	committed = (struct log_position){ mark->term, mark->position };
+	if (log_position_cmp(committed, job->min_position) > 0)
+		job->min_position = committed;
 	return true;
 }
 
--- a/lib/session/pooler_forward.c
+++ b/lib/session/pooler_forward.c
@@ -1,8 +1,8 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "lws_str.h"
 #include "pooler_internal.h"
+#include "session_token.h"
 
 /* Operations that a holder runs */
 
@@ -50,7 +50,7 @@
 			  const struct statement *st, bool writes)
 {
 	return writes || st->kind == STATEMENT_BEGIN ||
-	       s->reads == CATALOG_READS_PRIMARY;
+	       pooler_reads_at_primary(s);
 }
 
 /*
@@ -114,9 +114,11 @@
 
 static struct log_position committed_in_group(const struct pool_session *s)
 {
-	if (strcmp(s->committed_group, s->job.group->name) == 0)
-		return s->committed;
-	return (struct log_position){ 0 };
+	const struct session_mark *mark =
+		session_marks_find(&s->marks, s->job.group->name_hash);
+
+	return mark ? (struct log_position){ mark->term, mark->position }
+		    : (struct log_position){ 0 };
 }
 
 /* Prepared statements that the operation may use. */
@@ -166,6 +168,8 @@
 	struct forwarded_operation op = {
 		.database = text_of(s->database),
 		.version = p->catalog->version,
+		.marks_listed = true,
+		.marks = s->marks,
 		.committed = committed_in_group(s),
 		.values_count = s->record.values_count,
 		.values = s->record.values,
@@ -276,14 +280,17 @@
 
 /*
  * The holder's configuration chose the group, which may be another one than
- * here. A holder of an earlier version doesn't name it.
+ * here. A holder of an earlier version doesn't name it; what the session
+ * committed in groups that are not listed is unknown from then on.
  */
 static void record_forwarded_commit(struct pool_session *s,
 				    const struct caller_reply *reply)
 {
-	pooler_record_commit(s,
-			     reply->group ? reply->group : s->job.group->name,
-			     reply->position);
+	uint64_t group = reply->group ? session_name_hash(reply->group)
+				      : s->job.group->name_hash;
+
+	pooler_record_commit(s, group, reply->position);
+	s->marks.overflow |= !reply->group;
 }
 
 static bool is_forwarded(const struct pool_session *s)
@@ -405,6 +412,23 @@
 	return prepared && prepared->writes;
 }
 
+/*
+ * A single position belongs to the group that the database had in the sender's
+ * configuration. If that is not this instance's, its group is not known.
+ */
+static void adopt_marks(struct pool_session *s,
+			const struct forwarded_operation *op)
+{
+	if (op->marks_listed) {
+		s->marks = op->marks;
+		return;
+	}
+	s->marks = (struct session_marks){ .overflow = true };
+	if (s->job.group && s->pooler->catalog->version == op->version)
+		session_marks_raise(&s->marks, s->job.group->name_hash,
+				    op->committed.term, op->committed.number);
+}
+
 /*
  * Returns why this instance cannot take the operation, NULL if it can. Load
  * pattern: a holder that stops, or that is cut off from the control instances
@@ -426,6 +450,7 @@
 	/* pooler_statement() reports errors that are not this instance's. */
 	if (pooler_check_access(s, now_us, &reason) == STATEMENT_E_BUSY)
 		return reason;
+	adopt_marks(s, op);
 	at_primary = pooler_needs_primary(s, &op->statement,
 					  writes(s, &op->statement));
 	if (s->has_home_regions && !(s->home_regions & p->own_region))
@@ -463,10 +488,6 @@
 		talloc_free(s);
 		return NULL;
 	}
-	if (s->job.group) {
-		s->committed = op->committed;
-		LWS_STR_COPY(s->committed_group, s->job.group->name);
-	}
 	s->job = (struct pool_job){ 0 };
 	p->stats.held++;
 	pooler_link_session(s, now_us);
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -10,6 +10,7 @@
 #include "lws_time.h"
 #include "pooler.h"
 #include "session.h"
+#include "session_marks.h"
 
 /* Declarations shared by the files of the session pooler. */
 
@@ -324,6 +325,8 @@
 struct pool_group {
 	struct pooler *pooler;
 	char name[CATALOG_NAME_MAX];
+	/* session_name_hash() */
+	uint64_t name_hash;
 	uint32_t connections_max;
 	/* This instance's share of the connections of each endpoint. */
 	uint32_t connections_share;
@@ -478,9 +481,8 @@
 	/* While draining: when to end the session, and to refuse operations. */
 	uint64_t end_at_us;
 	uint64_t refuse_at_us;
-	/* Position and group of the last commit with a position. */
-	struct log_position committed;
-	char committed_group[CATALOG_NAME_MAX];
+	/* What the session committed. */
+	struct session_marks marks;
 	/* @job is in use. */
 	bool busy;
 	struct pool_job job;
@@ -589,6 +591,11 @@
 void pooler_forward_update(struct pooler *p, struct pool_group *g,
 			   const struct fleet_group *state);
 /* Returns true if only the primary can run the operation. */
+/*
+ * Whether the reads of a session need the primary, also since it may have
+ * committed in a group without a known position there.
+ */
+bool pooler_reads_at_primary(const struct pool_session *s);
 bool pooler_needs_primary(const struct pool_session *s,
 			  const struct statement *st, bool writes);
 /* Returns false if this instance has to run the operation itself. */
@@ -599,8 +606,8 @@
 
 /* pooler_outcome.c: success, errors and retries of a statement */
 void pooler_job_conn_lost(struct pool_session *s, uint64_t now_us, bool sent);
-/* @group: group whose log @position belongs to */
-void pooler_record_commit(struct pool_session *s, const char *group,
+/* @group: name_hash of the group whose log @position belongs to */
+void pooler_record_commit(struct pool_session *s, uint64_t group,
 			  struct log_position position);
 void pooler_job_result(struct pool_session *s, uint64_t now_us,
 		       const struct endpoint_result *result);
--- a/lib/session/pooler_outcome.c
+++ b/lib/session/pooler_outcome.c
@@ -1,6 +1,3 @@
-#include <string.h>
-
-#include "lws_str.h"
 #include "pooler_internal.h"
 
 /* Results of statements: success, errors and retries */
@@ -82,13 +79,12 @@
 			      "the connection was lost");
 }
 
-void pooler_record_commit(struct pool_session *s, const char *group,
+void pooler_record_commit(struct pool_session *s, uint64_t group,
 			  struct log_position position)
 {
-	if (!position.term && !position.number)
-		return;
-	s->committed = position;
-	LWS_STR_COPY(s->committed_group, group);
+	if (position.term || position.number)
+		session_marks_raise(&s->marks, group, position.term,
+				    position.number);
 }
 
 static void handle_success(struct pool_session *s, uint64_t now_us,
@@ -106,7 +102,8 @@
 		     (s->state == TRANSACTION_NONE && job->writes);
 
 	if (wrote)
-		pooler_record_commit(s, job->group->name, result->position);
+		pooler_record_commit(s, job->group->name_hash,
+				     result->position);
 	if (s->state == TRANSACTION_NONE && !job->writes) {
 		if (by == job->group->primary)
 			s->pooler->stats.primary_reads++;
--- a/lib/session/pooler_send.c
+++ b/lib/session/pooler_send.c
@@ -154,8 +154,7 @@
 {
 	struct endpoint_command command = { .kind = COMMAND_BEGIN };
 
-	if (s->job.kind == JOB_FIRST_IN_TRANSACTION && s->read_only &&
-	    s->reads != CATALOG_READS_PRIMARY) {
+	if (s->job.kind == JOB_FIRST_IN_TRANSACTION && s->job.anywhere) {
 		command.kind = COMMAND_BEGIN_READ;
 		command.min_position = s->job.min_position;
 	}
--- a/lib/session/pooler_statement.c
+++ b/lib/session/pooler_statement.c
@@ -161,13 +161,20 @@
 	s->pooler->busy_count++;
 }
 
+bool pooler_reads_at_primary(const struct pool_session *s)
+{
+	return s->reads == CATALOG_READS_PRIMARY ||
+	       (s->reads == CATALOG_READS_YOUR_WRITES && s->job.group &&
+		session_marks_unknown(&s->marks, s->job.group->name_hash));
+}
+
 static bool may_read_anywhere(const struct pool_session *s)
 {
 	const struct pool_job *job = &s->job;
 
 	return job->kind == JOB_READ_ANYWHERE ||
 	       (job->kind == JOB_FIRST_IN_TRANSACTION && s->read_only &&
-		s->reads != CATALOG_READS_PRIMARY);
+		!pooler_reads_at_primary(s));
 }
 
 /*
@@ -276,9 +283,8 @@
 	if (job->writes)
 		job->kind = JOB_WRITE;
 	else
-		job->kind = s->reads == CATALOG_READS_PRIMARY
-				    ? JOB_READ_PRIMARY
-				    : JOB_READ_ANYWHERE;
+		job->kind = pooler_reads_at_primary(s) ? JOB_READ_PRIMARY
+						       : JOB_READ_ANYWHERE;
 	job->deadline_us = pooler_send_by_us(s);
 	enqueue(s, now_us);
 }
--- a/lib/wire/wire_forward.c
+++ b/lib/wire/wire_forward.c
@@ -6,7 +6,10 @@
 /* Messages of forwarded operations */
 
 #define STATEMENT_FIELDS 7
+/* A list of marks has another number of items than a position. */
 #define POSITION_FIELDS 2
+#define MARKS_FIELDS 1
+#define MARK_FIELDS 3
 
 static void pack_text(struct pack_writer *w, struct text text)
 {
@@ -160,14 +163,65 @@
 	wire_leave_list(r, &in);
 }
 
+static void committed_pack(struct pack_writer *w,
+			   const struct forwarded_operation *op)
+{
+	const struct session_marks *marks = &op->marks;
+
+	if (!op->marks_listed) {
+		pack_array(w, POSITION_FIELDS);
+		pack_position(w, op->committed);
+		return;
+	}
+	pack_array(w, MARKS_FIELDS + MARK_FIELDS * marks->count);
+	pack_bool(w, marks->overflow);
+	for (uint32_t i = 0; i < marks->count; i++) {
+		pack_u64(w, marks->list[i].group);
+		pack_u64(w, marks->list[i].term);
+		pack_u64(w, marks->list[i].position);
+	}
+}
+
+static void marks_unpack(struct pack_reader *in, struct session_marks *marks)
+{
+	uint32_t count = (in->count - MARKS_FIELDS) / MARK_FIELDS;
+
+	if (in->count != MARKS_FIELDS + MARK_FIELDS * count ||
+	    count > SESSION_GROUPS_MAX) {
+		in->rc = LWS_E_WIRE_FORMAT;
+		return;
+	}
+	marks->overflow = pack_read_bool(in);
+	marks->count = count;
+	for (uint32_t i = 0; i < count; i++) {
+		marks->list[i].group = pack_read_u64(in);
+		marks->list[i].term = pack_read_u64(in);
+		marks->list[i].position = pack_read_u64(in);
+	}
+}
+
+static void committed_unpack(struct pack_reader *r,
+			     struct forwarded_operation *op)
+{
+	struct pack_reader in;
+
+	if (pack_reader_enter(r, &in))
+		return;
+	op->marks_listed = in.count != POSITION_FIELDS;
+	if (op->marks_listed)
+		marks_unpack(&in, &op->marks);
+	else
+		op->committed = unpack_position(&in);
+	wire_leave_list(r, &in);
+}
+
 static void operation_pack(struct pack_writer *w,
 			   const struct forwarded_operation *op)
 {
 	pack_text(w, op->database);
 	pack_bin(w, op->key, sizeof(op->key));
 	pack_u64(w, op->version);
-	pack_array(w, POSITION_FIELDS);
-	pack_position(w, op->committed);
+	committed_pack(w, op);
 	values_pack(w, op);
 	prepared_pack(w, op);
 	statement_pack(w, &op->statement);
@@ -176,15 +230,10 @@
 static void operation_unpack(struct pack_reader *r, void *mem_ctx,
 			     struct forwarded_operation *op)
 {
-	struct pack_reader in;
-
 	op->database = unpack_text(r, mem_ctx);
 	pack_read_bin_exact(r, op->key, sizeof(op->key));
 	op->version = pack_read_u64(r);
-	if (pack_reader_enter(r, &in))
-		return;
-	op->committed = unpack_position(&in);
-	wire_leave_list(r, &in);
+	committed_unpack(r, op);
 	values_unpack(r, mem_ctx, op);
 	prepared_unpack(r, mem_ctx, op);
 	statement_unpack(r, mem_ctx, &op->statement);
--- a/tests/support_moves.c
+++ b/tests/support_moves.c
@@ -369,6 +369,8 @@
 	struct message *message = g_new0(struct message, 1);
 
 	if (m->earlier_version) {
+		if (msg->type == WIRE_FORWARD_OPEN)
+			msg->forward.operation.marks_listed = false;
 		if (msg->type == WIRE_FORWARD_REPLY)
 			msg->forward.reply.group = NULL;
 	}
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -206,6 +206,47 @@
 			==, 0);
 }
 
+struct marks_case {
+	const char *name;
+	bool listed;
+	struct session_marks marks;
+};
+
+/*
+ * A position was taken for one of another group. An earlier version reads the
+ * form with one position, and an empty list isn't one.
+ */
+static void test_wire_marks(void)
+{
+	static const struct marks_case cases[] = {
+		{ "one position", false, { 0 } },
+		{ "no group", true, { 0 } },
+		{ "groups may be missing", true, { .overflow = true } },
+		{ "one group", true, { false, 1, { { 5, 3, 7 } } } },
+		{ "two groups",
+		  true,
+		  { true, 2, { { 5, 3, 7 }, { 6, 0, 0 } } } },
+		{ "all", true, { false, SESSION_GROUPS_MAX, { { 5, 3, 7 } } } },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct wire_msg msg = sample_message(WIRE_FORWARD_OPEN);
+		struct forwarded_operation *op = &msg.forward.operation;
+		void *mem = talloc_new(NULL);
+		struct wire_msg *got;
+
+		op->marks_listed = cases[i].listed;
+		op->marks = cases[i].marks;
+		decode_again(mem, &msg, &got);
+		op = &got->forward.operation;
+		if (op->marks_listed != cases[i].listed ||
+		    op->committed.number != (cases[i].listed ? 0 : 1209) ||
+		    memcmp(&op->marks, &cases[i].marks, sizeof(op->marks)) != 0)
+			g_error("%s", cases[i].name);
+		talloc_free(mem);
+	}
+}
+
 struct reply_group_case {
 	enum statement_error error;
 	const char *text;
@@ -594,13 +635,13 @@
 
 	make_token(text, 3);
 	g_assert_cmpint(session_token_decode(text, secret, 7, &t), ==, 0);
-	g_assert_cmpuint(session_token_find(&t, 2)->position, ==, 101);
-	g_assert_null(session_token_find(&t, 9));
+	g_assert_cmpuint(session_marks_find(&t.marks, 2)->position, ==, 101);
+	g_assert_null(session_marks_find(&t.marks, 9));
 	g_assert_cmpint(session_token_decode(text, secret, 8, &t), ==,
 			LWS_E_TOKEN_FOREIGN);
 	/* An older term and position do not replace newer ones. */
 	session_token_advance(&t, 2, 1, 5);
-	g_assert_cmpuint(session_token_find(&t, 2)->position, ==, 101);
+	g_assert_cmpuint(session_marks_find(&t.marks, 2)->position, ==, 101);
 }
 
 static void test_token_many_groups(void)
@@ -610,8 +651,8 @@
 
 	make_token(text, SESSION_GROUPS_MAX + 5);
 	g_assert_cmpint(session_token_decode(text, secret, 7, &t), ==, 0);
-	g_assert_true(t.overflow);
-	g_assert_cmpuint(t.count, ==, SESSION_GROUPS_MAX);
+	g_assert_true(t.marks.overflow);
+	g_assert_cmpuint(t.marks.count, ==, SESSION_GROUPS_MAX);
 }
 
 static void test_token_mutations(void)
@@ -706,6 +747,7 @@
 	g_test_add_func("/codec/command/mutations", test_command_mutations);
 	g_test_add_func("/codec/error-table", test_error_table);
 	g_test_add_func("/codec/store/voters", test_store_voters);
+	g_test_add_func("/codec/wire/marks", test_wire_marks);
 	g_test_add_func("/codec/wire/reply-group", test_wire_reply_group);
 	return g_test_run();
 }
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -1635,11 +1635,59 @@
 	    { MOVES_WRITE, 0 },
 	    { MOVES_CATCH_UP_ACCEPTING, 0 },
 	    { MOVES_READ, 0 } } },
+	{ "holder-first-read-in-between",
+	  { { MOVES_CONFIGURE_HOLDER, 1 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_READ, 0 } } },
 	{ "accepting-first",
 	  { { MOVES_CONFIGURE_ACCEPTING, 1 },
 	    { MOVES_WRITE, 0 },
 	    { MOVES_CATCH_UP_HOLDER, 0 },
 	    { MOVES_READ, 0 } } },
+	{ "accepting-first-back-again",
+	  { { MOVES_WRITE, 0 },
+	    { MOVES_CONFIGURE_ACCEPTING, 1 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_CONFIGURE_HOLDER, 0 },
+	    { MOVES_READ, 0 },
+	    { MOVES_CATCH_UP_ACCEPTING, 0 },
+	    { MOVES_READ, 0 } } },
+	/* What was committed before is forgotten after a commit elsewhere. */
+	{ "away-and-back",
+	  { { MOVES_WRITE, 0 },
+	    { MOVES_CONFIGURE, 1 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_CONFIGURE, 0 },
+	    { MOVES_READ, 0 } } },
+	{ "away-and-back-in-transactions",
+	  { { MOVES_BEGIN, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_COMMIT, 0 },
+	    { MOVES_CONFIGURE, 1 },
+	    { MOVES_BEGIN, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_COMMIT, 0 },
+	    { MOVES_CONFIGURE, 0 },
+	    { MOVES_BEGIN_READ, 0 },
+	    { MOVES_READ, 0 },
+	    { MOVES_COMMIT, 0 } } },
+	/* A transaction stays in the service of its first statement. */
+	{ "moved-after-begin",
+	  { { MOVES_BEGIN, 0 },
+	    { MOVES_CONFIGURE_HOLDER, 1 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_COMMIT, 0 },
+	    { MOVES_READ, 0 },
+	    { MOVES_CATCH_UP_ACCEPTING, 0 },
+	    { MOVES_READ, 0 } } },
+	{ "moved-after-first-statement",
+	  { { MOVES_BEGIN, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_CONFIGURE, 1 },
+	    { MOVES_COMMIT, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_CONFIGURE, 0 },
+	    { MOVES_READ, 0 } } },
 	{ "moved-before-commit-at-the-accepting-one",
 	  { { MOVES_BEGIN, 0 },
 	    { MOVES_WRITE, 0 },
@@ -1647,6 +1695,14 @@
 	    { MOVES_COMMIT, 0 },
 	    { MOVES_CONFIGURE, 0 },
 	    { MOVES_READ, 0 } } },
+	/* A read waits for a position of another service for ever. */
+	{ "lower-log-at-the-holder",
+	  { { MOVES_WRITE, 0 },
+	    { MOVES_CONFIGURE_HOLDER, 3 },
+	    { MOVES_READ, 0 },
+	    { MOVES_BEGIN_READ, 0 },
+	    { MOVES_READ, 0 },
+	    { MOVES_COMMIT, 0 } } },
 	{ "set-up-again",
 	  { { MOVES_WRITE, 0 },
 	    { MOVES_SET_UP_AGAIN, 0 },
@@ -1656,6 +1712,21 @@
 	  { { MOVES_EARLIER_VERSION, 1 },
 	    { MOVES_WRITE, 0 },
 	    { MOVES_READ, 0 } } },
+	{ "earlier-version-away-and-back",
+	  { { MOVES_EARLIER_VERSION, 1 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_CONFIGURE, 1 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_CONFIGURE, 0 },
+	    { MOVES_READ, 0 } } },
+	{ "earlier-version-holder-first",
+	  { { MOVES_EARLIER_VERSION, 1 },
+	    { MOVES_CONFIGURE_HOLDER, 1 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_READ, 0 },
+	    { MOVES_EARLIER_VERSION, 0 },
+	    { MOVES_CATCH_UP_ACCEPTING, 0 },
+	    { MOVES_READ, 0 } } },
 	/* A session that has committed nothing reads anywhere. */
 	{ "nothing-committed", { { MOVES_READ, 0 }, { MOVES_READ, 0 } } },
 	{ "nothing-committed-earlier-version",
@@ -1696,6 +1767,23 @@
 	check_moves(steps);
 }
 
+/* A session that commits in more services than its marks have room for. */
+static void test_moves_through_many(void)
+{
+	struct moves_step steps[3 * MOVES_SERVICES_MAX + 4];
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < MOVES_SERVICES_MAX; i++) {
+		steps[n++] = (struct moves_step){ MOVES_STALL, i };
+		steps[n++] = (struct moves_step){ MOVES_CONFIGURE, i };
+		steps[n++] = (struct moves_step){ MOVES_WRITE, 0 };
+	}
+	steps[n++] = (struct moves_step){ MOVES_CONFIGURE, 0 };
+	steps[n++] = (struct moves_step){ MOVES_READ, 0 };
+	steps[n] = (struct moves_step){ MOVES_END, 0 };
+	check_moves(steps);
+}
+
 int main(int argc, char **argv)
 {
 	if (sodium_init() < 0)
@@ -1758,5 +1846,6 @@
 
 		g_test_add_data_func(path, &moves_cases[i], test_moves);
 	}
+	g_test_add_func("/pooler/moves/through-many", test_moves_through_many);
 	return g_test_run();
 }
