Limits: a rate of 0 limits, and a burst of 0 lets the rate pass

With a rate of 30 and a burst of 0 it was served nothing.

Cause: struct catalog_customer used a rate of 0 for "no limit", and a missing field got 0 as well. A bucket as deep as a burst of 0 never holds a token; with a small one, the tokens on their way to instances take all its room.

Change: a customer has a limit or not, apart from the numbers, from the page's text to the bucket. Packed, a limited rate of 0 has a value of its own, which earlier versions read as 1 a second. Operations under a limit of 0 are refused at once, before they are forwarded, without a time to retry after, since nobody knows one. A bucket has room for a quarter of a second of its rate within a quarter of the tolerance; a new allocator's credit is taken from the rest, so two takeovers still fit into a window. The credit follows a lowered limit, and is none at a rate of 0.

A max_conns of 0 opened one connection; its statements are refused at once now.

--- a/lib/admit/rate_allocator.c
+++ b/lib/admit/rate_allocator.c
@@ -12,6 +12,12 @@
 #define BUCKET_SLOTS 1024
 /* Once caps have limited a grant, they stay reduced for this long. */
 #define PRESSED_US (5 * LWS_US_PER_S)
+/*
+ * A bucket holds the rate of this time, two rounds of token requests and their
+ * replies, if a quarter of the tolerance allows.
+ */
+#define DEPTH_US (250 * LWS_US_PER_MS)
+#define DEPTH_TOLERANCE_PARTS 4
 
 /*
  * Tokens of one customer that one instance may still hold. The holdings of a
@@ -381,16 +387,22 @@
 		b->level_millionths = room * MILLIONTHS;
 }
 
+/* Millionths of a token; the bucket is full long before the largest result. */
+static uint64_t refill(uint64_t dt_us, uint64_t milli_per_s)
+{
+	uint64_t milli;
+
+	if (__builtin_mul_overflow(dt_us, milli_per_s, &milli))
+		milli = UINT64_MAX;
+	return milli / RATE_SHARE_UNIT;
+}
+
 static void fill_until(const struct rate_allocator *ra, struct global_bucket *b,
 		       uint64_t until_us)
 {
 	uint64_t dt = until_us > b->filled_us ? until_us - b->filled_us : 0;
 
-	/* An hour of refill exceeds any permitted burst. */
-	if (dt > 3600 * LWS_US_PER_S)
-		dt = 3600 * LWS_US_PER_S;
-	b->level_millionths +=
-		dt * growth_milli(ra, b, b->filled_us) / RATE_SHARE_UNIT;
+	b->level_millionths += refill(dt, growth_milli(ra, b, b->filled_us));
 	/* Tokens outstanding now have been outstanding since filled_us. */
 	cap_level(ra, b, b->filled_us);
 	b->filled_us = until_us > b->filled_us ? until_us : b->filled_us;
@@ -512,13 +524,44 @@
 
 /* Customers */
 
-static uint64_t takeover_credit(const struct rate_allocator *ra,
-				uint32_t rate_per_s, uint32_t burst)
+/* Tokens by which the fleet may exceed a limit in a window. */
+static uint64_t tolerance(const struct rate_allocator *ra, uint32_t rate_per_s,
+			  uint32_t burst)
 {
 	const struct rate_allocator_params *p = &ra->params;
 	uint64_t allowed = (uint64_t)rate_per_s * p->window_s + burst;
 
-	return (allowed * p->over_percent / 100 + p->over_tokens) / 2;
+	return allowed * p->over_percent / 100 + p->over_tokens;
+}
+
+/*
+ * Tokens that a bucket holds at most. Load pattern: a customer uses its rate
+ * evenly, and its burst is smaller than what is on the way to instances
+ * meanwhile. Without room for that, it would get less than its rate; none at
+ * all with a burst of 0.
+ */
+static uint32_t depth_of(const struct rate_allocator *ra, uint32_t rate_per_s,
+			 uint32_t burst)
+{
+	uint64_t depth = min_u64((uint64_t)rate_per_s * DEPTH_US / LWS_US_PER_S,
+				 tolerance(ra, rate_per_s, burst) /
+					 DEPTH_TOLERANCE_PARTS);
+
+	if (rate_per_s && !depth)
+		depth = 1;
+	return depth > burst ? (uint32_t)depth : burst;
+}
+
+/* Two takeovers in a window use what the depth leaves of the tolerance. */
+static uint64_t takeover_credit(const struct rate_allocator *ra,
+				uint32_t rate_per_s, uint32_t burst)
+{
+	uint64_t beyond_burst = depth_of(ra, rate_per_s, burst) - burst;
+
+	return rate_per_s
+		       ? minus(tolerance(ra, rate_per_s, burst), beyond_burst) /
+				 2
+		       : 0;
 }
 
 static void change_limit(struct rate_allocator *ra, struct global_bucket *b,
@@ -542,8 +585,9 @@
 			return LWS_E_NOMEM;
 		b->credit = takeover_credit(ra, rate_per_s, burst);
 	}
+	b->credit = min_u64(b->credit, takeover_credit(ra, rate_per_s, burst));
 	change_limit(ra, b, now_us, (uint64_t)rate_per_s * RATE_SHARE_UNIT,
-		     burst);
+		     depth_of(ra, rate_per_s, burst));
 	return 0;
 }
 
--- a/lib/admit/rate_allocator.h
+++ b/lib/admit/rate_allocator.h
@@ -20,6 +20,11 @@
  * outstanding + level + rate * w <= burst + rate * w. Lost, repeated and late
  * messages only cause the allocator to overestimate outstanding.
  *
+ * A burst smaller than what is on the way to instances would keep the rate from
+ * being used, and one of 0 let nothing pass. Then a quarter of the tolerance
+ * stands in for it, and at least one token. A rate of 0 has no such room: what
+ * is left of an earlier burst may be used, and nothing more comes.
+ *
  * An instance never holds more than burst / RATE_BURST_SHARES tokens, but at
  * least one is allowed. A new allocator does not know the grants of its
  * predecessor: until those have expired, it assumes that each member that has
@@ -52,8 +57,9 @@
  * @share_us: term of a share, counted from the sending of its request; 0 for no
  *            shares
  *
- * A new allocator may grant half of the tolerance before its level has grown,
- * so two failovers fit into one window. For strict limits, @over_percent and
+ * A new allocator may grant half of the tolerance that is left before its level
+ * has grown, so two failovers fit into one window; nothing at a rate of 0. For
+ * strict limits, @over_percent and
  * @over_tokens are 0.
  */
 struct rate_allocator_params {
--- a/lib/config/catalog.c
+++ b/lib/config/catalog.c
@@ -10,6 +10,11 @@
 #define GROUP_FIELDS 3
 #define GROUP_COLD_FIELDS 2
 #define CUSTOMER_FIELDS 4
+/*
+ * Rate of a limit of 0. Earlier versions take the lower half, a rate of 1, and
+ * a rate of 0 for no limit.
+ */
+#define RATE_ZERO (UINT32_MAX + 2ULL)
 /* Items of a catalog without its sections. */
 #define CATALOG_ITEMS 6
 /* Section with the home regions of databases and customers. */
@@ -241,6 +246,19 @@
 	pack_bool(w, d->open);
 }
 
+static uint64_t rate_field(const struct catalog_customer *c)
+{
+	if (!c->limited)
+		return 0;
+	return c->rate_per_s ? c->rate_per_s : RATE_ZERO;
+}
+
+static void set_rate(struct catalog_customer *c, uint64_t field)
+{
+	c->limited = field != 0;
+	c->rate_per_s = field == RATE_ZERO ? 0 : (uint32_t)field;
+}
+
 static void customers_pack(struct pack_writer *w, const struct catalog *catalog)
 {
 	pack_array(w, catalog->customers_count * CUSTOMER_FIELDS);
@@ -248,7 +266,7 @@
 		const struct catalog_customer *c = &catalog->customers[i];
 
 		pack_str(w, c->name);
-		pack_u64(w, c->rate_per_s);
+		pack_u64(w, rate_field(c));
 		pack_u64(w, c->burst);
 		pack_u64(w, c->priority);
 	}
@@ -436,7 +454,7 @@
 		struct catalog_customer *customer = &c->customers[i];
 
 		pack_read_str(&in, customer->name, sizeof(customer->name));
-		customer->rate_per_s = (uint32_t)pack_read_u64(&in);
+		set_rate(customer, pack_read_u64(&in));
 		customer->burst = (uint32_t)pack_read_u64(&in);
 		customer->priority = (uint32_t)pack_read_u64(&in);
 	}
--- a/lib/config/catalog.h
+++ b/lib/config/catalog.h
@@ -75,7 +75,8 @@
 /**
  * struct catalog_group - a primary and its replicas
  * @name: unique name
- * @connections_max: connections that one endpoint accepts, over all instances
+ * @connections_max: connections that one endpoint accepts, over all instances;
+ *                   UINT32_MAX for no limit, 0 for none
  * @sync_replicas: replicas that have received a commit when the primary
  *                 acknowledges it
  * @cold_start_ms: an endpoint is slow for this long after its start
@@ -103,13 +104,16 @@
 /**
  * struct catalog_customer - a customer
  * @name: unique name
- * @rate_per_s: operations per second in the whole fleet, 0 for no limit
+ * @limited: its operations are limited; otherwise the next two are not used
+ * @rate_per_s: operations per second in the whole fleet; 0 for none beyond
+ *              @burst
  * @burst: operations above the rate that may arrive at once
  * @priority: priority class, 0 is the most urgent
  * @home_regions: regions to which its operations are restricted
  */
 struct catalog_customer {
 	char name[CATALOG_NAME_MAX];
+	bool limited;
 	uint32_t rate_per_s;
 	uint32_t burst;
 	uint32_t priority;
--- a/lib/daemon/control.c
+++ b/lib/daemon/control.c
@@ -59,6 +59,12 @@
 /* Limits the log lines of one catalog change. */
 #define RATES_LOGGED_MAX 16
 
+/* -1 for no limit. */
+static json_int_t logged_rate(const struct catalog_customer *customer)
+{
+	return customer->limited ? (json_int_t)customer->rate_per_s : -1;
+}
+
 static void log_rates(struct control *c, const struct catalog *old,
 		      const struct catalog *now)
 {
@@ -72,17 +78,17 @@
 			if (strcmp(old->customers[k].name, to->name) == 0)
 				from = &old->customers[k];
 		}
-		if (!from || (from->rate_per_s == to->rate_per_s &&
+		if (!from || (from->limited == to->limited &&
+			      from->rate_per_s == to->rate_per_s &&
 			      from->burst == to->burst))
 			continue;
 		if (logged++ == RATES_LOGGED_MAX)
 			return;
 		lws_log_info(c->daemon->log, "rate_changed",
 			     "{s:s,s:I,s:I,s:I,s:I}", "customer", to->name,
-			     "from_per_s", (json_int_t)from->rate_per_s,
-			     "to_per_s", (json_int_t)to->rate_per_s, "burst",
-			     (json_int_t)to->burst, "version",
-			     (json_int_t)now->version);
+			     "from_per_s", logged_rate(from), "to_per_s",
+			     logged_rate(to), "burst", (json_int_t)to->burst,
+			     "version", (json_int_t)now->version);
 	}
 }
 
--- a/lib/daemon/control_rates.c
+++ b/lib/daemon/control_rates.c
@@ -66,12 +66,16 @@
 			c->leader->allocator, now_us,
 			session_name_hash(cfg->customers[i].name),
 			cfg->customers[i].rate_per_s, cfg->customers[i].burst);
-	for (uint32_t i = 0; catalog && i < catalog->customers_count; i++)
-		(void)rate_allocator_set_limit(
-			c->leader->allocator, now_us,
-			session_name_hash(catalog->customers[i].name),
-			catalog->customers[i].rate_per_s,
-			catalog->customers[i].burst);
+	for (uint32_t i = 0; catalog && i < catalog->customers_count; i++) {
+		const struct catalog_customer *customer =
+			&catalog->customers[i];
+
+		if (customer->limited)
+			(void)rate_allocator_set_limit(
+				c->leader->allocator, now_us,
+				session_name_hash(customer->name),
+				customer->rate_per_s, customer->burst);
+	}
 	for (uint32_t i = 0; catalog && i < catalog->groups_count; i++) {
 		if (catalog->groups[i].cold_per_s_milli)
 			set_cold_limits(c, now_us, &catalog->groups[i]);
--- a/lib/session/pooler_forward.c
+++ b/lib/session/pooler_forward.c
@@ -72,9 +72,8 @@
 {
 	const struct pooler_ops *ops = &s->pooler->ops;
 	const struct rate_bucket *bucket =
-		s->rate_per_s
-			? ops->token_bucket(ops->private_data, s->customer)
-			: NULL;
+		s->limited ? ops->token_bucket(ops->private_data, s->customer)
+			   : NULL;
 
 	return bucket && rate_bucket_cut_off(bucket, now_us);
 }
--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -176,6 +176,8 @@
  * connection.
  */
 #define POOL_UNRECORDED_US (600 * LWS_US_PER_MS)
+/* Reason of refusals under a limit of 0. */
+#define POOL_RATE_ZERO "the rate limit is 0"
 #define POOL_CANNOT_RECORD "commits cannot be recorded at present"
 /* Reason of refusals while a primary is in an evacuated failure domain. */
 #define POOL_EVACUATED "the failure domain of the primary is evacuated"
@@ -463,8 +465,10 @@
 	char customer[CATALOG_NAME_MAX];
 	uint64_t customer_hash;
 	uint32_t weight;
-	/* Rate limit of the customer, 0 for none. */
+	/* Rate limit of the customer. */
+	bool limited;
 	uint32_t rate_per_s;
+	uint32_t burst;
 	/* Only endpoints in @home_regions, a set, may run its operations. */
 	bool has_home_regions;
 	bool home_regions_disjoint;
--- a/lib/session/pooler_regions.c
+++ b/lib/session/pooler_regions.c
@@ -72,6 +72,8 @@
 	const struct pool_group *g = s->job.group;
 	bool any = false;
 
+	if (!g->connections_max)
+		return "no_connections";
 	if (!s->has_home_regions)
 		return NULL;
 	if (s->home_regions_disjoint)
--- a/lib/session/pooler_statement.c
+++ b/lib/session/pooler_statement.c
@@ -72,12 +72,14 @@
 		s->customer[0] = '\0';
 		s->customer_hash = 0;
 		s->weight = 1;
-		s->rate_per_s = 0;
+		s->limited = false;
 		return;
 	}
 	LWS_STR_COPY(s->customer, c->name);
 	s->customer_hash = session_name_hash(c->name);
+	s->limited = c->limited;
 	s->rate_per_s = c->rate_per_s;
+	s->burst = c->burst;
 	s->weight = c->priority < WEIGHT_MAX ? WEIGHT_MAX - c->priority : 1;
 }
 
@@ -317,6 +319,12 @@
 {
 	char text[96];
 
+	/* When that is changed, nobody here knows. */
+	if (!s->rate_per_s) {
+		pooler_refuse(s, now_us, STATEMENT_E_BUSY, TRANSACTION_NONE,
+			      POOL_RATE_ZERO);
+		return;
+	}
 	snprintf(text, sizeof(text), "%s, retry in %" PRIu32 " ms",
 		 admission_allocator_unresponsive(&s->job.admission)
 			 ? "rate not granted, its allocator does not answer or "
@@ -332,7 +340,7 @@
 	struct pooler *p = s->pooler;
 	struct pool_job *job = &s->job;
 
-	if (!s->rate_per_s) {
+	if (!s->limited) {
 		pooler_start_admitted(s, now_us);
 		return;
 	}
@@ -358,6 +366,13 @@
 	}
 }
 
+/* Whether the limit allows nothing, whatever tokens are left of an earlier one.
+ */
+static bool is_blocked(const struct pool_session *s)
+{
+	return s->limited && !s->rate_per_s && !s->burst;
+}
+
 static void start_operation(struct pool_session *s, uint64_t now_us)
 {
 	const char *reason = "";
@@ -369,6 +384,8 @@
 			s, pooler_needs_primary(s, &s->job.st, s->job.writes));
 	if (error)
 		pooler_refuse(s, now_us, error, TRANSACTION_NONE, reason);
+	else if (is_blocked(s))
+		pooler_refuse_rate(s, now_us);
 	else if (no_endpoint)
 		pooler_refuse(s, now_us, STATEMENT_E_BUSY, TRANSACTION_NONE,
 			      no_endpoint);
--- a/tests/support_pool.c
+++ b/tests/support_pool.c
@@ -1582,6 +1582,7 @@
 		char key[16];
 
 		snprintf(c->customers[i].name, CATALOG_NAME_MAX, "c%u", i);
+		c->customers[i].limited = true;
 		c->customers[i].rate_per_s = CUSTOMER_RATE_PER_S;
 		c->customers[i].burst = CUSTOMER_RATE_PER_S;
 		snprintf(key, sizeof(key), "key-%u", i);
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -398,6 +398,7 @@
 		c->databases[i].statement_timeout_ms = 800;
 		add_regions(&c->databases[i].home_regions, regions[i]);
 		c->customers[i].name[0] = (char)('t' + i);
+		c->customers[i].limited = true;
 		c->customers[i].rate_per_s = 5;
 		add_regions(&c->customers[i].home_regions, regions[2 + i]);
 	}
@@ -490,6 +491,61 @@
 	talloc_free(mem);
 }
 
+struct packed_limit_case {
+	const char *name;
+	bool limited;
+	uint32_t rate_per_s;
+	/* What a version before reads, for which 0 is no limit. */
+	uint32_t read_before;
+};
+
+/* A rate of 0 must differ from none, also for instances of the version before.
+ */
+static void test_packed_limits(void)
+{
+	static const struct packed_limit_case cases[] = {
+		{ "no limit", false, 0, 0 },
+		{ "rate 0", true, 0, 1 },
+		{ "rate 1", true, 1, 1 },
+		{ "rate 30", true, 30, 30 },
+		{ "largest rate", true, UINT32_MAX, UINT32_MAX },
+	};
+	static const char *const none[] = { "", "", "", "" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		void *mem = talloc_new(NULL);
+		struct catalog *c = make_catalog(mem, 1, none, 0);
+		g_autoptr(GBytes) bytes = NULL;
+		struct pack_reader r;
+		struct pack_reader customers = { 0 };
+		struct catalog *copy;
+		const uint8_t *at;
+		size_t len;
+
+		c->customers[0].limited = cases[i].limited;
+		c->customers[0].rate_per_s = cases[i].rate_per_s;
+		bytes = packed(c);
+		at = g_bytes_get_data(bytes, &len);
+		g_assert_cmpint(catalog_unpack(mem, at, len, &copy), ==, 0);
+		if (copy->customers[0].limited != cases[i].limited ||
+		    copy->customers[0].rate_per_s != cases[i].rate_per_s)
+			g_error("%s", cases[i].name);
+		g_assert_cmpint(pack_reader_init(&r, at, len), ==, 0);
+		/* Version, idle time, groups, databases, customers. */
+		(void)pack_read_u64(&r);
+		(void)pack_read_u64(&r);
+		for (int k = 0; k < 3; k++)
+			g_assert_cmpint(pack_reader_enter(&r, &customers), ==,
+					0);
+		g_assert_cmpuint(customers.items[1].via.u64, >=,
+				 cases[i].read_before);
+		g_assert_cmpuint((uint32_t)customers.items[1].via.u64, ==,
+				 cases[i].read_before);
+		pack_reader_clear(&r);
+		talloc_free(mem);
+	}
+}
+
 /*
  * The packed forms with limits of cold endpoints, home regions and both, byte
  * for byte: instances of this version must be able to read each other's.
@@ -604,5 +660,6 @@
 	g_test_add_func("/config/catalog-sections", test_catalog_sections);
 	g_test_add_func("/config/merge", test_merge_keeps_the_rest);
 	g_test_add_func("/config/mutations", test_mutations);
+	g_test_add_func("/config/packed-limits", test_packed_limits);
 	return g_test_run();
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -477,6 +477,168 @@
 	talloc_free(catalog);
 }
 
+/**
+ * struct number_case - a configuration, and what becomes of its numbers
+ * @service, @customer: further fields
+ * @route: fields instead of a timeout
+ * @limits: fields
+ */
+struct number_case {
+	const char *name;
+	const char *service;
+	const char *route;
+	const char *customer;
+	const char *limits;
+	int rc;
+	uint32_t connections_max;
+	uint32_t attempts_max;
+	bool limited;
+	uint32_t rate_per_s;
+	uint32_t burst;
+	uint32_t idle_ms;
+};
+
+#define TIMEOUT "\"timeout_ms\":800"
+#define NO_LIMIT UINT32_MAX
+
+/* A rate of 0 lifted a customer's limit, as if it were missing. */
+static const struct number_case number_cases[] = {
+	{ .name = "all missing",
+	  .connections_max = NO_LIMIT,
+	  .attempts_max = 1 },
+	{ .name = "rate 0",
+	  .customer = ",\"rate_per_s\":0",
+	  .connections_max = NO_LIMIT,
+	  .attempts_max = 1,
+	  .limited = true },
+	{ .name = "rate and burst 0",
+	  .customer = ",\"rate_per_s\":0,\"burst\":0",
+	  .connections_max = NO_LIMIT,
+	  .attempts_max = 1,
+	  .limited = true },
+	{ .name = "rate 0 with a burst",
+	  .customer = ",\"rate_per_s\":0,\"burst\":10",
+	  .connections_max = NO_LIMIT,
+	  .attempts_max = 1,
+	  .limited = true,
+	  .burst = 10 },
+	{ .name = "rate without a burst",
+	  .customer = ",\"rate_per_s\":30",
+	  .connections_max = NO_LIMIT,
+	  .attempts_max = 1,
+	  .limited = true,
+	  .rate_per_s = 30 },
+	{ .name = "burst without a rate",
+	  .customer = ",\"burst\":30",
+	  .connections_max = NO_LIMIT,
+	  .attempts_max = 1,
+	  .burst = 30 },
+	{ .name = "largest limit",
+	  .customer = ",\"rate_per_s\":4294967295,\"burst\":4294967295",
+	  .connections_max = NO_LIMIT,
+	  .attempts_max = 1,
+	  .limited = true,
+	  .rate_per_s = UINT32_MAX,
+	  .burst = UINT32_MAX },
+	{ .name = "rate too large",
+	  .customer = ",\"rate_per_s\":4294967296",
+	  .rc = LWS_E_CONFIG_VALUE },
+	{ .name = "rate negative",
+	  .customer = ",\"rate_per_s\":-1",
+	  .rc = LWS_E_CONFIG_VALUE },
+	{ .name = "rate null",
+	  .customer = ",\"rate_per_s\":null",
+	  .rc = LWS_E_CONFIG_VALUE },
+	{ .name = "max_conns 0",
+	  .service = ",\"max_conns\":0",
+	  .connections_max = 0,
+	  .attempts_max = 1 },
+	{ .name = "sync_replicas 0",
+	  .service = ",\"sync_replicas\":0",
+	  .connections_max = NO_LIMIT,
+	  .attempts_max = 1 },
+	{ .name = "timeout_ms missing",
+	  .route = "\"priority\":0",
+	  .rc = LWS_E_CONFIG_VALUE },
+	{ .name = "timeout_ms 0",
+	  .route = "\"timeout_ms\":0",
+	  .rc = LWS_E_CONFIG_VALUE },
+	{ .name = "others of the route 0",
+	  .route = TIMEOUT ",\"target_latency_ms\":0,\"max_stale_ms\":0,"
+			   "\"priority\":0",
+	  .connections_max = NO_LIMIT,
+	  .attempts_max = 1 },
+	/* The session takes 0 for 1. */
+	{ .name = "max_attempts 0",
+	  .route = TIMEOUT ",\"max_attempts\":0",
+	  .connections_max = NO_LIMIT },
+	{ .name = "tx_idle_ms 0",
+	  .limits = "\"tx_idle_ms\":0",
+	  .connections_max = NO_LIMIT,
+	  .attempts_max = 1 },
+	{ .name = "tx_idle_ms given",
+	  .limits = "\"tx_idle_ms\":3000",
+	  .connections_max = NO_LIMIT,
+	  .attempts_max = 1,
+	  .idle_ms = 3000 },
+};
+
+static const char *or_empty(const char *text)
+{
+	return text ? text : "";
+}
+
+static void check_numbers(const struct number_case *c,
+			  const struct catalog *catalog)
+{
+	const struct catalog_database *d = &catalog->databases[0];
+	const struct catalog_customer *t = &catalog->customers[0];
+
+	if (catalog->groups[0].connections_max != c->connections_max ||
+	    catalog->groups[0].sync_replicas != 0 ||
+	    d->statement_timeout_ms != 800 || d->latency_objective_ms != 0 ||
+	    d->max_age_ms != 0 || d->attempts_max != c->attempts_max ||
+	    d->priority != 0 || t->limited != c->limited ||
+	    t->burst != c->burst || t->rate_per_s != c->rate_per_s ||
+	    catalog->transaction_idle_ms != c->idle_ms)
+		g_error("%s: another value", c->name);
+}
+
+static void test_numbers(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(number_cases); i++) {
+		const struct number_case *c = &number_cases[i];
+		g_autofree char *body = g_strdup_printf(
+			"{\"version\":7,\"services\":[{\"name\":\"g\"%s}],"
+			"\"routes\":[{\"host\":\"a\",\"service\":\"g\","
+			"\"type\":\"primary\",%s}],\"limits\":{%s},"
+			"\"tenants\":[{\"name\":\"t\",\"api_keys\":[]%s}]}",
+			or_empty(c->service), c->route ? c->route : TIMEOUT,
+			or_empty(c->limits), or_empty(c->customer));
+		struct catalog *catalog = NULL;
+		struct catalog *copy;
+		struct pack_writer w;
+		const char *reason;
+
+		if (platform_decode_catalog(NULL, (const uint8_t *)body,
+					    strlen(body), &catalog,
+					    &reason) != c->rc)
+			g_error("%s: another outcome", c->name);
+		if (c->rc)
+			continue;
+		check_numbers(c, catalog);
+		pack_writer_init(&w);
+		catalog_pack(&w, catalog);
+		g_assert_cmpint(catalog_unpack(NULL, (uint8_t *)w.buf.data,
+					       w.buf.size, &copy),
+				==, 0);
+		check_numbers(c, copy);
+		pack_writer_clear(&w);
+		talloc_free(copy);
+		talloc_free(catalog);
+	}
+}
+
 /* The lists reach the catalog as sent, and survive its packed form. */
 static void test_home_regions(void)
 {
@@ -1053,5 +1215,6 @@
 	g_test_add_func("/platform/regions", test_regions);
 	g_test_add_func("/platform/mutations", test_mutations);
 	g_test_add_func("/platform/json-mutations", test_json_mutations);
+	g_test_add_func("/platform/numbers", test_numbers);
 	return g_test_run();
 }
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -1616,6 +1616,63 @@
 	}
 }
 
+/* Limits and bounds of 0 */
+
+struct zero_case {
+	const char *name;
+	bool limited;
+	uint32_t rate_per_s;
+	uint32_t connections_max;
+	bool forwards;
+	/* Why all is refused; NULL if it is served. */
+	const char *reason;
+};
+
+/* A limit of 0 lifted the limit. What can't be served is refused at once. */
+static const struct zero_case zero_cases[] = {
+	{ "no-limit", false, 0, 24, false, NULL },
+	{ "no-limit-forwarded", false, 0, 24, true, NULL },
+	{ "limited", true, 100000, 24, false, NULL },
+	{ "rate-0", true, 0, 24, false, "the rate limit is 0" },
+	{ "rate-0-forwarded", true, 0, 24, true, "the rate limit is 0" },
+	{ "connections-0", false, 0, 0, false, "no_connections" },
+};
+
+static void test_zero(gconstpointer data)
+{
+	const struct zero_case *c = data;
+	struct pool_sim_params params = pool_sim_abay(5);
+	struct pool_sim *sim;
+	struct pooler_stats stats;
+
+	params.forwards = c->forwards;
+	params.connections_max = c->connections_max;
+	sim = pool_sim_create(&params);
+	for (uint32_t i = 0; i < POOL_CUSTOMERS; i++) {
+		struct catalog_customer *customer =
+			&sim->fleet->catalog->customers[i];
+
+		customer->limited = c->limited;
+		customer->rate_per_s = c->rate_per_s;
+		customer->burst = c->rate_per_s;
+	}
+	pool_sim_run(sim, 2 * S);
+	stats = pool_sim_stats(sim);
+	g_assert_true(pool_sim_guarantees_hold(sim));
+	if (c->reason) {
+		g_assert_cmpuint(stats.statements, ==, 0);
+		g_assert_cmpuint(stats.forwarded, ==, 0);
+		g_assert_cmpuint(pool_sim_refusals(sim, c->reason), >, 0);
+		g_assert_cmpuint(pool_sim_refusals(sim, c->reason), ==,
+				 stats.refused[STATEMENT_E_BUSY]);
+		for (uint32_t i = 0; i < params.classes_count; i++)
+			g_assert_cmpuint(sim->refused_late[i], ==, 0);
+	} else {
+		g_assert_cmpuint(stats.statements, >, 0);
+	}
+	pool_sim_free(sim);
+}
+
 /* A database that moves from service to service, and what its session sees */
 
 struct moves_case {
@@ -1847,5 +1904,11 @@
 		g_test_add_data_func(path, &moves_cases[i], test_moves);
 	}
 	g_test_add_func("/pooler/moves/through-many", test_moves_through_many);
+	for (size_t i = 0; i < G_N_ELEMENTS(zero_cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/pooler/zero/%s", zero_cases[i].name);
+
+		g_test_add_data_func(path, &zero_cases[i], test_zero);
+	}
 	return g_test_run();
 }
--- a/tests/test_rates.c
+++ b/tests/test_rates.c
@@ -43,6 +43,7 @@
 	uint64_t incarnation[INSTANCES];
 	bool partitioned[INSTANCES];
 	struct message *messages;
+	uint64_t offered;
 	uint64_t spent;
 	uint64_t refused;
 	uint64_t served_at_once;
@@ -53,6 +54,10 @@
 	uint32_t rate;
 	uint32_t burst;
 	uint64_t over_limit;
+	/* Tolerance, and the length of its window; 0 for none. */
+	uint32_t window_s;
+	uint32_t over_percent;
+	uint32_t over_tokens;
 	uint32_t loss;
 	uint32_t repeat;
 	uint64_t delay;
@@ -68,7 +73,10 @@
 static void new_allocator(struct fake_fleet *f)
 {
 	struct rate_allocator_params params = { .ttl_us = TTL,
-						.drift_percent = 15 };
+						.drift_percent = 15,
+						.window_s = f->window_s,
+						.over_percent = f->over_percent,
+						.over_tokens = f->over_tokens };
 	uint64_t members[INSTANCES];
 
 	talloc_free(f->allocator);
@@ -185,6 +193,7 @@
 	struct rate_bucket *bucket =
 		rate_client_bucket(f->clients[i], CUSTOMER);
 
+	f->offered++;
 	atomic_fetch_add(&bucket->arrivals, 1);
 	if (rate_bucket_take(bucket, local_time(f, i))) {
 		count_spent(f);
@@ -327,6 +336,123 @@
 	}
 }
 
+/**
+ * struct corner_phase - a limit, and the load under it
+ * @load_per_s: requests per second
+ * @ms: how long
+ * @min_percent: part of them that is served
+ * @max: number of them that may be served; 0 for none
+ */
+struct corner_phase {
+	uint32_t rate;
+	uint32_t burst;
+	uint32_t load_per_s;
+	uint32_t ms;
+	uint32_t min_percent;
+	uint64_t max;
+};
+
+#define ANY UINT64_MAX
+
+struct corner_case {
+	const char *name;
+	/* The allocator changes in each phase. */
+	bool allocator_changes;
+	/* An instance is cut off from the second phase on. */
+	bool cut_off;
+	struct corner_phase phases[4];
+};
+
+/*
+ * Limits of 0, which let everything pass, and bursts of 0, which let nothing
+ * pass. The tolerance is that of the platform: 10% and 20 in 5 s. A lower limit
+ * binds after one window; the tokens that are lent are spent or expire in it.
+ */
+static const struct corner_case corner_cases[] = {
+	{ "burst-0", false, false, { { 30, 0, 24, 20000, 95, ANY } } },
+	{ "burst-0-in-a-window",
+	  false,
+	  false,
+	  { { 30, 0, 100, 20000, 0, ANY }, { 30, 0, 100, 5000, 0, 185 } } },
+	{ "burst-1", false, false, { { 30, 1, 24, 20000, 95, ANY } } },
+	{ "rate-1-burst-0", false, false, { { 1, 0, 1, 60000, 40, 61 } } },
+	{ "rate-1000-burst-0",
+	  false,
+	  false,
+	  { { 1000, 0, 800, 20000, 95, ANY } } },
+	{ "all-0", false, false, { { 0, 0, 100, 10000, 0, 0 } } },
+	{ "all-0-new-allocators",
+	  true,
+	  false,
+	  { { 0, 0, 100, 2000, 0, 0 },
+	    { 0, 0, 100, 2000, 0, 0 },
+	    { 0, 0, 100, 2000, 0, 0 } } },
+	{ "lowered-to-0-while-lent",
+	  false,
+	  true,
+	  { { 100, 100, 90, 5000, 95, ANY },
+	    { 0, 0, 90, 5000, 0, 100 },
+	    { 0, 0, 90, 5000, 0, 0 } } },
+	{ "lowered-to-rate-0-burst-10",
+	  false,
+	  false,
+	  { { 100, 100, 90, 5000, 95, ANY },
+	    { 0, 10, 90, 5000, 0, 110 },
+	    { 0, 10, 90, 5000, 0, 10 },
+	    { 0, 10, 90, 5000, 0, 0 } } },
+	{ "lifted-again",
+	  false,
+	  false,
+	  { { 0, 0, 40, 5000, 0, 0 },
+	    { 50, 50, 40, 1000, 0, ANY },
+	    { 50, 50, 40, 10000, 95, ANY } } },
+	{ "largest-values",
+	  false,
+	  false,
+	  { { UINT32_MAX, UINT32_MAX, 900, 5000, 95, ANY },
+	    { UINT32_MAX, UINT32_MAX, 900, 5000, 95, ANY } } },
+};
+
+static void play_phase(struct fake_fleet *f, const struct corner_phase *phase)
+{
+	uint64_t offered = f->offered;
+	uint64_t spent = f->spent;
+
+	f->rate = phase->rate;
+	f->burst = phase->burst;
+	g_assert_cmpint(rate_allocator_set_limit(f->allocator, f->now, CUSTOMER,
+						 f->rate, f->burst),
+			==, 0);
+	run(f, phase->ms * MS, phase->load_per_s);
+	offered = f->offered - offered;
+	spent = f->spent - spent;
+	g_assert_cmpuint(spent, <=, phase->max);
+	g_assert_cmpuint(spent * 100, >=, offered * phase->min_percent);
+}
+
+static void test_limit_corner(gconstpointer data)
+{
+	const struct corner_case *c = data;
+
+	for (uint64_t seed = 1; seed <= 10; seed++) {
+		struct fake_fleet *f = create_fleet(seed, c->phases[0].rate,
+						    c->phases[0].burst);
+
+		f->window_s = 5;
+		f->over_percent = 10;
+		f->over_tokens = 20;
+		new_allocator(f);
+		for (uint32_t i = 0;
+		     i < G_N_ELEMENTS(c->phases) && c->phases[i].ms; i++) {
+			if (c->allocator_changes)
+				new_allocator(f);
+			f->partitioned[0] = c->cut_off && i > 0;
+			play_phase(f, &c->phases[i]);
+		}
+		destroy_fleet(f);
+	}
+}
+
 /* A customer below its rate is never refused; it waits briefly at most. */
 static void test_load_below_rate_is_served(void)
 {
@@ -766,5 +892,11 @@
 	g_test_add_func("/rates/shares", test_shares);
 	g_test_add_func("/rates/deadlines", test_queue_deadlines);
 	g_test_add_func("/rates/takeover-credit", test_takeover_credit);
+	for (size_t i = 0; i < G_N_ELEMENTS(corner_cases); i++) {
+		g_autofree char *path = g_strdup_printf(
+			"/rates/limit-corners/%s", corner_cases[i].name);
+
+		g_test_add_data_func(path, &corner_cases[i], test_limit_corner);
+	}
 	return g_test_run();
 }
