--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -52,6 +52,7 @@
 	WIRE_FORWARD_REFUSED,
 	/** asks for WIRE_FORWARD_PONG; neither has content */
 	WIRE_FORWARD_PING,
+	/** without a question: the holder reads lists of session marks */
 	WIRE_FORWARD_PONG,
 	/** the holder stops and takes no new operations; no content */
 	WIRE_FORWARD_DRAIN,
