Pooler: a transaction ends when its key passes to another customer

Cause: check_key_still_valid() asked whether the key belongs to some customer, not whether it is the one that the transaction's connection was opened for.

Change: each later statement compares the customer's name. If it differs, the transaction is rolled back and the caller gets "aborted", reason key_of_another_customer, so that it repeats the operation as the customer that has the key now; a refused COMMIT ends the transaction. The same holds between BEGIN and the first statement.

The database of /pooler/moves/* now needs a key; its cases and bounds are as they were. The functions of tests/support_moves.c that had grown long are split.

--- a/lib/session/pooler_internal.h
+++ b/lib/session/pooler_internal.h
@@ -179,6 +179,7 @@
 /* Reason of refusals under a limit of 0. */
 #define POOL_RATE_ZERO "the rate limit is 0"
 #define POOL_CANNOT_RECORD "commits cannot be recorded at present"
+#define POOL_OUTSIDE_HOME "endpoint_outside_home_regions"
 /* Reason of refusals while a primary is in an evacuated failure domain. */
 #define POOL_EVACUATED "the failure domain of the primary is evacuated"
 
@@ -568,6 +569,8 @@
 uint64_t pooler_send_by_us(const struct pool_session *s);
 void pooler_fail_transaction(struct pool_session *s, uint64_t now_us,
 			     enum statement_error error, const char *reason);
+void pooler_abort_transaction(struct pool_session *s, uint64_t now_us,
+			      const char *reason);
 void pooler_refuse_rate(struct pool_session *s, uint64_t now_us);
 void pooler_begin_transaction(struct pool_session *s);
 void pooler_start_admitted(struct pool_session *s, uint64_t now_us);
@@ -588,7 +591,6 @@
 bool pooler_crosses_region(const struct pooler *p, uint64_t region);
 bool pooler_prefers_other(const struct pool_session *s,
 			  const struct pool_endpoint *e, uint64_t now_us);
-void pooler_abort_outside_home_regions(struct pool_session *s, uint64_t now_us);
 void pooler_recheck_home_regions(struct pooler *p, uint64_t now_us);
 
 /* pooler_forward.c: operations sent to holders, and taken from others */
--- a/lib/session/pooler_regions.c
+++ b/lib/session/pooler_regions.c
@@ -137,17 +137,6 @@
 	return false;
 }
 
-/* Ends a transaction whose endpoint is outside of the present home regions. */
-void pooler_abort_outside_home_regions(struct pool_session *s, uint64_t now_us)
-{
-	bool commit = s->job.st.kind == STATEMENT_COMMIT;
-
-	pooler_release_conn(s, now_us, TRANSACTION_OPEN);
-	pooler_refuse(s, now_us, STATEMENT_E_ABORTED,
-		      commit ? TRANSACTION_NONE : TRANSACTION_FAILED,
-		      "endpoint_outside_home_regions");
-}
-
 static bool has_home_regions(const struct catalog *c)
 {
 	for (uint32_t i = 0; i < c->databases_count; i++) {
@@ -186,7 +175,7 @@
 		if (pooler_may_run_at(s, s->conn->endpoint))
 			return;
 		if (job->kind == JOB_IN_TRANSACTION)
-			pooler_abort_outside_home_regions(s, now_us);
+			pooler_abort_transaction(s, now_us, POOL_OUTSIDE_HOME);
 		else
 			pool_cold_withdraw(s, now_us);
 		return;
--- a/lib/session/pooler_statement.c
+++ b/lib/session/pooler_statement.c
@@ -119,18 +119,26 @@
 }
 
 /*
- * Checks that the session's key is still valid. Later statements of a
- * transaction get no other access check.
+ * Checks that the key still belongs to the customer that began the transaction,
+ * for whom its connection was opened. Its later statements get no other access
+ * check.
  */
-static enum statement_error check_key_still_valid(struct pool_session *s,
+static enum statement_error check_key_still_valid(const struct pool_session *s,
 						  uint64_t now_us,
 						  const char **reason)
 {
 	const struct catalog_customer *customer;
+	enum statement_error error;
 
 	if (!s->key_required)
 		return STATEMENT_E_NONE;
-	return check_key(s->pooler, now_us, s->key, &customer, reason);
+	error = check_key(s->pooler, now_us, s->key, &customer, reason);
+	if (error)
+		return error;
+	if (strcmp(customer->name, s->customer) == 0)
+		return STATEMENT_E_NONE;
+	*reason = "key_of_another_customer";
+	return STATEMENT_E_ABORTED;
 }
 
 /* Statements */
@@ -462,6 +470,17 @@
 	pooler_refuse(s, now_us, error, TRANSACTION_FAILED, reason);
 }
 
+/* Rolls back; a COMMIT ends the transaction all the same. */
+void pooler_abort_transaction(struct pool_session *s, uint64_t now_us,
+			      const char *reason)
+{
+	bool commit = s->job.st.kind == STATEMENT_COMMIT;
+
+	pooler_release_conn(s, now_us, TRANSACTION_OPEN);
+	pooler_refuse(s, now_us, STATEMENT_E_ABORTED,
+		      commit ? TRANSACTION_NONE : TRANSACTION_FAILED, reason);
+}
+
 static void in_failed_transaction(struct pool_session *s, uint64_t now_us)
 {
 	switch (s->job.st.kind) {
@@ -507,6 +526,10 @@
 	const char *reason = "";
 	enum statement_error error = check_key_still_valid(s, now_us, &reason);
 
+	if (error == STATEMENT_E_ABORTED) {
+		pooler_abort_transaction(s, now_us, reason);
+		return;
+	}
 	if (error) {
 		pooler_fail_transaction(s, now_us, error, reason);
 		return;
@@ -525,7 +548,7 @@
 	}
 	job->deadline_us = pooler_send_by_us(s);
 	if (s->conn && !pooler_may_run_at(s, s->conn->endpoint)) {
-		pooler_abort_outside_home_regions(s, now_us);
+		pooler_abort_transaction(s, now_us, POOL_OUTSIDE_HOME);
 		return;
 	}
 	if (s->conn && s->wrote && job->st.kind == STATEMENT_COMMIT &&
--- a/tests/support_moves.c
+++ b/tests/support_moves.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "fleet.h"
+#include "key_table.h"
 #include "lws_rng.h"
 #include "lws_str.h"
 #include "lws_time.h"
@@ -23,7 +24,9 @@
 #define TIMEOUT_MS 800
 /* Pauses between all steps together, so that the replicas' lag is allowed. */
 #define PAUSES_MS 2000
-/* The database of the session, and one for each service that stays there. */
+#define KEY "key"
+/* The database of the session, which needs the key, and one for each service
+ * that stays there. */
 #define DATABASES (1 + MOVES_SERVICES_MAX)
 
 struct service {
@@ -45,6 +48,8 @@
 	struct pool_conn *conn;
 	uint32_t service;
 	bool primary;
+	/* For whom the connection was opened. */
+	char customer[CATALOG_NAME_MAX];
 	bool established;
 	bool closed;
 	bool transaction;
@@ -96,6 +101,11 @@
 	GPtrArray *channels;
 	GQueue messages;
 	uint64_t version;
+	/* Customer that has the key, CUSTOMERS for none, and in the newest
+	 * configuration.
+	 */
+	uint32_t key_owner;
+	uint32_t newest_owner;
 	bool earlier_version;
 	struct caller caller;
 	bool wrote;
@@ -106,23 +116,10 @@
 
 /* Configurations */
 
-static struct fleet *make_fleet(uint64_t version, uint32_t service)
+static void add_databases(struct catalog *c, uint32_t service)
 {
-	struct fleet *fleet = fleet_create(NULL);
-	struct catalog *c = talloc_zero(fleet, struct catalog);
-	const char *why;
-
-	fleet->catalog = c;
-	c->version = version;
-	c->transaction_idle_ms = 3000;
-	c->groups_count = MOVES_SERVICES_MAX;
-	c->groups = talloc_zero_array(c, struct catalog_group, c->groups_count);
 	c->databases_count = DATABASES;
 	c->databases = talloc_zero_array(c, struct catalog_database, DATABASES);
-	c->customers_count = CUSTOMERS;
-	c->customers = talloc_zero_array(c, struct catalog_customer, CUSTOMERS);
-	for (uint32_t i = 0; i < CUSTOMERS; i++)
-		snprintf(c->customers[i].name, CATALOG_NAME_MAX, "c%u", i);
 	for (uint32_t i = 0; i < DATABASES; i++) {
 		struct catalog_database *d = &c->databases[i];
 
@@ -134,31 +131,49 @@
 		d->latency_objective_ms = TIMEOUT_MS / 4;
 		d->attempts_max = 2;
 		d->priority = 1;
-		d->open = true;
+		d->open = i > 0;
 	}
-	fleet->groups_count = MOVES_SERVICES_MAX;
-	fleet->groups = talloc_zero_array(fleet, struct fleet_group,
-					  fleet->groups_count);
-	for (uint32_t i = 0; i < MOVES_SERVICES_MAX; i++) {
-		struct fleet_group *g = &fleet->groups[i];
+}
 
-		snprintf(c->groups[i].name, CATALOG_NAME_MAX, "svc%u", i);
-		c->groups[i].connections_max = CONNECTIONS;
-		LWS_STR_COPY(g->name, c->groups[i].name);
-		g->count = 2;
-		for (uint32_t k = 0; k < 2; k++) {
-			struct fleet_endpoint *e = &g->endpoint[k];
-
-			snprintf(e->id, sizeof(e->id), "e%u", k);
-			snprintf(e->addr, sizeof(e->addr), "127.0.0.1:%u",
-				 1 + 2 * i + k);
-			snprintf(e->failure_domain, sizeof(e->failure_domain),
-				 "d%u", k);
-			e->present = true;
-			e->member = true;
-			e->slots = 4;
-		}
+static void add_customers(struct catalog *c, uint32_t key_owner)
+{
+	c->customers_count = CUSTOMERS;
+	c->customers = talloc_zero_array(c, struct catalog_customer, CUSTOMERS);
+	for (uint32_t i = 0; i < CUSTOMERS; i++)
+		snprintf(c->customers[i].name, CATALOG_NAME_MAX, "c%u", i);
+	if (key_owner == CUSTOMERS)
+		return;
+	c->keys_count = 1;
+	c->keys = talloc_zero(c, struct catalog_key);
+	key_hash(KEY, c->keys[0].hash);
+	c->keys[0].customer = key_owner;
+}
+
+static void add_group(struct fleet *fleet, uint32_t i)
+{
+	struct catalog_group *in_catalog = &fleet->catalog->groups[i];
+	struct fleet_group *g = &fleet->groups[i];
+
+	snprintf(in_catalog->name, CATALOG_NAME_MAX, "svc%u", i);
+	in_catalog->connections_max = CONNECTIONS;
+	LWS_STR_COPY(g->name, in_catalog->name);
+	g->count = 2;
+	for (uint32_t k = 0; k < 2; k++) {
+		struct fleet_endpoint *e = &g->endpoint[k];
+
+		snprintf(e->id, sizeof(e->id), "e%u", k);
+		snprintf(e->addr, sizeof(e->addr), "127.0.0.1:%u",
+			 1 + 2 * i + k);
+		snprintf(e->failure_domain, sizeof(e->failure_domain), "d%u",
+			 k);
+		e->present = true;
+		e->member = true;
+		e->slots = 4;
 	}
+}
+
+static void add_instances(struct fleet *fleet)
+{
 	fleet->instances_count = INSTANCES;
 	fleet->instances =
 		talloc_zero_array(fleet, struct fleet_instance, INSTANCES);
@@ -174,6 +189,28 @@
 			LWS_STR_COPY(instance->addr,
 				     FLEET_FORWARD_ONLY "127.0.0.1:7401");
 	}
+}
+
+static struct fleet *make_fleet(uint64_t version, uint32_t service,
+				uint32_t key_owner)
+{
+	struct fleet *fleet = fleet_create(NULL);
+	struct catalog *c = talloc_zero(fleet, struct catalog);
+	const char *why;
+
+	fleet->catalog = c;
+	c->version = version;
+	c->transaction_idle_ms = 3000;
+	c->groups_count = MOVES_SERVICES_MAX;
+	c->groups = talloc_zero_array(c, struct catalog_group, c->groups_count);
+	add_databases(c, service);
+	add_customers(c, key_owner);
+	fleet->groups_count = MOVES_SERVICES_MAX;
+	fleet->groups = talloc_zero_array(fleet, struct fleet_group,
+					  fleet->groups_count);
+	for (uint32_t i = 0; i < MOVES_SERVICES_MAX; i++)
+		add_group(fleet, i);
+	add_instances(fleet);
 	g_assert_cmpint(catalog_finish(c, &why), ==, 0);
 	return fleet;
 }
@@ -195,8 +232,9 @@
 static void configure(struct moves *m, uint32_t service, bool accepting,
 		      bool holder)
 {
-	struct fleet *fleet = make_fleet(++m->version, service);
+	struct fleet *fleet = make_fleet(++m->version, service, m->key_owner);
 
+	m->newest_owner = m->key_owner;
 	if (accepting)
 		set_fleet(m, 0, fleet);
 	if (holder)
@@ -248,6 +286,17 @@
 	m->committed_service = l->service;
 }
 
+static void check_customer(const struct link *l, const struct command *cmd)
+{
+	struct moves *m = l->moves;
+	char owner[CATALOG_NAME_MAX];
+
+	if (!cmd->of_session)
+		return;
+	snprintf(owner, sizeof(owner), "c%u", m->newest_owner);
+	m->result.wrong_customer += strcmp(owner, l->customer) != 0;
+}
+
 static enum statement_error run_statement(struct link *l,
 					  const struct command *cmd)
 {
@@ -285,7 +334,11 @@
 	case COMMAND_ROLLBACK:
 		l->transaction = false;
 		return STATEMENT_E_NONE;
+	case COMMAND_OPEN:
+		LWS_STR_COPY(l->customer, cmd->value);
+		return STATEMENT_E_NONE;
 	case COMMAND_FORWARD:
+		check_customer(l, cmd);
 		return run_statement(l, cmd);
 	default:
 		return STATEMENT_E_NONE;
@@ -355,7 +408,8 @@
 		struct command *cmd = g_new0(struct command, 1);
 
 		cmd->command = commands[i];
-		if (commands[i].kind == COMMAND_FORWARD)
+		if (commands[i].kind == COMMAND_FORWARD ||
+		    commands[i].kind == COMMAND_OPEN)
 			(void)text_copy(commands[i].value, cmd->value,
 					sizeof(cmd->value));
 		cmd->of_session = text_is(commands[i].id, "tested");
@@ -601,7 +655,7 @@
 	enum statement_error refused;
 
 	caller->session = pooler_open_session(m->instances[0].pooler, m->now_us,
-					      text_of(database), text_of(""),
+					      text_of(database), text_of(KEY),
 					      caller, &refused);
 	g_assert_nonnull(caller->session);
 }
@@ -628,6 +682,8 @@
 	m->wrote = false;
 	statement(m, &m->caller, kind, raw);
 	m->result.refused += m->caller.error != STATEMENT_E_NONE;
+	if (!m->result.refused_as)
+		m->result.refused_as = m->caller.error;
 	if (!m->wrote || m->caller.error)
 		return;
 	s = &m->services[m->committed_service];
@@ -672,6 +728,9 @@
 	case MOVES_COMMIT:
 		ask(m, STATEMENT_COMMIT, "COMMIT");
 		return;
+	case MOVES_ROLLBACK:
+		ask(m, STATEMENT_ROLLBACK, "ROLLBACK");
+		return;
 	case MOVES_STALL:
 		s->replica_term = s->term;
 		s->replica_number = s->number;
@@ -680,6 +739,12 @@
 	case MOVES_EARLIER_VERSION:
 		m->earlier_version = step->arg != 0;
 		return;
+	case MOVES_KEY_PASSES:
+		m->key_owner = step->arg;
+		return;
+	case MOVES_KEY_WITHDRAWN:
+		m->key_owner = CUSTOMERS;
+		return;
 	case MOVES_SET_UP_AGAIN:
 		*s = (struct service){ .term = s->term + 1 };
 		set_fleet(m, 0, m->instances[0].fleet);
@@ -688,6 +753,38 @@
 	}
 }
 
+static void create_pooler(struct moves *m, uint32_t i, uint64_t seed)
+{
+	struct instance *instance = &m->instances[i];
+	struct pooler_params params = { .key_fresh_us = 3 * LWS_US_PER_S,
+					.suspect_us = 400 * MS,
+					.customer_bound = true,
+					.seed = seed * INSTANCES + i };
+	struct pooler_ops ops = {
+		.private_data = instance,
+		.connect = op_connect,
+		.close = op_close,
+		.send = op_send,
+		.reply = op_reply,
+		.end_session = op_end_session,
+		.token_bucket = op_token_bucket,
+		.tokens_wanted = op_tokens_wanted,
+		.report = op_report,
+		.event = op_event,
+		.holder_usable = op_holder_usable,
+		.forward = op_forward,
+		.forward_statement = op_forward_statement,
+		.forward_end = op_forward_end,
+	};
+
+	instance->moves = m;
+	instance->number = i;
+	snprintf(params.name, sizeof(params.name), "i%u", i);
+	snprintf(params.failure_domain, sizeof(params.failure_domain), "d%u",
+		 i);
+	instance->pooler = pooler_create(NULL, &params, &ops);
+}
+
 struct moves_result moves_play(const struct moves_step *steps, uint64_t seed)
 {
 	struct moves m = { .now_us = 10 * LWS_US_PER_S };
@@ -707,37 +804,8 @@
 		m.services[i].term = i % 2 ? 2 : 3;
 		m.services[i].number = i % 2 ? 10 : 1000;
 	}
-	for (uint32_t i = 0; i < INSTANCES; i++) {
-		struct instance *instance = &m.instances[i];
-		struct pooler_params params = { .key_fresh_us =
-							3 * LWS_US_PER_S,
-						.suspect_us = 400 * MS,
-						.customer_bound = true,
-						.seed = seed * INSTANCES + i };
-		struct pooler_ops ops = {
-			.private_data = instance,
-			.connect = op_connect,
-			.close = op_close,
-			.send = op_send,
-			.reply = op_reply,
-			.end_session = op_end_session,
-			.token_bucket = op_token_bucket,
-			.tokens_wanted = op_tokens_wanted,
-			.report = op_report,
-			.event = op_event,
-			.holder_usable = op_holder_usable,
-			.forward = op_forward,
-			.forward_statement = op_forward_statement,
-			.forward_end = op_forward_end,
-		};
-
-		instance->moves = &m;
-		instance->number = i;
-		snprintf(params.name, sizeof(params.name), "i%u", i);
-		snprintf(params.failure_domain, sizeof(params.failure_domain),
-			 "d%u", i);
-		instance->pooler = pooler_create(NULL, &params, &ops);
-	}
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		create_pooler(&m, i, seed);
 	configure(&m, 0, true, true);
 	run_ms(&m, 100);
 	read_everywhere(&m);
--- a/tests/support_moves.h
+++ b/tests/support_moves.h
@@ -4,13 +4,17 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "statement.h"
+
 /**
- * DOC: One session whose database moves from service to service, for tests.
+ * DOC: One session beside changes of the configuration, for tests.
  *
- * Two instances: the first accepts the session and forwards its operations to
- * the second, which holds the connections. Each gets its configuration on its
- * own. A service has a primary and a replica with a log of its own; what a read
- * must see is known here, whatever the instances remember.
+ * Its database moves from service to service, and its key from customer to
+ * customer. Two instances: the first accepts the session and forwards its
+ * operations to the second, which holds the connections. Each gets its
+ * configuration on its own. A service has a primary and a replica with a log of
+ * its own; what a read must see, and for whom a statement may run, is known
+ * here, whatever the instances remember.
  */
 
 #define MOVES_SERVICES_MAX 40
@@ -33,12 +37,19 @@
 	MOVES_BEGIN,
 	MOVES_BEGIN_READ,
 	MOVES_COMMIT,
+	MOVES_ROLLBACK,
 	/** the replica of service @arg receives nothing from now on */
 	MOVES_STALL,
 	/** the next message of the holder, or the accepting instance, is in the
 	 *  form of an earlier version
 	 */
 	MOVES_EARLIER_VERSION,
+	/** customer @arg has the session's key, and 0 had it before; applies to
+	 *  configurations from now on
+	 */
+	MOVES_KEY_PASSES,
+	/** no customer has the session's key from now on */
+	MOVES_KEY_WITHDRAWN,
 	/** service @arg is set up again: its log is empty, its term higher */
 	MOVES_SET_UP_AGAIN,
 };
@@ -52,12 +63,17 @@
  * struct moves_result - what the session observed
  * @stale: reads that lacked a commit of the session in their service
  * @refused: statements that were answered with an error
+ * @refused_as: the first of these errors
+ * @wrong_customer: statements that ran for a customer that does not have the
+ *                  session's key by the newest configuration
  * @at_primary: reads that ran at a primary
  * @reads: reads that ran
  */
 struct moves_result {
 	uint32_t stale;
 	uint32_t refused;
+	enum statement_error refused_as;
+	uint32_t wrong_customer;
 	uint32_t at_primary;
 	uint32_t reads;
 };
--- a/tests/test_pooler.c
+++ b/tests/test_pooler.c
@@ -1824,6 +1824,123 @@
 	check_moves(steps);
 }
 
+struct key_case {
+	const char *name;
+	/* Error of the first statement that is refused, and how many are. */
+	enum statement_error error;
+	uint32_t refused;
+	struct moves_step steps[16];
+};
+
+/* A transaction went on for a customer that had its key no longer. */
+static const struct key_case key_cases[] = {
+	{ "in-transaction",
+	  STATEMENT_E_ABORTED,
+	  1,
+	  { { MOVES_BEGIN, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_KEY_PASSES, 1 },
+	    { MOVES_CONFIGURE, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_ROLLBACK, 0 },
+	    { MOVES_BEGIN, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_COMMIT, 0 } } },
+	{ "before-commit",
+	  STATEMENT_E_ABORTED,
+	  1,
+	  { { MOVES_BEGIN, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_KEY_PASSES, 1 },
+	    { MOVES_CONFIGURE, 0 },
+	    { MOVES_COMMIT, 0 },
+	    { MOVES_WRITE, 0 } } },
+	{ "in-read-transaction",
+	  STATEMENT_E_ABORTED,
+	  1,
+	  { { MOVES_BEGIN_READ, 0 },
+	    { MOVES_READ, 0 },
+	    { MOVES_KEY_PASSES, 1 },
+	    { MOVES_CONFIGURE, 0 },
+	    { MOVES_READ, 0 },
+	    { MOVES_ROLLBACK, 0 },
+	    { MOVES_READ, 0 } } },
+	{ "holder-first",
+	  STATEMENT_E_ABORTED,
+	  1,
+	  { { MOVES_BEGIN, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_KEY_PASSES, 1 },
+	    { MOVES_CONFIGURE_HOLDER, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_ROLLBACK, 0 },
+	    { MOVES_BEGIN, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_COMMIT, 0 } } },
+	{ "accepting-first",
+	  STATEMENT_E_ABORTED,
+	  1,
+	  { { MOVES_BEGIN, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_KEY_PASSES, 1 },
+	    { MOVES_CONFIGURE_ACCEPTING, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_ROLLBACK, 0 },
+	    { MOVES_CATCH_UP_HOLDER, 0 },
+	    { MOVES_WRITE, 0 } } },
+	/* It is bound to the customer by its BEGIN. */
+	{ "after-begin",
+	  STATEMENT_E_ABORTED,
+	  1,
+	  { { MOVES_BEGIN, 0 },
+	    { MOVES_KEY_PASSES, 1 },
+	    { MOVES_CONFIGURE, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_ROLLBACK, 0 },
+	    { MOVES_WRITE, 0 } } },
+	{ "withdrawn",
+	  STATEMENT_E_KEY,
+	  1,
+	  { { MOVES_BEGIN, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_KEY_WITHDRAWN, 0 },
+	    { MOVES_CONFIGURE, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_ROLLBACK, 0 } } },
+	{ "between-operations",
+	  STATEMENT_E_NONE,
+	  0,
+	  { { MOVES_WRITE, 0 },
+	    { MOVES_KEY_PASSES, 1 },
+	    { MOVES_CONFIGURE, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_READ, 0 } } },
+	{ "kept",
+	  STATEMENT_E_NONE,
+	  0,
+	  { { MOVES_BEGIN, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_CONFIGURE, 0 },
+	    { MOVES_WRITE, 0 },
+	    { MOVES_COMMIT, 0 } } },
+};
+
+static void test_key_passes(gconstpointer data)
+{
+	const struct key_case *c = data;
+
+	for (uint64_t seed = 1; seed <= MOVES_SEEDS; seed++) {
+		struct moves_result result = moves_play(c->steps, seed);
+
+		if (result.wrong_customer || result.refused != c->refused ||
+		    result.refused_as != c->error)
+			g_error("seed %" G_GUINT64_FORMAT
+				": %u for the wrong customer, %u refused, %s",
+				seed, result.wrong_customer, result.refused,
+				statement_error_name(result.refused_as));
+	}
+}
+
 /* A session that commits in more services than its marks have room for. */
 static void test_moves_through_many(void)
 {
@@ -1903,6 +2020,12 @@
 
 		g_test_add_data_func(path, &moves_cases[i], test_moves);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(key_cases); i++) {
+		g_autofree char *path = g_strdup_printf("/pooler/key-passes/%s",
+							key_cases[i].name);
+
+		g_test_add_data_func(path, &key_cases[i], test_key_passes);
+	}
 	g_test_add_func("/pooler/moves/through-many", test_moves_through_many);
 	for (size_t i = 0; i < G_N_ELEMENTS(zero_cases); i++) {
 		g_autofree char *path =
