--- a/lib/admit/rate_allocator.c
+++ b/lib/admit/rate_allocator.c
@@ -558,10 +558,9 @@
 {
 	uint64_t beyond_burst = depth_of(ra, rate_per_s, burst) - burst;
 
-	return rate_per_s
-		       ? minus(tolerance(ra, rate_per_s, burst), beyond_burst) /
-				 2
-		       : 0;
+	if (!rate_per_s)
+		return 0;
+	return minus(tolerance(ra, rate_per_s, burst), beyond_burst) / 2;
 }
 
 static void change_limit(struct rate_allocator *ra, struct global_bucket *b,
--- a/lib/control/raft.c
+++ b/lib/control/raft.c
@@ -82,7 +82,7 @@
 			raft_send_append_all(r);
 		return;
 	}
-	if (now_us >= r->election_due_us && raft_counts(r, r->params.self))
+	if (now_us >= r->election_due_us && raft_has_vote(r, r->params.self))
 		raft_start_prevote(r);
 }
 
@@ -211,7 +211,7 @@
 
 void raft_set_learner(struct raft *r, uint64_t id)
 {
-	if (r->role != RAFT_LEADER || raft_counts(r, id) || r->learner == id)
+	if (r->role != RAFT_LEADER || raft_has_vote(r, id) || r->learner == id)
 		return;
 	r->learner = id;
 	raft_align_progress(r);
--- a/lib/control/raft_election.c
+++ b/lib/control/raft_election.c
@@ -115,7 +115,7 @@
 	raft_apply_committed(r);
 	complete_replacement(r);
 	raft_send_append_all(r);
-	if (!raft_counts(r, r->params.self) && r->commit >= r->voters_index)
+	if (!raft_has_vote(r, r->params.self) && r->commit >= r->voters_index)
 		raft_become_follower(r, r->term, 0);
 }
 
--- a/lib/control/raft_internal.h
+++ b/lib/control/raft_internal.h
@@ -106,8 +106,8 @@
 			       uint64_t to, uint64_t after_seq);
 void raft_push_hard_state(struct raft *r);
 void raft_set_role(struct raft *r, enum raft_role role);
-/** raft_counts() - whether a member is a voter, incoming or outgoing */
-bool raft_counts(const struct raft *r, uint64_t id);
+/** raft_has_vote() - whether a member is a voter, incoming or outgoing */
+bool raft_has_vote(const struct raft *r, uint64_t id);
 /** raft_list_voters() - identities of all voters, each once */
 uint32_t raft_list_voters(const struct raft *r, uint64_t ids[RAFT_JOINT_MAX]);
 /** raft_voters_missing() - number of members of @from that are not in @in */
--- a/lib/control/raft_log.c
+++ b/lib/control/raft_log.c
@@ -115,7 +115,7 @@
 	return false;
 }
 
-bool raft_counts(const struct raft *r, uint64_t id)
+bool raft_has_vote(const struct raft *r, uint64_t id)
 {
 	return raft_is_voter(&r->voters, id) || raft_is_voter(&r->outgoing, id);
 }
@@ -154,7 +154,7 @@
 
 static bool is_peer(const struct raft *r, uint64_t id)
 {
-	return raft_counts(r, id) || (r->learner && r->learner == id);
+	return raft_has_vote(r, id) || (r->learner && r->learner == id);
 }
 
 /* Keeps the progress of remaining members and initializes that of new ones. */
@@ -184,12 +184,12 @@
 void raft_adopt_voters(struct raft *r, const struct raft_voters *voters,
 		       const struct raft_voters *outgoing, uint64_t index)
 {
-	bool was_voter = raft_counts(r, r->params.self);
+	bool was_voter = raft_has_vote(r, r->params.self);
 
 	r->voters = *voters;
 	r->outgoing = outgoing ? *outgoing : (struct raft_voters){ 0 };
 	r->voters_index = index;
-	if (!raft_counts(r, r->params.self))
+	if (!raft_has_vote(r, r->params.self))
 		r->voter_since = 0;
 	else if (!was_voter || !r->voter_since)
 		r->voter_since = index;
